Add design, build skeleton and the library's base interfaces

Cause: empty repository. Change: docs/design.md with modules, state, messages, failure modes and every requirement; Makefile with check, lint, bench and demo; error and clock modules; headers of log, metrics, config, HTTP, peer network and store, so that parts can be built against fixed interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,144 @@
+# chestnutquay build.
+#
+#   make            library, programs, stand-ins
+#   make check      every test
+#   make lint       clang-format, clang-tidy, cppcheck
+#   make bench      every figure, one JSON object a line
+#   make demo       the whole system on loopback
+#   make generate   regenerates src/protocol/gen (needs protobuf-c-compiler)
+#
+# SAN=1 builds with address and undefined-behaviour sanitizers in build-san.
+
+CC ?= cc
+CXX ?= c++
+PKGS := glib-2.0 jansson libcurl libmicrohttpd libprotobuf-c
+ifeq ($(SAN),1)
+B := build-san
+SANFLAGS := -fsanitize=address,undefined -fno-sanitize-recover=undefined \
+	-fno-omit-frame-pointer
+OPT := -O1
+else
+B := build
+SANFLAGS :=
+OPT := -O2
+endif
+
+VERSION := 0.1.0
+WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wdeclaration-after-statement
+CPPFLAGS += -D_GNU_SOURCE -DCQ_VERSION=\"$(VERSION)\" -Iinclude -Isrc
+CFLAGS_ALL = -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS) $(PKG_CFLAGS) $(CFLAGS)
+CXXFLAGS_ALL = -std=c++17 -g $(OPT) -Wall -Wextra -Werror $(SANFLAGS) \
+	$(PKG_CFLAGS) $(CXXFLAGS)
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+LDLIBS_ALL = $(shell pkg-config --libs $(PKGS)) -lev -largtable2 -llog4c -lm
+
+LIB_DIRS := src/base src/transport src/protocol src/protocol/gen src/state \
+	src/coordination
+LIB_SRC := $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c))
+LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
+LIB := $(B)/libchestnutquay.a
+
+PROGRAM_DIRS := $(patsubst %/main.c,%,$(wildcard src/programs/*/main.c))
+STANDIN_DIRS := $(patsubst %/main.c,%,$(wildcard tests/standins/*/main.c))
+program_name = $(if $(filter cqctl,$(notdir $1)),cqctl,cq-$(notdir $1))
+PROGRAMS := $(foreach d,$(PROGRAM_DIRS),$(B)/bin/$(call program_name,$d))
+STANDINS := $(foreach d,$(STANDIN_DIRS),$(B)/bin/cq-$(notdir $d))
+
+UNIT_SRC := $(wildcard tests/unit/test_*.c)
+UNIT_BIN := $(UNIT_SRC:tests/unit/%.c=$(B)/tests/unit/%)
+TEST_LIB_SRC := $(wildcard tests/support/*.c)
+TEST_LIB_OBJ := $(TEST_LIB_SRC:%.c=$(B)/%.o)
+PROP_SRC := $(wildcard tests/property/prop_*.cc)
+PROP_BIN := $(PROP_SRC:tests/property/%.cc=$(B)/tests/property/%)
+BENCH_SRC := $(wildcard bench/bench_*.c)
+BENCH_BIN := $(BENCH_SRC:bench/%.c=$(B)/bench/%)
+BENCH_LIB_SRC := $(filter-out $(BENCH_SRC),$(wildcard bench/*.c))
+BENCH_LIB_OBJ := $(BENCH_LIB_SRC:%.c=$(B)/%.o)
+FUZZ_SRC := $(wildcard tests/fuzz/fuzz_*.c)
+FUZZ_BIN := $(FUZZ_SRC:tests/fuzz/%.c=build-fuzz/%)
+
+.PHONY: all check lint format bench demo deps generate clean tests fuzz \
+	compile-commands
+.SECONDARY:
+all: $(LIB) $(PROGRAMS) $(STANDINS)
+
+deps:
+	scripts/install-deps.sh
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS_ALL) -MMD -MP -c $< -o $@
+
+$(B)/src/protocol/gen/%.o: WARN := -Wall
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+define link_rule
+$(B)/bin/$2: $$(patsubst %.c,$(B)/%.o,$$(wildcard $1/*.c)) $3 $(LIB)
+	@mkdir -p $$(@D)
+	$(CC) $(SANFLAGS) -o $$@ $$^ $$(LDLIBS_ALL)
+endef
+$(foreach d,$(PROGRAM_DIRS),$(eval $(call link_rule,$d,$(call program_name,$d),)))
+$(foreach d,$(STANDIN_DIRS),$(eval $(call link_rule,$d,cq-$(notdir $d),$(TEST_LIB_OBJ))))
+
+$(B)/tests/unit/%: $(B)/tests/unit/%.o $(TEST_LIB_OBJ) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
+
+$(B)/tests/property/%: tests/property/%.cc $(TEST_LIB_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS_ALL) -MMD -MP -MF $@.d -o $@ $< \
+		$(TEST_LIB_OBJ) $(LIB) -lrapidcheck $(LDLIBS_ALL)
+
+$(B)/bench/%: $(B)/bench/%.o $(BENCH_LIB_OBJ) $(TEST_LIB_OBJ) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
+
+build-fuzz/%: tests/fuzz/%.c $(LIB_SRC)
+	@mkdir -p $(@D)
+	clang $(CPPFLAGS) -std=gnu11 -g -O1 -fsanitize=fuzzer,address \
+		$(PKG_CFLAGS) -o $@ $< $(LIB_SRC) $(LDLIBS_ALL)
+
+tests: all $(UNIT_BIN) $(PROP_BIN)
+fuzz: $(FUZZ_BIN)
+
+ifeq ($(SAN),1)
+check: tests
+	scripts/run-tests.sh $(B)
+else
+check: tests fuzz
+	scripts/run-tests.sh $(B)
+endif
+
+bench: all $(BENCH_BIN)
+	scripts/run-bench.sh $(B)
+
+demo: deps
+	$(MAKE) all
+	scripts/demo.sh $(B)
+
+C_FILES = $(shell git ls-files '*.c' '*.h' '*.cc' | grep -v protocol/gen)
+TIDY_FILES = $(shell git ls-files 'src/*.c' 'bench/*.c' 'tests/*.c' | \
+	grep -v -e protocol/gen -e tests/fuzz)
+
+format:
+	clang-format -i $(C_FILES)
+
+lint:
+	clang-format --dry-run -Werror $(C_FILES)
+	printf '%s\n' $(TIDY_FILES) | xargs -P 10 -I{} clang-tidy --quiet {} \
+		-- $(CPPFLAGS) -std=gnu11 $(PKG_CFLAGS) 2>/dev/null
+	cppcheck --quiet --error-exitcode=1 --std=c11 -j 8 \
+		--enable=warning,portability --inline-suppr \
+		--suppress=missingIncludeSystem --suppress=unknownMacro \
+		-Iinclude -Isrc -isrc/protocol/gen src
+
+generate:
+	protoc-c --proto_path=src/protocol/proto --c_out=src/protocol/gen \
+		src/protocol/proto/*.proto
+
+clean:
+	rm -rf build build-san build-fuzz
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/include/chestnutquay/store.h
@@ -0,0 +1,96 @@
+/*
+ * Interface to the platform's key-value store.
+ *
+ * Calls are asynchronous and end with exactly one completion, except a
+ * cancelled one. Every call counts against the store's rate, a waiting watch
+ * as one call.
+ */
+#ifndef CHESTNUTQUAY_STORE_H
+#define CHESTNUTQUAY_STORE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define CQ_STORE_MAX_VALUE_BYTES (1U << 20)
+
+enum cq_store_status {
+	CQ_STORE_OK,
+	CQ_STORE_CONFLICT,    /* revision did not match; nothing changed */
+	CQ_STORE_NOT_FOUND,   /* no such key or lease */
+	CQ_STORE_UNAVAILABLE, /* not executed */
+	CQ_STORE_UNKNOWN,     /* sent; may or may not have taken effect */
+	CQ_STORE_INVALID,     /* refused as malformed or too large */
+};
+
+const char *cq_store_status_string(enum cq_store_status status);
+
+struct cq_store_entry {
+	const char *key;
+	const char *value; /* NUL-terminated; NULL for a deletion (watch) */
+	size_t value_len;
+	int64_t revision; /* of the last change of this key */
+	int64_t lease_id; /* 0: none */
+};
+
+struct cq_store_result {
+	enum cq_store_status status;
+	int64_t revision; /* of the store when the call was executed */
+	int64_t lease_id; /* lease_grant only */
+	const struct cq_store_entry *entries; /* get, list, watch, CONFLICT */
+	size_t entry_count;
+	const char *message; /* for logs; never NULL */
+};
+
+typedef void cq_store_done_fn(void *ctx, const struct cq_store_result *result);
+
+struct cq_store_call;
+
+struct cq_store_ops {
+	struct cq_store_call *(*get)(void *self, const char *key,
+				     uint32_t timeout_ms,
+				     cq_store_done_fn *done, void *ctx);
+	/* All keys with the prefix. */
+	struct cq_store_call *(*list)(void *self, const char *prefix,
+				      uint32_t timeout_ms,
+				      cq_store_done_fn *done, void *ctx);
+	/*
+	 * Compare-and-swap: revision is that of the expected current value; 0
+	 * creates the key; CQ_STORE_ANY_REVISION writes in any case.
+	 */
+	struct cq_store_call *(*put)(void *self, const char *key,
+				     const char *value, int64_t revision,
+				     int64_t lease_id, uint32_t timeout_ms,
+				     cq_store_done_fn *done, void *ctx);
+	struct cq_store_call *(*remove)(void *self, const char *key,
+					int64_t revision, uint32_t timeout_ms,
+					cq_store_done_fn *done, void *ctx);
+	struct cq_store_call *(*lease_grant)(void *self, uint32_t ttl_ms,
+					     uint32_t timeout_ms,
+					     cq_store_done_fn *done, void *ctx);
+	struct cq_store_call *(*lease_keepalive)(void *self, int64_t lease_id,
+						 uint32_t timeout_ms,
+						 cq_store_done_fn *done,
+						 void *ctx);
+	struct cq_store_call *(*lease_revoke)(void *self, int64_t lease_id,
+					      uint32_t timeout_ms,
+					      cq_store_done_fn *done,
+					      void *ctx);
+	/*
+	 * Changes under the prefix after the revision, in revision order.
+	 * Completes when there is one, or empty after wait_ms.
+	 */
+	struct cq_store_call *(*watch)(void *self, const char *prefix,
+				       int64_t after_revision, uint32_t wait_ms,
+				       cq_store_done_fn *done, void *ctx);
+	void (*cancel)(void *self, struct cq_store_call *call);
+};
+
+#define CQ_STORE_ANY_REVISION INT64_C(-1)
+
+struct cq_store {
+	const struct cq_store_ops *ops;
+	void *self;
+};
+
+#endif
--- /dev/null
+++ b/scripts/run-script-test.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# Runs one scripted test and compares its standard output with the expected
+# output next to it (NAME.sh and NAME.exp).
+set -u
+script=$1
+expected=${script%.sh}.exp
+actual=$(mktemp)
+trap 'rm -f "$actual"' EXIT
+sh "$script" >"$actual"
+status=$?
+if ! diff -u "$expected" "$actual"; then
+	echo "output differs from $expected"
+	exit 1
+fi
+exit "$status"
