--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 
 PROGRAM_DIRS := $(patsubst %/main.c,%,$(wildcard src/programs/*/main.c))
 STANDIN_DIRS := $(patsubst %/main.c,%,$(wildcard tests/standins/*/main.c))
+PROGRAM_COMMON_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/programs/common/*.c))
 program_name = $(if $(filter cqctl,$(notdir $1)),cqctl,cq-$(notdir $1))
 PROGRAMS := $(foreach d,$(PROGRAM_DIRS),$(B)/bin/$(call program_name,$d))
 STANDINS := $(foreach d,$(STANDIN_DIRS),$(B)/bin/cq-$(notdir $d))
@@ -81,7 +82,7 @@
 	@mkdir -p $$(@D)
 	$(CC) $(SANFLAGS) -o $$@ $$^ $$(LDLIBS_ALL)
 endef
-$(foreach d,$(PROGRAM_DIRS),$(eval $(call link_rule,$d,$(call program_name,$d),)))
+$(foreach d,$(PROGRAM_DIRS),$(eval $(call link_rule,$d,$(call program_name,$d),$(PROGRAM_COMMON_OBJ))))
 $(foreach d,$(STANDIN_DIRS),$(eval $(call link_rule,$d,cq-$(notdir $d),$(TEST_LIB_OBJ))))
 
 $(B)/tests/unit/%: $(B)/tests/unit/%.o $(TEST_LIB_OBJ) $(LIB)
--- /dev/null
+++ b/src/transport/http_client.c
@@ -0,0 +1,353 @@
+#include "chestnutquay/http_client.h"
+
+#include <assert.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <string.h>
+
+/* Probes of an idle or silent connection by the kernel, in seconds. */
+#define KEEPALIVE_IDLE_S 5L
+#define KEEPALIVE_INTERVAL_S 2L
+/* Connections unused for longer are not used again. */
+#define MAX_CONNECTION_AGE_S 30L
+
+struct cq_http_client {
+	struct ev_loop *loop;
+	CURLM *multi;
+	ev_timer timer;
+	GHashTable *calls;   /* set of struct cq_http_call */
+	GHashTable *sockets; /* struct socket_watch, owned */
+	GPtrArray *idle_handles;
+};
+
+struct cq_http_call {
+	struct cq_http_client *client;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *body;
+	size_t body_len;
+	GByteArray *answer;
+	uint32_t max_answer_bytes;
+	cq_http_done_fn *done;
+	void *ctx;
+};
+
+struct socket_watch {
+	ev_io io;
+	struct cq_http_client *client;
+};
+
+static const char *const outcome_strings[] = {
+	[CQ_HTTP_ANSWERED] = "answered",
+	[CQ_HTTP_NOT_SENT] = "not_sent",
+	[CQ_HTTP_UNKNOWN] = "unknown",
+};
+
+static size_t on_write(char *data, size_t size, size_t n, void *userdata);
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *userp,
+		     void *socketp);
+static int on_multi_timer(CURLM *multi, long timeout_ms, void *userp);
+static void on_io(struct ev_loop *loop, ev_io *watcher, int events);
+static void on_timer(struct ev_loop *loop, ev_timer *watcher, int events);
+static void collect_finished(struct cq_http_client *client);
+static void call_finished(struct cq_http_call *call, CURLcode code);
+static void call_unlink(struct cq_http_call *call);
+static void call_free(struct cq_http_call *call);
+static void set_options(struct cq_http_call *call,
+			const struct cq_http_request *request);
+static void socket_watch_free(void *data);
+
+const char *cq_http_outcome_string(enum cq_http_outcome outcome)
+{
+	return outcome_strings[outcome];
+}
+
+static void socket_watch_free(void *data)
+{
+	struct socket_watch *watch = data;
+
+	ev_io_stop(watch->client->loop, &watch->io);
+	g_free(watch);
+}
+
+struct cq_http_client *cq_http_client_create(struct ev_loop *loop,
+					     uint32_t max_per_host,
+					     uint32_t max_idle)
+{
+	struct cq_http_client *client = g_new0(struct cq_http_client, 1);
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	client->loop = loop;
+	client->sockets =
+		g_hash_table_new_full(NULL, NULL, NULL, socket_watch_free);
+	client->calls = g_hash_table_new(NULL, NULL);
+	client->idle_handles = g_ptr_array_new();
+	client->multi = curl_multi_init();
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION,
+			  on_multi_timer);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)max_per_host);
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, (long)max_idle);
+	ev_timer_init(&client->timer, on_timer, 0., 0.);
+	client->timer.data = client;
+	return client;
+}
+
+void cq_http_client_destroy(struct cq_http_client *client)
+{
+	GHashTableIter iter;
+	gpointer key;
+	guint i;
+
+	if (!client)
+		return;
+	g_hash_table_iter_init(&iter, client->calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct cq_http_call *call = key;
+
+		curl_multi_remove_handle(client->multi, call->easy);
+		call_free(call);
+	}
+	g_hash_table_destroy(client->calls);
+	for (i = 0; i < client->idle_handles->len; i++)
+		curl_easy_cleanup(g_ptr_array_index(client->idle_handles, i));
+	g_ptr_array_free(client->idle_handles, TRUE);
+	curl_multi_cleanup(client->multi);
+	ev_timer_stop(client->loop, &client->timer);
+	g_hash_table_destroy(client->sockets);
+	g_free(client);
+}
+
+static size_t on_write(char *data, size_t size, size_t n, void *userdata)
+{
+	struct cq_http_call *call = userdata;
+
+	if (call->answer->len + size * n > call->max_answer_bytes)
+		return 0;
+	g_byte_array_append(call->answer, (const guint8 *)data,
+			    (guint)(size * n));
+	return size * n;
+}
+
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *userp,
+		     void *socketp)
+{
+	struct cq_http_client *client = userp;
+	struct socket_watch *watch = socketp;
+	int events = (what & CURL_POLL_IN ? EV_READ : 0) |
+		     (what & CURL_POLL_OUT ? EV_WRITE : 0);
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		g_hash_table_remove(client->sockets, GINT_TO_POINTER(fd));
+		return 0;
+	}
+	if (!watch) {
+		watch = g_new0(struct socket_watch, 1);
+		watch->client = client;
+		ev_io_init(&watch->io, on_io, fd, events);
+		watch->io.data = client;
+		g_hash_table_replace(client->sockets, GINT_TO_POINTER(fd),
+				     watch);
+		curl_multi_assign(client->multi, fd, watch);
+	} else {
+		ev_io_stop(client->loop, &watch->io);
+		ev_io_set(&watch->io, fd, events);
+	}
+	ev_io_start(client->loop, &watch->io);
+	return 0;
+}
+
+static int on_multi_timer(CURLM *multi, long timeout_ms, void *userp)
+{
+	struct cq_http_client *client = userp;
+
+	(void)multi;
+	ev_timer_stop(client->loop, &client->timer);
+	if (timeout_ms < 0)
+		return 0;
+	ev_now_update(client->loop);
+	ev_timer_set(&client->timer, (double)timeout_ms / 1000.0, 0.);
+	ev_timer_start(client->loop, &client->timer);
+	return 0;
+}
+
+static void on_io(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	struct cq_http_client *client = watcher->data;
+	int running;
+	int mask = (events & EV_READ ? CURL_CSELECT_IN : 0) |
+		   (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
+
+	(void)loop;
+	curl_multi_socket_action(client->multi, watcher->fd, mask, &running);
+	collect_finished(client);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	struct cq_http_client *client = watcher->data;
+	int running;
+
+	(void)loop;
+	(void)events;
+	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0,
+				 &running);
+	collect_finished(client);
+}
+
+static void collect_finished(struct cq_http_client *client)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(client->multi, &left))) {
+		struct cq_http_call *call;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+				  (char **)&call);
+		call_finished(call, message->data.result);
+	}
+}
+
+static void call_finished(struct cq_http_call *call, CURLcode code)
+{
+	struct cq_http_result result = { .call = call, .error = "" };
+	long status = 0;
+	long request_bytes = 0;
+
+	call_unlink(call);
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+	if (code == CURLE_OK) {
+		result.outcome = CQ_HTTP_ANSWERED;
+		result.status = (uint32_t)status;
+		g_byte_array_append(call->answer, (const guint8 *)"", 1);
+		result.body = (const char *)call->answer->data;
+		result.body_len = call->answer->len - 1;
+	} else {
+		result.outcome = request_bytes ? CQ_HTTP_UNKNOWN
+					       : CQ_HTTP_NOT_SENT;
+		result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
+		result.error = curl_easy_strerror(code);
+		result.body = "";
+	}
+	call->done(call->ctx, &result);
+	call_free(call);
+}
+
+const char *cq_http_result_header(const struct cq_http_result *result,
+				  const char *name)
+{
+	struct curl_header *header;
+
+	if (curl_easy_header(result->call->easy, name, 0, CURLH_HEADER, -1,
+			     &header) != CURLHE_OK)
+		return NULL;
+	return header->value;
+}
+
+static void call_unlink(struct cq_http_call *call)
+{
+	struct cq_http_client *client = call->client;
+
+	curl_multi_remove_handle(client->multi, call->easy);
+	g_hash_table_remove(client->calls, call);
+}
+
+static void call_free(struct cq_http_call *call)
+{
+	curl_easy_reset(call->easy);
+	g_ptr_array_add(call->client->idle_handles, call->easy);
+	curl_slist_free_all(call->headers);
+	g_byte_array_free(call->answer, TRUE);
+	g_free(call->body);
+	g_free(call);
+}
+
+static void set_options(struct cq_http_call *call,
+			const struct cq_http_request *request)
+{
+	const struct cq_http_header *header;
+	CURL *easy = call->easy;
+
+	for (header = request->headers; header && header->name; header++) {
+		char *line =
+			g_strdup_printf("%s: %s", header->name, header->value);
+
+		call->headers = curl_slist_append(call->headers, line);
+		g_free(line);
+	}
+	/* No "Expect: 100-continue", which costs a round trip. */
+	call->headers = curl_slist_append(call->headers, "Expect:");
+	curl_easy_setopt(easy, CURLOPT_URL, request->url);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_write);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)request->connect_timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MAX_CONNECTION_AGE_S);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
+			 request->fresh_connection ? 1L : 0L);
+	curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 0L);
+	if (call->body_len || !strcmp(request->method, "POST") ||
+	    !strcmp(request->method, "PUT")) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)call->body_len);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+				 call->body ? call->body : "");
+	}
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+struct cq_http_call *cq_http_client_send(struct cq_http_client *client,
+					 const struct cq_http_request *request,
+					 cq_http_done_fn *done, void *ctx)
+{
+	struct cq_http_call *call = g_new0(struct cq_http_call, 1);
+
+	assert(request->method && request->url && done);
+	call->client = client;
+	call->done = done;
+	call->ctx = ctx;
+	call->max_answer_bytes = request->max_answer_bytes
+					 ? request->max_answer_bytes
+					 : 4U << 20;
+	call->answer = g_byte_array_new();
+	call->body_len = request->body_len;
+	if (request->body_len)
+		call->body = g_memdup2(request->body, request->body_len);
+	if (client->idle_handles->len)
+		call->easy = g_ptr_array_remove_index_fast(
+			client->idle_handles, client->idle_handles->len - 1);
+	else
+		call->easy = curl_easy_init();
+	set_options(call, request);
+	g_hash_table_add(client->calls, call);
+	curl_multi_add_handle(client->multi, call->easy);
+	return call;
+}
+
+void cq_http_call_cancel(struct cq_http_call *call)
+{
+	call_unlink(call);
+	call_free(call);
+}
+
+uint32_t cq_http_client_open(const struct cq_http_client *client)
+{
+	return g_hash_table_size(client->calls);
+}
