Detect silent peer links and add a load tool

Cause: TCP_USER_TIMEOUT and keepalive do not notice a connection whose middle acknowledges data without forwarding it; sends went into it for good. Change: links that carried messages are pinged at a third of the silence limit and closed without an answer; cq-load sends bounded requests or jobs. Before: test silent_link reached its 10 s limit with the check disabled. After: it passes; the link is replaced within the limit of 300 ms set there.

--- a/include/chestnutquay/peer_net.h
+++ b/include/chestnutquay/peer_net.h
@@ -2,10 +2,13 @@
  * Messages between the project's own processes: protobuf-c envelopes in
  * length-prefixed TCP frames.
  *
- * Links are opened on demand and kept while used. A link whose peer does not
- * accept data or answer TCP within the silence limit is closed, and the next
- * send opens a new one. Delivery is best effort and at most once; callers use
- * correlation ids, deadlines and retries.
+ * Links are opened on demand and kept while used. A link that carried messages
+ * is checked with a ping that the other side answers on the same connection;
+ * without an answer within the silence limit it is closed, and the next send
+ * opens a new one. TCP's own timers are not enough: something between the two
+ * ends may go on acknowledging data that it no longer forwards. Delivery is
+ * best effort and at most once; callers use correlation ids, deadlines and
+ * retries.
  */
 #ifndef CHESTNUTQUAY_PEER_NET_H
 #define CHESTNUTQUAY_PEER_NET_H
@@ -39,6 +42,8 @@
 	CQ_PEER_REQUEST_FORWARD = 42,
 	CQ_PEER_REQUEST_ANSWER = 43,
 	CQ_PEER_HANDOVER = 50,
+	CQ_PEER_LINK_PING = 60, /* inside peer_net only */
+	CQ_PEER_LINK_PONG = 61,
 };
 
 const char *cq_peer_kind_string(enum cq_peer_kind kind);
@@ -63,7 +68,7 @@
 	const char *id;
 	uint64_t incarnation;
 	const char *listen_address; /* IPv4:PORT */
-	/* A link with unsent or unacknowledged data this long is closed. */
+	/* A link without an answer to its pings for this long is closed. */
 	uint32_t silence_ms;
 	uint32_t max_links;
 	uint32_t max_queued_bytes; /* per link; more is dropped */
--- a/src/transport/peer_net.c
+++ b/src/transport/peer_net.c
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "chestnutquay/clock.h"
 #include "chestnutquay/config.h"
 #include "chestnutquay/log.h"
 #include "protocol/gen/envelope.pb-c.h"
@@ -22,6 +23,7 @@
 #define DEFAULT_MAX_LINKS 256
 #define DEFAULT_MAX_QUEUED_BYTES (8U << 20)
 #define IDLE_CLOSE_S 120.0
+#define CHECKS_PER_SILENCE 3.0
 
 /* One TCP connection, opened by this side (address set) or the other. */
 struct link {
@@ -35,6 +37,9 @@
 	GByteArray *in;
 	GByteArray *out;
 	size_t out_offset;
+	/* First send that nothing received has followed; 0: none. */
+	int64_t unanswered_since_ns;
+	ev_timer check;
 };
 
 struct cq_peer_net {
@@ -64,6 +69,10 @@
 static void on_readable(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_writable(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_idle(struct ev_loop *loop, ev_timer *watcher, int events);
+static void on_check(struct ev_loop *loop, ev_timer *watcher, int events);
+static bool link_send(struct link *link, enum cq_peer_kind kind,
+		      uint64_t correlation, const uint8_t *payload,
+		      size_t payload_len);
 static bool deliver_frames(struct link *link);
 static bool deliver(struct link *link, const uint8_t *data, size_t len);
 static bool accept_envelope(const struct cq_peer_net *net,
@@ -105,6 +114,10 @@
 		return "REQUEST_ANSWER";
 	case CQ_PEER_HANDOVER:
 		return "HANDOVER";
+	case CQ_PEER_LINK_PING:
+		return "LINK_PING";
+	case CQ_PEER_LINK_PONG:
+		return "LINK_PONG";
 	}
 	return "?";
 }
@@ -201,6 +214,12 @@
 	link->reader.data = link;
 	link->writer.data = link;
 	link->idle.data = link;
+	ev_timer_init(&link->check, on_check,
+		      net->options.silence_ms / CHECKS_PER_SILENCE / 1000.0,
+		      net->options.silence_ms / CHECKS_PER_SILENCE / 1000.0);
+	link->check.data = link;
+	if (address)
+		ev_timer_start(net->loop, &link->check);
 	ev_io_start(net->loop, &link->reader);
 	ev_timer_start(net->loop, &link->idle);
 	g_hash_table_add(net->links, link);
@@ -218,6 +237,7 @@
 	ev_io_stop(net->loop, &link->reader);
 	ev_io_stop(net->loop, &link->writer);
 	ev_timer_stop(net->loop, &link->idle);
+	ev_timer_stop(net->loop, &link->check);
 	close(link->fd);
 	g_byte_array_free(link->in, TRUE);
 	g_byte_array_free(link->out, TRUE);
@@ -308,6 +328,27 @@
 	link_close(watcher->data);
 }
 
+static void on_check(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	struct link *link = watcher->data;
+	int64_t silent_ns;
+
+	(void)loop;
+	(void)events;
+	if (!link->unanswered_since_ns)
+		return;
+	silent_ns =
+		cq_clock_now_ns(cq_clock_system()) - link->unanswered_since_ns;
+	if (silent_ns < link->net->options.silence_ms * CQ_NS_PER_MS) {
+		link_send(link, CQ_PEER_LINK_PING, 0, NULL, 0);
+		return;
+	}
+	cq_log_event(CQ_LOG_WARN, "peer_link_silent", "{s:s,s:I}", "address",
+		     link->address, "silent_ms",
+		     (json_int_t)(silent_ns / CQ_NS_PER_MS));
+	link_close(link);
+}
+
 static void on_readable(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	struct link *link = watcher->data;
@@ -325,6 +366,7 @@
 		return;
 	}
 	link->net->bytes_received += (uint64_t)n;
+	link->unanswered_since_ns = 0;
 	ev_timer_again(loop, &link->idle);
 	if (!deliver_frames(link))
 		link_close(link);
@@ -395,6 +437,13 @@
 		cq__proto__envelope__free_unpacked(envelope, NULL);
 		return false;
 	}
+	if (envelope->kind == CQ_PEER_LINK_PING ||
+	    envelope->kind == CQ_PEER_LINK_PONG) {
+		if (envelope->kind == CQ_PEER_LINK_PING)
+			link_send(link, CQ_PEER_LINK_PONG, 0, NULL, 0);
+		cq__proto__envelope__free_unpacked(envelope, NULL);
+		return true;
+	}
 	message.from_address = envelope->sender_address;
 	message.from_id = envelope->sender_id;
 	message.from_incarnation = envelope->incarnation;
@@ -460,17 +509,15 @@
 	return link;
 }
 
-bool cq_peer_net_send(struct cq_peer_net *net, const char *address,
-		      enum cq_peer_kind kind, uint64_t correlation,
-		      const uint8_t *payload, size_t payload_len)
+static bool link_send(struct link *link, enum cq_peer_kind kind,
+		      uint64_t correlation, const uint8_t *payload,
+		      size_t payload_len)
 {
+	struct cq_peer_net *net = link->net;
 	Cq__Proto__Envelope envelope = CQ__PROTO__ENVELOPE__INIT;
-	struct link *link = link_to(net, address);
 	size_t len;
 	guint old_len;
 
-	if (!link)
-		return false;
 	envelope.version = CQ_PEER_PROTOCOL_VERSION;
 	envelope.deployment = net->deployment;
 	envelope.sender_id = net->id;
@@ -485,7 +532,8 @@
 	    link->out->len + len > net->options.max_queued_bytes) {
 		cq_log_event(CQ_LOG_WARN, "peer_message_dropped",
 			     "{s:s,s:s,s:I}", "kind", cq_peer_kind_string(kind),
-			     "address", address, "bytes", (json_int_t)len);
+			     "address", link->address ? link->address : "",
+			     "bytes", (json_int_t)len);
 		return false;
 	}
 	cq_frame_append_header(link->out, (uint32_t)len);
@@ -496,6 +544,19 @@
 	return true;
 }
 
+bool cq_peer_net_send(struct cq_peer_net *net, const char *address,
+		      enum cq_peer_kind kind, uint64_t correlation,
+		      const uint8_t *payload, size_t payload_len)
+{
+	struct link *link = link_to(net, address);
+
+	if (!link || !link_send(link, kind, correlation, payload, payload_len))
+		return false;
+	if (!link->unanswered_since_ns)
+		link->unanswered_since_ns = cq_clock_now_ns(cq_clock_system());
+	return true;
+}
+
 uint64_t cq_peer_net_bytes_sent(const struct cq_peer_net *net)
 {
 	return net->bytes_sent;
--- /dev/null
+++ b/tests/standins/load/main.c
@@ -0,0 +1,268 @@
+/*
+ * Load tool: sends a bounded number of requests or jobs to entry hosts, as
+ * callers do, and prints what became of them as one JSON object.
+ *
+ * A request whose connection was refused goes to the next target, as the
+ * platform's load balancer would do it. Everything else counts as its outcome.
+ */
+#include <ev.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "chestnutquay/clock.h"
+#include "chestnutquay/config.h"
+#include "chestnutquay/http_client.h"
+
+#define MAX_ATTEMPTS 8
+
+struct load {
+	struct ev_loop *loop;
+	struct cq_http_client *client;
+	const struct cq_config *config;
+	char **targets;
+	int32_t target_count;
+	int64_t to_send;
+	int64_t next;
+	int64_t open;
+	int64_t answered;
+	int64_t refused_no;
+	int64_t refused_unknown;
+	int64_t lost;  /* no answer at all */
+	int64_t wrong; /* success without this request's own marker */
+	int64_t non_idempotent_share;
+	GArray *latencies_ns;
+	ev_timer pace;
+	int64_t start_ns;
+};
+
+struct sent {
+	struct load *load;
+	int64_t number;
+	int64_t start_ns;
+	int32_t attempts;
+	bool idempotent;
+	char *marker;
+	char *key;
+};
+
+static void send_one(struct sent *sent);
+
+static int64_t now_ns(void)
+{
+	return cq_clock_now_ns(cq_clock_system());
+}
+
+static void sent_free(struct sent *sent)
+{
+	g_free(sent->marker);
+	g_free(sent->key);
+	g_free(sent);
+}
+
+static void classify(struct load *load, const struct sent *sent,
+		     const struct cq_http_result *result)
+{
+	const char *run = cq_http_result_header(result, "Cq-Run");
+	int64_t latency_ns = now_ns() - sent->start_ns;
+
+	if (result->outcome != CQ_HTTP_ANSWERED) {
+		load->lost++;
+		return;
+	}
+	if (result->status >= 400) {
+		if (run && !strcmp(run, "no"))
+			load->refused_no++;
+		else
+			load->refused_unknown++;
+		return;
+	}
+	load->answered++;
+	g_array_append_val(load->latencies_ns, latency_ns);
+	if (cq_config_flag(load->config, "check-echo") &&
+	    !strstr(result->body, sent->marker))
+		load->wrong++;
+}
+
+static void on_done(void *ctx, const struct cq_http_result *result)
+{
+	struct sent *sent = ctx;
+	struct load *load = sent->load;
+
+	if (result->outcome == CQ_HTTP_NOT_SENT &&
+	    sent->attempts < MAX_ATTEMPTS) {
+		send_one(sent);
+		return;
+	}
+	classify(load, sent, result);
+	sent_free(sent);
+	load->open--;
+	if (!load->open && load->next == load->to_send)
+		ev_break(load->loop, EVBREAK_ALL);
+}
+
+static void send_one(struct sent *sent)
+{
+	struct load *load = sent->load;
+	const struct cq_config *config = load->config;
+	int64_t target = sent->number + sent->attempts++;
+	char *timeout = g_strdup_printf(
+		"%" PRId64, cq_config_integer(config, "timeout-ms"));
+	GString *body = g_string_new(cq_config_string(config, "body"));
+	char *url = g_strdup_printf("http://%s%s",
+				    load->targets[target % load->target_count],
+				    cq_config_string(config, "path"));
+	struct cq_http_header headers[] = {
+		{ "Content-Type", "application/json" },
+		{ "Cq-Workspace", cq_config_string(config, "workspace") },
+		{ "Cq-Class", cq_config_string(config, "class") },
+		{ "Cq-Idempotent", sent->idempotent ? "yes" : "no" },
+		{ "Cq-Timeout-Ms", timeout },
+		{ "Idempotency-Key", sent->key },
+		{ NULL, NULL },
+	};
+	struct cq_http_request request;
+
+	g_string_replace(body, "%s", sent->marker, 0);
+	request = (struct cq_http_request){
+		.method = "POST",
+		.url = url,
+		.headers = headers,
+		.body = body->str,
+		.body_len = body->len,
+		.connect_timeout_ms = 1000,
+		.timeout_ms =
+			(uint32_t)cq_config_integer(config, "timeout-ms") +
+			1000,
+	};
+
+	cq_http_client_send(load->client, &request, on_done, sent);
+	g_free(url);
+	g_string_free(body, TRUE);
+	g_free(timeout);
+}
+
+static void on_pace(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct load *load = timer->data;
+	int64_t rate = cq_config_integer(load->config, "rate");
+	int64_t due = (now_ns() - load->start_ns) / CQ_NS_PER_MS * rate /
+			      CQ_MS_PER_S +
+		      1;
+
+	(void)events;
+	while (load->next < load->to_send && load->next < due) {
+		struct sent *sent = g_new0(struct sent, 1);
+
+		sent->load = load;
+		sent->number = load->next++;
+		sent->start_ns = now_ns();
+		sent->idempotent = sent->number % 100 >=
+				   load->non_idempotent_share;
+		sent->key = g_strdup_printf("%" PRId64 "-%d-%" PRId64,
+					    cq_clock_unix_ms(cq_clock_system()),
+					    (int)g_random_int(), sent->number);
+		sent->marker = g_strdup_printf(
+			"%s%" PRId64, cq_config_string(load->config, "name"),
+			sent->number);
+		load->open++;
+		send_one(sent);
+	}
+	if (load->next == load->to_send)
+		ev_timer_stop(loop, timer);
+}
+
+static int compare_int64(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static double percentile_ms(const GArray *sorted, double share)
+{
+	if (!sorted->len)
+		return 0;
+	return (double)g_array_index(
+		       sorted, int64_t,
+		       (guint)(share * (double)(sorted->len - 1))) /
+	       (double)CQ_NS_PER_MS;
+}
+
+static void print_result(struct load *load)
+{
+	g_array_sort(load->latencies_ns, compare_int64);
+	printf("{\"sent\":%" PRId64 ",\"answered\":%" PRId64
+	       ",\"refused_not_run\":%" PRId64 ",\"refused_unknown\":%" PRId64
+	       ",\"lost\":%" PRId64 ",\"wrong\":%" PRId64
+	       ",\"p50_ms\":%.3f,\"p99_ms\":%.3f,\"seconds\":%.3f}\n",
+	       load->to_send, load->answered, load->refused_no,
+	       load->refused_unknown, load->lost, load->wrong,
+	       percentile_ms(load->latencies_ns, 0.5),
+	       percentile_ms(load->latencies_ns, 0.99),
+	       (double)(now_ns() - load->start_ns) / (double)CQ_NS_PER_S);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct cq_setting settings[] = {
+		{ "targets", NULL, CQ_SETTING_LIST, NULL, 0, 0,
+		  "caller addresses of the entry hosts" },
+		{ "path", NULL, CQ_SETTING_STRING, "/v1/requests/fit", 0, 0,
+		  "path to post to" },
+		{ "body", NULL, CQ_SETTING_STRING, "{\"marker\":\"%s\"}", 0, 0,
+		  "body; %s becomes the request's marker" },
+		{ "name", NULL, CQ_SETTING_STRING, "r", 0, 0,
+		  "prefix of the markers" },
+		{ "count", NULL, CQ_SETTING_INTEGER, "200", 1, 1000000,
+		  "requests to send" },
+		{ "rate", NULL, CQ_SETTING_INTEGER, "200", 1, 100000,
+		  "requests per second" },
+		{ "workspace", NULL, CQ_SETTING_STRING, "default", 0, 0,
+		  "workspace" },
+		{ "class", NULL, CQ_SETTING_STRING, "seal-fit", 0, 0, "class" },
+		{ "timeout-ms", NULL, CQ_SETTING_INTEGER, "5000", 1, 600000,
+		  "deadline of each request, milliseconds" },
+		{ "non-idempotent-share", NULL, CQ_SETTING_INTEGER, "0", 0, 100,
+		  "non-idempotent requests, percent" },
+		{ "check-echo", NULL, CQ_SETTING_FLAG, "false", 0, 0,
+		  "answers must hold the request's marker" },
+	};
+	struct cq_error err = CQ_ERROR_INIT;
+	struct load load = { 0 };
+	struct cq_config *config;
+
+	config = cq_config_parse("cq-load", "Sends requests or jobs.", settings,
+				 G_N_ELEMENTS(settings), argc, argv, &err);
+	if (!config) {
+		fprintf(stderr, "cq-load: %s\n", err.message);
+		return CQ_EXIT_USAGE;
+	}
+	load.config = config;
+	load.loop = ev_default_loop(0);
+	load.client = cq_http_client_create(load.loop, 256, 256);
+	load.targets = cq_config_list(config, "targets");
+	load.target_count = (int32_t)g_strv_length(load.targets);
+	load.to_send = cq_config_integer(config, "count");
+	load.non_idempotent_share =
+		cq_config_integer(config, "non-idempotent-share");
+	load.latencies_ns = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	load.start_ns = now_ns();
+	if (!load.target_count) {
+		fprintf(stderr, "cq-load: --targets: must not be empty\n");
+		return CQ_EXIT_USAGE;
+	}
+	ev_timer_init(&load.pace, on_pace, 0., 0.001);
+	load.pace.data = &load;
+	ev_timer_start(load.loop, &load.pace);
+	ev_run(load.loop, 0);
+	print_result(&load);
+	cq_http_client_destroy(load.client);
+	g_array_free(load.latencies_ns, TRUE);
+	cq_config_destroy(config);
+	return 0;
+}
--- a/tests/unit/test_transport.c
+++ b/tests/unit/test_transport.c
@@ -1,6 +1,9 @@
+#include <arpa/inet.h>
 #include <ev.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "chestnutquay/http_client.h"
 #include "chestnutquay/http_server.h"
@@ -312,6 +315,134 @@
 	ev_loop_destroy(loop);
 }
 
+/* Forwards one direction of a TCP stream until told to swallow it. */
+struct relay {
+	struct ev_loop *loop;
+	int listen_fd;
+	int from_fd;
+	int to_fd;
+	bool swallow;
+	uint32_t accepted;
+	ev_io acceptor;
+	ev_io forward;
+	ev_io backward;
+};
+
+static void on_relay_data(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	struct relay *r = watcher->data;
+	char data[4096];
+	ssize_t n = read(watcher->fd, data, sizeof(data));
+
+	(void)events;
+	if (n <= 0) {
+		ev_io_stop(loop, watcher);
+		return;
+	}
+	if (!r->swallow)
+		g_assert_cmpint(write(watcher->fd == r->from_fd ? r->to_fd
+								: r->from_fd,
+				      data, (size_t)n),
+				==, n);
+}
+
+static void relay_close_connection(struct relay *r)
+{
+	if (r->from_fd < 0)
+		return;
+	ev_io_stop(r->loop, &r->forward);
+	ev_io_stop(r->loop, &r->backward);
+	close(r->from_fd);
+	close(r->to_fd);
+	r->from_fd = -1;
+}
+
+static void on_relay_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	struct relay *r = watcher->data;
+	struct sockaddr_in to = { .sin_family = AF_INET,
+				  .sin_port = htons(7101) };
+
+	(void)events;
+	relay_close_connection(r);
+	r->accepted++;
+	r->swallow = false;
+	r->from_fd = accept(r->listen_fd, NULL, NULL);
+	r->to_fd = socket(AF_INET, SOCK_STREAM, 0);
+	inet_pton(AF_INET, "127.0.12.2", &to.sin_addr);
+	g_assert_cmpint(connect(r->to_fd, (struct sockaddr *)&to, sizeof(to)),
+			==, 0);
+	ev_io_init(&r->forward, on_relay_data, r->from_fd, EV_READ);
+	ev_io_init(&r->backward, on_relay_data, r->to_fd, EV_READ);
+	r->forward.data = r;
+	r->backward.data = r;
+	ev_io_start(loop, &r->forward);
+	ev_io_start(loop, &r->backward);
+}
+
+static void relay_open(struct relay *r, struct ev_loop *loop)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET,
+				  .sin_port = htons(7102) };
+	int on = 1;
+
+	r->loop = loop;
+	r->from_fd = -1;
+	r->listen_fd = socket(AF_INET, SOCK_STREAM, 0);
+	inet_pton(AF_INET, "127.0.12.9", &at.sin_addr);
+	setsockopt(r->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	g_assert_cmpint(bind(r->listen_fd, (struct sockaddr *)&at, sizeof(at)),
+			==, 0);
+	listen(r->listen_fd, 8);
+	ev_io_init(&r->acceptor, on_relay_accept, r->listen_fd, EV_READ);
+	r->acceptor.data = r;
+	ev_io_start(loop, &r->acceptor);
+}
+
+/*
+ * Guards against a link that stays in use after something between the two
+ * ends stopped forwarding it while it still acknowledges data.
+ */
+static void test_silent_link(void)
+{
+	static const uint8_t hello[] = "hello";
+	struct ev_loop *loop = ev_loop_new(0);
+	struct cq_peer_net_options options;
+	struct cq_error err = CQ_ERROR_INIT;
+	struct peer a = { 0 };
+	struct peer b = { 0 };
+	struct relay relay = { 0 };
+	ev_timer give_up;
+
+	relay_open(&relay, loop);
+	peer_open(&b, loop, "d1", "127.0.12.2:7101");
+	cq_peer_net_options_init(&options);
+	options.deployment = "d1";
+	options.id = "a";
+	options.listen_address = "127.0.12.1:7101";
+	options.silence_ms = 300;
+	a.net = cq_peer_net_create(loop, &options, on_peer, &a, &err);
+	cq_peer_net_send(a.net, "127.0.12.9:7102", CQ_PEER_PING, 1, hello, 5);
+	run_until(loop, &b.received, 1);
+	relay.swallow = true;
+	ev_timer_init(&give_up, on_give_up, GIVE_UP_S, 0.);
+	ev_timer_start(loop, &give_up);
+	while (relay.accepted < 2) {
+		cq_peer_net_send(a.net, "127.0.12.9:7102", CQ_PEER_PING, 2,
+				 hello, 4);
+		ev_run(loop, EVRUN_ONCE);
+	}
+	ev_timer_stop(loop, &give_up);
+	run_until(loop, &b.received, 2);
+	g_assert_cmpstr(b.last, ==, "hell");
+	peer_close(&a);
+	peer_close(&b);
+	relay_close_connection(&relay);
+	ev_io_stop(loop, &relay.acceptor);
+	close(relay.listen_fd);
+	ev_loop_destroy(loop);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -326,5 +457,6 @@
 	HTTP_TEST("cancel", test_cancel);
 	g_test_add_func("/transport/frame/table", test_frame_table);
 	g_test_add_func("/transport/peers", test_peers);
+	g_test_add_func("/transport/silent_link", test_silent_link);
 	return g_test_run();
 }
