--- a/src/base/config.c
+++ b/src/base/config.c
@@ -278,8 +278,9 @@
 		ip[colon - text] = 0;
 		number = strtol(colon + 1, &end, 10);
 	}
-	if (!end || end == colon + 1 || *end || number < 0 ||
-	    number > UINT16_MAX || inet_pton(AF_INET, ip, &addr) != 1)
+	/* strtol() would also take a sign or leading blanks. */
+	if (!end || !g_ascii_isdigit(colon[1]) || *end || number > UINT16_MAX ||
+	    inet_pton(AF_INET, ip, &addr) != 1)
 		return cq_error_set(err, CQ_ERROR_BASE, CQ_ERR_INVALID,
 				    "\"%s\" is not an address of the form "
 				    "IPv4:PORT",
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -4,7 +4,6 @@
 #include <glib.h>
 #include <jansson.h>
 #include <log4c.h>
-#include <log4c/appender_type_stream.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -22,6 +21,8 @@
 
 static const char *format_line(const log4c_layout_t *layout,
 			       const log4c_logging_event_t *event);
+static int append_line(log4c_appender_t *appender,
+		       const log4c_logging_event_t *event);
 static bool rate_allows(const char *event, uint64_t *suppressed);
 static void format_time(char *out, size_t len);
 static int to_priority(enum cq_log_level level);
@@ -33,6 +34,13 @@
 	[CQ_LOG_DEBUG] = "debug",
 };
 
+/*
+ * log4c's own stream appender puts its name before every line, which would no
+ * longer be JSON.
+ */
+static const log4c_appender_type_t line_appender = { "cq_stderr_line", NULL,
+						     append_line, NULL };
+
 static const log4c_layout_type_t line_layout = { "cq_json_line", format_line };
 
 static log4c_category_t *category;
@@ -48,6 +56,13 @@
 	return event->evt_msg;
 }
 
+static int append_line(log4c_appender_t *appender,
+		       const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fputs(event->evt_rendered_msg, stderr);
+}
+
 static int to_priority(enum cq_log_level level)
 {
 	switch (level) {
@@ -72,8 +87,9 @@
 	assert(program && host);
 	cq_log_close();
 	log4c_layout_type_set(&line_layout);
+	log4c_appender_type_set(&line_appender);
 	layout = log4c_layout_get("cq_json_line");
-	appender = log4c_appender_get("stderr");
+	appender = log4c_appender_get("cq_stderr");
 	category = log4c_category_get(program);
 	if (!layout || !appender || !category) {
 		category = NULL;
@@ -81,7 +97,7 @@
 				    "log4c could not be set up");
 	}
 	log4c_layout_set_type(layout, &line_layout);
-	log4c_appender_set_type(appender, &log4c_appender_type_stream);
+	log4c_appender_set_type(appender, &line_appender);
 	log4c_appender_set_layout(appender, layout);
 	log4c_category_set_appender(category, appender);
 	log4c_category_set_additivity(category, 0);
--- a/src/protocol/store_http.c
+++ b/src/protocol/store_http.c
@@ -142,6 +142,12 @@
 	call->done = done;
 	call->ctx = ctx;
 	call->reads = !strcmp(method, "GET");
+	/*
+	 * A write that libcurl sent twice would see its own first take effect
+	 * as a conflict. Keeping a lease alive twice does no harm.
+	 */
+	request.fresh_connection = !call->reads &&
+				   !g_str_has_suffix(path, "/keepalive");
 	g_hash_table_add(http->calls, call);
 	http->sent++;
 	call->call = cq_http_client_send(http->client, &request, on_done, call);
