Build fuzz targets against shared objects and quiet the build

Cause: each fuzz target compiled the whole library again. Change: the library is compiled once for fuzzing; commands are printed only with V=1.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,9 @@
 #   make demo       the whole system on loopback
 #   make generate   regenerates src/protocol/gen (needs protobuf-c-compiler)
 #
-# SAN=1 builds with address and undefined-behaviour sanitizers in build-san.
+# V=1 prints each command. SAN=1 builds with address and undefined-behaviour sanitizers in build-san.
 
+Q := $(if $(V),,@)
 CC ?= cc
 CXX ?= c++
 PKGS := glib-2.0 jansson libcurl libmicrohttpd libprotobuf-c
@@ -69,37 +70,47 @@
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS_ALL) -MMD -MP -c $< -o $@
+	$(Q)$(CC) $(CPPFLAGS) $(CFLAGS_ALL) -MMD -MP -c $< -o $@
 
 $(B)/src/protocol/gen/%.o: WARN := -Wall
 
 $(LIB): $(LIB_OBJ)
 	@rm -f $@
-	ar rcs $@ $^
+	$(Q)ar rcs $@ $^
 
 define link_rule
 $(B)/bin/$2: $$(patsubst %.c,$(B)/%.o,$$(wildcard $1/*.c)) $3 $(LIB)
 	@mkdir -p $$(@D)
-	$(CC) $(SANFLAGS) -o $$@ $$^ $$(LDLIBS_ALL)
+	@echo "  LINK $$@"
+	$$(Q)$(CC) $(SANFLAGS) -o $$@ $$^ $$(LDLIBS_ALL)
 endef
 $(foreach d,$(PROGRAM_DIRS),$(eval $(call link_rule,$d,$(call program_name,$d),$(PROGRAM_COMMON_OBJ))))
 $(foreach d,$(STANDIN_DIRS),$(eval $(call link_rule,$d,cq-$(notdir $d),$(TEST_LIB_OBJ))))
 
 $(B)/tests/unit/%: $(B)/tests/unit/%.o $(TEST_LIB_OBJ) $(LIB)
-	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
+	@echo "  LINK $@"
+	$(Q)$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
 
 $(B)/tests/property/%: tests/property/%.cc $(TEST_LIB_OBJ) $(LIB)
 	@mkdir -p $(@D)
-	$(CXX) $(CPPFLAGS) $(CXXFLAGS_ALL) -MMD -MP -MF $@.d -o $@ $< \
+	@echo "  LINK $@"
+	$(Q)$(CXX) $(CPPFLAGS) $(CXXFLAGS_ALL) -MMD -MP -MF $@.d -o $@ $< \
 		$(TEST_LIB_OBJ) $(LIB) -lrapidcheck $(LDLIBS_ALL)
 
 $(B)/bench/%: $(B)/bench/%.o $(BENCH_LIB_OBJ) $(TEST_LIB_OBJ) $(LIB)
-	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
+	@echo "  LINK $@"
+	$(Q)$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
 
-build-fuzz/%: tests/fuzz/%.c $(LIB_SRC)
+FUZZ_CC = clang $(CPPFLAGS) -std=gnu11 -g -O1 $(PKG_CFLAGS)
+FUZZ_LIB_OBJ := $(LIB_SRC:%.c=build-fuzz/%.o)
+
+build-fuzz/src/%.o: src/%.c
 	@mkdir -p $(@D)
-	clang $(CPPFLAGS) -std=gnu11 -g -O1 -fsanitize=fuzzer,address \
-		$(PKG_CFLAGS) -o $@ $< $(LIB_SRC) $(LDLIBS_ALL)
+	$(Q)$(FUZZ_CC) -fsanitize=fuzzer-no-link,address -MMD -MP -c $< -o $@
+
+build-fuzz/%: tests/fuzz/%.c $(FUZZ_LIB_OBJ)
+	@echo "  FUZZ $@"
+	$(Q)$(FUZZ_CC) -fsanitize=fuzzer,address -o $@ $^ $(LDLIBS_ALL)
 
 tests: all $(UNIT_BIN) $(PROP_BIN)
 fuzz: $(FUZZ_BIN)
@@ -142,4 +153,4 @@
 clean:
 	rm -rf build build-san build-fuzz
 
--include $(shell find $(B) -name '*.d' 2>/dev/null)
+-include $(shell find $(B) build-fuzz -name '*.d' 2>/dev/null)
