--- a/src/programs/common/daemon.c
+++ b/src/programs/common/daemon.c
@@ -102,6 +102,7 @@
 static bool open_operators(struct cq_daemon *daemon, struct cq_error *err);
 static bool open_peers(struct cq_daemon *daemon, struct cq_error *err);
 static void on_operator_request(void *ctx, struct cq_http_exchange *exchange);
+static void on_operator_abort(void *ctx, struct cq_http_exchange *exchange);
 static void on_peer_message(void *ctx, const struct cq_peer_message *message);
 static bool serve_health(struct cq_daemon *daemon,
 			 struct cq_http_exchange *exchange, const char *path);
@@ -150,7 +151,8 @@
 
 static bool open_operators(struct cq_daemon *daemon, struct cq_error *err)
 {
-	struct cq_http_server_handler handler = { on_operator_request, NULL };
+	struct cq_http_server_handler handler = { on_operator_request,
+						  on_operator_abort };
 	struct cq_http_server_options options;
 	char ip[16];
 	uint16_t port;
@@ -452,6 +454,15 @@
 	route->fn(route->ctx, exchange);
 }
 
+static void on_operator_abort(void *ctx, struct cq_http_exchange *exchange)
+{
+	struct cq_daemon_held *held = cq_http_exchange_user(exchange);
+
+	(void)ctx;
+	if (held)
+		held->aborted(held);
+}
+
 void cq_daemon_respond_error(struct cq_http_exchange *exchange, uint32_t status,
 			     const char *code, const char *fmt, ...)
 {
--- a/src/programs/common/daemon.h
+++ b/src/programs/common/daemon.h
@@ -62,6 +62,15 @@
 void cq_daemon_add_route(struct cq_daemon *daemon, const char *method,
 			 const char *prefix, cq_daemon_route_fn *fn, void *ctx);
 
+/*
+ * A route function that answers later sets the exchange's user pointer to a
+ * struct that begins with this one. aborted is called when the client went
+ * away; the exchange must not be answered afterwards.
+ */
+struct cq_daemon_held {
+	void (*aborted)(struct cq_daemon_held *held);
+};
+
 /* Receives the peer messages of one kind. */
 void cq_daemon_on_peer(struct cq_daemon *daemon, enum cq_peer_kind kind,
 		       cq_peer_message_fn *fn, void *ctx);
--- a/src/programs/cqctl/status.c
+++ b/src/programs/cqctl/status.c
@@ -44,7 +44,7 @@
 	static const struct cqctl_column facts[] = {
 		{ "answered by", "id", CQCTL_COLUMN_TEXT },
 		{ "version", "version", CQCTL_COLUMN_TEXT },
-		{ "settings revision", "revision", CQCTL_COLUMN_NUMBER },
+		{ "settings revision", "tree_revision", CQCTL_COLUMN_NUMBER },
 		{ "settings source", "settings_state", CQCTL_COLUMN_TEXT },
 		{ "daemons live", "members.live", CQCTL_COLUMN_NUMBER },
 		{ "daemons out of reach", "members.out_of_reach",
