Add scripted tests of cqctl against a test daemon

Cause: the commands and the operators' calls had no whole-path test. Change: cq-fake-daemon (real runtime, cluster and operators' calls, fixed answers for jobs, workspaces, workers and endpoints); two scripted tests over every command, every exit code, lost store answers, a store that is down, two writers racing, a silent and a stopped daemon. Jobs are submitted with an Idempotency-Key. The tests found that an answer could be called stale up to 100 ms after the daemon had caught up; it is now judged when asked.

--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,7 @@
 	$(CC) $(SANFLAGS) -o $$@ $$^ $$(LDLIBS_ALL)
 endef
 $(foreach d,$(PROGRAM_DIRS),$(eval $(call link_rule,$d,$(call program_name,$d),$(PROGRAM_COMMON_OBJ))))
-$(foreach d,$(STANDIN_DIRS),$(eval $(call link_rule,$d,cq-$(notdir $d),$(TEST_LIB_OBJ))))
+$(foreach d,$(STANDIN_DIRS),$(eval $(call link_rule,$d,cq-$(notdir $d),$(TEST_LIB_OBJ) $(PROGRAM_COMMON_OBJ))))
 
 $(B)/tests/unit/%: $(B)/tests/unit/%.o $(TEST_LIB_OBJ) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
--- a/src/programs/common/cluster.c
+++ b/src/programs/common/cluster.c
@@ -71,6 +71,7 @@
 static void log_bad_message(const struct cq_peer_message *message,
 			    const struct cq_error *err);
 static void on_hosts(void *ctx, const struct cq_host *hosts, size_t count);
+static bool is_behind(const struct cq_cluster *cluster);
 static void on_tick(void *ctx, int64_t at_ns);
 static void update_gauges(struct cq_cluster *cluster, int64_t at_ns);
 static const char *ready_check(void *ctx);
@@ -393,13 +394,26 @@
 		     (int64_t)cq_store_relay_relayed(cluster->relay));
 }
 
+static bool is_behind(const struct cq_cluster *cluster)
+{
+	int64_t own = cq_settings_revision(cluster->settings);
+	uint32_t i;
+
+	for (i = 0; i < cq_membership_count(cluster->membership); i++) {
+		const struct cq_member *member =
+			cq_membership_get(cluster->membership, i);
+
+		if (cq_member_is_live(member) &&
+		    member->settings_revision > own)
+			return true;
+	}
+	return false;
+}
+
 static void on_tick(void *ctx, int64_t at_ns)
 {
 	struct cq_cluster *cluster = ctx;
 	const struct cq_host_list *list = cq_daemon_host_list(cluster->daemon);
-	int64_t own = cq_settings_revision(cluster->settings);
-	bool behind = false;
-	uint32_t i;
 
 	cq_membership_tick(cluster->membership, at_ns);
 	cq_settings_sync_tick(cluster->sync, at_ns);
@@ -411,14 +425,7 @@
 		list->ops->fetch(list->self, HOST_LIST_TIMEOUT_MS, on_hosts,
 				 cluster);
 	}
-	for (i = 0; i < cq_membership_count(cluster->membership); i++) {
-		const struct cq_member *member =
-			cq_membership_get(cluster->membership, i);
-
-		behind = behind || (cq_member_is_live(member) &&
-				    member->settings_revision > own);
-	}
-	if (!behind)
+	if (!is_behind(cluster))
 		cluster->behind_since_ns = 0;
 	else if (!cluster->behind_since_ns)
 		cluster->behind_since_ns = at_ns;
@@ -484,5 +491,8 @@
 int64_t cq_cluster_settings_behind_ns(const struct cq_cluster *cluster,
 				      int64_t at_ns)
 {
-	return cluster->behind_since_ns ? at_ns - cluster->behind_since_ns : 0;
+	/* The process may have caught up since the last tick. */
+	if (!cluster->behind_since_ns || !is_behind(cluster))
+		return 0;
+	return at_ns - cluster->behind_since_ns;
 }
--- a/src/programs/common/operator_calls_check.c
+++ b/src/programs/common/operator_calls_check.c
@@ -108,11 +108,12 @@
 		add_effect(effects,
 			   "%lld accelerators become borrowed where %s uses "
 			   "them; other guarantees may reclaim them",
-			   (long long)(old - new), name);
+			   (long long)old - (long long)new, name);
 	add_effect(effects,
 		   "all workspaces: %lld accelerators guaranteed instead of "
 		   "%lld",
-		   (long long)(others + new), (long long)(others + old));
+		   (long long)others + (long long)new,
+		   (long long)others + (long long)old);
 	if (!capacity)
 		return;
 	total = capacity_of(settings, capacity, NULL);
--- a/src/programs/cqctl/call.c
+++ b/src/programs/cqctl/call.c
@@ -12,7 +12,7 @@
 #define CONNECT_TIMEOUT_MS 3000L
 
 static size_t on_data(char *data, size_t size, size_t count, void *ctx);
-static struct curl_slist *make_headers(const char *body);
+static struct curl_slist *make_headers(const char *header, const char *body);
 static const char *error_text(const struct cqctl_answer *answer,
 			      const char *name);
 static int check_unanswered(const struct cqctl *ctl,
@@ -29,7 +29,7 @@
 	return size * count;
 }
 
-static struct curl_slist *make_headers(const char *body)
+static struct curl_slist *make_headers(const char *header, const char *body)
 {
 	const char *token = getenv("CQ_OPERATOR_TOKEN");
 	struct curl_slist *headers = NULL;
@@ -37,6 +37,8 @@
 
 	/* curl would wait for "100 Continue" on larger bodies. */
 	headers = curl_slist_append(headers, "Expect:");
+	if (header)
+		headers = curl_slist_append(headers, header);
 	if (body)
 		headers = curl_slist_append(headers,
 					    "Content-Type: application/json");
@@ -50,9 +52,16 @@
 
 void cqctl_call(const struct cqctl *ctl, const char *method, const char *path,
 		const char *body, struct cqctl_answer *answer)
+{
+	cqctl_call_with(ctl, method, path, NULL, body, answer);
+}
+
+void cqctl_call_with(const struct cqctl *ctl, const char *method,
+		     const char *path, const char *header, const char *body,
+		     struct cqctl_answer *answer)
 {
 	char *url = g_strdup_printf("http://%s%s", ctl->server, path);
-	struct curl_slist *headers = make_headers(body);
+	struct curl_slist *headers = make_headers(header, body);
 	GString *text = g_string_new(NULL);
 	CURL *curl = curl_easy_init();
 	long request_size = 0;
@@ -146,6 +155,10 @@
 		cqctl_next(ctl, "set CQ_OPERATOR_TOKEN to the token of this "
 				"deployment");
 		return CQCTL_FAILED;
+	case 421:
+		cqctl_next(ctl, "ask the owner of the data centre: cqctl "
+				"members shows its operators' listener");
+		return CQCTL_UNREACHABLE;
 	case 404:
 		cqctl_next(ctl, "list what exists (cqctl settings get, cqctl "
 				"jobs list)");
--- a/src/programs/cqctl/call.h
+++ b/src/programs/cqctl/call.h
@@ -15,6 +15,10 @@
 
 void cqctl_call(const struct cqctl *ctl, const char *method, const char *path,
 		const char *body, struct cqctl_answer *answer);
+/* With one more header line, "NAME: VALUE", or NULL. */
+void cqctl_call_with(const struct cqctl *ctl, const char *method,
+		     const char *path, const char *header, const char *body,
+		     struct cqctl_answer *answer);
 void cqctl_answer_clear(struct cqctl_answer *answer);
 
 /*
--- a/src/programs/cqctl/in_force.c
+++ b/src/programs/cqctl/in_force.c
@@ -132,14 +132,13 @@
 	char *encoded = cqctl_encode(key, true);
 	char *path = g_strdup_printf("/v1/settings/%s?revision=%" PRId64,
 				     encoded, revision);
-	char *what = g_strdup_printf("%s %s", settings ? "set" : "remove", key);
 	struct progress progress = { 0 };
 	struct cqctl_answer answer;
 	int64_t start_ns = now_ns();
 	int result;
 
 	cqctl_call(ctl, settings ? "PUT" : "DELETE", path, body, &answer);
-	result = cqctl_answer_check(ctl, &answer, what);
+	result = cqctl_answer_check(ctl, &answer, "make the change");
 	if (result == CQCTL_OK) {
 		revision = json_integer_value(
 			json_object_get(answer.body, "revision"));
@@ -157,6 +156,5 @@
 	free(body);
 	g_free(encoded);
 	g_free(path);
-	g_free(what);
 	return result;
 }
--- a/src/programs/cqctl/jobs.c
+++ b/src/programs/cqctl/jobs.c
@@ -7,6 +7,7 @@
 #include "programs/cqctl/edit.h"
 #include "programs/cqctl/output.h"
 
+static json_t *read_job(const struct cqctl *ctl);
 static int run_submit(struct cqctl *ctl);
 static int run_list(struct cqctl *ctl);
 static int run_show(struct cqctl *ctl);
@@ -64,49 +65,69 @@
 	return result;
 }
 
-static int run_submit(struct cqctl *ctl)
+/* Reads the job and adds the fields given as options. */
+static json_t *read_job(const struct cqctl *ctl)
 {
-	static const char *const fields[][2] = {
-		{ "workspace", "workspace" },
-		{ "class", "class" },
-		{ "key", "idempotency_key" },
-	};
-	char *text = cqctl_read_file(ctl, cqctl_argument(ctl, 0));
-	struct cqctl_answer answer;
+	static const char *const names[] = { "workspace", "class" };
+	const char *path = cqctl_argument(ctl, 0);
+	char *text = cqctl_read_file(ctl, path);
 	json_error_t error;
 	json_t *job;
-	char *body;
 	size_t i;
-	int result;
 
 	if (!text)
-		return CQCTL_USAGE;
+		return NULL;
 	job = json_loads(text, JSON_REJECT_DUPLICATES, &error);
 	g_free(text);
 	if (!json_is_object(job)) {
-		cqctl_error(ctl, "%s is not a JSON object: line %d: %s",
-			    cqctl_argument(ctl, 0), error.line, error.text);
+		cqctl_error(ctl, "%s is not a JSON object: line %d: %s", path,
+			    job ? 1 : error.line,
+			    job ? "another kind of value" : error.text);
 		json_decref(job);
-		return CQCTL_USAGE;
+		return NULL;
 	}
-	for (i = 0; i < G_N_ELEMENTS(fields); i++) {
-		const char *value = cqctl_option_get(ctl, fields[i][0]);
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		const char *value = cqctl_option_get(ctl, names[i]);
 
-		if (value && !json_object_get(job, fields[i][1]))
-			json_object_set_new(job, fields[i][1],
-					    json_string(value));
+		if (value && !json_object_get(job, names[i]))
+			json_object_set_new(job, names[i], json_string(value));
 	}
+	return job;
+}
+
+/* Without --key a new one is made, so that a lost answer can be resolved. */
+static int run_submit(struct cqctl *ctl)
+{
+	const char *given = cqctl_option_get(ctl, "key");
+	struct cqctl_answer answer;
+	json_t *job = read_job(ctl);
+	char *header;
+	char *body;
+	char *key;
+	int result;
+
+	if (!job)
+		return CQCTL_USAGE;
+	key = given ? g_strdup(given) : g_uuid_string_random();
+	header = g_strdup_printf("Idempotency-Key: %s", key);
 	body = json_dumps(job, JSON_COMPACT);
 	json_decref(job);
-	cqctl_call(ctl, "POST", "/v1/jobs", body, &answer);
+	cqctl_call_with(ctl, "POST", "/v1/jobs", header, body, &answer);
 	free(body);
 	result = cqctl_answer_check(ctl, &answer, "submit the job");
+	if (result == CQCTL_PARTIAL)
+		cqctl_next(ctl,
+			   "submitting again with --key %s runs the job "
+			   "at most once",
+			   key);
 	if (result == CQCTL_OK && ctl->format == CQCTL_JSON)
 		cqctl_print_json(answer.body);
 	else if (result == CQCTL_OK)
 		printf("job %s accepted\n",
 		       json_string_value(json_object_get(answer.body, "id")));
 	cqctl_answer_clear(&answer);
+	g_free(header);
+	g_free(key);
 	return result;
 }
 
@@ -212,33 +233,37 @@
 
 static void print_reasons(const struct cqctl *ctl, const json_t *body)
 {
+	static const struct cqctl_column facts[] = {
+		{ "job", "id", CQCTL_COLUMN_TEXT },
+		{ "state", "state", CQCTL_COLUMN_TEXT },
+		{ "why", "explanation", CQCTL_COLUMN_TEXT },
+		{ "last reason", "reason", CQCTL_COLUMN_TEXT },
+		{ "data centre", "data_centre", CQCTL_COLUMN_TEXT },
+		{ "gang", "gang", CQCTL_COLUMN_TEXT },
+		{ "attempt", "attempt", CQCTL_COLUMN_NUMBER },
+		{ "expected start", "expected_start_unix_ms",
+		  CQCTL_COLUMN_UNIX_MS },
+		{ "expected end", "expected_end_unix_ms",
+		  CQCTL_COLUMN_UNIX_MS },
+	};
 	static const struct cqctl_column columns[] = {
-		{ "TIME", "unix_ms", CQCTL_COLUMN_UNIX_MS },
-		{ "DECISION", "decision", CQCTL_COLUMN_TEXT },
-		{ "REASON", "reason", CQCTL_COLUMN_TEXT },
+		{ "TASK", "task_id", CQCTL_COLUMN_TEXT },
+		{ "WORKER", "worker", CQCTL_COLUMN_TEXT },
+		{ "STATE", "state", CQCTL_COLUMN_TEXT },
 	};
-	json_t *decisions = json_object_get(body, "decisions");
-	static const char *const names[] = { "id", "state", "reason",
-					     "expected_start_unix_ms" };
+	json_t *tasks = json_object_get(body, "task_list");
 	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(names); i++) {
-		struct cqctl_column column = { "", names[i],
-					       CQCTL_COLUMN_TEXT };
-		char *text;
+	for (i = 0; i < G_N_ELEMENTS(facts); i++) {
+		char *text = cqctl_cell(body, &facts[i]);
 
-		if (!json_object_get(body, names[i]))
-			continue;
-		if (g_str_has_suffix(names[i], "_unix_ms"))
-			column.kind = CQCTL_COLUMN_UNIX_MS;
-		text = cqctl_cell(body, &column);
-		printf("%-24s %s\n", names[i], text);
+		if (strcmp(text, "-"))
+			printf("%-16s %s\n", facts[i].title, text);
 		g_free(text);
 	}
-	if (json_array_size(decisions)) {
+	if (json_array_size(tasks)) {
 		putchar('\n');
-		cqctl_print_table(ctl, decisions, columns,
-				  G_N_ELEMENTS(columns));
+		cqctl_print_table(ctl, tasks, columns, G_N_ELEMENTS(columns));
 	}
 }
 
--- a/src/programs/cqctl/main.c
+++ b/src/programs/cqctl/main.c
@@ -130,7 +130,9 @@
 			*argv += command->name ? 2 : 1;
 			return command;
 		}
-	if (group_exists(group))
+	if (group_exists(group) && !*name)
+		fprintf(stderr, "cqctl: \"%s\" needs one more word\n", group);
+	else if (group_exists(group))
 		fprintf(stderr, "cqctl: \"%s %s\" is not a command\n", group,
 			name);
 	else
@@ -153,7 +155,7 @@
 	if (command->max_arguments) {
 		*positional = arg_strn(NULL, NULL, command->arguments,
 				       command->min_arguments,
-				       command->max_arguments, "");
+				       command->max_arguments, NULL);
 		table[n++] = *positional;
 	}
 	for (i = 0; i < G_N_ELEMENTS(lists); i++)
--- a/src/programs/cqctl/output.c
+++ b/src/programs/cqctl/output.c
@@ -20,6 +20,8 @@
 
 static void print_message(const char *prefix, const char *fmt, va_list args)
 {
+	/* Keeps the order where both go to one file. */
+	fflush(stdout);
 	fprintf(stderr, "%s: ", prefix);
 	vfprintf(stderr, fmt, args);
 	fputc('\n', stderr);
@@ -164,8 +166,12 @@
 		return g_strdup("{...}");
 	switch (column->kind) {
 	case CQCTL_COLUMN_DURATION_MS:
+		if (json_number_value(value) < 0)
+			return g_strdup("-");
 		return duration_text(json_number_value(value));
 	case CQCTL_COLUMN_UNIX_MS:
+		if (json_integer_value(value) < 0)
+			return g_strdup("-");
 		return time_text(json_integer_value(value));
 	case CQCTL_COLUMN_BYTES:
 		return bytes_text(json_number_value(value));
--- a/src/programs/cqctl/settings.c
+++ b/src/programs/cqctl/settings.c
@@ -45,13 +45,13 @@
 const struct cqctl_command cqctl_settings_commands[] = {
 	{ "settings", "get", "[KEY]", "Shows a subtree, or lists all of them.",
 	  NULL, 0, 1, run_get },
-	{ "settings", "set", "KEY [FIELD=VALUE]",
+	{ "settings", "set", "KEY [FIELD=VALUE]...",
 	  "Changes a subtree and waits until it is in force everywhere.",
 	  set_options, 1, 64, run_set },
-	{ "settings", "diff", "KEY [FIELD=VALUE]",
+	{ "settings", "diff", "KEY [FIELD=VALUE]...",
 	  "Compares a subtree in force with a new one.", edit_options, 1, 64,
 	  run_diff },
-	{ "settings", "check", "KEY [FIELD=VALUE]",
+	{ "settings", "check", "KEY [FIELD=VALUE]...",
 	  "Shows what a change would do to guarantees; changes nothing.",
 	  edit_options, 1, 64, run_check },
 	{ "settings", "history", "[KEY]",
@@ -161,6 +161,8 @@
 		const char *path =
 			json_string_value(json_object_get(change, "path"));
 
+		if (!*path)
+			path = "the whole subtree";
 		if (before)
 			printf("%s- %s: %s%s\n",
 			       cqctl_colour_on(ctl, CQCTL_RED), path, old,
--- /dev/null
+++ b/tests/scripts/test_cqctl_faults.sh
@@ -0,0 +1,94 @@
+# cqctl and the operators' calls when things go wrong: lost store answers, a
+# store that is down, a race of two writers, partial lists, a silent server, a
+# stopped and a killed daemon.
+# Guards against a change reported as failed although it is in force, against
+# a daemon out of reach being counted as up to date, and against endless waits.
+. tests/scripts/cqctl_common.sh
+
+faults() {
+	curl -sf -X PUT -d "$1" "http://$store/v1/faults" >/dev/null
+}
+revision_of() {
+	[ "$(curl -sf -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
+		"http://$1/v1/members" |
+		jq '.tree_revision')" = "$2" ]
+}
+state_of() {
+	[ "$(curl -sf -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
+		"http://$1/v1/members" |
+		jq -r ".members[] | select(.id == \"$2\") | .state")" = "$3" ]
+}
+indirect() {
+	[ "$(curl -sf -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
+		"http://$1/v1/status" | jq '.store_direct')" = "$2" ]
+}
+
+start_store
+start_daemon a surat 11
+a=$started
+start_daemon b surat 12
+b=$started
+start_daemon c rajkot 13 --partial
+c=$started
+for octet in 11 12 13; do
+	wait_for "members at $octet" member_count 127.0.23.$octet:7102 3
+	wait_for "readiness of $octet" answers 127.0.23.$octet:7102/readyz
+done
+export CQ_SERVER=127.0.23.11:7102
+
+echo "# in force on every daemon, read from another one"
+run_masked data-centre in surat --create
+run_masked data-centre in rajkot --create
+run settings get data-centres/rajkot --server 127.0.23.13:7102
+
+echo "# the answer of the store is lost: the change is read back"
+faults '{"lose_answers":1}'
+run_masked settings set workspaces/red weight=2
+faults '{"lose_answers":1}'
+run_masked settings set workspaces/red --remove
+
+echo "# the store is down: nothing is done, reads go on"
+faults '{"down":true}'
+run settings set workspaces/red weight=3
+run settings get data-centres/rajkot
+faults '{"down":false}'
+wait_for "direct store calls" indirect 127.0.23.11:7102 true
+
+echo "# two writers with the same revision: one wins, the other is told"
+run_masked settings set workspaces/blue weight=1
+"$bin/cqctl" settings set workspaces/blue weight=2 --revision 5 \
+	--server 127.0.23.11:7102 >"$work/one" 2>&1 &
+one=$!
+"$bin/cqctl" settings set workspaces/blue weight=3 --revision 5 \
+	--server 127.0.23.13:7102 >"$work/two" 2>&1 &
+two=$!
+wait "$one"
+first=$?
+wait "$two"
+second=$?
+echo "exit codes $(printf '%s\n' $first $second | sort | tr '\n' ' ')"
+cat "$work/one" "$work/two" | sort |
+	sed -E -e 's/after [0-9.]+ s/after T s/'
+
+echo "# a partial list"
+run jobs list --server 127.0.23.13:7102
+
+echo "# a daemon that is silent"
+kill -STOP "$b"
+run members --server 127.0.23.12:7102 --timeout-ms 300
+run_masked settings set workspaces/blue weight=9 --timeout-ms 2500
+wait_for "b to count as dead" state_of 127.0.23.11:7102 b/fake-daemon dead
+run_masked data-centre out surat
+run_masked data-centre list
+run status
+kill -CONT "$b"
+wait_for "b to return" state_of 127.0.23.11:7102 b/fake-daemon alive
+wait_for "the newest settings at b" revision_of 127.0.23.12:7102 8
+run_masked data-centre list --server 127.0.23.12:7102
+
+echo "# a planned stop"
+kill -TERM "$c"
+wait "$c"
+echo "exit $?"
+wait_for "c to leave" state_of 127.0.23.11:7102 c/fake-daemon left
+run_masked data-centre in surat
