Add the request path of cq-entryd, thin but whole

Cause: callers need their requests routed to endpoints without exceeding the slots and connections of an endpoint, and need to know whether a refused request ran.

--- /dev/null
+++ b/include/chestnutquay/outcomes.h
@@ -0,0 +1,103 @@
+/*
+ * Memory of the outcomes of keyed non-idempotent requests, kept by the home
+ * host of the key.
+ *
+ * A key names its own minting time. The memory answers for keys minted within
+ * the window and after it started; for any other key it cannot know whether an
+ * earlier holder of the home ran it, and says so. Entries outlive every time
+ * at which their key would still be accepted, so a key is never taken for new
+ * twice.
+ *
+ * States of an entry: pending (queued, or running on an endpoint), done (the
+ * answer or a refusal with run "unknown" is kept), refused (its caller was told
+ * that it did not run). A repeat of a refused key may run, but a copy that an
+ * entry host accepted before the refusal and that arrives late must not: the
+ * caller already relies on "no". Copies carry the time of their acceptance;
+ * they die at their own deadline, so a refused entry is kept that long only.
+ */
+#ifndef CHESTNUTQUAY_OUTCOMES_H
+#define CHESTNUTQUAY_OUTCOMES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "chestnutquay/request.h"
+
+#define CQ_OUTCOMES_WINDOW_MS INT64_C(600000)
+/* Keys may be this far in the future of the home's clock. */
+#define CQ_OUTCOMES_FUTURE_MS INT64_C(2000)
+/* Largest difference between the clocks of two entry hosts. */
+#define CQ_OUTCOMES_SKEW_MS INT64_C(1000)
+/*
+ * A process that did not tick for this long may have been replaced meanwhile;
+ * it answers as if it had started when it woke up.
+ */
+#define CQ_OUTCOMES_MAX_PAUSE_MS INT64_C(2000)
+
+struct cq_outcomes;
+struct cq_outcome;
+
+struct cq_outcomes_options {
+	uint32_t max_entries;
+	uint64_t max_body_bytes;   /* of all kept answers */
+	uint32_t max_answer_bytes; /* a longer answer is not kept */
+	int64_t refused_ms;	   /* longest life of a late copy */
+};
+
+enum cq_outcomes_verdict {
+	CQ_OUTCOMES_NEW,     /* the caller of this function runs it */
+	CQ_OUTCOMES_PENDING, /* an earlier request of the key is under way */
+	CQ_OUTCOMES_DONE,    /* cq_outcome_answer() has the outcome */
+	CQ_OUTCOMES_REFUSED, /* a copy older than the refusal: "no" holds */
+	CQ_OUTCOMES_REUSED,  /* the key belongs to a different request */
+	CQ_OUTCOMES_EXPIRED, /* minted before the window */
+	CQ_OUTCOMES_TOO_OLD, /* minted before this memory started */
+	CQ_OUTCOMES_FUTURE,  /* minted in the future: invalid */
+	CQ_OUTCOMES_FULL,    /* no room for another key */
+};
+
+const char *cq_outcomes_verdict_string(enum cq_outcomes_verdict verdict);
+
+struct cq_outcomes *
+cq_outcomes_create(const struct cq_outcomes_options *options,
+		   int64_t start_unix_ms);
+void cq_outcomes_destroy(struct cq_outcomes *outcomes);
+
+/*
+ * Looks up the key of a request, or adds it as pending (NEW). *outcome is set
+ * for NEW, PENDING and DONE. accepted_unix_ms is when the first entry host took
+ * this copy of the request.
+ */
+enum cq_outcomes_verdict cq_outcomes_begin(struct cq_outcomes *outcomes,
+					   const struct cq_request *request,
+					   int64_t accepted_unix_ms,
+					   int64_t unix_ms,
+					   struct cq_outcome **outcome);
+/* The answer of a done entry; valid until the next call on the memory. */
+void cq_outcome_answer(const struct cq_outcome *outcome,
+		       struct cq_answer *answer);
+/* The request ran, or may have run. */
+void cq_outcomes_done(struct cq_outcomes *outcomes, struct cq_outcome *outcome,
+		      const struct cq_answer *answer);
+/* The request provably did not run, and its caller is told so. */
+void cq_outcomes_refused(struct cq_outcomes *outcomes,
+			 struct cq_outcome *outcome, int64_t unix_ms);
+/* The request did not run and nobody was told anything; the entry is gone. */
+void cq_outcomes_forget(struct cq_outcomes *outcomes,
+			struct cq_outcome *outcome);
+
+/* One pointer for the user's state of a pending entry. */
+void cq_outcome_set_user(struct cq_outcome *outcome, void *user);
+void *cq_outcome_user(const struct cq_outcome *outcome);
+
+/* Drops expired entries; call it at least every second. */
+void cq_outcomes_tick(struct cq_outcomes *outcomes, int64_t unix_ms);
+uint32_t cq_outcomes_count(const struct cq_outcomes *outcomes);
+uint64_t cq_outcomes_body_bytes(const struct cq_outcomes *outcomes);
+
+/* Home index of a key: rendezvous hashing over all indices, live or not. */
+uint32_t cq_outcomes_home(const char *workspace, const char *key,
+			  uint32_t index_count);
+
+#endif
--- /dev/null
+++ b/src/coordination/outcomes.c
@@ -0,0 +1,328 @@
+#include "chestnutquay/outcomes.h"
+
+#include <glib.h>
+#include <string.h>
+
+struct cq_outcome {
+	char *name; /* workspace "/" key */
+	uint64_t fingerprint;
+	int64_t forget_unix_ms;
+	bool done;
+	int64_t refused_unix_ms; /* 0: not refused */
+	bool body_dropped;
+	enum cq_refusal refusal;
+	uint32_t status;
+	char *content_type;
+	char *endpoint;
+	char *body;
+	size_t body_len;
+	GList order; /* link in cq_outcomes.order */
+	void *user;
+};
+
+struct cq_outcomes {
+	struct cq_outcomes_options options;
+	int64_t start_unix_ms;
+	int64_t last_tick_unix_ms;
+	GHashTable *entries; /* name -> struct cq_outcome */
+	GQueue order;	     /* by creation */
+	uint64_t body_bytes;
+};
+
+static uint64_t hash_bytes(uint64_t hash, const void *data, size_t len);
+static uint64_t fingerprint(const struct cq_request *request);
+static void outcome_free(struct cq_outcomes *outcomes, struct cq_outcome *o);
+static void note_time(struct cq_outcomes *outcomes, int64_t unix_ms);
+static void make_room(struct cq_outcomes *outcomes, size_t wanted);
+static bool expired(const struct cq_outcomes *outcomes,
+		    const struct cq_outcome *o, int64_t unix_ms);
+static int64_t forget_time(int64_t unix_ms);
+static enum cq_outcomes_verdict begin_refused(struct cq_outcome *o,
+					      int64_t accepted_unix_ms);
+
+static const char *const verdict_strings[] = {
+	[CQ_OUTCOMES_NEW] = "new",	   [CQ_OUTCOMES_PENDING] = "pending",
+	[CQ_OUTCOMES_DONE] = "done",	   [CQ_OUTCOMES_REFUSED] = "refused",
+	[CQ_OUTCOMES_REUSED] = "reused",   [CQ_OUTCOMES_EXPIRED] = "expired",
+	[CQ_OUTCOMES_TOO_OLD] = "too_old", [CQ_OUTCOMES_FUTURE] = "future",
+	[CQ_OUTCOMES_FULL] = "full",
+};
+
+const char *cq_outcomes_verdict_string(enum cq_outcomes_verdict verdict)
+{
+	return verdict_strings[verdict];
+}
+
+/* FNV-1a, 64 bits. */
+static uint64_t hash_bytes(uint64_t hash, const void *data, size_t len)
+{
+	const unsigned char *bytes = data;
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		hash = (hash ^ bytes[i]) * UINT64_C(1099511628211);
+	return hash;
+}
+
+static uint64_t fingerprint(const struct cq_request *request)
+{
+	uint64_t hash = UINT64_C(14695981039346656037);
+
+	hash = hash_bytes(hash, request->path, strlen(request->path) + 1);
+	hash = hash_bytes(hash, request->class_name,
+			  strlen(request->class_name) + 1);
+	return hash_bytes(hash, request->body, request->body_len);
+}
+
+uint32_t cq_outcomes_home(const char *workspace, const char *key,
+			  uint32_t index_count)
+{
+	uint64_t base = hash_bytes(UINT64_C(14695981039346656037), workspace,
+				   strlen(workspace) + 1);
+	uint64_t best = 0;
+	uint32_t home = 0;
+	uint32_t i;
+
+	base = hash_bytes(base, key, strlen(key));
+	for (i = 0; i < index_count; i++) {
+		uint64_t score = base ^ ((uint64_t)(i + 1) *
+					 UINT64_C(0x9e3779b97f4a7c15));
+
+		/* Finaliser: neighbouring indices must not be correlated. */
+		score ^= score >> 33;
+		score *= UINT64_C(0xff51afd7ed558ccd);
+		score ^= score >> 33;
+		score *= UINT64_C(0xc4ceb9fe1a85ec53);
+		score ^= score >> 33;
+		if (i && score <= best)
+			continue;
+		best = score;
+		home = i;
+	}
+	return home;
+}
+
+struct cq_outcomes *
+cq_outcomes_create(const struct cq_outcomes_options *options,
+		   int64_t start_unix_ms)
+{
+	struct cq_outcomes *outcomes = g_new0(struct cq_outcomes, 1);
+
+	outcomes->options = *options;
+	outcomes->start_unix_ms = start_unix_ms;
+	outcomes->last_tick_unix_ms = start_unix_ms;
+	outcomes->entries = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&outcomes->order);
+	return outcomes;
+}
+
+void cq_outcomes_destroy(struct cq_outcomes *outcomes)
+{
+	if (!outcomes)
+		return;
+	while (outcomes->order.head)
+		outcome_free(outcomes, outcomes->order.head->data);
+	g_hash_table_destroy(outcomes->entries);
+	g_free(outcomes);
+}
+
+static void outcome_free(struct cq_outcomes *outcomes, struct cq_outcome *o)
+{
+	g_hash_table_remove(outcomes->entries, o->name);
+	g_queue_unlink(&outcomes->order, &o->order);
+	outcomes->body_bytes -= o->body_len;
+	g_free(o->name);
+	g_free(o->content_type);
+	g_free(o->endpoint);
+	g_free(o->body);
+	g_free(o);
+}
+
+/* A clock that was set back must not look like a pause, so it is ignored. */
+static void note_time(struct cq_outcomes *outcomes, int64_t unix_ms)
+{
+	if (unix_ms - outcomes->last_tick_unix_ms > CQ_OUTCOMES_MAX_PAUSE_MS)
+		outcomes->start_unix_ms = unix_ms;
+	if (unix_ms > outcomes->last_tick_unix_ms)
+		outcomes->last_tick_unix_ms = unix_ms;
+}
+
+static int64_t forget_time(int64_t unix_ms)
+{
+	return unix_ms + CQ_OUTCOMES_WINDOW_MS + CQ_OUTCOMES_FUTURE_MS +
+	       CQ_OUTCOMES_SKEW_MS;
+}
+
+/* Acceptance and refusal are times of two hosts' clocks. */
+static enum cq_outcomes_verdict begin_refused(struct cq_outcome *o,
+					      int64_t accepted_unix_ms)
+{
+	if (accepted_unix_ms <= o->refused_unix_ms + CQ_OUTCOMES_SKEW_MS)
+		return CQ_OUTCOMES_REFUSED;
+	o->refused_unix_ms = 0;
+	return CQ_OUTCOMES_NEW;
+}
+
+enum cq_outcomes_verdict cq_outcomes_begin(struct cq_outcomes *outcomes,
+					   const struct cq_request *request,
+					   int64_t accepted_unix_ms,
+					   int64_t unix_ms,
+					   struct cq_outcome **outcome)
+{
+	int64_t minted = request->key_unix_ms;
+	char *name = g_strdup_printf("%s/%s", request->workspace, request->key);
+	struct cq_outcome *o = g_hash_table_lookup(outcomes->entries, name);
+
+	note_time(outcomes, unix_ms);
+	*outcome = o;
+	if (o) {
+		g_free(name);
+		if (o->fingerprint != fingerprint(request))
+			return CQ_OUTCOMES_REUSED;
+		if (o->refused_unix_ms)
+			return begin_refused(o, accepted_unix_ms);
+		return o->done ? CQ_OUTCOMES_DONE : CQ_OUTCOMES_PENDING;
+	}
+	g_free(name);
+	if (minted > unix_ms + CQ_OUTCOMES_FUTURE_MS)
+		return CQ_OUTCOMES_FUTURE;
+	if (minted < unix_ms - CQ_OUTCOMES_WINDOW_MS)
+		return CQ_OUTCOMES_EXPIRED;
+	if (minted <= outcomes->start_unix_ms + CQ_OUTCOMES_FUTURE_MS +
+			      CQ_OUTCOMES_SKEW_MS)
+		return CQ_OUTCOMES_TOO_OLD;
+	if (g_hash_table_size(outcomes->entries) >=
+	    outcomes->options.max_entries)
+		return CQ_OUTCOMES_FULL;
+	o = g_new0(struct cq_outcome, 1);
+	o->name = g_strdup_printf("%s/%s", request->workspace, request->key);
+	o->fingerprint = fingerprint(request);
+	/* After this time, the key is refused as expired. */
+	o->forget_unix_ms = forget_time(MAX(minted, unix_ms));
+	o->order.data = o;
+	g_queue_push_tail_link(&outcomes->order, &o->order);
+	g_hash_table_insert(outcomes->entries, o->name, o);
+	*outcome = o;
+	return CQ_OUTCOMES_NEW;
+}
+
+void cq_outcome_answer(const struct cq_outcome *o, struct cq_answer *answer)
+{
+	memset(answer, 0, sizeof(*answer));
+	answer->refusal = o->refusal;
+	answer->run = CQ_RUN_UNKNOWN;
+	answer->status = o->status;
+	answer->content_type = o->content_type ? o->content_type : "";
+	answer->endpoint = o->endpoint ? o->endpoint : "";
+	answer->body = o->body ? o->body : "";
+	answer->body_len = o->body_len;
+	answer->message = "an earlier request with this key has no known "
+			  "outcome";
+	if (o->body_dropped) {
+		answer->refusal = CQ_REFUSAL_ANSWER_NOT_KEPT;
+		answer->message =
+			"the request of this key was answered before; "
+			"the answer is no longer kept";
+	}
+	if (answer->refusal)
+		answer->status = cq_refusal_status(answer->refusal);
+}
+
+/* Drops the oldest kept answers; that their keys ran stays known. */
+static void make_room(struct cq_outcomes *outcomes, size_t wanted)
+{
+	GList *link = outcomes->order.head;
+
+	for (; link &&
+	       outcomes->body_bytes + wanted > outcomes->options.max_body_bytes;
+	     link = link->next) {
+		struct cq_outcome *o = link->data;
+
+		if (!o->done || !o->body_len)
+			continue;
+		outcomes->body_bytes -= o->body_len;
+		g_clear_pointer(&o->body, g_free);
+		o->body_len = 0;
+		o->body_dropped = true;
+	}
+}
+
+void cq_outcomes_done(struct cq_outcomes *outcomes, struct cq_outcome *o,
+		      const struct cq_answer *answer)
+{
+	o->done = true;
+	o->user = NULL;
+	o->refusal = answer->refusal;
+	o->status = answer->status;
+	if (answer->refusal)
+		return;
+	g_free(o->content_type);
+	g_free(o->endpoint);
+	o->content_type = g_strdup(answer->content_type);
+	o->endpoint = g_strdup(answer->endpoint);
+	if (answer->body_len > outcomes->options.max_answer_bytes) {
+		o->body_dropped = true;
+		return;
+	}
+	make_room(outcomes, answer->body_len);
+	o->body = g_memdup2(answer->body, answer->body_len);
+	o->body_len = answer->body_len;
+	outcomes->body_bytes += o->body_len;
+}
+
+void cq_outcomes_refused(struct cq_outcomes *outcomes, struct cq_outcome *o,
+			 int64_t unix_ms)
+{
+	(void)outcomes;
+	o->user = NULL;
+	o->refused_unix_ms = unix_ms;
+}
+
+void cq_outcomes_forget(struct cq_outcomes *outcomes, struct cq_outcome *o)
+{
+	outcome_free(outcomes, o);
+}
+
+void cq_outcome_set_user(struct cq_outcome *o, void *user)
+{
+	o->user = user;
+}
+
+void *cq_outcome_user(const struct cq_outcome *o)
+{
+	return o->user;
+}
+
+static bool expired(const struct cq_outcomes *outcomes,
+		    const struct cq_outcome *o, int64_t unix_ms)
+{
+	if (o->refused_unix_ms)
+		return o->refused_unix_ms + outcomes->options.refused_ms +
+			       CQ_OUTCOMES_SKEW_MS <
+		       unix_ms;
+	return o->done && o->forget_unix_ms < unix_ms;
+}
+
+void cq_outcomes_tick(struct cq_outcomes *outcomes, int64_t unix_ms)
+{
+	GList *link = outcomes->order.head;
+
+	note_time(outcomes, unix_ms);
+	while (link) {
+		struct cq_outcome *o = link->data;
+
+		link = link->next;
+		if (expired(outcomes, o, unix_ms))
+			outcome_free(outcomes, o);
+	}
+}
+
+uint32_t cq_outcomes_count(const struct cq_outcomes *outcomes)
+{
+	return g_hash_table_size(outcomes->entries);
+}
+
+uint64_t cq_outcomes_body_bytes(const struct cq_outcomes *outcomes)
+{
+	return outcomes->body_bytes;
+}
--- /dev/null
+++ b/src/coordination/router_keys.c
@@ -0,0 +1,118 @@
+#include "coordination/router_internal.h"
+
+/* Keyed requests at the home host of their key. */
+
+static void join_primary(struct entry *entry, struct cq_outcome *outcome);
+
+static void join_primary(struct entry *entry, struct cq_outcome *outcome)
+{
+	struct entry *primary = cq_outcome_user(outcome);
+
+	if (!primary->waiters)
+		primary->waiters = g_ptr_array_new();
+	g_ptr_array_add(primary->waiters, entry);
+	entry->primary = primary;
+	entry->state = ENTRY_WAITING;
+}
+
+void router_begin_keyed(struct cq_router *router, struct entry *entry)
+{
+	const struct cq_router_options *options = &router->setup.options;
+	uint32_t home = cq_outcomes_home(entry->request.workspace,
+					 entry->request.key,
+					 options->index_count);
+	struct cq_outcome *outcome;
+	struct cq_answer answer;
+
+	if (home != options->index && entry->origin.kind == CQ_ORIGIN_CALLER) {
+		if (!router_forward_home(router, entry, home))
+			router_refuse(router, entry,
+				      CQ_REFUSAL_HOME_UNREACHABLE,
+				      "the home host of this key cannot be "
+				      "reached; this attempt was not sent");
+		return;
+	}
+	if (home != options->index ||
+	    !router->setup.members->holds_index(router->setup.members_ctx,
+						router_now(router))) {
+		router_refuse(
+			router, entry, CQ_REFUSAL_HOME_UNREACHABLE,
+			"this host is not the home of the key at present");
+		return;
+	}
+	switch (cq_outcomes_begin(router->outcomes, &entry->request,
+				  entry->origin.accepted_unix_ms,
+				  router_unix_ms(router), &outcome)) {
+	case CQ_OUTCOMES_NEW:
+		entry->outcome = outcome;
+		entry->maybe_ran = false;
+		cq_outcome_set_user(outcome, entry);
+		router_admit(router, entry);
+		return;
+	case CQ_OUTCOMES_PENDING:
+		join_primary(entry, outcome);
+		return;
+	case CQ_OUTCOMES_DONE:
+		cq_outcome_answer(outcome, &answer);
+		router_finish(router, entry, &answer);
+		return;
+	case CQ_OUTCOMES_REFUSED:
+		entry->maybe_ran = false;
+		router_refuse(router, entry, CQ_REFUSAL_OVERLOADED,
+			      "this key was refused a moment ago; repeat "
+			      "after a second");
+		return;
+	case CQ_OUTCOMES_REUSED:
+		router_refuse(router, entry, CQ_REFUSAL_KEY_REUSED,
+			      "the key was used for a different request");
+		return;
+	case CQ_OUTCOMES_EXPIRED:
+		router_refuse(router, entry, CQ_REFUSAL_KEY_EXPIRED,
+			      "the key is older than 10 minutes");
+		return;
+	case CQ_OUTCOMES_TOO_OLD:
+		router_refuse(router, entry, CQ_REFUSAL_KEY_OLDER_THAN_HOME,
+			      "the key was made before its home host started");
+		return;
+	case CQ_OUTCOMES_FUTURE:
+		router_refuse(router, entry, CQ_REFUSAL_INVALID,
+			      "the key's time is in the future");
+		return;
+	case CQ_OUTCOMES_FULL:
+		router_refuse(router, entry, CQ_REFUSAL_OVERLOADED,
+			      "too many keys are remembered");
+		return;
+	}
+}
+
+void router_leave_primary(struct entry *entry)
+{
+	struct entry *primary = entry->primary;
+
+	g_ptr_array_remove(primary->waiters, entry);
+	entry->primary = NULL;
+}
+
+/*
+ * The first request of a key did not run and is about to end, but others with
+ * the key wait: one of them takes its place.
+ */
+bool router_hand_to_waiter(struct cq_router *router, struct entry *entry)
+{
+	struct entry *heir;
+	guint i;
+
+	if (!entry->outcome || !entry->waiters || !entry->waiters->len)
+		return false;
+	heir = entry->waiters->pdata[0];
+	g_ptr_array_remove_index(entry->waiters, 0);
+	heir->waiters = g_steal_pointer(&entry->waiters);
+	for (i = 0; i < heir->waiters->len; i++)
+		((struct entry *)heir->waiters->pdata[i])->primary = heir;
+	heir->outcome = g_steal_pointer(&entry->outcome);
+	heir->primary = NULL;
+	heir->maybe_ran = false;
+	cq_outcome_set_user(heir->outcome, heir);
+	router_enqueue(router, heir);
+	return true;
+}
--- /dev/null
+++ b/src/programs/entryd/entryd.h
@@ -0,0 +1,41 @@
+/*
+ * Parts of cq-entryd. Each part has a create function that adds its routes,
+ * ticks and drain hooks to the daemon, and a destroy function.
+ */
+#ifndef CQ_PROGRAMS_ENTRYD_H
+#define CQ_PROGRAMS_ENTRYD_H
+
+#include "chestnutquay/router.h"
+#include "programs/common/daemon.h"
+
+/* Callers' requests. */
+struct entryd_requests;
+
+extern const struct cq_setting entryd_requests_settings[];
+extern const int32_t entryd_requests_setting_count;
+
+/* NULL and err on a bad setting or an address in use. */
+struct entryd_requests *entryd_requests_create(struct cq_daemon *daemon,
+					       struct cq_error *err);
+void entryd_requests_destroy(struct entryd_requests *requests);
+
+/*
+ * Where the router learns about entry hosts, workspaces and classes. The
+ * static source reads them from flags; membership and settings can take its
+ * place.
+ */
+struct entryd_sources {
+	const struct cq_router_members_ops *members;
+	void *members_ctx;
+	const struct cq_router_policy_ops *policy;
+	void *policy_ctx;
+};
+
+struct entryd_static;
+
+struct entryd_static *entryd_static_create(const struct cq_config *config,
+					   struct entryd_sources *sources,
+					   struct cq_error *err);
+void entryd_static_destroy(struct entryd_static *source);
+
+#endif
--- /dev/null
+++ b/src/programs/entryd/main.c
@@ -0,0 +1,31 @@
+/* cq-entryd: serves callers and operators on an entry host. */
+#include <stdio.h>
+
+#include "programs/entryd/entryd.h"
+
+int main(int argc, char **argv)
+{
+	struct cq_error err = CQ_ERROR_INIT;
+	struct entryd_requests *requests;
+	struct cq_daemon *daemon;
+	int exit_code = 0;
+
+	daemon = cq_daemon_create("cq-entryd",
+				  "Entry host daemon: routes callers' requests "
+				  "to endpoints.",
+				  entryd_requests_settings,
+				  entryd_requests_setting_count, argc, argv,
+				  &exit_code);
+	if (!daemon)
+		return exit_code;
+	requests = entryd_requests_create(daemon, &err);
+	if (requests) {
+		exit_code = cq_daemon_run(daemon);
+	} else {
+		fprintf(stderr, "cq-entryd: %s\n", err.message);
+		exit_code = err.code == CQ_ERR_INVALID ? CQ_EXIT_USAGE : 1;
+	}
+	entryd_requests_destroy(requests);
+	cq_daemon_destroy(daemon);
+	return exit_code;
+}
--- /dev/null
+++ b/src/programs/entryd/requests.c
@@ -0,0 +1,528 @@
+#include "programs/entryd/requests.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "chestnutquay/caller.h"
+#include "chestnutquay/endpoint_pool.h"
+#include "chestnutquay/log.h"
+
+/* Deadlines are as exact as this. */
+#define TICK_S 0.02
+#define POLL_S 1.0
+#define POLL_TIMEOUT_MS 900
+#define METRICS_NS CQ_NS_PER_S
+#define CONNECT_TIMEOUT_MS 500
+#define MAX_IDLE_CONNECTIONS 4096
+/* After the last answer to a peer, time for the link to send it. */
+#define PEER_FLUSH_NS (200 * CQ_NS_PER_MS)
+
+const struct cq_setting entryd_requests_settings[] = {
+	{ "caller-address", "CQ_CALLER_ADDRESS", CQ_SETTING_ADDRESS, NULL, 0, 0,
+	  "listening address for callers" },
+	{ "entry-peers", "CQ_ENTRY_PEERS", CQ_SETTING_LIST, "", 0, 0,
+	  "INDEX=IPv4:PORT peer addresses of this data centre" },
+	{ "remote-peers", "CQ_REMOTE_PEERS", CQ_SETTING_LIST, "", 0, 0,
+	  "peer addresses of entry hosts of other data centres" },
+	{ "workspaces", "CQ_WORKSPACES", CQ_SETTING_LIST, "default:1", 0, 0,
+	  "NAME:WEIGHT of each workspace" },
+	{ "classes", "CQ_CLASSES", CQ_SETTING_LIST,
+	  "urgent:0,normal:1,background:2", 0, 0,
+	  "NAME:RANK of each class; rank 0 is served first" },
+	{ "accept-after-term-ms", "CQ_ACCEPT_AFTER_TERM_MS", CQ_SETTING_INTEGER,
+	  "5000", 0, 600000,
+	  "time to go on accepting after SIGTERM, milliseconds" },
+	{ "max-connections", "CQ_MAX_CONNECTIONS", CQ_SETTING_INTEGER, "4096",
+	  1, 65536, "open callers' connections" },
+	{ "max-body-bytes", "CQ_MAX_BODY_BYTES", CQ_SETTING_INTEGER, "1048576",
+	  1, 4000000, "body of a request or an answer, bytes" },
+	{ "max-held-bytes", "CQ_MAX_HELD_BYTES", CQ_SETTING_INTEGER, "67108864",
+	  1, 17179869184, "request bodies held at a time, bytes" },
+	{ "max-queued", "CQ_MAX_QUEUED", CQ_SETTING_INTEGER, "5000", 1, 1000000,
+	  "requests that wait for a slot" },
+	{ "endpoint-run-max-ms", "CQ_ENDPOINT_RUN_MAX_MS", CQ_SETTING_INTEGER,
+	  "30000", 100, 3600000,
+	  "longest time an endpoint may work on a request, milliseconds" },
+	{ "endpoint-connections", "CQ_ENDPOINT_CONNECTIONS", CQ_SETTING_INTEGER,
+	  "60", 1, 100000, "connections an endpoint takes from all hosts" },
+	{ "endpoint-probe-path", "CQ_ENDPOINT_PROBE_PATH", CQ_SETTING_STRING,
+	  "healthz", 1, 200, "path that probes an ejected endpoint" },
+	{ "share-hold-ms", "CQ_SHARE_HOLD_MS", CQ_SETTING_INTEGER, "31000", 0,
+	  3600000, "time after start before own slots are used, milliseconds" },
+	{ "loan-ms", "CQ_LOAN_MS", CQ_SETTING_INTEGER, "1000", 100, 60000,
+	  "time in which a borrowed slot may be used, milliseconds" },
+	{ "spill-margin-ms", "CQ_SPILL_MARGIN_MS", CQ_SETTING_INTEGER, "5", 0,
+	  60000, "least gain of sending to another data centre, milliseconds" },
+};
+const int32_t entryd_requests_setting_count =
+	G_N_ELEMENTS(entryd_requests_settings);
+
+/* Completion context of a call to an endpoint. */
+struct pending_call {
+	struct entryd_requests *requests;
+	uint64_t call_id;
+};
+
+static void on_call(void *ctx, uint64_t call_id,
+		    const struct cq_endpoint_call *call);
+static void on_probe(void *ctx, uint64_t call_id, const char *address,
+		     const char *request_id, uint32_t timeout_ms);
+static void on_call_done(void *ctx, const struct cq_endpoint_result *result);
+static void on_router_answer(void *ctx, void *caller,
+			     const struct cq_answer *answer);
+static void on_request(void *ctx, struct cq_http_exchange *exchange);
+static void on_aborted(void *ctx, struct cq_http_exchange *exchange);
+static const char *exchange_header(void *ctx, const char *name);
+static void answer_exchange(struct entryd_requests *requests,
+			    struct cq_http_exchange *exchange,
+			    const struct cq_answer *answer);
+static void refuse_input(struct entryd_requests *requests,
+			 struct cq_http_exchange *exchange,
+			 const struct cq_error *err);
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int events);
+static void on_poll(struct ev_loop *loop, ev_timer *timer, int events);
+static void on_hosts(void *ctx, const struct cq_host *hosts, size_t count);
+static const char *on_ready(void *ctx);
+static bool on_drain(void *ctx);
+static void update_metrics(struct entryd_requests *requests);
+static void set_gauge(struct entryd_requests *requests, const char *name,
+		      uint64_t value);
+static void observe(struct entryd_requests *requests,
+		    const struct caller *caller,
+		    const struct cq_answer *answer);
+static bool open_listener(struct entryd_requests *requests,
+			  struct cq_error *err);
+static void open_router(struct entryd_requests *requests,
+			const struct entryd_sources *sources);
+
+const struct cq_router_ops entryd_router_ops = {
+	.call = on_call,
+	.probe = on_probe,
+	.answer = on_router_answer,
+	.forward = entryd_forward,
+	.ask_slots = entryd_ask_slots,
+	.lend_slots = entryd_lend_slots,
+	.return_slots = entryd_return_slots,
+};
+
+static int64_t setting(const struct entryd_requests *requests, const char *name)
+{
+	return cq_config_integer(cq_daemon_config(requests->daemon), name);
+}
+
+void entryd_caller_free(struct caller *caller)
+{
+	caller->requests->callers--;
+	cq_peer_forward_free(caller->forward);
+	g_free(caller->peer_address);
+	g_free(caller->class_name);
+	g_free(caller);
+}
+
+static void on_call(void *ctx, uint64_t call_id,
+		    const struct cq_endpoint_call *call)
+{
+	struct entryd_requests *requests = ctx;
+	const struct cq_endpoint *endpoint =
+		cq_endpoint_http_get(requests->endpoint);
+	struct pending_call *pending = g_new(struct pending_call, 1);
+
+	pending->requests = requests;
+	pending->call_id = call_id;
+	endpoint->ops->call(endpoint->self, call, on_call_done, pending);
+}
+
+static void on_probe(void *ctx, uint64_t call_id, const char *address,
+		     const char *request_id, uint32_t timeout_ms)
+{
+	struct entryd_requests *requests = ctx;
+	const struct cq_endpoint *endpoint =
+		cq_endpoint_http_get(requests->endpoint);
+	struct pending_call *pending = g_new(struct pending_call, 1);
+
+	pending->requests = requests;
+	pending->call_id = call_id;
+	endpoint->ops->probe(endpoint->self, address, request_id, timeout_ms,
+			     on_call_done, pending);
+}
+
+static void on_call_done(void *ctx, const struct cq_endpoint_result *result)
+{
+	struct pending_call *pending = ctx;
+	struct entryd_requests *requests = pending->requests;
+	uint64_t call_id = pending->call_id;
+
+	g_free(pending);
+	requests->vtable->call_done(requests->router, call_id, result);
+}
+
+static void observe(struct entryd_requests *requests,
+		    const struct caller *caller, const struct cq_answer *answer)
+{
+	struct cq_metrics *metrics = cq_daemon_metrics(requests->daemon);
+	char labels[160];
+
+	snprintf(labels, sizeof(labels), "class=\"%s\",result=\"%s\"",
+		 caller->class_name,
+		 answer->refusal ? cq_refusal_string(answer->refusal)
+				 : "answered");
+	cq_histogram_observe_ns(
+		cq_metrics_histogram(metrics, "cq_request_seconds", labels),
+		cq_clock_now_ns(cq_daemon_clock(requests->daemon)) -
+			caller->arrival_ns);
+}
+
+static void on_router_answer(void *ctx, void *caller_ctx,
+			     const struct cq_answer *answer)
+{
+	struct entryd_requests *requests = ctx;
+	struct caller *caller = caller_ctx;
+
+	if (caller->exchange) {
+		/* Names that no setting knows must not grow the metrics. */
+		if (answer->refusal != CQ_REFUSAL_UNKNOWN_CLASS &&
+		    answer->refusal != CQ_REFUSAL_UNKNOWN_WORKSPACE)
+			observe(requests, caller, answer);
+		cq_http_exchange_set_user(caller->exchange, NULL);
+		answer_exchange(requests, caller->exchange, answer);
+	} else {
+		entryd_answer_peer(caller, answer);
+	}
+	entryd_caller_free(caller);
+}
+
+static void answer_exchange(struct entryd_requests *requests,
+			    struct cq_http_exchange *exchange,
+			    const struct cq_answer *answer)
+{
+	struct cq_http_header headers[6] = { { NULL, NULL } };
+	char wait[16];
+	char retry[16];
+	char *json = NULL;
+	int n = 0;
+
+	snprintf(wait, sizeof(wait), "%u", answer->expected_wait_ms);
+	headers[n++] = (struct cq_http_header){ "Cq-Expected-Wait-Ms", wait };
+	if (cq_daemon_draining(requests->daemon))
+		headers[n++] = (struct cq_http_header){ "Connection", "close" };
+	if (!answer->refusal) {
+		if (*answer->content_type)
+			headers[n++] =
+				(struct cq_http_header){ "Content-Type",
+							 answer->content_type };
+		headers[n++] = (struct cq_http_header){ "Cq-Endpoint",
+							answer->endpoint };
+		cq_http_exchange_respond(exchange, answer->status, headers,
+					 answer->body, answer->body_len);
+		return;
+	}
+	headers[n++] =
+		(struct cq_http_header){ "Content-Type", "application/json" };
+	headers[n++] =
+		(struct cq_http_header){ "Cq-Run", cq_run_string(answer->run) };
+	if (answer->status == 503) {
+		snprintf(retry, sizeof(retry), "%u",
+			 answer->expected_wait_ms / 1000 + 1);
+		headers[n++] = (struct cq_http_header){ "Retry-After", retry };
+	}
+	headers[n] = (struct cq_http_header){ NULL, NULL };
+	json = cq_caller_format_refusal(answer);
+	cq_http_exchange_respond(exchange, answer->status, headers, json,
+				 strlen(json));
+	free(json);
+}
+
+static const char *exchange_header(void *ctx, const char *name)
+{
+	return cq_http_exchange_header(ctx, name);
+}
+
+/* A key may belong to an earlier request that ran. */
+static void refuse_input(struct entryd_requests *requests,
+			 struct cq_http_exchange *exchange,
+			 const struct cq_error *err)
+{
+	struct cq_answer answer = {
+		.refusal = CQ_REFUSAL_INVALID,
+		.run = cq_http_exchange_header(exchange, "Idempotency-Key")
+			       ? CQ_RUN_UNKNOWN
+			       : CQ_RUN_NO,
+		.status = cq_refusal_status(CQ_REFUSAL_INVALID),
+		.message = err->message,
+	};
+
+	answer_exchange(requests, exchange, &answer);
+}
+
+static void on_request(void *ctx, struct cq_http_exchange *exchange)
+{
+	struct entryd_requests *requests = ctx;
+	struct cq_caller_input input = {
+		.method = cq_http_exchange_method(exchange),
+		.path = cq_http_exchange_path(exchange),
+		.header = exchange_header,
+		.ctx = exchange,
+	};
+	struct cq_error err = CQ_ERROR_INIT;
+	struct cq_request request;
+	struct caller *caller;
+
+	input.body = cq_http_exchange_body(exchange, &input.body_len);
+	if (!cq_caller_parse(&input, requests->max_timeout_ms, &request,
+			     &err)) {
+		refuse_input(requests, exchange, &err);
+		return;
+	}
+	caller = g_new0(struct caller, 1);
+	caller->requests = requests;
+	caller->exchange = exchange;
+	caller->class_name = g_strdup(request.class_name);
+	caller->arrival_ns = cq_clock_now_ns(cq_daemon_clock(requests->daemon));
+	cq_http_exchange_set_user(exchange, caller);
+	requests->callers++;
+	requests->vtable->submit(requests->router, &request, NULL, caller);
+}
+
+static void on_aborted(void *ctx, struct cq_http_exchange *exchange)
+{
+	struct entryd_requests *requests = ctx;
+	struct caller *caller = cq_http_exchange_user(exchange);
+
+	if (!caller)
+		return;
+	requests->vtable->abandon(requests->router, caller);
+	entryd_caller_free(caller);
+}
+
+static void set_gauge(struct entryd_requests *requests, const char *name,
+		      uint64_t value)
+{
+	struct cq_metrics *metrics = cq_daemon_metrics(requests->daemon);
+
+	cq_gauge_set(cq_metrics_gauge(metrics, name, ""), (int64_t)value);
+}
+
+static void update_metrics(struct entryd_requests *requests)
+{
+	struct cq_pool_summary pool;
+	struct cq_router_stats stats;
+
+	requests->vtable->stats(requests->router, &stats);
+	cq_endpoint_pool_summary(
+		cq_router_pool(requests->router),
+		cq_clock_now_ns(cq_daemon_clock(requests->daemon)), &pool);
+	set_gauge(requests, "cq_requests_open", stats.open);
+	set_gauge(requests, "cq_requests_queued", stats.queued);
+	set_gauge(requests, "cq_requests_submitted", stats.submitted);
+	set_gauge(requests, "cq_requests_first_attempts", stats.first_attempts);
+	set_gauge(requests, "cq_requests_retries", stats.retries);
+	set_gauge(requests, "cq_requests_reroutes", stats.reroutes);
+	set_gauge(requests, "cq_requests_spilled", stats.spilled);
+	set_gauge(requests, "cq_requests_to_home", stats.homed);
+	set_gauge(requests, "cq_requests_late_answers", stats.late_answers);
+	set_gauge(requests, "cq_requests_crossed_answers", stats.crossed);
+	set_gauge(requests, "cq_request_keys", stats.keys);
+	set_gauge(requests, "cq_slots_lent", stats.lent);
+	set_gauge(requests, "cq_slots_borrowed", stats.borrowed);
+	set_gauge(requests, "cq_endpoints_live", pool.live);
+	set_gauge(requests, "cq_endpoints_leaving", pool.leaving);
+	set_gauge(requests, "cq_endpoints_ejected", pool.ejected);
+	set_gauge(requests, "cq_endpoint_slots_usable", pool.usable_slots);
+	set_gauge(requests, "cq_endpoint_slots_free", pool.free_slots);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct entryd_requests *requests = timer->data;
+	int64_t now_ns = cq_clock_now_ns(cq_daemon_clock(requests->daemon));
+
+	(void)loop;
+	(void)events;
+	requests->vtable->tick(requests->router);
+	if (now_ns - requests->last_metrics_ns < METRICS_NS)
+		return;
+	requests->last_metrics_ns = now_ns;
+	update_metrics(requests);
+}
+
+static void on_poll(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct entryd_requests *requests = timer->data;
+	const struct cq_host_list *list = cq_daemon_host_list(requests->daemon);
+
+	(void)loop;
+	(void)events;
+	if (requests->polling)
+		return;
+	requests->polling = true;
+	list->ops->fetch(list->self, POLL_TIMEOUT_MS, on_hosts, requests);
+}
+
+/* Without an answer, the last list stays in use. */
+static void on_hosts(void *ctx, const struct cq_host *hosts, size_t count)
+{
+	struct entryd_requests *requests = ctx;
+
+	requests->polling = false;
+	if (!hosts)
+		return;
+	requests->listed = true;
+	requests->vtable->set_hosts(requests->router, hosts, count);
+}
+
+static const char *on_ready(void *ctx)
+{
+	const struct entryd_requests *requests = ctx;
+
+	return requests->listed ? NULL : "no host list yet";
+}
+
+/*
+ * Goes on accepting while the load balancer still sends requests here, then
+ * closes the listener and waits for the last answer.
+ */
+static bool on_drain(void *ctx)
+{
+	struct entryd_requests *requests = ctx;
+	int64_t now_ns = cq_clock_now_ns(cq_daemon_clock(requests->daemon));
+
+	if (!requests->drain_begun) {
+		requests->drain_begun = true;
+		requests->drain_begin_ns = now_ns;
+	}
+	requests->vtable->drain(requests->router);
+	if (now_ns - requests->drain_begin_ns <
+	    setting(requests, "accept-after-term-ms") * CQ_NS_PER_MS)
+		return false;
+	if (!requests->quiesced) {
+		cq_http_server_quiesce(requests->server);
+		requests->quiesced = true;
+		cq_log_event(CQ_LOG_INFO, "listener_closed", "{s:i}",
+			     "open_requests", (int)requests->callers);
+	}
+	return !requests->callers && !cq_http_server_open(requests->server) &&
+	       now_ns - requests->last_peer_answer_ns >= PEER_FLUSH_NS;
+}
+
+static bool open_listener(struct entryd_requests *requests,
+			  struct cq_error *err)
+{
+	struct cq_http_server_handler handler = { on_request, on_aborted };
+	struct cq_http_server_options options;
+	char ip[16];
+	uint16_t port;
+
+	cq_address_parse(cq_config_string(cq_daemon_config(requests->daemon),
+					  "caller-address"),
+			 ip, &port, NULL);
+	cq_http_server_options_init(&options, ip, port);
+	options.max_connections =
+		(uint32_t)setting(requests, "max-connections");
+	options.max_body_bytes = (uint32_t)setting(requests, "max-body-bytes");
+	options.max_total_body_bytes =
+		(uint64_t)setting(requests, "max-held-bytes");
+	requests->server = cq_http_server_create(requests->loop, &options,
+						 &handler, requests, err);
+	return requests->server != NULL;
+}
+
+static void open_router(struct entryd_requests *requests,
+			const struct entryd_sources *sources)
+{
+	struct cq_router_setup setup = {
+		.clock = cq_daemon_clock(requests->daemon),
+		.ops = &entryd_router_ops,
+		.ops_ctx = requests,
+		.members = sources->members,
+		.members_ctx = sources->members_ctx,
+		.policy = sources->policy,
+		.policy_ctx = sources->policy_ctx,
+	};
+	struct cq_router_options *options = &setup.options;
+	uint64_t incarnation = cq_daemon_incarnation(requests->daemon);
+	char *id = g_strdup_printf("%s-%" G_GUINT64_FORMAT,
+				   cq_daemon_id(requests->daemon), incarnation);
+
+	cq_router_options_init(options);
+	options->id = id;
+	options->data_centre = cq_daemon_data_centre(requests->daemon);
+	options->index = (uint32_t)setting(requests, "index");
+	options->index_count = (uint32_t)setting(requests, "index-count");
+	options->max_queued = (uint32_t)setting(requests, "max-queued");
+	options->max_queued_bytes =
+		(uint64_t)setting(requests, "max-held-bytes");
+	options->call_max_ms = requests->max_timeout_ms;
+	options->share_hold_ms = (uint32_t)setting(requests, "share-hold-ms");
+	options->loan_ms = (uint32_t)setting(requests, "loan-ms");
+	options->spill_margin_ms =
+		(uint32_t)setting(requests, "spill-margin-ms");
+	options->seed = incarnation ^ options->index;
+	requests->vtable = cq_router_vtable();
+	requests->router = requests->vtable->create(&setup);
+	g_free(id);
+}
+
+struct entryd_requests *entryd_requests_create(struct cq_daemon *daemon,
+					       struct cq_error *err)
+{
+	struct entryd_requests *requests = g_new0(struct entryd_requests, 1);
+	struct cq_endpoint_http_options endpoint_options;
+	struct entryd_sources sources;
+	uint32_t share;
+
+	requests->daemon = daemon;
+	requests->loop = cq_daemon_loop(daemon);
+	requests->max_timeout_ms =
+		(uint32_t)setting(requests, "endpoint-run-max-ms");
+	requests->static_source =
+		entryd_static_create(cq_daemon_config(daemon), &sources, err);
+	if (!requests->static_source) {
+		g_free(requests);
+		return NULL;
+	}
+	/* The connections of an endpoint are shared like its slots. */
+	share = (uint32_t)(setting(requests, "endpoint-connections") /
+			   setting(requests, "index-count"));
+	requests->client = cq_http_client_create(requests->loop, MAX(share, 1),
+						 MAX_IDLE_CONNECTIONS);
+	endpoint_options = (struct cq_endpoint_http_options){
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.max_answer_bytes =
+			(uint32_t)setting(requests, "max-body-bytes"),
+		.probe_path = cq_config_string(cq_daemon_config(daemon),
+					       "endpoint-probe-path"),
+	};
+	requests->endpoint =
+		cq_endpoint_http_create(requests->client, &endpoint_options);
+	open_router(requests, &sources);
+	ev_timer_init(&requests->tick, on_tick, TICK_S, TICK_S);
+	ev_timer_init(&requests->poll, on_poll, 0., POLL_S);
+	requests->tick.data = requests;
+	requests->poll.data = requests;
+	if (!open_listener(requests, err)) {
+		entryd_requests_destroy(requests);
+		return NULL;
+	}
+	ev_timer_start(requests->loop, &requests->tick);
+	ev_timer_start(requests->loop, &requests->poll);
+	entryd_requests_listen_peers(requests);
+	cq_daemon_add_ready_check(daemon, on_ready, requests);
+	cq_daemon_add_drain(daemon, on_drain, requests);
+	return requests;
+}
+
+void entryd_requests_destroy(struct entryd_requests *requests)
+{
+	if (!requests)
+		return;
+	ev_timer_stop(requests->loop, &requests->tick);
+	ev_timer_stop(requests->loop, &requests->poll);
+	cq_http_server_destroy(requests->server);
+	cq_endpoint_http_destroy(requests->endpoint);
+	cq_http_client_destroy(requests->client);
+	requests->vtable->destroy(requests->router);
+	entryd_static_destroy(requests->static_source);
+	g_free(requests);
+}
--- /dev/null
+++ b/src/programs/entryd/requests.h
@@ -0,0 +1,60 @@
+/* Internals of the requests part of cq-entryd. */
+#ifndef CQ_PROGRAMS_ENTRYD_REQUESTS_H
+#define CQ_PROGRAMS_ENTRYD_REQUESTS_H
+
+#include <glib.h>
+
+#include "programs/entryd/entryd.h"
+
+/* Who waits for an answer: an HTTP exchange or a peer. */
+struct caller {
+	struct entryd_requests *requests;
+	struct cq_http_exchange *exchange; /* NULL: a peer */
+	struct cq_peer_forward *forward;
+	char *peer_address;
+	uint64_t correlation;
+	int64_t arrival_ns;
+	char *class_name;
+};
+
+struct entryd_requests {
+	struct cq_daemon *daemon;
+	struct ev_loop *loop;
+	struct entryd_static *static_source;
+	struct cq_http_client *client;
+	struct cq_endpoint_http *endpoint;
+	struct cq_http_server *server;
+	const struct cq_router_vtable *vtable;
+	struct cq_router *router;
+	ev_timer tick;
+	ev_timer poll;
+	uint32_t max_timeout_ms;
+	uint32_t callers; /* unanswered */
+	bool listed;	  /* a host list has arrived */
+	bool polling;
+	bool drain_begun;
+	bool quiesced;
+	int64_t drain_begin_ns;
+	int64_t last_peer_answer_ns;
+	int64_t last_metrics_ns;
+};
+
+extern const struct cq_router_ops entryd_router_ops;
+
+void entryd_caller_free(struct caller *caller);
+
+/* requests_peers.c */
+void entryd_requests_listen_peers(struct entryd_requests *requests);
+void entryd_answer_peer(struct caller *caller, const struct cq_answer *answer);
+bool entryd_forward(void *ctx, const char *address, uint64_t correlation,
+		    const struct cq_forward *forward);
+void entryd_ask_slots(void *ctx, const char *address, uint32_t wanted,
+		      int64_t asked_ns);
+void entryd_lend_slots(void *ctx, const char *address, int64_t asked_ns,
+		       uint64_t borrower_incarnation,
+		       const struct cq_slots_loan *loans, uint32_t count);
+void entryd_return_slots(void *ctx, const char *address,
+			 uint64_t lender_incarnation, const uint64_t *ids,
+			 uint32_t count);
+
+#endif
