--- /dev/null
+++ b/src/state/planner_queue.c
@@ -0,0 +1,328 @@
+/*
+ * The waiting jobs: their order, and what becomes of each.
+ */
+#include "state/planner_internal.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#define PERMILLE 1000
+/* Age that a new job counts with, so that ratios stay finite. */
+#define AGE_OFFSET_S 30.0
+/* Bounds the time of a plan; each attempt scans the workers. */
+#define MAX_ATTEMPTS 512
+#define MAX_RECLAIMS 64
+#define MAX_FAILED_SHAPES 64
+
+struct queued {
+	uint32_t job;
+	uint32_t rank;
+	double score; /* ascending */
+};
+
+/* A size that did not fit; larger ones are not tried again in this plan. */
+struct failed_shape {
+	uint32_t job;
+	enum cq_reason reason;
+	bool was_reserved; /* a reservation was in the way */
+};
+
+struct failed_list {
+	struct failed_shape shapes[MAX_FAILED_SHAPES];
+	uint32_t count;
+};
+
+struct queue {
+	struct queued *entries;
+	uint32_t count;
+	struct failed_list failed_own;	/* within the guarantees */
+	struct failed_list failed_free; /* as a borrower */
+	struct failed_list failed_reclaim;
+	uint32_t attempts;
+	uint32_t reclaims;
+	uint32_t reservations;
+};
+
+static void fill_queue(struct cq_plan_context *ctx, struct queue *queue);
+static void serve_guaranteed(struct cq_plan_context *ctx, struct queue *queue);
+static void serve_others(struct cq_plan_context *ctx, struct queue *queue);
+
+static int compare_queued(const void *a, const void *b)
+{
+	const struct queued *left = a;
+	const struct queued *right = b;
+
+	if (left->rank != right->rank)
+		return left->rank < right->rank ? -1 : 1;
+	if (left->score != right->score)
+		return left->score < right->score ? -1 : 1;
+	return left->job < right->job ? -1 : left->job > right->job;
+}
+
+/*
+ * Work over age: short jobs go first, and every job goes first at some time.
+ * The weight moves the order between that and the order of arrival.
+ */
+static double score(const struct cq_plan_context *ctx, uint32_t job)
+{
+	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+	double weight =
+		(double)ctx->policy->completion_weight_permille / PERMILLE;
+	double age_s = (double)MAX(ctx->now_ns - entry->submitted_ns, 0) /
+		       (double)CQ_NS_PER_S;
+	double run_s =
+		(double)ctx->jobs[job].predicted_run_ns / (double)CQ_NS_PER_S;
+	double work = run_s * MAX(entry->accelerators * entry->tasks, 1U);
+
+	return weight * log(work + 1.0) - log(age_s + AGE_OFFSET_S);
+}
+
+static void fill_queue(struct cq_plan_context *ctx, struct queue *queue)
+{
+	const struct cq_snapshot *snapshot = ctx->snapshot;
+	uint32_t i;
+
+	queue->entries = g_new(struct queued, snapshot->job_count + 1);
+	for (i = 0; i < snapshot->job_count; i++) {
+		struct queued *entry = &queue->entries[queue->count];
+
+		if (snapshot->jobs[i].state != CQ_JOB_WAITING)
+			continue;
+		entry->job = i;
+		entry->rank = ctx->jobs[i].rank;
+		entry->score = score(ctx, i);
+		queue->count++;
+	}
+	qsort(queue->entries, queue->count, sizeof(*queue->entries),
+	      compare_queued);
+}
+
+static void add_wait(struct cq_plan_context *ctx, uint32_t job,
+		     enum cq_reason reason, int64_t start_ns)
+{
+	struct cq_wait wait = { job, reason, start_ns, CQ_FLEET_UNKNOWN_NS };
+
+	g_array_append_val(ctx->waits, wait);
+}
+
+/* Removes jobs from the queue whose fate is settled. */
+static bool settle(struct cq_plan_context *ctx, uint32_t job)
+{
+	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+	struct cq_action *action;
+
+	if (cq_health_job_failures(ctx->planner->health, entry->id) >=
+	    ctx->policy->job_failure_workers) {
+		cq_plan_add_action(ctx, CQ_ACTION_REJECT,
+				   CQ_REASON_FAILS_ANYWHERE, job);
+		return true;
+	}
+	if (entry->dc != CQ_NONE && entry->dc >= ctx->snapshot->dc_count) {
+		action = cq_plan_add_action(ctx, CQ_ACTION_REJECT,
+					    CQ_REASON_NEVER_FITS, job);
+		action->resource = CQ_RESOURCE_DC;
+		action->requested = entry->dc;
+		action->largest = ctx->snapshot->dc_count;
+		return true;
+	}
+	if (entry->dc != CQ_NONE &&
+	    ctx->snapshot->dcs[entry->dc].state == CQ_DC_OUT) {
+		add_wait(ctx, job, CQ_REASON_WAIT_DC_OUT, CQ_FLEET_UNKNOWN_NS);
+		return true;
+	}
+	return false;
+}
+
+static bool reject_if_impossible(struct cq_plan_context *ctx, uint32_t job)
+{
+	struct cq_misfit misfit;
+	struct cq_action *action;
+
+	if (cq_planner_can_ever_run(ctx->snapshot, &ctx->snapshot->jobs[job],
+				    &misfit))
+		return false;
+	action = cq_plan_add_action(ctx, CQ_ACTION_REJECT, CQ_REASON_NEVER_FITS,
+				    job);
+	action->resource = misfit.resource;
+	action->requested = misfit.requested;
+	action->largest = misfit.largest;
+	return true;
+}
+
+static bool is_at_least(const struct cq_plan_context *ctx, uint32_t job,
+			const struct failed_shape *failed)
+{
+	const struct cq_fleet_job *a = &ctx->snapshot->jobs[job];
+	const struct cq_fleet_job *b = &ctx->snapshot->jobs[failed->job];
+
+	return (b->dc == CQ_NONE || a->dc == b->dc) && a->tasks >= b->tasks &&
+	       a->adjacency <= b->adjacency &&
+	       a->accelerators >= b->accelerators &&
+	       a->millicores >= b->millicores &&
+	       a->memory_bytes >= b->memory_bytes &&
+	       (!failed->was_reserved ||
+		ctx->jobs[job].predicted_run_ns >=
+			ctx->jobs[failed->job].predicted_run_ns);
+}
+
+static const struct failed_shape *find_failed(const struct cq_plan_context *ctx,
+					      const struct failed_list *list,
+					      uint32_t job, bool same_owner)
+{
+	const struct cq_fleet_job *jobs = ctx->snapshot->jobs;
+	uint32_t i;
+
+	for (i = 0; i < list->count; i++) {
+		uint32_t other = list->shapes[i].job;
+
+		if (same_owner &&
+		    (jobs[other].workspace != jobs[job].workspace ||
+		     jobs[other].class_index != jobs[job].class_index))
+			continue;
+		if (is_at_least(ctx, job, &list->shapes[i]))
+			return &list->shapes[i];
+	}
+	return NULL;
+}
+
+static void remember_failed(struct failed_list *list, uint32_t job,
+			    enum cq_reason reason, bool was_reserved)
+{
+	struct failed_shape *failed;
+
+	if (list->count == MAX_FAILED_SHAPES)
+		return;
+	failed = &list->shapes[list->count++];
+	failed->job = job;
+	failed->reason = reason;
+	failed->was_reserved = was_reserved;
+}
+
+/*
+ * First pass: jobs within the guarantees of their workspace, of any class,
+ * before jobs that would borrow; otherwise the borrowers would be reclaimed
+ * at once.
+ */
+static void serve_guaranteed(struct cq_plan_context *ctx, struct queue *queue)
+{
+	uint32_t kept = 0;
+	uint32_t i;
+
+	for (i = 0; i < queue->count; i++) {
+		struct queued entry = queue->entries[i];
+
+		if (settle(ctx, entry.job))
+			continue;
+		if (ctx->starts_left > 0 && queue->attempts < MAX_ATTEMPTS &&
+		    !find_failed(ctx, &queue->failed_own, entry.job, true)) {
+			queue->attempts++;
+			if (cq_place_guaranteed(ctx, entry.job))
+				continue;
+			if (queue->reclaims < MAX_RECLAIMS &&
+			    cq_reclaim_cells(ctx, entry.job)) {
+				queue->reclaims++;
+				add_wait(ctx, entry.job, CQ_REASON_WAIT_RECLAIM,
+					 ctx->now_ns);
+				continue;
+			}
+			remember_failed(&queue->failed_own, entry.job,
+					CQ_REASON_WAIT_CAPACITY, false);
+		}
+		queue->entries[kept++] = entry;
+	}
+	queue->count = kept;
+	queue->attempts = 0;
+	queue->reclaims = 0;
+}
+
+/* A job that small ones would keep waiting gets a reservation. */
+static bool deserves_reservation(const struct cq_plan_context *ctx,
+				 const struct queue *queue, uint32_t job)
+{
+	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+
+	return queue->reservations < ctx->policy->max_reservations &&
+	       (entry->tasks > 1 ||
+		entry->accelerators * 2 >= ctx->max_accelerators ||
+		ctx->now_ns - entry->submitted_ns >
+			ctx->jobs[job].predicted_run_ns);
+}
+
+/* Second pass: one job that has no guarantee left. */
+static void serve_one(struct cq_plan_context *ctx, struct queue *queue,
+		      uint32_t job)
+{
+	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+	const struct failed_shape *failed =
+		find_failed(ctx, &queue->failed_free, job, false);
+	bool urgent = ctx->snapshot->classes[entry->class_index].urgent;
+	bool was_reserved = false;
+	enum cq_reason reason = CQ_REASON_WAIT_CAPACITY;
+	int64_t start_ns = CQ_FLEET_UNKNOWN_NS;
+
+	if (ctx->starts_left == 0) {
+		add_wait(ctx, job, CQ_REASON_WAIT_START_LIMIT, start_ns);
+		return;
+	}
+	if (!failed) {
+		if (queue->attempts++ >= MAX_ATTEMPTS) {
+			add_wait(ctx, job, CQ_REASON_WAIT_TURN, start_ns);
+			return;
+		}
+		if (cq_place_free(ctx, job, &was_reserved)) {
+			cq_place_start(ctx, job,
+				       queue->reservations
+					       ? CQ_REASON_BACKFILLED
+					       : CQ_REASON_BORROWED,
+				       NULL);
+			return;
+		}
+		if (was_reserved)
+			reason = CQ_REASON_WAIT_RESERVATION;
+		remember_failed(&queue->failed_free, job, reason, was_reserved);
+	} else {
+		reason = failed->reason;
+	}
+	if (urgent && queue->reclaims < MAX_RECLAIMS &&
+	    !find_failed(ctx, &queue->failed_reclaim, job, false)) {
+		queue->reclaims++;
+		if (cq_reclaim_borrowed(ctx, job, 0)) {
+			add_wait(ctx, job, CQ_REASON_WAIT_RECLAIM, ctx->now_ns);
+			return;
+		}
+		remember_failed(&queue->failed_reclaim, job, reason, false);
+	}
+	if (deserves_reservation(ctx, queue, job)) {
+		start_ns = cq_place_reserve(ctx, job);
+		if (start_ns == CQ_FLEET_UNKNOWN_NS &&
+		    reject_if_impossible(ctx, job))
+			return;
+		queue->reservations++;
+		if (!urgent && start_ns != CQ_FLEET_UNKNOWN_NS &&
+		    queue->reclaims < MAX_RECLAIMS) {
+			queue->reclaims++;
+			if (cq_reclaim_borrowed(ctx, job,
+						start_ns - ctx->now_ns))
+				reason = CQ_REASON_WAIT_RECLAIM;
+		}
+	}
+	add_wait(ctx, job, reason, start_ns);
+}
+
+static void serve_others(struct cq_plan_context *ctx, struct queue *queue)
+{
+	uint32_t i;
+
+	for (i = 0; i < queue->count; i++)
+		serve_one(ctx, queue, queue->entries[i].job);
+}
+
+void cq_plan_queue(struct cq_plan_context *ctx)
+{
+	struct queue queue = { 0 };
+
+	fill_queue(ctx, &queue);
+	serve_guaranteed(ctx, &queue);
+	serve_others(ctx, &queue);
+	g_free(queue.entries);
+}
--- /dev/null
+++ b/src/state/planner_tiers.c
@@ -0,0 +1,284 @@
+/*
+ * Which running jobs are within a guarantee, and the late binding of cells.
+ */
+#include "state/planner_internal.h"
+
+#include <stdlib.h>
+
+static bool charge_labelled(struct cq_plan_context *ctx, uint32_t job);
+static bool charge_anywhere(struct cq_plan_context *ctx, uint32_t job);
+
+uint32_t cq_cells_find_part(const struct cq_plan_context *ctx,
+			    uint32_t workspace, uint32_t worker,
+			    struct cq_need need)
+{
+	uint32_t best = CQ_NONE;
+	int64_t best_room = INT64_MAX;
+	uint32_t p;
+
+	for (p = ctx->workers[worker].first_part; p != CQ_NONE;
+	     p = cq_part_at(ctx, p)->next_on_worker) {
+		const struct cq_part *part = cq_part_at(ctx, p);
+		const struct cq_cell *cell = &ctx->cells[part->cell];
+		struct cq_need room = part->total;
+
+		if (ctx->snapshot->guarantees[cell->guarantee].workspace !=
+		    workspace)
+			continue;
+		cq_need_subtract(&room, part->used);
+		if (cq_need_fits(need, room) && room.accelerators < best_room) {
+			best = p;
+			best_room = room.accelerators;
+		}
+	}
+	return best;
+}
+
+void cq_cells_charge(struct cq_plan_context *ctx, uint32_t part,
+		     struct cq_need need)
+{
+	struct cq_part *entry = cq_part_at(ctx, part);
+	struct cq_cell *cell = &ctx->cells[entry->cell];
+	uint32_t workspace =
+		ctx->snapshot->guarantees[cell->guarantee].workspace;
+
+	cq_need_add(&entry->used, need);
+	cell->used += (uint32_t)need.accelerators;
+	ctx->workers[entry->worker].cell_used += (uint32_t)need.accelerators;
+	ctx->workspace_unused[workspace] -= need.accelerators;
+}
+
+void cq_cells_uncharge(struct cq_plan_context *ctx, uint32_t part,
+		       struct cq_need need)
+{
+	struct cq_part *entry = cq_part_at(ctx, part);
+	struct cq_cell *cell = &ctx->cells[entry->cell];
+	uint32_t workspace =
+		ctx->snapshot->guarantees[cell->guarantee].workspace;
+
+	cq_need_subtract(&entry->used, need);
+	cell->used -= (uint32_t)need.accelerators;
+	ctx->workers[entry->worker].cell_used -= (uint32_t)need.accelerators;
+	ctx->workspace_unused[workspace] += need.accelerators;
+}
+
+void cq_tiers_release(struct cq_plan_context *ctx, uint32_t job)
+{
+	struct cq_need need = cq_job_need(&ctx->snapshot->jobs[job], 1);
+	uint32_t t;
+
+	for (t = ctx->jobs[job].first_task; t != CQ_NONE;
+	     t = ctx->tasks[t].next_of_job) {
+		if (ctx->tasks[t].part != CQ_NONE)
+			cq_cells_uncharge(ctx, ctx->tasks[t].part, need);
+		ctx->tasks[t].part = CQ_NONE;
+	}
+	ctx->jobs[job].tier = CQ_TIER_NONE;
+}
+
+static bool is_movable(const struct cq_plan_context *ctx, uint32_t cell)
+{
+	const struct cq_cell *entry = &ctx->cells[cell];
+
+	return entry->part_count == 1 && entry->used == 0 && !entry->bound;
+}
+
+/* An unused cell on the worker that can change places with the other one. */
+static uint32_t find_swap(const struct cq_plan_context *ctx, uint32_t worker,
+			  uint32_t cell)
+{
+	const struct cq_part *other =
+		cq_part_at(ctx, ctx->cells[cell].first_part);
+	uint32_t size = (uint32_t)other->total.accelerators;
+	uint32_t p;
+
+	for (p = ctx->workers[worker].first_part; p != CQ_NONE;
+	     p = cq_part_at(ctx, p)->next_on_worker) {
+		const struct cq_part *part = cq_part_at(ctx, p);
+		uint32_t leaves = (uint32_t)part->total.accelerators;
+
+		if (is_movable(ctx, part->cell) &&
+		    cq_cells_room(ctx, worker) + leaves >= size &&
+		    cq_cells_room(ctx, other->worker) + size >= leaves)
+			return part->cell;
+	}
+	return CQ_NONE;
+}
+
+bool cq_cells_rebind(struct cq_plan_context *ctx, uint32_t workspace,
+		     uint32_t worker, struct cq_need need)
+{
+	const struct cq_pworker *entry = &ctx->workers[worker];
+	uint32_t p;
+
+	if (!entry->usable || entry->total.accelerators == 0)
+		return false;
+	for (p = ctx->workspace_parts[workspace]; p != CQ_NONE;
+	     p = cq_part_at(ctx, p)->next_of_workspace) {
+		uint32_t cell = cq_part_at(ctx, p)->cell;
+		uint32_t from = cq_part_at(ctx, p)->worker;
+		uint32_t size =
+			(uint32_t)cq_part_at(ctx, p)->total.accelerators;
+		uint32_t swap = CQ_NONE;
+
+		/* The cell brings its share of the cores and memory along. */
+		if (from == worker || !is_movable(ctx, cell) ||
+		    need.accelerators > size ||
+		    need.millicores * entry->total.accelerators >
+			    entry->total.millicores * size ||
+		    need.memory_bytes >
+			    entry->total.memory_bytes / 1024 * size /
+				    entry->total.accelerators * 1024)
+			continue;
+		if (cq_cells_room(ctx, worker) < size) {
+			swap = find_swap(ctx, worker, cell);
+			if (swap == CQ_NONE)
+				continue;
+			size = (uint32_t)cq_part_at(ctx,
+						    ctx->cells[cell].first_part)
+				       ->total.accelerators;
+			cq_cells_remove(ctx, swap);
+		}
+		cq_cells_remove(ctx, cell);
+		cq_cells_add_part(ctx, cell, worker, size);
+		if (swap != CQ_NONE)
+			cq_cells_add_part(
+				ctx, swap, from,
+				ctx->snapshot
+					->guarantees[ctx->cells[swap].guarantee]
+					.accelerators);
+		return true;
+	}
+	return false;
+}
+
+static uint32_t labelled_part(const struct cq_plan_context *ctx, uint32_t task,
+			      struct cq_need need)
+{
+	const struct cq_fleet_task *entry = &ctx->snapshot->tasks[task];
+	uint32_t p;
+
+	for (p = ctx->workers[entry->worker].first_part; p != CQ_NONE;
+	     p = cq_part_at(ctx, p)->next_on_worker) {
+		const struct cq_part *part = cq_part_at(ctx, p);
+		const struct cq_cell *cell = &ctx->cells[part->cell];
+		struct cq_need room = part->total;
+
+		cq_need_subtract(&room, part->used);
+		if (part->label == entry->cell && cq_need_fits(need, room) &&
+		    ctx->snapshot->guarantees[cell->guarantee].workspace ==
+			    ctx->snapshot->jobs[entry->job].workspace)
+			return p;
+	}
+	return CQ_NONE;
+}
+
+static bool charge_labelled(struct cq_plan_context *ctx, uint32_t job)
+{
+	struct cq_need need = cq_job_need(&ctx->snapshot->jobs[job], 1);
+	bool any = false;
+	uint32_t t;
+
+	for (t = ctx->jobs[job].first_task; t != CQ_NONE;
+	     t = ctx->tasks[t].next_of_job) {
+		uint32_t part;
+
+		if (!ctx->workers[ctx->snapshot->tasks[t].worker].usable)
+			continue;
+		part = ctx->snapshot->tasks[t].cell
+			       ? labelled_part(ctx, t, need)
+			       : CQ_NONE;
+		if (part == CQ_NONE) {
+			cq_tiers_release(ctx, job);
+			return false;
+		}
+		ctx->tasks[t].part = part;
+		cq_cells_charge(ctx, part, need);
+		any = true;
+	}
+	if (any)
+		ctx->jobs[job].tier = CQ_TIER_GUARANTEED;
+	return any;
+}
+
+/* Charges a job to unused cells of its workspace, wherever it runs. */
+static bool charge_anywhere(struct cq_plan_context *ctx, uint32_t job)
+{
+	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+	struct cq_need need = cq_job_need(entry, 1);
+	uint32_t t;
+
+	if (need.accelerators == 0 ||
+	    ctx->workspace_unused[entry->workspace] <
+		    need.accelerators * (int64_t)ctx->jobs[job].task_count)
+		return false;
+	for (t = ctx->jobs[job].first_task; t != CQ_NONE;
+	     t = ctx->tasks[t].next_of_job) {
+		uint32_t worker = ctx->snapshot->tasks[t].worker;
+		uint32_t part =
+			cq_cells_find_part(ctx, entry->workspace, worker, need);
+
+		if (part == CQ_NONE &&
+		    cq_cells_rebind(ctx, entry->workspace, worker, need))
+			part = cq_cells_find_part(ctx, entry->workspace, worker,
+						  need);
+		if (part == CQ_NONE) {
+			cq_tiers_release(ctx, job);
+			return false;
+		}
+		ctx->tasks[t].part = part;
+		cq_cells_charge(ctx, part, need);
+	}
+	ctx->jobs[job].tier = CQ_TIER_GUARANTEED;
+	return true;
+}
+
+static int compare_borrowers(const void *a, const void *b, void *data)
+{
+	const struct cq_plan_context *ctx = data;
+	uint32_t left = *(const uint32_t *)a;
+	uint32_t right = *(const uint32_t *)b;
+	int64_t left_ns = ctx->snapshot->jobs[left].started_ns;
+	int64_t right_ns = ctx->snapshot->jobs[right].started_ns;
+
+	if (ctx->jobs[left].rank != ctx->jobs[right].rank)
+		return ctx->jobs[left].rank < ctx->jobs[right].rank ? -1 : 1;
+	if (left_ns != right_ns)
+		return left_ns < right_ns ? -1 : 1;
+	return left < right ? -1 : left > right;
+}
+
+void cq_plan_tiers(struct cq_plan_context *ctx)
+{
+	const struct cq_snapshot *snapshot = ctx->snapshot;
+	uint32_t *borrowers = g_new(uint32_t, snapshot->job_count + 1);
+	uint32_t count = 0;
+	uint32_t i;
+	uint32_t t;
+
+	for (i = 0; i < snapshot->job_count; i++) {
+		bool on_usable = false;
+
+		if (snapshot->jobs[i].state != CQ_JOB_RUNNING ||
+		    ctx->jobs[i].leaving)
+			continue;
+		for (t = ctx->jobs[i].first_task; t != CQ_NONE;
+		     t = ctx->tasks[t].next_of_job)
+			on_usable =
+				on_usable ||
+				ctx->workers[snapshot->tasks[t].worker].usable;
+		if (!on_usable || charge_labelled(ctx, i))
+			continue;
+		ctx->jobs[i].tier = CQ_TIER_BORROWER;
+		borrowers[count++] = i;
+	}
+	/*
+	 * Borrowers move into cells that became unused, those of the class
+	 * served first before others.
+	 */
+	qsort_r(borrowers, count, sizeof(*borrowers), compare_borrowers, ctx);
+	for (i = 0; i < count; i++)
+		if (!charge_anywhere(ctx, borrowers[i]))
+			ctx->jobs[borrowers[i]].tier = CQ_TIER_BORROWER;
+	g_free(borrowers);
+}
