Add cq-schedd: job records, gang starts and the job controller

Cause: nothing placed jobs on workers yet.

Change: the interface to workers and its HTTP adapter, a stand-in for workers, job records with a checked JSON codec, the two-phase gang start, a job controller that follows the records in the store, syncs with workers, asks the planner and starts gangs as the owner of a data centre, the job calls as a library for both daemons, and cq-schedd itself. The daemon runtime tells routes when an operator's client goes away, since a route that answers later would otherwise answer a freed exchange.

Conclusion: a job record is placed whole, runs under leases, ends, and its state is readable over the operators' listener.

--- /dev/null
+++ b/include/chestnutquay/worker.h
@@ -0,0 +1,145 @@
+/*
+ * Interface to the platform's workers.
+ *
+ * Calls are asynchronous and end with exactly one completion, never inside
+ * the call. Every command carries the epoch of the owner; a worker refuses an
+ * epoch lower than the highest it has seen.
+ */
+#ifndef CHESTNUTQUAY_WORKER_H
+#define CHESTNUTQUAY_WORKER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum cq_task_state {
+	CQ_TASK_HELD, /* started with throttle 0, not released yet */
+	CQ_TASK_RUNNING,
+	CQ_TASK_CHECKPOINTING,
+	CQ_TASK_FINISHED,
+	CQ_TASK_FAILED,
+	CQ_TASK_STOPPED, /* stopped by command, or its lease lapsed */
+};
+
+const char *cq_task_state_string(enum cq_task_state state);
+/* False for an unknown name. */
+bool cq_task_state_parse(const char *text, enum cq_task_state *state);
+/* Held, running or checkpointing. */
+bool cq_task_state_is_live(enum cq_task_state state);
+
+/* How a call to a worker ended. */
+enum cq_worker_answer {
+	CQ_WORKER_ANSWER_OK,
+	CQ_WORKER_ANSWER_STALE,	      /* epoch too low or not_after passed */
+	CQ_WORKER_ANSWER_REFUSED,     /* any other refusal; not done */
+	CQ_WORKER_ANSWER_NOT_FOUND,   /* no such task */
+	CQ_WORKER_ANSWER_UNAVAILABLE, /* not sent; not done */
+	CQ_WORKER_ANSWER_UNKNOWN,     /* sent; may have been done */
+};
+
+const char *cq_worker_answer_string(enum cq_worker_answer answer);
+
+struct cq_worker_start {
+	const char *task_id;
+	const char *job_id;
+	uint32_t attempt;
+	uint32_t rank;
+	uint32_t gang_size;
+	const char *workspace;
+	const char *class_name;
+	int64_t epoch;
+	int64_t not_after_unix_ms; /* the worker refuses the start later */
+	uint32_t lease_ms;
+	uint32_t throttle_pct; /* 0: held */
+	uint32_t cpu_millicores;
+	uint64_t memory_bytes;
+	uint64_t accelerator_mask;
+	uint64_t cell; /* label of the planner, 0: none */
+	/* Id of the task whose last checkpoint is restored, "" for none. */
+	const char *restore_from;
+	int64_t expected_ms; /* -1: not declared */
+};
+
+struct cq_worker_sync {
+	int64_t epoch;
+	uint32_t lease_ms;	  /* new lease of the renewed tasks */
+	const char *const *renew; /* task ids */
+	uint32_t renew_count;
+	uint64_t since_version; /* 0: report all tasks */
+};
+
+struct cq_worker_task {
+	const char *task_id;
+	const char *job_id;
+	uint32_t attempt;
+	uint32_t rank;
+	uint32_t gang_size;
+	const char *workspace;
+	const char *class_name;
+	int64_t epoch; /* of the start */
+	enum cq_task_state state;
+	uint64_t accelerator_mask;
+	uint64_t cell;
+	uint32_t cpu_millicores;
+	uint64_t memory_bytes;
+	uint32_t observed_millicores; /* 0 until the first measurement */
+	uint64_t observed_memory_bytes;
+	uint32_t throttle_pct;
+	int64_t lease_left_ms;
+	int64_t run_ms;	       /* progress, restored part included */
+	int64_t checkpoint_ms; /* run_ms at the last checkpoint, or -1 */
+};
+
+/* Valid during the completion. */
+struct cq_worker_report {
+	const char *boot_id; /* changes when the worker restarts */
+	uint64_t version;    /* for the next since_version */
+	uint32_t accelerators;
+	uint32_t millicores;
+	uint64_t memory_bytes;
+	/* Changed tasks; all of them if since_version was 0. */
+	const struct cq_worker_task *tasks;
+	uint32_t task_count;
+};
+
+typedef void cq_worker_done_fn(void *ctx, enum cq_worker_answer answer,
+			       const char *message);
+/* report is NULL unless the answer is OK. */
+typedef void cq_worker_sync_done_fn(void *ctx, enum cq_worker_answer answer,
+				    const struct cq_worker_report *report);
+
+struct cq_worker_ops {
+	/* Idempotent by task id: a second start changes nothing. */
+	void (*start)(void *self, const char *address,
+		      const struct cq_worker_start *start, uint32_t timeout_ms,
+		      cq_worker_done_fn *done, void *ctx);
+	void (*sync)(void *self, const char *address,
+		     const struct cq_worker_sync *sync, uint32_t timeout_ms,
+		     cq_worker_sync_done_fn *done, void *ctx);
+	void (*throttle)(void *self, const char *address, const char *task_id,
+			 int64_t epoch, uint32_t percent, uint32_t timeout_ms,
+			 cq_worker_done_fn *done, void *ctx);
+	void (*checkpoint)(void *self, const char *address, const char *task_id,
+			   int64_t epoch, uint32_t timeout_ms,
+			   cq_worker_done_fn *done, void *ctx);
+	void (*stop)(void *self, const char *address, const char *task_id,
+		     int64_t epoch, uint32_t timeout_ms,
+		     cq_worker_done_fn *done, void *ctx);
+};
+
+struct cq_worker {
+	const struct cq_worker_ops *ops;
+	void *self;
+};
+
+/* Adapter for the platform's HTTP interface; see docs/jobs.md. */
+struct cq_http_client;
+struct cq_worker_http;
+
+/* The client outlives the adapter. */
+struct cq_worker_http *cq_worker_http_create(struct cq_http_client *client);
+/* Cancels open calls without completions. */
+void cq_worker_http_destroy(struct cq_worker_http *http);
+const struct cq_worker *cq_worker_http_get(struct cq_worker_http *http);
+
+#endif
--- /dev/null
+++ b/src/coordination/controller_plan.c
@@ -0,0 +1,227 @@
+/* Asks the planner and carries out its actions. */
+#include <string.h>
+
+#include "chestnutquay/log.h"
+#include "controller_snapshot.h"
+
+/* Shortest time between two plans. */
+#define MIN_PLAN_INTERVAL_NS (100 * CQ_NS_PER_MS)
+
+static void act(struct cq_controller *c, struct cq_controller_snapshot *s,
+		const struct cq_action *action, int64_t now_ns);
+
+static int64_t to_unix_ms(const struct cq_controller *c, int64_t at_ns,
+			  int64_t now_ns)
+{
+	if (at_ns == CQ_FLEET_UNKNOWN_NS)
+		return -1;
+	return cq_clock_unix_ms(c->options.clock) +
+	       (at_ns - now_ns) / CQ_NS_PER_MS;
+}
+
+static void begin_start(struct cq_job *job, const struct cq_action *action,
+			int64_t now_ns)
+{
+	struct cq_controller *c = job->controller;
+	struct cq_job_record next = job->record;
+	int64_t not_after_unix_ms;
+	uint32_t i;
+
+	if (c->draining || job->writing || job->places ||
+	    !cq_job_phase_is_waiting(next.phase) ||
+	    action->placement_count != next.tasks)
+		return;
+	next.phase = CQ_PHASE_STARTING;
+	next.attempt++;
+	next.epoch = c->epoch;
+	next.expected_start_unix_ms = cq_clock_unix_ms(c->options.clock);
+	next.expected_end_unix_ms =
+		to_unix_ms(c, action->predicted_end_ns, now_ns);
+	g_strlcpy(next.reason, job->why, sizeof(next.reason));
+	if (!cq_job_write(job, &next, now_ns))
+		return;
+	/* Has a permit read while the record is being written. */
+	c->ops->start_permit(c->ctx, now_ns, &not_after_unix_ms);
+	job->places = g_new0(struct cq_job_place, next.tasks);
+	job->places_attempt = next.attempt;
+	job->expected_end_ns = action->predicted_end_ns;
+	for (i = 0; i < next.tasks; i++) {
+		job->places[i].worker = action->placements[i].worker;
+		job->places[i].accelerator_mask =
+			action->placements[i].accelerator_mask;
+		job->places[i].cell = action->placements[i].cell;
+	}
+}
+
+static void reject(struct cq_job *job, const struct cq_action *action,
+		   const struct cq_controller_snapshot *s, int64_t now_ns)
+{
+	struct cq_job_record next = job->record;
+
+	/* A worker that has not reported yet may be large enough. */
+	if (job->places ||
+	    (action->reason == CQ_REASON_NEVER_FITS && !s->capacity_known))
+		return;
+	next.phase = CQ_PHASE_FAILED;
+	next.ended_unix_ms = cq_clock_unix_ms(job->controller->options.clock);
+	g_strlcpy(next.reason, job->why, sizeof(next.reason));
+	if (cq_job_write(job, &next, now_ns))
+		cq_log_event(CQ_LOG_INFO, "job_rejected", "{s:s,s:s}", "job",
+			     next.id, "reason", next.reason);
+}
+
+static void announce_stop(struct cq_job *job, const struct cq_action *action,
+			  const struct cq_controller_snapshot *s,
+			  int64_t now_ns)
+{
+	/*
+	 * A lost member is the gang's own business: it knows a lost task from
+	 * one that has finished.
+	 */
+	if (!job->gang || cq_gang_state(job->gang) >= CQ_GANG_STOPPING ||
+	    action->reason == CQ_REASON_GANG_MEMBER_LOST)
+		return;
+	if (!job->stop_requested_ns)
+		job->stop_requested_ns = now_ns;
+	job->stop_reason = action->reason;
+	job->stop_deadline_ns = action->deadline_ns;
+	job->stop_for[0] = '\0';
+	if (action->for_job != CQ_FLEET_NONE)
+		g_strlcpy(job->stop_for, s->snapshot.jobs[action->for_job].id,
+			  sizeof(job->stop_for));
+	if (action->kind == CQ_ACTION_CHECKPOINT)
+		cq_gang_checkpoint(job->gang, action->deadline_ns, now_ns);
+	else if (now_ns >= action->deadline_ns)
+		cq_gang_stop(job->gang, now_ns);
+	cq_gang_tick(job->gang, now_ns);
+	cq_job_mark_dirty(job);
+	cq_log_event(CQ_LOG_INFO, "job_stop_announced", "{s:s,s:s,s:s}", "job",
+		     job->record.id, "action",
+		     cq_action_kind_string(action->kind), "reason",
+		     cq_reason_string(action->reason));
+}
+
+static void act(struct cq_controller *c, struct cq_controller_snapshot *s,
+		const struct cq_action *action, int64_t now_ns)
+{
+	struct cq_job *job = NULL;
+
+	if (action->job != CQ_FLEET_NONE)
+		job = g_ptr_array_index(s->owners, action->job);
+	/* Strays have no job, and only these actions need none. */
+	if (!job && action->kind != CQ_ACTION_THROTTLE &&
+	    action->kind != CQ_ACTION_QUARANTINE &&
+	    action->kind != CQ_ACTION_PROBE)
+		return;
+	if (job) {
+		cq_plan_explain_action(&s->snapshot, action, job->why,
+				       sizeof(job->why));
+	}
+	switch (action->kind) {
+	case CQ_ACTION_START:
+		begin_start(job, action, now_ns);
+		break;
+	case CQ_ACTION_CHECKPOINT:
+	case CQ_ACTION_STOP:
+		announce_stop(job, action, s, now_ns);
+		break;
+	case CQ_ACTION_REJECT:
+		reject(job, action, s, now_ns);
+		break;
+	case CQ_ACTION_THROTTLE:
+		cq_controller_throttle(c, s->task_ids->pdata[action->task],
+				       s->snapshot.tasks[action->task].worker,
+				       action->percent, now_ns);
+		break;
+	case CQ_ACTION_QUARANTINE:
+		cq_log_event(CQ_LOG_WARN, "worker_quarantined", "{s:s}",
+			     "worker",
+			     s->snapshot.workers[action->worker].name);
+		break;
+	case CQ_ACTION_PROBE:
+		cq_controller_probe(c, action->worker, now_ns);
+		break;
+	}
+}
+
+static void take_waits(struct cq_controller_snapshot *s,
+		       const struct cq_plan *plan)
+{
+	uint32_t i;
+
+	for (i = 0; i < plan->wait_count; i++) {
+		const struct cq_wait *wait = &plan->waits[i];
+		struct cq_job *job = g_ptr_array_index(s->owners, wait->job);
+
+		if (!job)
+			continue;
+		job->expected_start_ns = wait->expected_start_ns;
+		job->expected_end_ns = wait->expected_end_ns;
+		cq_plan_explain_wait(&s->snapshot, wait, job->why,
+				     sizeof(job->why));
+	}
+}
+
+static bool plan_is_due(struct cq_controller *c, int64_t now_ns)
+{
+	int64_t since_ns = now_ns - c->plan_ns;
+
+	if (since_ns < MIN_PLAN_INTERVAL_NS ||
+	    (!c->plan_wanted && since_ns < c->options.plan_interval_ns))
+		return false;
+	if (!c->ops->may_command(c->ctx, now_ns))
+		return false;
+	/* Tasks of workers that have not reported would be overlooked. */
+	return cq_controller_all_settled(c) ||
+	       (c->hosts_known && now_ns - c->since_ns >= c->options.settle_ns);
+}
+
+void cq_controller_plan(struct cq_controller *c, int64_t now_ns)
+{
+	struct cq_error err = CQ_ERROR_INIT;
+	struct cq_controller_snapshot *s;
+	struct cq_plan *plan;
+	uint32_t i;
+
+	if (!plan_is_due(c, now_ns))
+		return;
+	c->plan_ns = now_ns;
+	c->plan_wanted = false;
+	s = cq_controller_snapshot_create(c, now_ns);
+	plan = cq_planner_plan(c->planner, &s->snapshot, &err);
+	g_strlcpy(c->plan_error, err.message, sizeof(c->plan_error));
+	if (plan) {
+		take_waits(s, plan);
+		for (i = 0; i < plan->action_count; i++)
+			act(c, s, &plan->actions[i], now_ns);
+	} else {
+		cq_log_event(CQ_LOG_ERROR, "plan_failed", "{s:s}", "error",
+			     err.message);
+	}
+	cq_plan_destroy(plan);
+	cq_controller_snapshot_destroy(s);
+}
+
+bool cq_controller_can_ever_run(struct cq_controller *c,
+				const struct cq_job_record *record,
+				int64_t now_ns, struct cq_error *err)
+{
+	struct cq_controller_snapshot *s =
+		cq_controller_snapshot_create(c, now_ns);
+	struct cq_fleet_job job;
+	struct cq_misfit misfit;
+	bool ok;
+
+	cq_controller_snapshot_job(s, record, &job);
+	ok = !s->capacity_known || !s->workers->len ||
+	     cq_planner_can_ever_run(&s->snapshot, &job, &misfit);
+	if (!ok)
+		cq_error_set(err, CQ_ERROR_COORDINATION, CQ_ERR_LIMIT,
+			     "%s: %" G_GUINT64_FORMAT
+			     " is more than the largest possible, "
+			     "%" G_GUINT64_FORMAT,
+			     cq_resource_string(misfit.resource),
+			     misfit.requested, misfit.largest);
+	cq_controller_snapshot_destroy(s);
+	return ok;
+}
--- /dev/null
+++ b/src/coordination/controller_private.h
@@ -0,0 +1,174 @@
+#ifndef CQ_CONTROLLER_PRIVATE_H
+#define CQ_CONTROLLER_PRIVATE_H
+
+#include <glib.h>
+
+#include "chestnutquay/controller.h"
+#include "chestnutquay/fleet_state.h"
+
+struct cq_job_place {
+	uint32_t worker; /* UINT32_MAX: not known */
+	uint64_t accelerator_mask;
+	uint64_t cell;
+};
+
+struct cq_job {
+	struct cq_controller *controller;
+	struct cq_job_record record; /* as in the store */
+	int64_t revision;
+	bool dirty; /* queued for cq_job_reconcile() */
+	bool seen;  /* during a reading of all records */
+
+	/* The write under way. */
+	struct cq_job_record next;
+	bool writing;
+	int64_t retry_ns; /* no write before that */
+
+	/* The attempt under way. */
+	struct cq_gang *gang;
+	struct cq_job_place *places; /* one per rank */
+	uint32_t places_attempt;
+	bool learned; /* the planner knows how the attempt ended */
+	int64_t started_ns;
+	int64_t not_before_ns; /* of the next attempt */
+	uint32_t failures;     /* consecutive attempts that did not run */
+
+	/* A stop that the planner announced. */
+	enum cq_reason stop_reason;
+	int64_t stop_requested_ns; /* 0: none */
+	int64_t stop_deadline_ns;
+	char stop_for[CQ_JOB_ID_BYTES];
+
+	/* Last word of the planner. */
+	int64_t expected_start_ns;
+	int64_t expected_end_ns;
+	char why[CQ_JOB_REASON_BYTES];
+	uint32_t snapshot_index;
+};
+
+/* A call to the store under way. */
+struct cq_controller_call {
+	struct cq_controller *controller;
+	struct cq_store_call *call;
+	void (*done)(struct cq_controller *c, const char *job_id,
+		     const struct cq_store_result *result);
+	char job_id[CQ_JOB_ID_BYTES];
+};
+
+/* A call to a worker under way. */
+struct cq_controller_command {
+	struct cq_controller *controller;
+	int64_t epoch;
+	int64_t sent_ns;
+	uint32_t worker;
+	uint32_t attempt;
+	uint32_t rank;
+	enum cq_gang_command command;
+	bool full;  /* sync */
+	bool probe; /* start of a probe */
+	char job_id[CQ_JOB_ID_BYTES];
+};
+
+struct cq_controller {
+	struct cq_controller_options options;
+	char data_centre[CQ_JOB_NAME_BYTES];
+	char writer[CQ_JOB_NAME_BYTES];
+	const struct cq_controller_ops *ops;
+	void *ctx;
+	struct cq_store store;
+	struct cq_worker worker;
+	struct cq_planner *planner;
+	struct cq_fleet_state *fleet;
+
+	int64_t epoch;	   /* 0: not the owner */
+	int64_t caretaker; /* epoch used for renewals without an owner */
+	int64_t since_ns;  /* when the epoch began */
+	int64_t tick_ns;
+	int64_t resumed_ns; /* end of the last pause of this process */
+	int64_t load_ns;
+	int64_t revision; /* up to which records are known */
+	int64_t watch_ns;
+	uint64_t sequence;
+	GRand *random;
+
+	GHashTable *jobs;   /* id -> struct cq_job */
+	GHashTable *active; /* set of jobs with a gang */
+	GQueue *dirty;
+	GHashTable *store_calls; /* set of struct cq_controller_call */
+	GHashTable *commands;	 /* set of struct cq_controller_command */
+	uint32_t writes;
+	uint32_t commands_in_flight; /* without syncs */
+
+	struct cq_policy policy;
+	GArray *dcs;
+	GArray *classes;
+	GArray *guarantees;
+	int64_t dc_notice_deadline_ns;
+	int64_t dc_in_since_ns;
+	int64_t plan_ns; /* of the last plan */
+	char plan_error[CQ_ERROR_MESSAGE_BYTES];
+	GHashTable *probes; /* worker name -> probe number + 1 */
+	uint32_t probe_number;
+	GQueue *retired; /* ids of ended jobs, oldest first */
+
+	bool draining;
+	bool loaded; /* all records have been read */
+	bool watching;
+	bool hosts_known;
+	bool dc_in;
+	bool plan_wanted;
+};
+
+/* controller_store.c */
+void cq_controller_load(struct cq_controller *c, int64_t now_ns);
+void cq_controller_watch(struct cq_controller *c, int64_t now_ns);
+void cq_controller_cancel_calls(struct cq_controller *c);
+/*
+ * Writes the record by compare-and-swap. Returns false when too many writes
+ * are in flight or the job has to wait; the caller tries again later.
+ */
+bool cq_job_write(struct cq_job *job, const struct cq_job_record *next,
+		  int64_t now_ns);
+struct cq_controller_call *cq_controller_call_create(
+	struct cq_controller *c, const char *job_id,
+	void (*done)(struct cq_controller *c, const char *job_id,
+		     const struct cq_store_result *result));
+void cq_controller_on_store(void *ctx, const struct cq_store_result *result);
+void cq_job_free(void *data);
+/* The record was removed, or a conflicting one was found instead. */
+void cq_controller_forget_job(struct cq_controller *c, struct cq_job *job,
+			      const struct cq_store_result *result);
+/* Ends the attempt in memory: gang and places. */
+void cq_job_drop_attempt(struct cq_job *job);
+
+/* controller_jobs.c */
+void cq_job_mark_dirty(struct cq_job *job);
+void cq_job_reconcile(struct cq_job *job, int64_t now_ns);
+const struct cq_controller_dc *cq_controller_find_dc(struct cq_controller *c,
+						     const char *name);
+
+/* controller_move.c */
+bool cq_job_should_move(const struct cq_job *job);
+void cq_job_begin_move(struct cq_job *job, int64_t now_ns);
+void cq_job_continue_move(struct cq_job *job, int64_t now_ns);
+void cq_job_remove_record(struct cq_job *job, int64_t now_ns);
+
+/* controller_workers.c */
+extern const struct cq_gang_ops cq_controller_gang_ops;
+void cq_controller_sync_workers(struct cq_controller *c, int64_t now_ns);
+void cq_controller_task_changed(void *ctx, const struct cq_fleet_view *task,
+				bool present, int64_t sent_ns);
+void cq_controller_throttle(struct cq_controller *c, const char *task_id,
+			    uint32_t worker, uint32_t percent, int64_t now_ns);
+void cq_controller_probe(struct cq_controller *c, uint32_t worker,
+			 int64_t now_ns);
+/* Every listed worker has reported in this epoch or is lost. */
+bool cq_controller_all_settled(struct cq_controller *c);
+/* When the tasks of a worker without contact are certainly gone. */
+int64_t cq_controller_gone_by_ns(const struct cq_controller *c,
+				 int64_t renewed_ns);
+
+/* controller_plan.c */
+void cq_controller_plan(struct cq_controller *c, int64_t now_ns);
+
+#endif
--- a/src/programs/common/daemon.h
+++ b/src/programs/common/daemon.h
@@ -62,6 +62,13 @@
 void cq_daemon_add_route(struct cq_daemon *daemon, const char *method,
 			 const char *prefix, cq_daemon_route_fn *fn, void *ctx);
 
+/*
+ * Called when an operator's client went away before the answer, for every
+ * exchange; a route that answers later needs it.
+ */
+void cq_daemon_add_abort(struct cq_daemon *daemon, cq_daemon_route_fn *fn,
+			 void *ctx);
+
 /* Receives the peer messages of one kind. */
 void cq_daemon_on_peer(struct cq_daemon *daemon, enum cq_peer_kind kind,
 		       cq_peer_message_fn *fn, void *ctx);
--- /dev/null
+++ b/src/programs/schedd/jobs.c
@@ -0,0 +1,275 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "chestnutquay/log.h"
+#include "programs/schedd/schedd.h"
+
+/*
+ * Without a live owner for this long, one schedd of the data centre renews the
+ * leases of running gangs. Longer than a takeover (lease 5 s + 1 s), shorter
+ * than the default task lease of 15 s less two syncs.
+ */
+#define CARETAKER_AFTER_NS (8 * CQ_NS_PER_S)
+#define MAX_LIST 1000
+
+static char *answer_query(struct schedd *s, const char *query);
+
+static bool may_command(void *ctx, int64_t now_ns)
+{
+	struct schedd *s = ctx;
+
+	return cq_ownership_may_command(s->ownership, now_ns);
+}
+
+static bool start_permit(void *ctx, int64_t now_ns, int64_t *not_after_unix_ms)
+{
+	struct schedd *s = ctx;
+
+	return cq_ownership_start_permit(s->ownership, now_ns,
+					 not_after_unix_ms);
+}
+
+void schedd_jobs_owner_changed(struct schedd *s)
+{
+	int64_t now_ns = schedd_now_ns(s);
+	int64_t epoch = cq_ownership_epoch(s->ownership);
+
+	/* While only the lease has lapsed, running gangs are still renewed. */
+	if (!s->controller ||
+	    cq_ownership_state(s->ownership) == CQ_OWNERSHIP_LAPSED)
+		return;
+	cq_controller_set_epoch(s->controller, epoch, now_ns);
+}
+
+static bool owner_is_known(const struct schedd *s)
+{
+	const char *dc = cq_daemon_data_centre(s->daemon);
+	uint32_t i;
+
+	for (i = 0; i < cq_membership_count(s->membership); i++) {
+		const struct cq_member *member =
+			cq_membership_get(s->membership, i);
+
+		if (member->owner_epoch && cq_member_is_live(member) &&
+		    !strcmp(member->data_centre, dc))
+			return true;
+	}
+	return false;
+}
+
+static void check_caretaker(struct schedd *s, int64_t now_ns)
+{
+	bool wanted;
+
+	if (owner_is_known(s))
+		s->owner_seen_ns = now_ns;
+	wanted = now_ns - s->owner_seen_ns > CARETAKER_AFTER_NS &&
+		 cq_membership_rank(s->membership) == 0;
+	cq_controller_set_caretaker(
+		s->controller,
+		wanted ? cq_ownership_last_epoch(s->ownership) : 0, now_ns);
+}
+
+static void on_tick(void *ctx, int64_t now_ns)
+{
+	struct schedd *s = ctx;
+
+	check_caretaker(s, now_ns);
+	cq_controller_tick(s->controller, now_ns);
+	cq_job_calls_tick(s->job_calls, now_ns);
+}
+
+static const char *text_of(const json_t *query, const char *name)
+{
+	const char *text = json_string_value(json_object_get(query, name));
+
+	return text ? text : "";
+}
+
+static char *answer_check(struct schedd *s, const json_t *query)
+{
+	struct cq_error err = CQ_ERROR_INIT;
+	struct cq_job_record record;
+	char *text = json_dumps(json_object_get(query, "job"), JSON_COMPACT);
+	json_t *answer;
+	bool fits = true;
+
+	if (text && cq_job_record_parse(text, strlen(text), &record, NULL))
+		fits = cq_controller_can_ever_run(s->controller, &record,
+						  schedd_now_ns(s), &err);
+	free(text);
+	answer = json_pack("{s:i,s:s}", "status", fits ? 200 : 422, "message",
+			   err.message);
+	text = json_dumps(answer, JSON_COMPACT);
+	json_decref(answer);
+	return text;
+}
+
+/* The answer to a query; NULL unless this process owns the data centre. */
+static char *answer_query(struct schedd *s, const char *text)
+{
+	int64_t now_ns = schedd_now_ns(s);
+	json_t *query = json_loads(text, 0, NULL);
+	const char *op = text_of(query, "op");
+	const char *id = text_of(query, "id");
+	struct cq_controller_filter filter = {
+		.state = text_of(query, "state"),
+		.workspace = text_of(query, "workspace"),
+		.class_name = text_of(query, "class"),
+	};
+	char *body = NULL;
+	char *answer = NULL;
+
+	filter.limit = (uint32_t)CLAMP(
+		json_integer_value(json_object_get(query, "limit")), 1,
+		MAX_LIST);
+	if (!cq_ownership_may_command(s->ownership, now_ns) ||
+	    !cq_controller_settled(s->controller)) {
+		json_decref(query);
+		return NULL;
+	}
+	if (!strcmp(op, "show"))
+		body = cq_controller_show_job(s->controller, id, now_ns);
+	else if (!strcmp(op, "explain"))
+		body = cq_controller_explain_job(s->controller, id, now_ns);
+	else if (!strcmp(op, "list"))
+		body = cq_controller_list_jobs(s->controller, &filter, now_ns);
+	else if (!strcmp(op, "check"))
+		answer = answer_check(s, query);
+	if (!answer)
+		answer = g_strdup_printf("{\"status\":%d,\"body\":%s}",
+					 body ? 200 : 404,
+					 body ? body : "null");
+	free(body);
+	json_decref(query);
+	return answer;
+}
+
+static char *local(void *ctx, const char *data_centre, const char *query)
+{
+	struct schedd *s = ctx;
+
+	if (strcmp(data_centre, cq_daemon_data_centre(s->daemon)) != 0)
+		return NULL;
+	return answer_query(s, query);
+}
+
+static void on_query(void *ctx, const struct cq_peer_message *message)
+{
+	struct schedd *s = ctx;
+	char *query =
+		g_strndup((const char *)message->payload, message->payload_len);
+	char *answer = answer_query(s, query);
+	const char *text = answer ? answer : "{\"status\":421}";
+
+	cq_peer_net_send(cq_daemon_peers(s->daemon), message->from_address,
+			 CQ_PEER_JOB_ANSWER, message->correlation,
+			 (const uint8_t *)text, strlen(text));
+	free(answer);
+	g_free(query);
+}
+
+static void on_answer(void *ctx, const struct cq_peer_message *message)
+{
+	struct schedd *s = ctx;
+
+	cq_job_calls_receive(s->job_calls, message);
+}
+
+static void on_notify(void *ctx, const struct cq_peer_message *message)
+{
+	struct schedd *s = ctx;
+
+	(void)message;
+	cq_controller_notify(s->controller, "", schedd_now_ns(s));
+}
+
+static bool send_message(void *ctx, const char *address, enum cq_peer_kind kind,
+			 uint64_t correlation, const uint8_t *payload,
+			 size_t len)
+{
+	struct schedd *s = ctx;
+
+	return cq_peer_net_send(cq_daemon_peers(s->daemon), address, kind,
+				correlation, payload, len);
+}
+
+static void on_jobs_call(void *ctx, struct cq_http_exchange *exchange)
+{
+	struct schedd *s = ctx;
+
+	cq_job_calls_handle(s->job_calls, exchange);
+}
+
+static void on_abort(void *ctx, struct cq_http_exchange *exchange)
+{
+	struct schedd *s = ctx;
+
+	cq_job_calls_aborted(s->job_calls, exchange);
+}
+
+static void open_controller(struct schedd *s)
+{
+	static const struct cq_controller_ops ops = { may_command,
+						      start_permit };
+	const struct cq_config *config = cq_daemon_config(s->daemon);
+	struct cq_controller_options options;
+
+	cq_controller_options_init(&options);
+	options.clock = cq_daemon_clock(s->daemon);
+	options.data_centre = cq_daemon_data_centre(s->daemon);
+	options.writer = cq_daemon_id(s->daemon);
+	options.metrics = cq_daemon_metrics(s->daemon);
+	options.seed = cq_daemon_incarnation(s->daemon);
+	options.task_lease_ms =
+		(uint32_t)cq_config_integer(config, "task-lease-ms");
+	options.held_lease_ms =
+		MIN(options.held_lease_ms, options.task_lease_ms);
+	options.lost_after_ns =
+		cq_config_integer(config, "worker-lost-ms") * CQ_NS_PER_MS;
+	options.retention_ms = cq_config_integer(config, "job-retention-ms");
+	s->workers = cq_worker_http_create(cq_daemon_http_client(s->daemon));
+	s->controller = cq_controller_create(&options, &ops, s,
+					     cq_store_relay_store(s->relay),
+					     cq_worker_http_get(s->workers),
+					     schedd_now_ns(s));
+}
+
+static void open_calls(struct schedd *s)
+{
+	static const struct cq_job_calls_ops ops = { send_message, local };
+	struct cq_job_calls_options options;
+
+	cq_job_calls_options_init(&options);
+	options.clock = cq_daemon_clock(s->daemon);
+	options.writer = cq_daemon_id(s->daemon);
+	options.incarnation = cq_daemon_incarnation(s->daemon);
+	s->job_calls = cq_job_calls_create(&options, &ops, s,
+					   cq_store_relay_store(s->relay),
+					   s->settings, s->membership);
+}
+
+void schedd_jobs_open(struct schedd *s)
+{
+	static const char *const methods[] = { "GET", "POST", "DELETE" };
+	size_t i;
+
+	open_controller(s);
+	open_calls(s);
+	for (i = 0; i < G_N_ELEMENTS(methods); i++)
+		cq_daemon_add_route(s->daemon, methods[i], "/v1/jobs",
+				    on_jobs_call, s);
+	cq_daemon_add_abort(s->daemon, on_abort, s);
+	cq_daemon_on_peer(s->daemon, CQ_PEER_JOB_QUERY, on_query, s);
+	cq_daemon_on_peer(s->daemon, CQ_PEER_JOB_ANSWER, on_answer, s);
+	cq_daemon_on_peer(s->daemon, CQ_PEER_JOB_NOTIFY, on_notify, s);
+	cq_daemon_add_tick(s->daemon, on_tick, s);
+}
+
+void schedd_jobs_close(struct schedd *s)
+{
+	cq_job_calls_destroy(s->job_calls);
+	cq_worker_http_destroy(s->workers);
+	cq_controller_destroy(s->controller);
+}
--- /dev/null
+++ b/src/programs/schedd/schedd.h
@@ -0,0 +1,65 @@
+#ifndef CQ_SCHEDD_H
+#define CQ_SCHEDD_H
+
+#include <glib.h>
+
+#include "chestnutquay/controller.h"
+#include "chestnutquay/membership.h"
+#include "chestnutquay/ownership.h"
+#include "chestnutquay/settings_sync.h"
+#include "chestnutquay/store_relay.h"
+#include "programs/common/daemon.h"
+#include "programs/common/job_calls.h"
+
+/* A worker of the host list, of any data centre. */
+struct schedd_host {
+	char *id;
+	char *address;
+	char *data_centre;
+	char *rack;
+};
+
+struct schedd {
+	struct cq_daemon *daemon;
+	/* cluster.c */
+	struct cq_membership *membership;
+	struct cq_store_relay *relay;
+	struct cq_settings *settings;
+	struct cq_settings_sync *sync;
+	struct cq_ownership *ownership;
+	int64_t owner_seen_ns; /* when a live owner was known last */
+	bool handing_over;
+	bool left;
+	/* jobs.c */
+	struct cq_worker_http *workers;
+	struct cq_controller *controller;
+	struct cq_job_calls *job_calls;
+	/* hosts.c */
+	GArray *hosts; /* of struct schedd_host */
+	bool fetching;
+	int64_t next_fetch_ns;
+	bool intent_changed;
+};
+
+/* cluster.c: membership, settings, store relay, ownership, planned stop. */
+void schedd_cluster_open(struct schedd *s);
+void schedd_cluster_close(struct schedd *s);
+
+/* jobs.c: the controller, job calls and queries of peers. */
+void schedd_jobs_open(struct schedd *s);
+void schedd_jobs_close(struct schedd *s);
+void schedd_jobs_owner_changed(struct schedd *s);
+
+/* hosts.c: the host list. */
+void schedd_hosts_open(struct schedd *s);
+void schedd_hosts_close(struct schedd *s);
+
+/* intent.c: settings and hosts as input of the controller. */
+void schedd_intent_apply(struct schedd *s, int64_t now_ns);
+
+/* status.c: operators' calls. */
+void schedd_status_open(struct schedd *s);
+
+int64_t schedd_now_ns(const struct schedd *s);
+
+#endif
