--- a/src/state/planner.c
+++ b/src/state/planner.c
@@ -90,7 +90,7 @@
 	ctx->waits = NULL;
 	ctx->shortfalls = NULL;
 	plan->tier_count = ctx->snapshot->job_count;
-	plan->tiers = g_new0(enum cq_tier, plan->tier_count + 1);
+	plan->tiers = g_malloc0_n(plan->tier_count + 1, sizeof(*plan->tiers));
 	for (i = 0; i < plan->tier_count; i++)
 		plan->tiers[i] = ctx->jobs[i].tier;
 	export_cells(ctx, plan);
--- a/src/state/planner_check.c
+++ b/src/state/planner_check.c
@@ -159,7 +159,7 @@
 			     const struct cq_fleet_job *job,
 			     struct cq_misfit *misfit)
 {
-	struct cq_misfit unused;
+	struct cq_misfit unused = { CQ_RESOURCE_NONE, 0, 0 };
 	uint32_t accelerators = 0;
 	uint32_t millicores = 0;
 	uint64_t memory_bytes = 0;
