--- a/src/programs/common/daemon.h
+++ b/src/programs/common/daemon.h
@@ -71,6 +71,14 @@
 	void (*aborted)(struct cq_daemon_held *held);
 };
 
+/*
+ * Called when an operator's client went away before the answer, for every
+ * exchange without a user pointer; for parts that find the exchange by
+ * themselves.
+ */
+void cq_daemon_add_abort(struct cq_daemon *daemon, cq_daemon_route_fn *fn,
+			 void *ctx);
+
 /* Receives the peer messages of one kind. */
 void cq_daemon_on_peer(struct cq_daemon *daemon, enum cq_peer_kind kind,
 		       cq_peer_message_fn *fn, void *ctx);
