Run cq-schedd on the shared cluster module

Cause: cq-schedd set up membership, settings and store relay itself, a second time beside src/programs/common/cluster.c, and had no operators' calls for settings. Change: it uses cq_cluster and the operators' calls; its own state moved from /v1/status to /v1/ownership.

--- a/src/programs/schedd/jobs.c
+++ b/src/programs/schedd/jobs.c
@@ -231,7 +231,7 @@
 	options.retention_ms = cq_config_integer(config, "job-retention-ms");
 	s->workers = cq_worker_http_create(cq_daemon_http_client(s->daemon));
 	s->controller = cq_controller_create(&options, &ops, s,
-					     cq_store_relay_store(s->relay),
+					     cq_cluster_store(s->cluster),
 					     cq_worker_http_get(s->workers),
 					     schedd_now_ns(s));
 }
@@ -246,7 +246,7 @@
 	options.writer = cq_daemon_id(s->daemon);
 	options.incarnation = cq_daemon_incarnation(s->daemon);
 	s->job_calls = cq_job_calls_create(&options, &ops, s,
-					   cq_store_relay_store(s->relay),
+					   cq_cluster_store(s->cluster),
 					   s->settings, s->membership);
 }
 
--- a/src/programs/schedd/schedd.h
+++ b/src/programs/schedd/schedd.h
@@ -6,10 +6,10 @@
 #include "chestnutquay/controller.h"
 #include "chestnutquay/membership.h"
 #include "chestnutquay/ownership.h"
-#include "chestnutquay/settings_sync.h"
-#include "chestnutquay/store_relay.h"
+#include "programs/common/cluster.h"
 #include "programs/common/daemon.h"
 #include "programs/common/job_calls.h"
+#include "programs/common/operator_calls.h"
 
 /* A worker of the host list, of any data centre. */
 struct schedd_host {
@@ -22,14 +22,13 @@
 struct schedd {
 	struct cq_daemon *daemon;
 	/* cluster.c */
-	struct cq_membership *membership;
-	struct cq_store_relay *relay;
-	struct cq_settings *settings;
-	struct cq_settings_sync *sync;
+	struct cq_cluster *cluster;
+	struct cq_operator_calls *operator_calls;
+	struct cq_membership *membership;   /* of the cluster */
+	const struct cq_settings *settings; /* of the cluster */
 	struct cq_ownership *ownership;
 	int64_t owner_seen_ns; /* when a live owner was known last */
 	bool handing_over;
-	bool left;
 	/* jobs.c */
 	struct cq_worker_http *workers;
 	struct cq_controller *controller;
--- a/src/programs/schedd/status.c
+++ b/src/programs/schedd/status.c
@@ -1,4 +1,4 @@
-/* Operators' calls GET /v1/status and GET /v1/workers. */
+/* Operators' calls GET /v1/ownership and GET /v1/workers. */
 #include <jansson.h>
 #include <stdlib.h>
 
@@ -17,7 +17,7 @@
 		(int)cq_controller_settled(s->controller), "settings_revision",
 		(json_int_t)cq_settings_revision(s->settings), "live_members",
 		(json_int_t)cq_membership_live(s->membership), "store_direct",
-		(int)cq_store_relay_direct(s->relay));
+		(int)cq_cluster_store_direct(s->cluster));
 	char *text = json_dumps(body, JSON_COMPACT);
 
 	cq_http_exchange_respond_json(exchange, 200, text);
@@ -43,6 +43,6 @@
 
 void schedd_status_open(struct schedd *s)
 {
-	cq_daemon_add_route(s->daemon, "GET", "/v1/status", on_status, s);
+	cq_daemon_add_route(s->daemon, "GET", "/v1/ownership", on_status, s);
 	cq_daemon_add_route(s->daemon, "GET", "/v1/workers", on_workers, s);
 }
