--- a/include/chestnutquay/settings.h
+++ b/include/chestnutquay/settings.h
@@ -25,6 +25,7 @@
 #define CQ_SETTINGS_MAX_CLASSES 16
 #define CQ_SETTINGS_MAX_OBJECTIVES 32
 #define CQ_SETTINGS_MAX_GUARANTEES 32
+#define CQ_SETTINGS_MAX_ENTRY_HOSTS 64
 
 enum cq_settings_adjacency {
 	CQ_SETTINGS_WORKER, /* all accelerators on one worker */
@@ -68,6 +69,12 @@
 	char name[CQ_SETTINGS_NAME_BYTES];
 	enum cq_settings_dc_state state;
 	int64_t notice_s; /* given to running tasks on going out */
+	/*
+	 * Indices of entry hosts, 1 to CQ_SETTINGS_MAX_ENTRY_HOSTS. The home
+	 * of an idempotency key is chosen among them, so that a change moves
+	 * the homes of keys.
+	 */
+	int64_t entry_hosts;
 };
 
 struct cq_settings_guarantee {
--- a/src/programs/entryd/entryd.h
+++ b/src/programs/entryd/entryd.h
@@ -6,7 +6,16 @@
 #define CQ_PROGRAMS_ENTRYD_H
 
 #include "chestnutquay/router.h"
+#include "programs/common/cluster.h"
 #include "programs/common/daemon.h"
+#include "programs/common/job_calls.h"
+
+/* Job calls of callers and operators. */
+struct entryd_jobs;
+
+struct entryd_jobs *entryd_jobs_create(struct cq_cluster *cluster);
+void entryd_jobs_destroy(struct entryd_jobs *jobs);
+struct cq_job_calls *entryd_jobs_calls(struct entryd_jobs *jobs);
 
 /* Callers' requests. */
 struct entryd_requests;
@@ -14,8 +23,12 @@
 extern const struct cq_setting entryd_requests_settings[];
 extern const int32_t entryd_requests_setting_count;
 
-/* NULL and err on a bad setting or an address in use. */
+/*
+ * Serves callers; their job calls go to job_calls, which outlives the object.
+ * NULL and err on a bad setting or an address in use.
+ */
 struct entryd_requests *entryd_requests_create(struct cq_daemon *daemon,
+					       struct cq_job_calls *job_calls,
 					       struct cq_error *err);
 void entryd_requests_destroy(struct entryd_requests *requests);
 
--- a/src/programs/entryd/main.c
+++ b/src/programs/entryd/main.c
@@ -1,13 +1,17 @@
 /* cq-entryd: serves callers and operators on an entry host. */
 #include <stdio.h>
 
+#include "programs/common/operator_calls.h"
 #include "programs/entryd/entryd.h"
 
 int main(int argc, char **argv)
 {
 	struct cq_error err = CQ_ERROR_INIT;
+	struct cq_operator_calls *operator_calls;
 	struct entryd_requests *requests;
+	struct cq_cluster *cluster;
 	struct cq_daemon *daemon;
+	struct entryd_jobs *jobs;
 	int exit_code = 0;
 
 	daemon = cq_daemon_create("cq-entryd",
@@ -18,7 +22,11 @@
 				  &exit_code);
 	if (!daemon)
 		return exit_code;
-	requests = entryd_requests_create(daemon, &err);
+	cluster = cq_cluster_create(daemon, CQ_ROLE_ENTRYD);
+	operator_calls = cq_operator_calls_create(cluster);
+	jobs = entryd_jobs_create(cluster);
+	requests =
+		entryd_requests_create(daemon, entryd_jobs_calls(jobs), &err);
 	if (requests) {
 		exit_code = cq_daemon_run(daemon);
 	} else {
@@ -26,6 +34,9 @@
 		exit_code = err.code == CQ_ERR_INVALID ? CQ_EXIT_USAGE : 1;
 	}
 	entryd_requests_destroy(requests);
+	entryd_jobs_destroy(jobs);
+	cq_operator_calls_destroy(operator_calls);
+	cq_cluster_destroy(cluster);
 	cq_daemon_destroy(daemon);
 	return exit_code;
 }
--- a/src/programs/entryd/requests.c
+++ b/src/programs/entryd/requests.c
@@ -269,6 +269,10 @@
 	struct cq_request request;
 	struct caller *caller;
 
+	if (g_str_has_prefix(input.path, "/v1/jobs")) {
+		cq_job_calls_handle(requests->job_calls, exchange);
+		return;
+	}
 	input.body = cq_http_exchange_body(exchange, &input.body_len);
 	if (!cq_caller_parse(&input, requests->max_timeout_ms, &request,
 			     &err)) {
@@ -290,8 +294,10 @@
 	struct entryd_requests *requests = ctx;
 	struct caller *caller = cq_http_exchange_user(exchange);
 
-	if (!caller)
+	if (!caller) {
+		cq_job_calls_aborted(requests->job_calls, exchange);
 		return;
+	}
 	requests->vtable->abandon(requests->router, caller);
 	entryd_caller_free(caller);
 }
@@ -465,6 +471,7 @@
 }
 
 struct entryd_requests *entryd_requests_create(struct cq_daemon *daemon,
+					       struct cq_job_calls *job_calls,
 					       struct cq_error *err)
 {
 	struct entryd_requests *requests = g_new0(struct entryd_requests, 1);
@@ -473,6 +480,7 @@
 	uint32_t share;
 
 	requests->daemon = daemon;
+	requests->job_calls = job_calls;
 	requests->loop = cq_daemon_loop(daemon);
 	requests->max_timeout_ms =
 		(uint32_t)setting(requests, "endpoint-run-max-ms");
--- a/src/programs/entryd/requests.h
+++ b/src/programs/entryd/requests.h
@@ -19,6 +19,7 @@
 
 struct entryd_requests {
 	struct cq_daemon *daemon;
+	struct cq_job_calls *job_calls;
 	struct ev_loop *loop;
 	struct entryd_static *static_source;
 	struct cq_http_client *client;
--- a/src/state/settings_parse.c
+++ b/src/state/settings_parse.c
@@ -383,7 +383,8 @@
 			      struct cq_settings_data_centre *out,
 			      struct cq_error *err)
 {
-	static const char *const names[] = { "state", "notice_s", NULL };
+	static const char *const names[] = { "state", "notice_s", "entry_hosts",
+					     NULL };
 	struct source src = { key, "", settings };
 	int32_t state = 0;
 
@@ -391,9 +392,12 @@
 	g_strlcpy(out->name, key + strlen(DATA_CENTRES),
 		  CQ_SETTINGS_NAME_BYTES);
 	out->notice_s = 300;
+	out->entry_hosts = 1;
 	if (!check_members(&src, names, err) ||
 	    !read_choice(&src, "state", dc_state_strings, &state, err) ||
-	    !read_integer(&src, "notice_s", 0, 86400, &out->notice_s, err))
+	    !read_integer(&src, "notice_s", 0, 86400, &out->notice_s, err) ||
+	    !read_integer(&src, "entry_hosts", 1, CQ_SETTINGS_MAX_ENTRY_HOSTS,
+			  &out->entry_hosts, err))
 		return false;
 	out->state = (enum cq_settings_dc_state)state;
 	return true;
