Answer workers and workspaces for all data centres; publish capacity

Cause: an operators' call on an entry host showed neither workers nor workspaces, and guarantees were accepted without a look at the capacity. Change: owners answer both over the peer network; owners publish a summary of their workers under capacity/DC, which every daemon reads for checking settings; shortfalls of the last plan appear in /v1/status.

--- a/include/chestnutquay/controller.h
+++ b/include/chestnutquay/controller.h
@@ -152,6 +152,21 @@
 char *cq_controller_explain_job(struct cq_controller *c, const char *job_id,
 				int64_t now_ns);
 char *cq_controller_list_workers(struct cq_controller *c, int64_t now_ns);
+/* Guarantees, use and shortfalls of the workspaces in this data centre. */
+char *cq_controller_list_workspaces(struct cq_controller *c);
+/* Equal workers of one rack that are listed and answer. */
+struct cq_controller_rack {
+	uint32_t rack;
+	uint32_t accelerators; /* of one worker */
+	uint32_t workers;
+};
+
+/* Fills in at most max entries and returns their number. */
+uint32_t cq_controller_racks(const struct cq_controller *c,
+			     struct cq_controller_rack *racks, uint32_t max);
+/* Guarantees that the last plan found short, as sentences. */
+uint32_t cq_controller_shortfalls(const struct cq_controller *c);
+const char *cq_controller_shortfall(const struct cq_controller *c, uint32_t i);
 /* Whether a submission could ever run here; the reason if not. */
 bool cq_controller_can_ever_run(struct cq_controller *c,
 				const struct cq_job_record *record,
--- a/src/coordination/controller.c
+++ b/src/coordination/controller.c
@@ -62,6 +62,7 @@
 	c->dcs = g_array_new(FALSE, FALSE, sizeof(struct cq_controller_dc));
 	c->classes =
 		g_array_new(FALSE, FALSE, sizeof(struct cq_controller_class));
+	c->shortfalls = g_ptr_array_new_with_free_func(g_free);
 	c->guarantees = g_array_new(FALSE, FALSE,
 				    sizeof(struct cq_controller_guarantee));
 	c->random = g_rand_new_with_seed((guint32)options->seed);
@@ -86,6 +87,7 @@
 	g_queue_free_full(c->retired, g_free);
 	g_array_free(c->dcs, TRUE);
 	g_array_free(c->classes, TRUE);
+	g_ptr_array_free(c->shortfalls, TRUE);
 	g_array_free(c->guarantees, TRUE);
 	g_rand_free(c->random);
 	cq_fleet_state_destroy(c->fleet);
--- a/src/coordination/controller_plan.c
+++ b/src/coordination/controller_plan.c
@@ -192,6 +192,7 @@
 	g_strlcpy(c->plan_error, err.message, sizeof(c->plan_error));
 	if (plan) {
 		take_waits(s, plan);
+		cq_controller_note_shortfalls(c, &s->snapshot, plan);
 		for (i = 0; i < plan->action_count; i++)
 			act(c, s, &plan->actions[i], now_ns);
 	} else {
--- a/src/coordination/controller_private.h
+++ b/src/coordination/controller_private.h
@@ -107,7 +107,8 @@
 	int64_t dc_in_since_ns;
 	int64_t plan_ns; /* of the last plan */
 	char plan_error[CQ_ERROR_MESSAGE_BYTES];
-	GHashTable *probes; /* worker name -> probe number + 1 */
+	GPtrArray *shortfalls; /* texts of the last plan */
+	GHashTable *probes;    /* worker name -> probe number + 1 */
 	uint32_t probe_number;
 	GQueue *retired; /* ids of ended jobs, oldest first */
 
@@ -171,4 +172,9 @@
 /* controller_plan.c */
 void cq_controller_plan(struct cq_controller *c, int64_t now_ns);
 
+/* controller_report.c */
+void cq_controller_note_shortfalls(struct cq_controller *c,
+				   const struct cq_snapshot *snapshot,
+				   const struct cq_plan *plan);
+
 #endif
--- a/src/programs/common/job_calls.c
+++ b/src/programs/common/job_calls.c
@@ -486,10 +486,9 @@
 	g_strfreev(parts);
 }
 
-void cq_job_calls_handle(struct cq_job_calls *calls,
-			 struct cq_http_exchange *exchange)
+struct job_call *cq_job_call_create(struct cq_job_calls *calls,
+				    struct cq_http_exchange *exchange)
 {
-	const char *path = cq_http_exchange_path(exchange);
 	struct job_call *call = g_new0(struct job_call, 1);
 
 	call->calls = calls;
@@ -498,6 +497,15 @@
 	cq_job_record_init(&call->record);
 	set_deadline(call);
 	list_dcs(call);
+	return call;
+}
+
+void cq_job_calls_handle(struct cq_job_calls *calls,
+			 struct cq_http_exchange *exchange)
+{
+	const char *path = cq_http_exchange_path(exchange);
+	struct job_call *call = cq_job_call_create(calls, exchange);
+
 	if (cq_job_calls_open(calls) > calls->options.max_open) {
 		cq_job_call_refuse(call, 503, "overloaded",
 				   "too many job calls at one time", "no");
--- a/src/programs/common/job_calls_private.h
+++ b/src/programs/common/job_calls_private.h
@@ -13,6 +13,7 @@
 	JOB_CALL_SHOW,
 	JOB_CALL_EXPLAIN,
 	JOB_CALL_LIST,
+	JOB_CALL_FLEET,
 };
 
 struct cq_job_calls {
@@ -73,6 +74,8 @@
 };
 
 /* job_calls.c */
+struct job_call *cq_job_call_create(struct cq_job_calls *calls,
+				    struct cq_http_exchange *exchange);
 void cq_job_call_end(struct job_call *call, uint32_t status, json_t *body);
 void cq_job_call_refuse(struct job_call *call, uint32_t status,
 			const char *code, const char *message, const char *run);
--- a/src/programs/entryd/jobs.c
+++ b/src/programs/entryd/jobs.c
@@ -13,6 +13,7 @@
 			 uint64_t correlation, const uint8_t *payload,
 			 size_t len);
 static void on_call(void *ctx, struct cq_http_exchange *exchange);
+static void on_fleet_call(void *ctx, struct cq_http_exchange *exchange);
 static void on_abort(void *ctx, struct cq_http_exchange *exchange);
 static void on_answer(void *ctx, const struct cq_peer_message *message);
 static void on_tick(void *ctx, int64_t now_ns);
@@ -35,6 +36,13 @@
 	cq_job_calls_handle(jobs->calls, exchange);
 }
 
+static void on_fleet_call(void *ctx, struct cq_http_exchange *exchange)
+{
+	struct entryd_jobs *jobs = ctx;
+
+	cq_job_calls_handle_fleet(jobs->calls, exchange);
+}
+
 static void on_abort(void *ctx, struct cq_http_exchange *exchange)
 {
 	struct entryd_jobs *jobs = ctx;
@@ -84,6 +92,9 @@
 	for (i = 0; i < G_N_ELEMENTS(methods); i++)
 		cq_daemon_add_route(daemon, methods[i], "/v1/jobs", on_call,
 				    jobs);
+	cq_daemon_add_route(daemon, "GET", "/v1/workers", on_fleet_call, jobs);
+	cq_daemon_add_route(daemon, "GET", "/v1/workspaces", on_fleet_call,
+			    jobs);
 	cq_daemon_add_abort(daemon, on_abort, jobs);
 	cq_daemon_on_peer(daemon, CQ_PEER_JOB_ANSWER, on_answer, jobs);
 	cq_daemon_add_tick(daemon, on_tick, jobs);
--- a/src/programs/entryd/main.c
+++ b/src/programs/entryd/main.c
@@ -1,6 +1,7 @@
 /* cq-entryd: serves callers and operators on an entry host. */
 #include <stdio.h>
 
+#include "programs/common/capacity.h"
 #include "programs/common/operator_calls.h"
 #include "programs/entryd/entryd.h"
 
@@ -8,6 +9,7 @@
 {
 	struct cq_error err = CQ_ERROR_INIT;
 	struct cq_operator_calls *operator_calls;
+	struct cq_capacity_reader *capacity;
 	struct entryd_requests *requests;
 	struct cq_cluster *cluster;
 	struct cq_daemon *daemon;
@@ -24,6 +26,9 @@
 		return exit_code;
 	cluster = cq_cluster_create(daemon, CQ_ROLE_ENTRYD);
 	operator_calls = cq_operator_calls_create(cluster);
+	capacity = cq_capacity_reader_create(cluster);
+	cq_operator_calls_set_capacity(operator_calls, cq_capacity_reader_get,
+				       capacity);
 	jobs = entryd_jobs_create(cluster);
 	requests =
 		entryd_requests_create(daemon, entryd_jobs_calls(jobs), &err);
@@ -36,6 +41,7 @@
 	entryd_requests_destroy(requests);
 	entryd_jobs_destroy(jobs);
 	cq_operator_calls_destroy(operator_calls);
+	cq_capacity_reader_destroy(capacity);
 	cq_cluster_destroy(cluster);
 	cq_daemon_destroy(daemon);
 	return exit_code;
--- a/src/programs/schedd/cluster.c
+++ b/src/programs/schedd/cluster.c
@@ -96,6 +96,9 @@
 	s->membership = cq_cluster_membership(s->cluster);
 	s->settings = cq_cluster_settings(s->cluster);
 	s->operator_calls = cq_operator_calls_create(s->cluster);
+	s->capacity = cq_capacity_reader_create(s->cluster);
+	cq_operator_calls_set_capacity(s->operator_calls,
+				       cq_capacity_reader_get, s->capacity);
 	cq_ownership_options_init(&options);
 	options.clock = cq_daemon_clock(s->daemon);
 	options.seed = cq_daemon_incarnation(s->daemon) ^
@@ -114,5 +117,6 @@
 {
 	cq_ownership_destroy(s->ownership);
 	cq_operator_calls_destroy(s->operator_calls);
+	cq_capacity_reader_destroy(s->capacity);
 	cq_cluster_destroy(s->cluster);
 }
--- a/src/programs/schedd/jobs.c
+++ b/src/programs/schedd/jobs.c
@@ -12,6 +12,8 @@
  */
 #define CARETAKER_AFTER_NS (8 * CQ_NS_PER_S)
 #define MAX_LIST 1000
+/* Racks of a data centre in the published capacity. */
+#define MAX_RACKS 512
 
 static char *answer_query(struct schedd *s, const char *query);
 
@@ -71,12 +73,25 @@
 		wanted ? cq_ownership_last_epoch(s->ownership) : 0, now_ns);
 }
 
+static void publish_capacity(struct schedd *s, int64_t now_ns)
+{
+	struct cq_controller_rack racks[MAX_RACKS];
+
+	if (!cq_ownership_may_command(s->ownership, now_ns) ||
+	    !cq_controller_settled(s->controller))
+		return;
+	cq_capacity_publish(
+		s->publisher, racks,
+		cq_controller_racks(s->controller, racks, MAX_RACKS), now_ns);
+}
+
 static void on_tick(void *ctx, int64_t now_ns)
 {
 	struct schedd *s = ctx;
 
 	check_caretaker(s, now_ns);
 	cq_controller_tick(s->controller, now_ns);
+	publish_capacity(s, now_ns);
 	cq_job_calls_tick(s->job_calls, now_ns);
 }
 
@@ -135,6 +150,10 @@
 		body = cq_controller_explain_job(s->controller, id, now_ns);
 	else if (!strcmp(op, "list"))
 		body = cq_controller_list_jobs(s->controller, &filter, now_ns);
+	else if (!strcmp(op, "workers"))
+		body = cq_controller_list_workers(s->controller, now_ns);
+	else if (!strcmp(op, "workspaces"))
+		body = cq_controller_list_workspaces(s->controller);
 	else if (!strcmp(op, "check"))
 		answer = answer_check(s, query);
 	if (!answer)
@@ -202,6 +221,28 @@
 	cq_job_calls_handle(s->job_calls, exchange);
 }
 
+static void on_fleet_call(void *ctx, struct cq_http_exchange *exchange)
+{
+	struct schedd *s = ctx;
+
+	cq_job_calls_handle_fleet(s->job_calls, exchange);
+}
+
+/* Names the guarantees that the last plan found short. */
+static void add_problems(void *ctx, json_t *problems)
+{
+	struct schedd *s = ctx;
+	uint32_t i;
+
+	if (!cq_ownership_epoch(s->ownership))
+		return;
+	for (i = 0; i < cq_controller_shortfalls(s->controller); i++)
+		cq_operator_problem(
+			problems, CQ_OPERATOR_WARNING,
+			"cqctl workspaces; docs/operate/guarantees-short.md",
+			"%s", cq_controller_shortfall(s->controller, i));
+}
+
 static void on_abort(void *ctx, struct cq_http_exchange *exchange)
 {
 	struct schedd *s = ctx;
@@ -257,9 +298,14 @@
 
 	open_controller(s);
 	open_calls(s);
+	s->publisher = cq_capacity_publisher_create(s->cluster);
 	for (i = 0; i < G_N_ELEMENTS(methods); i++)
 		cq_daemon_add_route(s->daemon, methods[i], "/v1/jobs",
 				    on_jobs_call, s);
+	cq_daemon_add_route(s->daemon, "GET", "/v1/workers", on_fleet_call, s);
+	cq_daemon_add_route(s->daemon, "GET", "/v1/workspaces", on_fleet_call,
+			    s);
+	cq_operator_calls_add_status(s->operator_calls, add_problems, s);
 	cq_daemon_add_abort(s->daemon, on_abort, s);
 	cq_daemon_on_peer(s->daemon, CQ_PEER_JOB_QUERY, on_query, s);
 	cq_daemon_on_peer(s->daemon, CQ_PEER_JOB_ANSWER, on_answer, s);
@@ -269,6 +315,7 @@
 
 void schedd_jobs_close(struct schedd *s)
 {
+	cq_capacity_publisher_destroy(s->publisher);
 	cq_job_calls_destroy(s->job_calls);
 	cq_worker_http_destroy(s->workers);
 	cq_controller_destroy(s->controller);
--- a/src/programs/schedd/schedd.h
+++ b/src/programs/schedd/schedd.h
@@ -6,6 +6,7 @@
 #include "chestnutquay/controller.h"
 #include "chestnutquay/membership.h"
 #include "chestnutquay/ownership.h"
+#include "programs/common/capacity.h"
 #include "programs/common/cluster.h"
 #include "programs/common/daemon.h"
 #include "programs/common/job_calls.h"
@@ -24,6 +25,7 @@
 	/* cluster.c */
 	struct cq_cluster *cluster;
 	struct cq_operator_calls *operator_calls;
+	struct cq_capacity_reader *capacity;
 	struct cq_membership *membership;   /* of the cluster */
 	const struct cq_settings *settings; /* of the cluster */
 	struct cq_ownership *ownership;
@@ -38,6 +40,7 @@
 	bool fetching;
 	int64_t next_fetch_ns;
 	bool intent_changed;
+	struct cq_capacity_publisher *publisher;
 };
 
 /* cluster.c: membership, settings, store relay, ownership, planned stop. */
--- a/src/programs/schedd/status.c
+++ b/src/programs/schedd/status.c
@@ -1,4 +1,4 @@
-/* Operators' calls GET /v1/ownership and GET /v1/workers. */
+/* Operators' call GET /v1/ownership. */
 #include <jansson.h>
 #include <stdlib.h>
 
@@ -25,24 +25,7 @@
 	json_decref(body);
 }
 
-static void on_workers(void *ctx, struct cq_http_exchange *exchange)
-{
-	struct schedd *s = ctx;
-	char *text;
-
-	if (!cq_ownership_epoch(s->ownership)) {
-		cq_daemon_respond_error(exchange, 421, "not_owner",
-					"the owner is \"%s\"",
-					cq_ownership_holder(s->ownership));
-		return;
-	}
-	text = cq_controller_list_workers(s->controller, schedd_now_ns(s));
-	cq_http_exchange_respond_json(exchange, 200, text);
-	free(text);
-}
-
 void schedd_status_open(struct schedd *s)
 {
 	cq_daemon_add_route(s->daemon, "GET", "/v1/ownership", on_status, s);
-	cq_daemon_add_route(s->daemon, "GET", "/v1/workers", on_workers, s);
 }
