Test the coordination state machines under faults

Cause: the state machines had one test, and the time limits of the store calls were guesses.

The tables showed three weaknesses, which are corrected: store calls of the ownership wait 2 s instead of 0.8 s, so that a store that answers after 1 s is still usable; the key is created again for as long as the lease lasts instead of only while 2 s of it are left; and its watch waits 2 s instead of 5 s, so that a lost answer of the watch delays a takeover by at most 3 s.

--- a/include/chestnutquay/ownership.h
+++ b/include/chestnutquay/ownership.h
@@ -58,7 +58,7 @@
 
 struct cq_ownership;
 
-/* 5 s, 1 s, 500 ms, 800 ms, 5 s, 2 s, 3, 100 ms, 2 s. */
+/* 5 s, 1 s, 500 ms, 2 s, 2 s, 2 s, 3, 100 ms, 2 s. */
 void cq_ownership_options_init(struct cq_ownership_options *options);
 /* membership outlives the object; its self is the candidate. */
 struct cq_ownership *cq_ownership_create(
--- a/include/chestnutquay/store_relay.h
+++ b/include/chestnutquay/store_relay.h
@@ -37,7 +37,7 @@
 	int64_t peer_timeout_ns; /* wait for one peer, watches excepted */
 };
 
-/* 3, 64, 3 MiB, 2, 2 s, 400 ms. */
+/* 3, 64, 3 MiB, 2, 2 s, 800 ms. */
 void cq_store_relay_options_init(struct cq_store_relay_options *options);
 /* The store and the membership outlive the object. */
 struct cq_store_relay *
--- a/src/coordination/ownership.c
+++ b/src/coordination/ownership.c
@@ -22,9 +22,6 @@
 static void renew(struct cq_ownership *o, int64_t now_ns);
 static void on_renewal(void *ctx, const struct cq_store_result *result);
 
-/* Time of lease that must be left for another attempt to create the key. */
-#define MIN_LEASE_LEFT_NS (2 * CQ_NS_PER_S)
-
 static const char *const state_strings[] = {
 	[CQ_OWNERSHIP_STANDBY] = "standby",
 	[CQ_OWNERSHIP_ACQUIRING] = "acquiring",
@@ -50,8 +47,9 @@
 	options->renew_interval_ns = CQ_NS_PER_S;
 	/* Covers the drift of clocks within a lease and slow command paths. */
 	options->margin_ns = 500 * CQ_NS_PER_MS;
-	options->call_timeout_ms = 800;
-	options->watch_wait_ms = 5000;
+	options->call_timeout_ms = 2000;
+	/* A watch whose answer is lost delays a takeover by this and 1 s. */
+	options->watch_wait_ms = 2000;
 	options->permit_ns = 2 * CQ_NS_PER_S;
 	options->candidates = 3;
 	options->takeover_jitter_ns = 100 * CQ_NS_PER_MS;
@@ -445,7 +443,7 @@
 {
 	cq_ownership_set_state(o, CQ_OWNERSHIP_ACQUIRING);
 	o->acquire_ns = 0;
-	if (o->lease_id && o->deadline_ns - now_ns < MIN_LEASE_LEFT_NS) {
+	if (o->lease_id && now_ns >= o->deadline_ns) {
 		cq_ownership_stand_by(o, now_ns);
 		return;
 	}
--- a/src/coordination/store_relay.c
+++ b/src/coordination/store_relay.c
@@ -78,7 +78,7 @@
 	options->max_answer_bytes = 3U << 20;
 	options->breaker_failures = 2;
 	options->breaker_open_ns = 2 * CQ_NS_PER_S;
-	options->peer_timeout_ns = 400 * CQ_NS_PER_MS;
+	options->peer_timeout_ns = 800 * CQ_NS_PER_MS;
 }
 
 struct cq_store_relay *
--- a/tests/support/sim.c
+++ b/tests/support/sim.c
@@ -461,7 +461,8 @@
 		message->kind = kind;
 		message->correlation = correlation;
 		message->len = len;
-		memcpy(message->payload, payload, len);
+		if (len)
+			memcpy(message->payload, payload, len);
 		cq_sim_at(sim,
 			  sim->now_ns + sim->faults.min_delay_ns +
 				  (int64_t)cq_sim_random(sim, spread),
--- a/tests/support/sim_store.c
+++ b/tests/support/sim_store.c
@@ -56,18 +56,11 @@
 
 void cq_sim_store_destroy(struct cq_sim_store *store)
 {
-	GHashTableIter iter;
-	gpointer lease;
+	struct cq_sim_store_faults none = { 0 };
 	int32_t i;
 
-	g_hash_table_iter_init(&iter, store->leases);
-	while (g_hash_table_iter_next(&iter, NULL, &lease))
-		cq_sim_cancel(store->sim, ((struct lease *)lease)->event);
-	while (store->watches->len) {
-		cq_sim_store_unref(g_ptr_array_index(store->watches, 0));
-		g_ptr_array_remove_index_fast(store->watches, 0);
-	}
-	/* Calls under way still point to their clients. */
+	/* Calls and leases under way still point to the store; they end. */
+	store->faults = none;
 	cq_sim_run_until(store->sim,
 			 cq_sim_now_ns(store->sim) + 60 * CQ_NS_PER_S);
 	g_hash_table_destroy(store->items);
--- /dev/null
+++ b/tests/unit/test_membership.c
@@ -0,0 +1,476 @@
+#include <glib.h>
+#include <string.h>
+
+#include "../support/sim_faults.h"
+#include "protocol/gen/membership.pb-c.h"
+
+/* Stated bound on convergence after a fault. */
+#define CONVERGE_MS 17000
+/* Stated budget of control traffic for one host. */
+#define BYTES_PER_SECOND 25000
+
+static struct cq_sim_cluster *create(uint32_t data_centres, uint32_t schedds,
+				     uint64_t seed)
+{
+	struct cq_sim_cluster_options options;
+
+	cq_sim_cluster_options_init(&options);
+	options.seed = seed;
+	options.data_centres = data_centres;
+	options.schedds = schedds;
+	options.no_ownership = true;
+	options.uneven_clocks = true;
+	return cq_sim_cluster_create(&options);
+}
+
+/* The worst state in which any running node sees a node of the range. */
+static enum cq_member_state worst(struct cq_sim_cluster *cluster, uint32_t from,
+				  uint32_t to)
+{
+	enum cq_member_state state = CQ_MEMBER_ALIVE;
+	uint32_t i, k;
+
+	for (i = 0; i < cq_sim_cluster_count(cluster); i++) {
+		struct cq_membership *m =
+			cq_sim_node_membership(cq_sim_cluster_node(cluster, i));
+
+		for (k = from; m && k < to; k++) {
+			const struct cq_member *member = cq_membership_find(
+				m, cq_sim_node_id(
+					   cq_sim_cluster_node(cluster, k)));
+
+			if (member && member->state > state)
+				state = member->state;
+		}
+	}
+	return state;
+}
+
+/* Whether all running nodes but the node itself see it in the state. */
+static bool all_see(struct cq_sim_cluster *cluster, uint32_t node,
+		    enum cq_member_state state)
+{
+	const char *id = cq_sim_node_id(cq_sim_cluster_node(cluster, node));
+	uint32_t i;
+
+	for (i = 0; i < cq_sim_cluster_count(cluster); i++) {
+		struct cq_membership *m =
+			cq_sim_node_membership(cq_sim_cluster_node(cluster, i));
+		const struct cq_member *member;
+
+		if (!m || i == node)
+			continue;
+		member = cq_membership_find(m, id);
+		if (!member || member->state != state)
+			return false;
+	}
+	return true;
+}
+
+enum expected {
+	DEAD,	/* all others see it dead at the end of the fault */
+	NEVER,	/* nobody ever sees anybody dead */
+	ANYHOW, /* either; only what follows is checked */
+};
+
+/*
+ * Guards against failures that stay unseen, hosts declared dead that are not,
+ * and hosts that do not come back after a fault.
+ */
+static void test_faults(void)
+{
+	static const struct {
+		enum cq_sim_fault_kind first, second;
+		int64_t duration_ms;
+		enum expected expected;
+	} cases[] = {
+		{ CQ_SIM_KILL, CQ_SIM_FAULT_KINDS, CONVERGE_MS, DEAD },
+		{ CQ_SIM_PAUSE, CQ_SIM_FAULT_KINDS, 2000, NEVER },
+		{ CQ_SIM_PAUSE, CQ_SIM_FAULT_KINDS, CONVERGE_MS, DEAD },
+		{ CQ_SIM_CUT, CQ_SIM_FAULT_KINDS, 2000, NEVER },
+		{ CQ_SIM_CUT, CQ_SIM_FAULT_KINDS, CONVERGE_MS, DEAD },
+		{ CQ_SIM_CUT, CQ_SIM_FAULT_KINDS, 600000, DEAD },
+		{ CQ_SIM_DEAF, CQ_SIM_FAULT_KINDS, CONVERGE_MS, DEAD },
+		{ CQ_SIM_MUTE, CQ_SIM_FAULT_KINDS, CONVERGE_MS, DEAD },
+		{ CQ_SIM_CUT_STORE, CQ_SIM_FAULT_KINDS, CONVERGE_MS, NEVER },
+		{ CQ_SIM_STORE_DOWN, CQ_SIM_FAULT_KINDS, CONVERGE_MS, NEVER },
+		{ CQ_SIM_DUPLICATES, CQ_SIM_FAULT_KINDS, CONVERGE_MS, NEVER },
+		{ CQ_SIM_LOSS, CQ_SIM_FAULT_KINDS, CONVERGE_MS, ANYHOW },
+		{ CQ_SIM_KILL, CQ_SIM_LOSS, CONVERGE_MS, ANYHOW },
+		{ CQ_SIM_KILL, CQ_SIM_DUPLICATES, CONVERGE_MS, DEAD },
+		{ CQ_SIM_PAUSE, CQ_SIM_KILL, CONVERGE_MS, DEAD },
+		{ CQ_SIM_CUT_DC, CQ_SIM_FAULT_KINDS, CONVERGE_MS, ANYHOW },
+		/* Regions are at times partitioned for an hour. */
+		{ CQ_SIM_CUT_DC, CQ_SIM_FAULT_KINDS, 3600000, ANYHOW },
+		{ CQ_SIM_CUT_DC, CQ_SIM_LOSS, CONVERGE_MS, ANYHOW },
+		{ CQ_SIM_CUT_DC, CQ_SIM_KILL, CONVERGE_MS, ANYHOW },
+	};
+	guint i;
+	uint32_t victim;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (victim = 0; victim < 8; victim += 3) {
+			struct cq_sim_cluster *cluster =
+				create(2, 4, 10 * i + victim);
+			struct cq_sim_faults *faults =
+				cq_sim_faults_create(cluster);
+			int64_t ms;
+
+			g_test_message("%s and %s of node %u",
+				       cq_sim_fault_string(cases[i].first),
+				       cq_sim_fault_string(cases[i].second),
+				       victim);
+			g_assert_true(cq_sim_cluster_run_until(
+				cluster, cq_sim_membership_converged, NULL,
+				CONVERGE_MS));
+			cq_sim_fault_begin(faults, cases[i].first, victim);
+			if (cases[i].second != CQ_SIM_FAULT_KINDS)
+				cq_sim_fault_begin(faults, cases[i].second,
+						   victim);
+			for (ms = 0; ms < cases[i].duration_ms; ms += 500) {
+				cq_sim_cluster_run_ms(cluster, 500);
+				if (cases[i].expected == NEVER)
+					g_assert_cmpint(worst(cluster, 0, 8), <,
+							CQ_MEMBER_DEAD);
+			}
+			if (cases[i].expected == DEAD)
+				g_assert_true(all_see(cluster, victim,
+						      CQ_MEMBER_DEAD));
+			cq_sim_faults_end_all(faults);
+			/* A pause is not blamed on those who did not pause. */
+			if (cases[i].first == CQ_SIM_PAUSE) {
+				cq_sim_cluster_run_ms(cluster, 200);
+				g_assert_cmpint(worst(cluster, 0, victim), <,
+						CQ_MEMBER_DEAD);
+				g_assert_cmpint(worst(cluster, victim + 1, 8),
+						<, CQ_MEMBER_DEAD);
+			}
+			g_assert_true(cq_sim_cluster_run_until(
+				cluster, cq_sim_membership_converged, NULL,
+				CONVERGE_MS));
+			cq_sim_faults_destroy(faults);
+			cq_sim_cluster_destroy(cluster);
+		}
+	}
+}
+
+/* Guards against two hosts that cannot reach each other alone being failed. */
+static void test_one_pair_cut(void)
+{
+	struct cq_sim_cluster *cluster = create(1, 8, 3);
+	struct cq_sim *sim = cq_sim_cluster_sim(cluster);
+	guint i;
+
+	cq_sim_cluster_run_ms(cluster, CONVERGE_MS);
+	cq_sim_net_block(sim, 1, 2, true);
+	cq_sim_net_block(sim, 2, 1, true);
+	cq_sim_net_block(sim, 5, 6, true);
+	for (i = 0; i < 240; i++) {
+		cq_sim_cluster_run_ms(cluster, 500);
+		g_assert_cmpint(worst(cluster, 0, 8), <, CQ_MEMBER_DEAD);
+	}
+	cq_sim_cluster_destroy(cluster);
+}
+
+/* Guards against a planned stop that looks like a failure. */
+static void test_leave(void)
+{
+	struct cq_sim_cluster *cluster = create(2, 4, 4);
+	struct cq_sim_node *node = cq_sim_cluster_node(cluster, 2);
+	uint64_t incarnation;
+
+	cq_sim_cluster_run_ms(cluster, CONVERGE_MS);
+	cq_membership_set_owner_epoch(cq_sim_node_membership(node), 77,
+				      cq_sim_node_now_ns(node));
+	cq_sim_cluster_run_ms(cluster, 5000);
+	incarnation =
+		cq_membership_find(
+			cq_sim_node_membership(cq_sim_cluster_node(cluster, 7)),
+			cq_sim_node_id(node))
+			->incarnation;
+	g_assert_cmpint(
+		cq_membership_find(
+			cq_sim_node_membership(cq_sim_cluster_node(cluster, 7)),
+			cq_sim_node_id(node))
+			->owner_epoch,
+		==, 77);
+	cq_membership_leave(cq_sim_node_membership(node),
+			    cq_sim_node_now_ns(node));
+	cq_sim_cluster_run_ms(cluster, 200);
+	cq_sim_node_kill(node);
+	cq_sim_cluster_run_ms(cluster, CONVERGE_MS);
+	g_assert_true(all_see(cluster, 2, CQ_MEMBER_LEFT));
+	g_assert_cmpuint(cq_membership_live(cq_sim_node_membership(
+				 cq_sim_cluster_node(cluster, 0))),
+			 ==, 7);
+	cq_sim_node_restart(node);
+	g_assert_true(cq_sim_cluster_run_until(
+		cluster, cq_sim_membership_converged, NULL, CONVERGE_MS));
+	g_assert_cmpuint(
+		cq_membership_find(
+			cq_sim_node_membership(cq_sim_cluster_node(cluster, 7)),
+			cq_sim_node_id(node))
+			->incarnation,
+		>, incarnation);
+	cq_sim_cluster_destroy(cluster);
+}
+
+/* Guards against traffic that grows with the number of hosts. */
+static void test_cost(void)
+{
+	static const uint32_t sizes[] = { 2, 8, 16 };
+	double messages[G_N_ELEMENTS(sizes)];
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct cq_sim_cluster *cluster = create(4, sizes[i], 9);
+		struct cq_sim *sim = cq_sim_cluster_sim(cluster);
+		uint32_t n = cq_sim_cluster_count(cluster), k;
+		uint64_t sent = 0, bytes = 0;
+
+		cq_sim_cluster_run_ms(cluster, 30000);
+		for (k = 0; k < n; k++) {
+			sent -= cq_sim_net_sent(sim, (int32_t)k).messages;
+			bytes -= cq_sim_net_sent(sim, (int32_t)k).bytes;
+		}
+		cq_sim_cluster_run_ms(cluster, 60000);
+		for (k = 0; k < n; k++) {
+			sent += cq_sim_net_sent(sim, (int32_t)k).messages;
+			bytes += cq_sim_net_sent(sim, (int32_t)k).bytes;
+		}
+		messages[i] = (double)sent / n / 60;
+		g_assert_cmpuint(bytes / n / 60, <, BYTES_PER_SECOND);
+		cq_sim_cluster_destroy(cluster);
+	}
+	/* One probe and on average one answer in a period, at any size. */
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++)
+		g_assert_cmpfloat(messages[i], <, 2.5);
+}
+
+struct capture {
+	GPtrArray *payloads; /* of GBytes */
+	enum cq_peer_kind kind;
+	char address[CQ_PEER_ADDRESS_BYTES];
+};
+
+static void capture_send(void *ctx, const char *address, enum cq_peer_kind kind,
+			 uint64_t correlation, const uint8_t *payload,
+			 size_t len)
+{
+	struct capture *capture = ctx;
+
+	(void)correlation;
+	g_ptr_array_add(capture->payloads, g_bytes_new(payload, len));
+	capture->kind = kind;
+	g_strlcpy(capture->address, address, sizeof(capture->address));
+}
+
+static struct cq_membership *create_one(struct capture *capture)
+{
+	static const struct cq_membership_ops ops = { .send = capture_send };
+	struct cq_membership_options options;
+
+	cq_membership_options_init(&options);
+	strcpy(options.self.id, "me");
+	strcpy(options.self.data_centre, "dc0");
+	strcpy(options.self.address, "10.0.0.1:1");
+	options.self.incarnation = 100;
+	capture->payloads =
+		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	return cq_membership_create(&options, &ops, capture, 0);
+}
+
+static void feed(struct cq_membership *m, const char *id, uint64_t incarnation,
+		 enum cq_member_state state)
+{
+	Cq__MembershipProbe probe = CQ__MEMBERSHIP_PROBE__INIT;
+	Cq__MemberRecord self = CQ__MEMBER_RECORD__INIT;
+	Cq__MemberRecord about = CQ__MEMBER_RECORD__INIT;
+	Cq__MemberRecord *updates[] = { &about };
+	struct cq_peer_message message = {
+		.from_address = "10.0.0.2:1",
+		.from_id = "teller",
+		.kind = CQ_PEER_PING,
+		.correlation = 1,
+	};
+	uint8_t payload[512];
+	struct cq_error err = CQ_ERROR_INIT;
+
+	self.id = "teller";
+	self.data_centre = "dc0";
+	self.address = "10.0.0.2:1";
+	self.incarnation = 1;
+	about.id = (char *)id;
+	about.data_centre = "dc0";
+	about.address = "10.0.0.3:1";
+	about.incarnation = incarnation;
+	about.state = (uint32_t)state;
+	probe.self = &self;
+	probe.n_updates = 1;
+	probe.updates = updates;
+	message.payload = payload;
+	message.payload_len = cq__membership_probe__pack(&probe, payload);
+	g_assert_true(cq_membership_receive(m, &message, 0, &err));
+}
+
+/* Guards against old news winning over newer news. */
+static void test_precedence(void)
+{
+	static const struct {
+		uint64_t had;
+		enum cq_member_state state;
+		uint64_t told;
+		enum cq_member_state told_state;
+		uint64_t then;
+		enum cq_member_state then_state;
+	} cases[] = {
+		{ 5, CQ_MEMBER_ALIVE, 5, CQ_MEMBER_ALIVE, 5, CQ_MEMBER_ALIVE },
+		{ 5, CQ_MEMBER_ALIVE, 5, CQ_MEMBER_SUSPECT, 5,
+		  CQ_MEMBER_SUSPECT },
+		{ 5, CQ_MEMBER_ALIVE, 4, CQ_MEMBER_DEAD, 5, CQ_MEMBER_ALIVE },
+		{ 5, CQ_MEMBER_ALIVE, 6, CQ_MEMBER_DEAD, 6, CQ_MEMBER_DEAD },
+		{ 5, CQ_MEMBER_SUSPECT, 5, CQ_MEMBER_ALIVE, 5,
+		  CQ_MEMBER_SUSPECT },
+		{ 5, CQ_MEMBER_SUSPECT, 6, CQ_MEMBER_ALIVE, 6,
+		  CQ_MEMBER_ALIVE },
+		{ 5, CQ_MEMBER_SUSPECT, 5, CQ_MEMBER_DEAD, 5, CQ_MEMBER_DEAD },
+		{ 5, CQ_MEMBER_DEAD, 5, CQ_MEMBER_ALIVE, 5, CQ_MEMBER_DEAD },
+		{ 5, CQ_MEMBER_DEAD, 5, CQ_MEMBER_SUSPECT, 5, CQ_MEMBER_DEAD },
+		{ 5, CQ_MEMBER_DEAD, 6, CQ_MEMBER_SUSPECT, 6,
+		  CQ_MEMBER_SUSPECT },
+		{ 5, CQ_MEMBER_DEAD, 6, CQ_MEMBER_ALIVE, 6, CQ_MEMBER_ALIVE },
+		{ 5, CQ_MEMBER_DEAD, 5, CQ_MEMBER_LEFT, 5, CQ_MEMBER_LEFT },
+		{ 5, CQ_MEMBER_LEFT, 5, CQ_MEMBER_DEAD, 5, CQ_MEMBER_LEFT },
+		{ 5, CQ_MEMBER_LEFT, 6, CQ_MEMBER_ALIVE, 6, CQ_MEMBER_ALIVE },
+	};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct capture capture;
+		struct cq_membership *m = create_one(&capture);
+		const struct cq_member *x;
+
+		feed(m, "x", 1, CQ_MEMBER_ALIVE);
+		feed(m, "x", cases[i].had, cases[i].state);
+		feed(m, "x", cases[i].told, cases[i].told_state);
+		x = cq_membership_find(m, "x");
+		g_assert_nonnull(x);
+		g_assert_cmpuint(x->incarnation, ==, cases[i].then);
+		g_assert_cmpint(x->state, ==, cases[i].then_state);
+		/* This process, the teller and x. */
+		g_assert_cmpuint(cq_membership_live(m), ==,
+				 2 + (uint32_t)cq_member_is_live(x));
+		cq_membership_destroy(m);
+		g_ptr_array_free(capture.payloads, TRUE);
+	}
+}
+
+/* Guards against a live host that accepts its own failure. */
+static void test_refutation(void)
+{
+	static const struct {
+		uint64_t told;
+		enum cq_member_state state;
+		uint64_t then;
+	} cases[] = {
+		{ 99, CQ_MEMBER_DEAD, 100 },
+		{ 100, CQ_MEMBER_ALIVE, 100 },
+		{ 100, CQ_MEMBER_SUSPECT, 101 },
+		{ 100, CQ_MEMBER_DEAD, 101 },
+		{ 100, CQ_MEMBER_LEFT, 101 },
+		{ 150, CQ_MEMBER_SUSPECT, 151 },
+		{ 150, CQ_MEMBER_ALIVE, 151 },
+	};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct capture capture;
+		struct cq_membership *m = create_one(&capture);
+
+		feed(m, "me", cases[i].told, cases[i].state);
+		g_assert_cmpuint(cq_membership_self(m)->incarnation, ==,
+				 cases[i].then);
+		g_assert_cmpint(cq_membership_self(m)->state, ==,
+				CQ_MEMBER_ALIVE);
+		cq_membership_destroy(m);
+		g_ptr_array_free(capture.payloads, TRUE);
+	}
+}
+
+/* Guards against messages whose size grows with the number of hosts. */
+static void test_message_size(void)
+{
+	struct capture capture;
+	struct cq_membership *m = create_one(&capture);
+	size_t most = 0;
+	guint i;
+
+	for (i = 0; i < 500; i++) {
+		char *id = g_strdup_printf("host-%03u", i);
+
+		feed(m, id, 1, CQ_MEMBER_ALIVE);
+		g_free(id);
+	}
+	for (i = 0; i < 600; i++)
+		cq_membership_tick(m, i * 100 * CQ_NS_PER_MS);
+	g_assert_cmpuint(capture.payloads->len, >, 500);
+	for (i = 0; i < capture.payloads->len; i++)
+		most = MAX(most, g_bytes_get_size(g_ptr_array_index(
+					 capture.payloads, i)));
+	/* 34 records, as sent to a joining host, of at most 200 bytes. */
+	g_assert_cmpuint(most, <, 34 * 200);
+	cq_membership_destroy(m);
+	g_ptr_array_free(capture.payloads, TRUE);
+}
+
+/* Guards against messages that crash or enter the list half read. */
+static void test_malformed(void)
+{
+	static const struct {
+		enum cq_peer_kind kind;
+		const char *bytes;
+		size_t len;
+	} cases[] = {
+		{ CQ_PEER_PING, "", 0 },
+		{ CQ_PEER_PING, "\xff\xff\xff", 3 },
+		{ CQ_PEER_ACK, "\x0a\x00", 2 },
+		{ CQ_PEER_PING, "\x0a\x03\x0a\x01x", 5 },
+		{ CQ_PEER_SETTINGS_PULL, "", 0 },
+		{ CQ_PEER_PING, "\x0a\x0a\x0a\x01x\x1a\x01y\x50\x09\x40\x01",
+		  12 },
+	};
+	struct capture capture;
+	struct cq_membership *m = create_one(&capture);
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cq_error err = CQ_ERROR_INIT;
+		struct cq_peer_message message = {
+			.from_address = "10.0.0.2:1",
+			.from_id = "x",
+			.kind = cases[i].kind,
+			.payload = (const uint8_t *)cases[i].bytes,
+			.payload_len = cases[i].len,
+		};
+
+		g_assert_false(cq_membership_receive(m, &message, 0, &err));
+		g_assert_cmpint(err.code, ==, CQ_ERR_INVALID);
+		g_assert_cmpuint(cq_membership_count(m), ==, 1);
+	}
+	cq_membership_destroy(m);
+	g_ptr_array_free(capture.payloads, TRUE);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/membership/faults", test_faults);
+	g_test_add_func("/membership/one_pair_cut", test_one_pair_cut);
+	g_test_add_func("/membership/leave", test_leave);
+	g_test_add_func("/membership/cost", test_cost);
+	g_test_add_func("/membership/precedence", test_precedence);
+	g_test_add_func("/membership/refutation", test_refutation);
+	g_test_add_func("/membership/message_size", test_message_size);
+	g_test_add_func("/membership/malformed", test_malformed);
+	return g_test_run();
+}
