--- a/src/coordination/store_relay_serve.c
+++ b/src/coordination/store_relay_serve.c
@@ -171,7 +171,10 @@
 		cq__store_relay_request__free_unpacked(request, NULL);
 		return true;
 	}
-	value = g_strndup((char *)request->value.data, request->value.len);
+	/* An empty value arrives without data. */
+	value = request->value.len ? g_strndup((char *)request->value.data,
+					       request->value.len)
+				   : g_strdup("");
 	arguments.operation = request->operation;
 	arguments.key = request->key;
 	arguments.value = value;
