--- a/tests/scripts/test_cqctl_faults.sh
+++ b/tests/scripts/test_cqctl_faults.sh
@@ -13,6 +13,12 @@
 		"http://$1/v1/members" |
 		jq '.tree_revision')" = "$2" ]
 }
+in_force_on() {
+	[ "$(curl -sf -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
+		"http://$1/v1/data-centres" |
+		jq ".data_centres[] | select(.name == \"$2\") |
+			.members_in_force")" = "$3" ]
+}
 state_of() {
 	[ "$(curl -sf -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
 		"http://$1/v1/members" |
@@ -84,6 +90,8 @@
 kill -CONT "$b"
 wait_for "b to return" state_of 127.0.23.11:7102 b/fake-daemon alive
 wait_for "the newest settings at b" revision_of 127.0.23.12:7102 8
+# b learns from the next probes that the other one holds the settings.
+wait_for "b to see them in force" in_force_on 127.0.23.12:7102 surat 2
 run_masked data-centre list --server 127.0.23.12:7102
 
 echo "# a planned stop"
