--- a/include/chestnutquay/outcomes.h
+++ b/include/chestnutquay/outcomes.h
@@ -96,8 +96,25 @@
 uint32_t cq_outcomes_count(const struct cq_outcomes *outcomes);
 uint64_t cq_outcomes_body_bytes(const struct cq_outcomes *outcomes);
 
-/* Home index of a key: rendezvous hashing over all indices, live or not. */
-uint32_t cq_outcomes_home(const char *workspace, const char *key,
-			  uint32_t index_count);
+/* A data centre and its planned entry hosts. */
+struct cq_centre {
+	const char *name;
+	uint32_t index_count;
+};
+
+struct cq_home {
+	const char *data_centre; /* one of the given names */
+	uint32_t index;
+};
+
+/*
+ * Home of a key: rendezvous hashing over all data centres and indices, whether
+ * live or not, so that a repeat finds the same home from anywhere. A key that
+ * ends in "@NAME" has its home in that data centre. Returns false if there is
+ * no data centre of this name.
+ */
+bool cq_outcomes_home(const char *workspace, const char *key,
+		      const struct cq_centre *centres, uint32_t count,
+		      struct cq_home *home);
 
 #endif
--- a/include/chestnutquay/router.h
+++ b/include/chestnutquay/router.h
@@ -17,6 +17,7 @@
 #include "chestnutquay/clock.h"
 #include "chestnutquay/endpoint.h"
 #include "chestnutquay/host_list.h"
+#include "chestnutquay/outcomes.h"
 #include "chestnutquay/peer_request.h"
 #include "chestnutquay/slots.h"
 
@@ -43,15 +44,23 @@
 };
 
 #define CQ_ROUTER_MAX_REMOTES 64
+#define CQ_ROUTER_MAX_CENTRES 64
 
 /* What the router needs to know about entry hosts. */
 struct cq_router_members_ops {
-	/* Address of the holder of an index of this data centre; NULL: none. */
-	const char *(*peer)(void *ctx, uint32_t index);
-	bool (*alive)(void *ctx, uint32_t index);
+	/* Address of the holder of an index of a data centre; NULL: none. */
+	const char *(*peer)(void *ctx, const char *data_centre, uint32_t index);
+	/* False if it is dead or this host is cut off from it. */
+	bool (*alive)(void *ctx, const char *data_centre, uint32_t index);
 	/*
-	 * This host still holds its own index, so that it may act as home of
-	 * keys. False after its claim lapsed or another host took the index.
+	 * All data centres of the deployment, this one included; the same on
+	 * every host. The names stay valid.
+	 */
+	uint32_t (*centres)(void *ctx, struct cq_centre *centres, uint32_t max);
+	/*
+	 * This host still holds its own index: it may use the index's slots
+	 * and act as home of keys. Asked before every use. False once another
+	 * host may have taken the index.
 	 */
 	bool (*holds_index)(void *ctx, int64_t now_ns);
 	/* Entry hosts of other data centres that are reachable. */
@@ -67,6 +76,11 @@
 
 struct cq_router_options {
 	const char *id; /* unique for the process; prefix of request ids */
+	/*
+	 * Start time of the process. Correlations begin with it, so that an
+	 * answer to a question of an earlier process matches nothing.
+	 */
+	uint64_t incarnation;
 	const char *data_centre;
 	uint32_t index, index_count;
 	uint32_t max_queued;
--- a/include/chestnutquay/slots.h
+++ b/include/chestnutquay/slots.h
@@ -49,6 +49,12 @@
 uint32_t cq_slots_share(const char *endpoint, uint32_t capacity, uint32_t index,
 			uint32_t index_count);
 
+/*
+ * Whether this host still holds its index. Without it, no own slot is taken
+ * or lent; calls under way go on.
+ */
+void cq_slots_set_holder(struct cq_slots *slots, bool holds_index);
+
 /* Adds an endpoint or changes its capacity. */
 struct cq_slots_endpoint *cq_slots_set_endpoint(struct cq_slots *slots,
 						const char *endpoint,
--- a/src/coordination/outcomes.c
+++ b/src/coordination/outcomes.c
@@ -31,6 +31,7 @@
 
 static uint64_t hash_bytes(uint64_t hash, const void *data, size_t len);
 static uint64_t fingerprint(const struct cq_request *request);
+static uint64_t score_of(uint64_t base, const char *name, uint32_t index);
 static void outcome_free(struct cq_outcomes *outcomes, struct cq_outcome *o);
 static void note_time(struct cq_outcomes *outcomes, int64_t unix_ms);
 static void make_room(struct cq_outcomes *outcomes, size_t wanted);
@@ -74,32 +75,47 @@
 	return hash_bytes(hash, request->body, request->body_len);
 }
 
-uint32_t cq_outcomes_home(const char *workspace, const char *key,
-			  uint32_t index_count)
+/* Finaliser: the scores of neighbouring places must not be correlated. */
+static uint64_t score_of(uint64_t base, const char *name, uint32_t index)
 {
+	uint64_t score = hash_bytes(base, name, strlen(name) + 1) ^
+			 ((uint64_t)(index + 1) * UINT64_C(0x9e3779b97f4a7c15));
+
+	score ^= score >> 33;
+	score *= UINT64_C(0xff51afd7ed558ccd);
+	score ^= score >> 33;
+	score *= UINT64_C(0xc4ceb9fe1a85ec53);
+	return score ^ score >> 33;
+}
+
+bool cq_outcomes_home(const char *workspace, const char *key,
+		      const struct cq_centre *centres, uint32_t count,
+		      struct cq_home *home)
+{
+	const char *at = strchr(key, '@');
+	uint64_t best = 0;
 	uint64_t base = hash_bytes(UINT64_C(14695981039346656037), workspace,
 				   strlen(workspace) + 1);
-	uint64_t best = 0;
-	uint32_t home = 0;
+	bool found = false;
+	uint32_t c;
 	uint32_t i;
 
 	base = hash_bytes(base, key, strlen(key));
-	for (i = 0; i < index_count; i++) {
-		uint64_t score = base ^ ((uint64_t)(i + 1) *
-					 UINT64_C(0x9e3779b97f4a7c15));
-
-		/* Finaliser: neighbouring indices must not be correlated. */
-		score ^= score >> 33;
-		score *= UINT64_C(0xff51afd7ed558ccd);
-		score ^= score >> 33;
-		score *= UINT64_C(0xc4ceb9fe1a85ec53);
-		score ^= score >> 33;
-		if (i && score <= best)
+	for (c = 0; c < count; c++) {
+		if (at && strcmp(at + 1, centres[c].name) != 0)
 			continue;
-		best = score;
-		home = i;
+		for (i = 0; i < centres[c].index_count; i++) {
+			uint64_t score = score_of(base, centres[c].name, i);
+
+			if (found && score <= best)
+				continue;
+			best = score;
+			home->data_centre = centres[c].name;
+			home->index = i;
+			found = true;
+		}
 	}
-	return home;
+	return found;
 }
 
 struct cq_outcomes *
--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -10,6 +10,8 @@
 #define RETRY_SHARE 0.1
 #define RETRY_TOKENS_START 3.0
 #define RETRY_TOKENS_MAX 20.0
+/* Identifiers of one process: its start in milliseconds, then a count. */
+#define ID_BITS 22
 
 static struct cq_router *create(const struct cq_router_setup *setup);
 static void destroy(struct cq_router *router);
@@ -120,6 +122,7 @@
 						  g_free, NULL);
 	router->remotes = g_ptr_array_new();
 	router->retry_tokens = RETRY_TOKENS_START;
+	router->next_id = options->incarnation << ID_BITS;
 	router->queue_empty_since_ns = now_ns;
 	return router;
 }
@@ -212,6 +215,7 @@
 	g_free((char *)entry->request.key);
 	g_free(entry->last_endpoint_id);
 	g_free(entry->peer_address);
+	g_free(entry->home_centre);
 	if (entry->waiters)
 		g_ptr_array_free(entry->waiters, TRUE);
 	g_free(entry);
@@ -405,6 +409,8 @@
 		answer_caller(router, entry, &answer);
 		return;
 	}
+	/* Out of the queue first: the next one may be started at once. */
+	end_entry(router, entry);
 	if (answer.run == CQ_RUN_NO && router_hand_to_waiter(router, entry))
 		answer.run = CQ_RUN_UNKNOWN;
 	router_finish(router, entry, &answer);
@@ -422,10 +428,10 @@
 	if (entry->outcome &&
 	    (entry->open_calls || entry->state == ENTRY_FORWARDED))
 		return;
+	end_entry(router, entry);
 	if (entry->outcome && !router_hand_to_waiter(router, entry))
 		cq_outcomes_forget(router->outcomes,
 				   g_steal_pointer(&entry->outcome));
-	end_entry(router, entry);
 	router_drop_if_done(router, entry);
 }
 
--- a/src/coordination/router_calls.c
+++ b/src/coordination/router_calls.c
@@ -18,6 +18,7 @@
 static void attempt_failed(struct cq_router *router, struct entry *entry,
 			   const struct cq_endpoint_result *result);
 static bool may_retry(struct cq_router *router, const struct entry *entry);
+static bool elsewhere(const struct entry *entry);
 static void retry(struct cq_router *router, struct entry *entry);
 static void deliver(struct cq_router *router, struct entry *entry,
 		    const struct call *call,
@@ -111,6 +112,9 @@
 
 	if (router->dispatching)
 		return;
+	cq_slots_set_holder(router->slots,
+			    router->setup.members->holds_index(
+				    router->setup.members_ctx, now_ns));
 	router->dispatching = true;
 	while (cq_admission_count(router->admission) &&
 	       cq_endpoint_pool_pick(router->pool, NULL, now_ns)) {
@@ -204,7 +208,7 @@
 	case CQ_ENDPOINT_ANSWERED:
 		if (result->status >= 500 && entry->request.idempotent) {
 			/* Another attempt may still do better. */
-			if (entry->state == ENTRY_QUEUED || entry->open_calls)
+			if (elsewhere(entry) || entry->open_calls)
 				return;
 			entry->maybe_ran = true;
 			if (may_retry(router, entry)) {
@@ -227,10 +231,16 @@
 	}
 }
 
+/* Another attempt of the request already waits or is at a peer. */
+static bool elsewhere(const struct entry *entry)
+{
+	return entry->state == ENTRY_QUEUED || entry->state == ENTRY_FORWARDED;
+}
+
 /* The attempt provably did not run: another endpoint costs no extra load. */
 static void reroute(struct cq_router *router, struct entry *entry)
 {
-	if (entry->state == ENTRY_QUEUED || entry->open_calls)
+	if (elsewhere(entry) || entry->open_calls)
 		return;
 	if (!entry->caller || ++entry->reroutes > MAX_REROUTES) {
 		router_refuse(router, entry, CQ_REFUSAL_NO_ENDPOINT,
@@ -244,7 +254,7 @@
 static void attempt_failed(struct cq_router *router, struct entry *entry,
 			   const struct cq_endpoint_result *result)
 {
-	if (entry->state == ENTRY_QUEUED)
+	if (elsewhere(entry))
 		return;
 	if (entry->request.idempotent && may_retry(router, entry)) {
 		retry(router, entry);
@@ -261,7 +271,7 @@
 
 static bool may_retry(struct cq_router *router, const struct entry *entry)
 {
-	if (!entry->caller || entry->state == ENTRY_QUEUED ||
+	if (!entry->caller || elsewhere(entry) ||
 	    router_now(router) >= entry->deadline_ns)
 		return false;
 	if (router->retry_tokens >= 1)
--- a/src/coordination/router_internal.h
+++ b/src/coordination/router_internal.h
@@ -43,6 +43,7 @@
 	/* Forwarded requests. */
 	uint64_t correlation;
 	char *peer_address;
+	char *home_centre;
 	uint32_t home_index;
 	bool spilled;
 	int64_t resend_ns;
@@ -139,7 +140,7 @@
 
 /* router_peers.c */
 bool router_forward_home(struct cq_router *router, struct entry *entry,
-			 uint32_t home);
+			 const struct cq_home *home);
 void router_spill(struct cq_router *router);
 void router_forward_done(struct cq_router *router, uint64_t correlation,
 			 const struct cq_answer *answer,
--- a/src/coordination/router_keys.c
+++ b/src/coordination/router_keys.c
@@ -1,8 +1,12 @@
+#include <string.h>
+
 #include "coordination/router_internal.h"
 
 /* Keyed requests at the home host of their key. */
 
 static void join_primary(struct entry *entry, struct cq_outcome *outcome);
+static bool find_home(const struct cq_router *router, const struct entry *entry,
+		      struct cq_home *home);
 
 static void join_primary(struct entry *entry, struct cq_outcome *outcome)
 {
@@ -15,24 +19,40 @@
 	entry->state = ENTRY_WAITING;
 }
 
+static bool find_home(const struct cq_router *router, const struct entry *entry,
+		      struct cq_home *home)
+{
+	struct cq_centre centres[CQ_ROUTER_MAX_CENTRES];
+	uint32_t count = router->setup.members->centres(
+		router->setup.members_ctx, centres, CQ_ROUTER_MAX_CENTRES);
+
+	return cq_outcomes_home(entry->request.workspace, entry->request.key,
+				centres, count, home);
+}
+
 void router_begin_keyed(struct cq_router *router, struct entry *entry)
 {
-	const struct cq_router_options *options = &router->setup.options;
-	uint32_t home = cq_outcomes_home(entry->request.workspace,
-					 entry->request.key,
-					 options->index_count);
 	struct cq_outcome *outcome;
 	struct cq_answer answer;
+	struct cq_home home;
+	bool is_home;
 
-	if (home != options->index && entry->origin.kind == CQ_ORIGIN_CALLER) {
-		if (!router_forward_home(router, entry, home))
+	if (!find_home(router, entry, &home)) {
+		router_refuse(router, entry, CQ_REFUSAL_INVALID,
+			      "the key names an unknown data centre");
+		return;
+	}
+	is_home = home.index == router->setup.options.index &&
+		  !strcmp(home.data_centre, router->data_centre);
+	if (!is_home && entry->origin.kind == CQ_ORIGIN_CALLER) {
+		if (!router_forward_home(router, entry, &home))
 			router_refuse(router, entry,
 				      CQ_REFUSAL_HOME_UNREACHABLE,
 				      "the home host of this key cannot be "
 				      "reached; this attempt was not sent");
 		return;
 	}
-	if (home != options->index ||
+	if (!is_home ||
 	    !router->setup.members->holds_index(router->setup.members_ctx,
 						router_now(router))) {
 		router_refuse(
--- a/src/coordination/router_peers.c
+++ b/src/coordination/router_peers.c
@@ -43,17 +43,20 @@
 }
 
 bool router_forward_home(struct cq_router *router, struct entry *entry,
-			 uint32_t home)
+			 const struct cq_home *home)
 {
 	const struct cq_router_members_ops *members = router->setup.members;
-	const char *address = members->peer(router->setup.members_ctx, home);
+	void *ctx = router->setup.members_ctx;
+	const char *address =
+		members->peer(ctx, home->data_centre, home->index);
 	int64_t now_ns = router_now(router);
 
-	if (!address || !members->alive(router->setup.members_ctx, home))
+	if (!address || !members->alive(ctx, home->data_centre, home->index))
 		return false;
 	g_free(entry->peer_address);
 	entry->peer_address = g_strdup(address);
-	entry->home_index = home;
+	entry->home_centre = g_strdup(home->data_centre);
+	entry->home_index = home->index;
 	entry->correlation = ++router->next_id;
 	if (!send_forward(router, entry, CQ_ORIGIN_HOME))
 		return false;
@@ -93,6 +96,7 @@
 		return;
 	}
 	if (!router->setup.members->alive(router->setup.members_ctx,
+					  entry->home_centre,
 					  entry->home_index)) {
 		router_refuse(router, entry, CQ_REFUSAL_HOME_UNREACHABLE,
 			      "the home host of this key died or was cut off");
@@ -155,6 +159,11 @@
 		return;
 	}
 	entry->maybe_ran = entry->maybe_ran || !not_run;
+	if (entry->open_calls) {
+		entry->state = ENTRY_CALLING;
+		entry->attempt_deadline_ns = entry->deadline_ns;
+		return;
+	}
 	if (entry->request.idempotent && entry->caller &&
 	    router->retry_tokens >= 1) {
 		router->retry_tokens -= 1;
@@ -346,9 +355,11 @@
 	wanted = MIN(wanted, CQ_SLOTS_MAX_LOANS);
 	for (i = 0; i < options->index_count; i++) {
 		if (i == options->index ||
-		    !members->alive(router->setup.members_ctx, i))
+		    !members->alive(router->setup.members_ctx,
+				    router->data_centre, i))
 			continue;
-		address = members->peer(router->setup.members_ctx, i);
+		address = members->peer(router->setup.members_ctx,
+					router->data_centre, i);
 		if (address)
 			router->setup.ops->ask_slots(router->setup.ops_ctx,
 						     address, wanted, now_ns);
@@ -368,7 +379,7 @@
 	    cq_admission_count(router->admission))
 		return;
 	address = router->setup.members->peer(router->setup.members_ctx,
-					      borrower);
+					      router->data_centre, borrower);
 	if (!address)
 		return;
 	count = cq_slots_lend(router->slots, wanted, router_now(router), loans);
@@ -389,8 +400,8 @@
 	while ((count = cq_slots_collect_returns(router->slots, all,
 						 router_now(router), &lender,
 						 &incarnation, ids))) {
-		address = router->setup.members->peer(router->setup.members_ctx,
-						      lender);
+		address = router->setup.members->peer(
+			router->setup.members_ctx, router->data_centre, lender);
 		if (address)
 			router->setup.ops->return_slots(router->setup.ops_ctx,
 							address, incarnation,
--- a/src/coordination/slots.c
+++ b/src/coordination/slots.c
@@ -39,6 +39,7 @@
 	uint64_t next_loan;
 	uint64_t next_number;
 	uint32_t lend_cursor;
+	bool suspended; /* the index is held by another host */
 };
 
 static struct cq_slots_endpoint *find(const struct cq_slots *slots,
@@ -112,6 +113,11 @@
 	       (position < capacity % index_count ? 1 : 0);
 }
 
+void cq_slots_set_holder(struct cq_slots *slots, bool holds_index)
+{
+	slots->suspended = !holds_index;
+}
+
 static struct cq_slots_endpoint *find(const struct cq_slots *slots,
 				      const char *id)
 {
@@ -168,8 +174,8 @@
 {
 	uint32_t taken = e->own_used + e->lent;
 
-	if (e->removed || now_ns < slots->options.usable_from_ns ||
-	    taken >= e->own)
+	if (e->removed || slots->suspended ||
+	    now_ns < slots->options.usable_from_ns || taken >= e->own)
 		return 0;
 	return e->own - taken;
 }
@@ -300,15 +306,17 @@
 	guint seen;
 
 	/* One slot an endpoint and round, so that loans spread evenly. */
-	for (seen = 0; count < limit && seen < slots->order->len; seen++) {
+	for (seen = 0; count < limit && seen < slots->order->len;) {
 		struct cq_slots_endpoint *e;
 		struct lent *lent;
 
 		slots->lend_cursor =
 			(slots->lend_cursor + 1) % slots->order->len;
 		e = slots->order->pdata[slots->lend_cursor];
-		if (!own_free(slots, e, now_ns))
+		if (!own_free(slots, e, now_ns)) {
+			seen++;
 			continue;
+		}
 		lent = g_new0(struct lent, 1);
 		lent->id = ++slots->next_loan;
 		lent->endpoint = e;
--- a/src/programs/entryd/requests.c
+++ b/src/programs/entryd/requests.c
@@ -22,10 +22,10 @@
 const struct cq_setting entryd_requests_settings[] = {
 	{ "caller-address", "CQ_CALLER_ADDRESS", CQ_SETTING_ADDRESS, NULL, 0, 0,
 	  "listening address for callers" },
+	{ "data-centres", "CQ_DATA_CENTRES", CQ_SETTING_LIST, "", 0, 0,
+	  "NAME:COUNT of entry hosts of each data centre; the same everywhere" },
 	{ "entry-peers", "CQ_ENTRY_PEERS", CQ_SETTING_LIST, "", 0, 0,
-	  "INDEX=IPv4:PORT peer addresses of this data centre" },
-	{ "remote-peers", "CQ_REMOTE_PEERS", CQ_SETTING_LIST, "", 0, 0,
-	  "peer addresses of entry hosts of other data centres" },
+	  "DATA-CENTRE/INDEX=IPv4:PORT peer addresses of entry hosts" },
 	{ "workspaces", "CQ_WORKSPACES", CQ_SETTING_LIST, "default:1", 0, 0,
 	  "NAME:WEIGHT of each workspace" },
 	{ "classes", "CQ_CLASSES", CQ_SETTING_LIST,
@@ -447,6 +447,7 @@
 
 	cq_router_options_init(options);
 	options->id = id;
+	options->incarnation = incarnation;
 	options->data_centre = cq_daemon_data_centre(requests->daemon);
 	options->index = (uint32_t)setting(requests, "index");
 	options->index_count = (uint32_t)setting(requests, "index-count");
--- a/src/programs/entryd/requests_static.c
+++ b/src/programs/entryd/requests_static.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -6,18 +7,26 @@
 #include "programs/entryd/entryd.h"
 
 #define MAX_WEIGHT 1000000
+#define MAX_INDEX 64
+
+struct member {
+	char *data_centre;
+	uint32_t index;
+	char *address;
+};
 
 struct entryd_static {
-	char *peers[64]; /* by index; NULL: none */
-	uint32_t index_count;
-	GPtrArray *remotes;
+	char *data_centre;
+	GPtrArray *members;	/* struct member */
+	GHashTable *centres;	/* name -> count of entry hosts */
 	GHashTable *workspaces; /* name -> weight */
 	GHashTable *classes;	/* name -> rank + 1 */
 };
 
-static const char *peer(void *ctx, uint32_t index);
-static bool alive(void *ctx, uint32_t index);
+static const char *peer(void *ctx, const char *data_centre, uint32_t index);
+static bool alive(void *ctx, const char *data_centre, uint32_t index);
 static bool holds_index(void *ctx, int64_t now_ns);
+static uint32_t centres(void *ctx, struct cq_centre *out, uint32_t max);
 static uint32_t remotes(void *ctx, const char **addresses, uint32_t max);
 static bool workspace(void *ctx, const char *name, uint32_t *weight);
 static bool class_rank(void *ctx, const char *name, uint32_t *rank);
@@ -25,10 +34,12 @@
 			  long offset, GHashTable *table, struct cq_error *err);
 static bool parse_peers(struct entryd_static *source, char **items,
 			struct cq_error *err);
+static void member_free(void *data);
 
 static const struct cq_router_members_ops members_ops = {
 	.peer = peer,
 	.alive = alive,
+	.centres = centres,
 	.holds_index = holds_index,
 	.remotes = remotes,
 };
@@ -38,16 +49,25 @@
 	.class_rank = class_rank,
 };
 
-static const char *peer(void *ctx, uint32_t index)
+static const char *peer(void *ctx, const char *data_centre, uint32_t index)
 {
 	const struct entryd_static *source = ctx;
+	guint i;
+
+	for (i = 0; i < source->members->len; i++) {
+		const struct member *member = source->members->pdata[i];
 
-	return index < source->index_count ? source->peers[index] : NULL;
+		if (member->index == index &&
+		    !strcmp(member->data_centre, data_centre))
+			return member->address;
+	}
+	return NULL;
 }
 
-static bool alive(void *ctx, uint32_t index)
+/* Flags do not change: a host that is named counts as live. */
+static bool alive(void *ctx, const char *data_centre, uint32_t index)
 {
-	return peer(ctx, index) != NULL;
+	return peer(ctx, data_centre, index) != NULL;
 }
 
 static bool holds_index(void *ctx, int64_t now_ns)
@@ -57,14 +77,35 @@
 	return true;
 }
 
+static uint32_t centres(void *ctx, struct cq_centre *out, uint32_t max)
+{
+	const struct entryd_static *source = ctx;
+	uint32_t count = 0;
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, source->centres);
+	while (count < max && g_hash_table_iter_next(&iter, &key, &value)) {
+		out[count].name = key;
+		out[count++].index_count = GPOINTER_TO_UINT(value);
+	}
+	return count;
+}
+
 static uint32_t remotes(void *ctx, const char **addresses, uint32_t max)
 {
 	const struct entryd_static *source = ctx;
-	uint32_t i;
+	uint32_t count = 0;
+	guint i;
 
-	for (i = 0; i < source->remotes->len && i < max; i++)
-		addresses[i] = source->remotes->pdata[i];
-	return i;
+	for (i = 0; i < source->members->len && count < max; i++) {
+		const struct member *member = source->members->pdata[i];
+
+		if (strcmp(member->data_centre, source->data_centre) != 0)
+			addresses[count++] = member->address;
+	}
+	return count;
 }
 
 static bool workspace(void *ctx, const char *name, uint32_t *weight)
@@ -113,42 +154,62 @@
 			struct cq_error *err)
 {
 	for (; *items; items++) {
+		const char *slash = strchr(*items, '/');
 		char *end = NULL;
-		long index = strtol(*items, &end, 10);
+		unsigned long index = slash ? strtoul(slash + 1, &end, 10)
+					    : ULONG_MAX;
+		struct member *member;
 
-		if (end == *items || *end != '=' || index < 0 ||
-		    index >= source->index_count ||
+		if (!slash || slash == *items || end == slash + 1 ||
+		    *end != '=' || index >= MAX_INDEX ||
 		    !cq_address_parse(end + 1, (char[16]){ 0 },
 				      &(uint16_t){ 0 }, NULL))
 			return cq_error_set(err, CQ_ERROR_PROGRAM,
 					    CQ_ERR_INVALID,
 					    "--entry-peers: \"%s\" is not "
-					    "INDEX=IPv4:PORT with an index "
-					    "below --index-count",
+					    "DATA-CENTRE/INDEX=IPv4:PORT",
 					    *items);
-		g_free(source->peers[index]);
-		source->peers[index] = g_strdup(end + 1);
+		member = g_new0(struct member, 1);
+		member->data_centre =
+			g_strndup(*items, (gsize)(slash - *items));
+		member->index = (uint32_t)index;
+		member->address = g_strdup(end + 1);
+		g_ptr_array_add(source->members, member);
 	}
 	return true;
 }
 
+static void member_free(void *data)
+{
+	struct member *member = data;
+
+	g_free(member->data_centre);
+	g_free(member->address);
+	g_free(member);
+}
+
 struct entryd_static *entryd_static_create(const struct cq_config *config,
 					   struct entryd_sources *sources,
 					   struct cq_error *err)
 {
 	struct entryd_static *source = g_new0(struct entryd_static, 1);
-	char **item;
+	int64_t count = cq_config_integer(config, "index-count");
+	const char *own = cq_config_string(config, "data-centre");
 
-	source->index_count =
-		(uint32_t)cq_config_integer(config, "index-count");
-	source->remotes = g_ptr_array_new_with_free_func(g_free);
+	source->data_centre = g_strdup(own);
+	source->members = g_ptr_array_new_with_free_func(member_free);
+	source->centres =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	source->workspaces =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	source->classes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	for (item = cq_config_list(config, "remote-peers"); *item; item++)
-		g_ptr_array_add(source->remotes, g_strdup(*item));
+	g_hash_table_insert(source->centres, g_strdup(own),
+			    GUINT_TO_POINTER((guint)count));
 	if (!parse_peers(source, cq_config_list(config, "entry-peers"), err) ||
+	    !parse_numbers(cq_config_list(config, "data-centres"),
+			   "data-centres", MAX_INDEX, 0, source->centres,
+			   err) ||
 	    !parse_numbers(cq_config_list(config, "workspaces"), "workspaces",
 			   MAX_WEIGHT, 0, source->workspaces, err) ||
 	    !parse_numbers(cq_config_list(config, "classes"), "classes",
@@ -166,14 +227,12 @@
 
 void entryd_static_destroy(struct entryd_static *source)
 {
-	size_t i;
-
 	if (!source)
 		return;
-	for (i = 0; i < G_N_ELEMENTS(source->peers); i++)
-		g_free(source->peers[i]);
-	g_ptr_array_free(source->remotes, TRUE);
+	g_ptr_array_free(source->members, TRUE);
+	g_hash_table_destroy(source->centres);
 	g_hash_table_destroy(source->workspaces);
 	g_hash_table_destroy(source->classes);
+	g_free(source->data_centre);
 	g_free(source);
 }
--- a/src/protocol/caller_http.c
+++ b/src/protocol/caller_http.c
@@ -75,17 +75,17 @@
 
 bool cq_caller_key_time(const char *key, int64_t *unix_ms)
 {
-	size_t digits = strspn(key, "0123456789");
 	size_t len = strlen(key);
+	const char *at = strchr(key, '@');
+	size_t digits = strspn(key, "0123456789");
+	size_t suffix = strspn(key, "abcdefghijklmnopqrstuvwxyz"
+				    "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-");
 
-	if (digits != KEY_DIGITS || key[digits] != '-' || len == digits + 1 ||
+	if (digits != KEY_DIGITS || key[digits] != '-' || suffix < digits + 2 ||
 	    len >= CQ_REQUEST_KEY_BYTES)
 		return false;
-	if (!is_name(key + digits + 1) &&
-	    len - digits - 1 < CQ_REQUEST_NAME_BYTES)
-		return false;
-	if (strspn(key, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
-			"0123456789._-") != len)
+	/* All of it, or up to the name of a data centre. */
+	if (suffix != len && (!at || at != key + suffix || !is_name(at + 1)))
 		return false;
 	*unix_ms = strtoll(key, NULL, 10);
 	return true;
@@ -99,9 +99,11 @@
 	if (!text)
 		return true;
 	if (!cq_caller_key_time(text, &request->key_unix_ms))
-		return refuse(err, "Idempotency-Key must be 13 digits of Unix "
-				   "milliseconds, \"-\" and letters, digits or "
-				   "._-, at most 127 bytes");
+		return refuse(err,
+			      "Idempotency-Key must be 13 digits of Unix "
+			      "milliseconds, \"-\" and letters, digits or "
+			      "._-, and may end in \"@\" and a data centre; "
+			      "at most 127 bytes");
 	request->key = text;
 	return true;
 }
