Bound gangs that run in part, and test the job controller under faults

Cause: a renewal granted a whole task lease while a member's worker was already silent, so a gang could run in part for the time until the loss was noticed plus a lease; a release that was confirmed waited for the retry delay; jobs of a data centre going out were stopped without a checkpoint when the assumed cost of one (5 s) was longer than the notice.

Change: renewals grant the task lease less the contact time (2.5 s), and only while all members' workers answered within that time; once a release was sent the leases that run are not renewed before the gang runs as a whole; a checkpoint is tried before any stop that leaves time for it, and its cost is measured.

--- a/include/chestnutquay/controller.h
+++ b/include/chestnutquay/controller.h
@@ -39,8 +39,14 @@
 	uint32_t call_timeout_ms; /* worker calls */
 	uint32_t store_timeout_ms;
 	uint32_t watch_wait_ms;
+	/*
+	 * Bound on how long a gang may run in part. Renewals grant it less
+	 * contact_ns, and only while all members' workers answered within
+	 * contact_ns.
+	 */
 	uint32_t task_lease_ms;
 	uint32_t held_lease_ms; /* of a start */
+	int64_t contact_ns;
 	int64_t sync_interval_ns;
 	/* A worker without a good answer this long is lost. */
 	int64_t lost_after_ns;
@@ -53,7 +59,10 @@
 	int64_t retention_ms; /* of records of ended jobs */
 };
 
-/* 800 ms, 1 s, 5 s, 15 s, 10 s, 1 s, 5 s, 1 s, 1.5 s, 512, 64, 256, 24 h. */
+/*
+ * 800 ms, 1 s, 5 s, 15 s, 10 s, 2.5 s, 1 s, 5 s, 1 s, 1.5 s, 512, 64, 256,
+ * 24 h.
+ */
 void cq_controller_options_init(struct cq_controller_options *options);
 
 struct cq_controller_dc {
--- a/include/chestnutquay/worker.h
+++ b/include/chestnutquay/worker.h
@@ -71,23 +71,23 @@
 struct cq_worker_task {
 	const char *task_id;
 	const char *job_id;
-	uint32_t attempt;
-	uint32_t rank;
-	uint32_t gang_size;
 	const char *workspace;
 	const char *class_name;
 	int64_t epoch; /* of the start */
-	enum cq_task_state state;
 	uint64_t accelerator_mask;
 	uint64_t cell;
-	uint32_t cpu_millicores;
 	uint64_t memory_bytes;
-	uint32_t observed_millicores; /* 0 until the first measurement */
-	uint64_t observed_memory_bytes;
-	uint32_t throttle_pct;
+	uint64_t observed_memory_bytes; /* 0 until the first measurement */
 	int64_t lease_left_ms;
 	int64_t run_ms;	       /* progress, restored part included */
 	int64_t checkpoint_ms; /* run_ms at the last checkpoint, or -1 */
+	uint32_t attempt;
+	uint32_t rank;
+	uint32_t gang_size;
+	uint32_t cpu_millicores;
+	uint32_t observed_millicores; /* 0 until the first measurement */
+	uint32_t throttle_pct;
+	enum cq_task_state state;
 };
 
 /* Valid during the completion. */
--- a/src/coordination/controller.c
+++ b/src/coordination/controller.c
@@ -8,6 +8,9 @@
 /* A longer time between two ticks counts as a pause of the process. */
 #define PAUSE_NS CQ_NS_PER_S
 
+/* Assumed until the first checkpoint has been measured. */
+#define CHECKPOINT_COST_NS (2 * CQ_NS_PER_S)
+
 static void become_owner(struct cq_controller *c, int64_t now_ns);
 static void stop_owning(struct cq_controller *c);
 static void tick_gangs(struct cq_controller *c, int64_t now_ns);
@@ -23,6 +26,7 @@
 	options->watch_wait_ms = 5000;
 	options->task_lease_ms = 15000;
 	options->held_lease_ms = 10000;
+	options->contact_ns = 2500 * CQ_NS_PER_MS;
 	options->sync_interval_ns = CQ_NS_PER_S;
 	options->lost_after_ns = 5 * CQ_NS_PER_S;
 	options->plan_interval_ns = CQ_NS_PER_S;
@@ -69,6 +73,7 @@
 	/* Unique across restarts: the time gives room for 1000 writes a ms. */
 	c->sequence = (uint64_t)cq_clock_unix_ms(options->clock) * 1000;
 	cq_policy_init(&c->policy);
+	c->checkpoint_cost_ns = CHECKPOINT_COST_NS;
 	return c;
 }
 
--- a/src/coordination/controller_jobs.c
+++ b/src/coordination/controller_jobs.c
@@ -11,6 +11,8 @@
 /* Delay of the next attempt after one that did not run. */
 #define BACKOFF_BASE_NS CQ_NS_PER_S
 #define BACKOFF_MAX_NS (30 * CQ_NS_PER_S)
+/* A new measurement moves the mean cost of checkpoints by 1 part of this. */
+#define CHECKPOINT_WEIGHT 8
 
 static void begin_attempt(struct cq_job *job, int64_t now_ns);
 static void recover_attempt(struct cq_job *job, int64_t now_ns);
@@ -214,6 +216,10 @@
 	if (job->learned)
 		return;
 	job->learned = true;
+	if (end == CQ_GANG_END_CHECKPOINTED && job->stop_requested_ns)
+		c->checkpoint_cost_ns += (now_ns - job->stop_requested_ns -
+					  c->checkpoint_cost_ns) /
+					 CHECKPOINT_WEIGHT;
 	if (end == CQ_GANG_END_FINISHED)
 		learn_finished(job, now_ns);
 	else if (end == CQ_GANG_END_FAILED ||
--- a/src/coordination/controller_plan.c
+++ b/src/coordination/controller_plan.c
@@ -74,6 +74,8 @@
 			  const struct cq_controller_snapshot *s,
 			  int64_t now_ns)
 {
+	bool announced;
+
 	/*
 	 * A lost member is the gang's own business: it knows a lost task from
 	 * one that has finished.
@@ -81,7 +83,8 @@
 	if (!job->gang || cq_gang_state(job->gang) >= CQ_GANG_STOPPING ||
 	    action->reason == CQ_REASON_GANG_MEMBER_LOST)
 		return;
-	if (!job->stop_requested_ns)
+	announced = job->stop_requested_ns != 0;
+	if (!announced)
 		job->stop_requested_ns = now_ns;
 	job->stop_reason = action->reason;
 	job->stop_deadline_ns = action->deadline_ns;
@@ -89,12 +92,20 @@
 	if (action->for_job != CQ_FLEET_NONE)
 		g_strlcpy(job->stop_for, s->snapshot.jobs[action->for_job].id,
 			  sizeof(job->stop_for));
-	if (action->kind == CQ_ACTION_CHECKPOINT)
+	/*
+	 * A checkpoint is tried before any stop that leaves time for it. A gang
+	 * that is not running yet has nothing to keep and is stopped at once.
+	 */
+	if (action->kind == CQ_ACTION_CHECKPOINT ||
+	    (job->record.can_checkpoint && now_ns < action->deadline_ns))
 		cq_gang_checkpoint(job->gang, action->deadline_ns, now_ns);
-	else if (now_ns >= action->deadline_ns)
+	else if (now_ns >= action->deadline_ns ||
+		 cq_gang_state(job->gang) < CQ_GANG_RUNNING)
 		cq_gang_stop(job->gang, now_ns);
 	cq_gang_tick(job->gang, now_ns);
 	cq_job_mark_dirty(job);
+	if (announced)
+		return;
 	cq_log_event(CQ_LOG_INFO, "job_stop_announced", "{s:s,s:s,s:s}", "job",
 		     job->record.id, "action",
 		     cq_action_kind_string(action->kind), "reason",
--- a/src/coordination/controller_private.h
+++ b/src/coordination/controller_private.h
@@ -105,7 +105,8 @@
 	GArray *guarantees;
 	int64_t dc_notice_deadline_ns;
 	int64_t dc_in_since_ns;
-	int64_t plan_ns; /* of the last plan */
+	int64_t checkpoint_cost_ns; /* mean of those measured */
+	int64_t plan_ns;	    /* of the last plan */
 	char plan_error[CQ_ERROR_MESSAGE_BYTES];
 	GHashTable *probes; /* worker name -> probe number + 1 */
 	uint32_t probe_number;
@@ -155,13 +156,23 @@
 
 /* controller_workers.c */
 extern const struct cq_gang_ops cq_controller_gang_ops;
-void cq_controller_sync_workers(struct cq_controller *c, int64_t now_ns);
+struct cq_controller_command *
+cq_controller_command_create(struct cq_controller *c, uint32_t worker,
+			     int64_t now_ns);
+/* Whether a completion belongs to the present epoch. */
+bool cq_controller_command_is_current(
+	const struct cq_controller_command *command);
+/* Stops tasks of the worker that belong to no attempt under way. */
+void cq_controller_stop_strays(struct cq_controller *c, uint32_t worker);
 void cq_controller_task_changed(void *ctx, const struct cq_fleet_view *task,
 				bool present, int64_t sent_ns);
 void cq_controller_throttle(struct cq_controller *c, const char *task_id,
 			    uint32_t worker, uint32_t percent, int64_t now_ns);
 void cq_controller_probe(struct cq_controller *c, uint32_t worker,
 			 int64_t now_ns);
+
+/* controller_sync.c */
+void cq_controller_sync_workers(struct cq_controller *c, int64_t now_ns);
 /* Every listed worker has reported in this epoch or is lost. */
 bool cq_controller_all_settled(struct cq_controller *c);
 /* When the tasks of a worker without contact are certainly gone. */
--- a/src/coordination/controller_snapshot.c
+++ b/src/coordination/controller_snapshot.c
@@ -3,8 +3,7 @@
 
 #include <string.h>
 
-/* Assumed until measured: what a checkpoint and a restart cost. */
-#define CHECKPOINT_COST_NS (5 * CQ_NS_PER_S)
+/* Time between a start and useful work, as assumed for every job. */
 #define RESTART_COST_NS (5 * CQ_NS_PER_S)
 
 static uint32_t number_of(GHashTable *numbers, GArray *array, const char *name)
@@ -120,7 +119,7 @@
 		.done_ns = record->done_ms * CQ_NS_PER_MS,
 		.evictions = record->evictions,
 		.can_checkpoint = record->can_checkpoint,
-		.checkpoint_cost_ns = CHECKPOINT_COST_NS,
+		.checkpoint_cost_ns = s->checkpoint_cost_ns,
 		.restart_cost_ns = RESTART_COST_NS,
 		.last_checkpoint_ns = CQ_FLEET_UNKNOWN_NS,
 		.stop_for = CQ_FLEET_NONE,
@@ -327,6 +326,7 @@
 		.notice_deadline_ns = c->dc_notice_deadline_ns,
 		.in_since_ns = c->dc_in_since_ns,
 	};
+	s->checkpoint_cost_ns = c->checkpoint_cost_ns;
 	add_intent(c, s);
 	add_workers(c, s);
 	add_jobs(c, s, now_ns);
--- a/src/coordination/controller_snapshot.h
+++ b/src/coordination/controller_snapshot.h
@@ -17,6 +17,7 @@
 	GPtrArray *task_ids; /* of tasks, text */
 	GHashTable *class_numbers;
 	GHashTable *workspace_numbers;
+	int64_t checkpoint_cost_ns;
 	bool capacity_known; /* of every listed worker */
 };
 
--- a/src/coordination/controller_workers.c
+++ b/src/coordination/controller_workers.c
@@ -1,4 +1,4 @@
-/* Calls to workers: syncs with renewals, commands of gangs, probes. */
+/* Commands to workers: those of gangs, throttles, probes, stray tasks. */
 #include <inttypes.h>
 #include <string.h>
 
@@ -7,7 +7,6 @@
 
 /* An unknown task is told to stop again after this long. */
 #define STRAY_STOP_NS (2 * CQ_NS_PER_S)
-#define MARGIN_NS CQ_NS_PER_S
 #define PROBE_PREFIX "probe-"
 #define PROBE_MEMORY_BYTES (UINT64_C(64) << 20)
 
@@ -15,13 +14,12 @@
 			 enum cq_gang_command command);
 static void on_command(void *ctx, enum cq_worker_answer answer,
 		       const char *message);
-static void on_sync(void *ctx, enum cq_worker_answer answer,
-		    const struct cq_worker_report *report);
 
 const struct cq_gang_ops cq_controller_gang_ops = { gang_command };
 
-static struct cq_controller_command *
-command_create(struct cq_controller *c, uint32_t worker, int64_t now_ns)
+struct cq_controller_command *
+cq_controller_command_create(struct cq_controller *c, uint32_t worker,
+			     int64_t now_ns)
 {
 	struct cq_controller_command *command =
 		g_new0(struct cq_controller_command, 1);
@@ -35,7 +33,8 @@
 }
 
 /* Whether a completion belongs to the present epoch. */
-static bool is_current(const struct cq_controller_command *command)
+bool cq_controller_command_is_current(
+	const struct cq_controller_command *command)
 {
 	const struct cq_controller *c = command->controller;
 
@@ -104,7 +103,7 @@
 	     (command == CQ_GANG_RELEASE && !cq_gang_released(gang))) &&
 	    !c->ops->start_permit(c->ctx, now_ns, &not_after_unix_ms))
 		return false;
-	call = command_create(c, worker, now_ns);
+	call = cq_controller_command_create(c, worker, now_ns);
 	call->attempt = job->record.attempt;
 	call->rank = rank;
 	call->command = command;
@@ -153,7 +152,7 @@
 			cq_fleet_state_node(c->fleet, command->worker)->name,
 			"answer", cq_worker_answer_string(answer), "message",
 			message);
-	if (is_current(command) && job && job->gang &&
+	if (cq_controller_command_is_current(command) && job && job->gang &&
 	    job->places_attempt == command->attempt) {
 		cq_gang_answered(job->gang, command->rank, command->command,
 				 answer, now_ns);
@@ -172,7 +171,7 @@
 
 	(void)message;
 	c->commands_in_flight--;
-	if (command->probe && is_current(command) &&
+	if (command->probe && cq_controller_command_is_current(command) &&
 	    answer != CQ_WORKER_ANSWER_OK) {
 		const char *name =
 			cq_fleet_state_node(c->fleet, command->worker)->name;
@@ -190,11 +189,11 @@
 	if (!may_command(c, now_ns))
 		return;
 	c->commands_in_flight++;
-	c->worker.ops->throttle(c->worker.self,
-				cq_fleet_state_node(c->fleet, worker)->address,
-				task_id, c->epoch, percent,
-				c->options.call_timeout_ms, on_plain_command,
-				command_create(c, worker, now_ns));
+	c->worker.ops->throttle(
+		c->worker.self, cq_fleet_state_node(c->fleet, worker)->address,
+		task_id, c->epoch, percent, c->options.call_timeout_ms,
+		on_plain_command,
+		cq_controller_command_create(c, worker, now_ns));
 }
 
 /* A probe is a small task of its own that has to finish. */
@@ -231,7 +230,7 @@
 	cq_job_task_id(job_id, 1, 0, task_id);
 	g_hash_table_insert(c->probes, g_strdup(node->name),
 			    GUINT_TO_POINTER(c->probe_number));
-	command = command_create(c, worker, now_ns);
+	command = cq_controller_command_create(c, worker, now_ns);
 	command->probe = true;
 	c->commands_in_flight++;
 	c->worker.ops->start(c->worker.self, node->address, &start,
@@ -270,7 +269,7 @@
 		c->worker.self,
 		cq_fleet_state_node(c->fleet, task->worker)->address, task->id,
 		c->epoch, c->options.call_timeout_ms, on_plain_command,
-		command_create(c, task->worker, now_ns));
+		cq_controller_command_create(c, task->worker, now_ns));
 }
 
 /* Whether the task may belong to the present attempt of its job. */
@@ -323,241 +322,7 @@
 	return true;
 }
 
-int64_t cq_controller_gone_by_ns(const struct cq_controller *c,
-				 int64_t renewed_ns)
+void cq_controller_stop_strays(struct cq_controller *c, uint32_t worker)
 {
-	/*
-	 * A renewal that waits in the worker's socket still counts if it is
-	 * read before the lease that it renews lapses.
-	 */
-	return MAX(renewed_ns, c->since_ns) +
-	       2 * c->options.task_lease_ms * CQ_NS_PER_MS + MARGIN_NS;
-}
-
-bool cq_controller_all_settled(struct cq_controller *c)
-{
-	uint32_t i;
-
-	if (!c->hosts_known)
-		return false;
-	for (i = 0; i < cq_fleet_state_count(c->fleet); i++) {
-		const struct cq_fleet_node *node =
-			cq_fleet_state_node(c->fleet, i);
-
-		if (node->listed && !node->reported && !node->lost)
-			return false;
-	}
-	return true;
-}
-
-/* Tells the gangs with members on the worker. */
-static void tell_gangs(struct cq_controller *c, uint32_t worker, bool lost,
-		       int64_t sent_ns, int64_t now_ns)
-{
-	static const struct cq_gang_sight absent = { .checkpoint_ms = -1 };
-	struct cq_fleet_node *node = cq_fleet_state_node(c->fleet, worker);
-	char id[CQ_JOB_TASK_ID_BYTES];
-	GHashTableIter iter;
-	gpointer key;
-	uint32_t i;
-
-	g_hash_table_iter_init(&iter, c->active);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		struct cq_job *job = key;
-
-		for (i = 0; i < cq_gang_size(job->gang); i++) {
-			if (job->places[i].worker != worker)
-				continue;
-			cq_job_task_id(job->record.id, job->places_attempt, i,
-				       id);
-			if (lost)
-				cq_gang_member_lost(job->gang, i,
-						    cq_controller_gone_by_ns(
-							    c,
-							    node->renewed_ns),
-						    now_ns);
-			else if (!cq_fleet_state_task(c->fleet, id))
-				cq_gang_observed(job->gang, i, &absent, sent_ns,
-						 now_ns);
-			cq_job_mark_dirty(job);
-		}
-	}
-}
-
-static void check_lost(struct cq_controller *c, uint32_t worker, int64_t now_ns)
-{
-	struct cq_fleet_node *node = cq_fleet_state_node(c->fleet, worker);
-	int64_t last_ns = MAX(node->answered_ns, c->since_ns);
-
-	last_ns = MAX(last_ns, c->resumed_ns);
-	if (node->lost || now_ns - last_ns < c->options.lost_after_ns)
-		return;
-	node->lost = true;
-	node->boot_id[0] = '\0';
-	cq_log_event(CQ_LOG_WARN, "worker_lost", "{s:s}", "worker", node->name);
-	tell_gangs(c, worker, true, now_ns, now_ns);
-	c->plan_wanted = true;
-}
-
-static void on_sync(void *ctx, enum cq_worker_answer answer,
-		    const struct cq_worker_report *report)
-{
-	struct cq_controller_command *command = ctx;
-	struct cq_controller *c = command->controller;
-	struct cq_fleet_node *node =
-		cq_fleet_state_node(c->fleet, command->worker);
-	int64_t now_ns = cq_clock_now_ns(c->options.clock);
-
-	if (is_current(command)) {
-		node->syncing = false;
-		if (answer == CQ_WORKER_ANSWER_OK &&
-		    !cq_fleet_state_report(c->fleet, command->worker, report,
-					   command->full, command->sent_ns)) {
-			/* Another boot: ask for everything at once. */
-			node->boot_id[0] = '\0';
-			node->next_sync_ns = now_ns;
-		} else if (answer == CQ_WORKER_ANSWER_OK && command->full) {
-			tell_gangs(c, command->worker, false, command->sent_ns,
-				   now_ns);
-			c->plan_wanted = true;
-		}
-		if (answer == CQ_WORKER_ANSWER_OK && c->epoch)
-			cq_fleet_state_visit_worker(c->fleet, command->worker,
-						    visit_stray, c);
-	}
-	g_hash_table_remove(c->commands, command);
-}
-
-static bool visit_complete(void *ctx, struct cq_fleet_view *task)
-{
-	GHashTable *counts = ctx;
-	char *key = g_strdup_printf("%s.%u", task->job_id, task->attempt);
-	uint32_t count;
-
-	if (task->state != CQ_TASK_RUNNING &&
-	    task->state != CQ_TASK_CHECKPOINTING &&
-	    task->state != CQ_TASK_FINISHED) {
-		g_free(key);
-		return true;
-	}
-	count = GPOINTER_TO_UINT(g_hash_table_lookup(counts, key)) + 1;
-	g_hash_table_replace(counts, key, GUINT_TO_POINTER(count));
-	return true;
-}
-
-struct caretaker_renewal {
-	GHashTable *counts;
-	GPtrArray **renew;
-};
-
-static bool visit_caretaker(void *ctx, struct cq_fleet_view *task)
-{
-	struct caretaker_renewal *renewal = ctx;
-	char *key;
-
-	if (!renewal->renew[task->worker] ||
-	    (task->state != CQ_TASK_RUNNING &&
-	     task->state != CQ_TASK_CHECKPOINTING))
-		return true;
-	key = g_strdup_printf("%s.%u", task->job_id, task->attempt);
-	if (GPOINTER_TO_UINT(g_hash_table_lookup(renewal->counts, key)) ==
-	    task->gang_size)
-		g_ptr_array_add(renewal->renew[task->worker],
-				g_strdup(task->id));
-	g_free(key);
-	return true;
-}
-
-/* Without an owner, only gangs that run as a whole are renewed. */
-static void collect_caretaker(struct cq_controller *c, GPtrArray **renew)
-{
-	struct caretaker_renewal renewal = { NULL, renew };
-
-	renewal.counts =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	cq_fleet_state_visit(c->fleet, visit_complete, renewal.counts);
-	cq_fleet_state_visit(c->fleet, visit_caretaker, &renewal);
-	g_hash_table_destroy(renewal.counts);
-}
-
-static void collect_owner(struct cq_controller *c, GPtrArray **renew,
-			  int64_t now_ns)
-{
-	bool commands = c->ops->may_command(c->ctx, now_ns);
-	char id[CQ_JOB_TASK_ID_BYTES];
-	GHashTableIter iter;
-	gpointer key;
-	uint32_t i;
-
-	g_hash_table_iter_init(&iter, c->active);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const struct cq_job *job = key;
-
-		for (i = 0; i < cq_gang_size(job->gang); i++) {
-			uint32_t worker = job->places[i].worker;
-
-			if (worker == UINT32_MAX || !renew[worker] ||
-			    !cq_gang_renews(job->gang, i, commands))
-				continue;
-			cq_job_task_id(job->record.id, job->places_attempt, i,
-				       id);
-			g_ptr_array_add(renew[worker], g_strdup(id));
-		}
-	}
-}
-
-static void send_sync(struct cq_controller *c, uint32_t worker,
-		      const GPtrArray *renew, int64_t now_ns)
-{
-	struct cq_fleet_node *node = cq_fleet_state_node(c->fleet, worker);
-	struct cq_controller_command *command =
-		command_create(c, worker, now_ns);
-	struct cq_worker_sync sync = {
-		.epoch = command->epoch,
-		.lease_ms = c->options.task_lease_ms,
-		.renew = (const char *const *)renew->pdata,
-		.renew_count = renew->len,
-		.since_version = node->version,
-	};
-
-	command->full = !node->reported || !*node->boot_id;
-	if (command->full)
-		sync.since_version = 0;
-	if (renew->len)
-		node->renewed_ns = now_ns;
-	node->syncing = true;
-	node->next_sync_ns = now_ns + c->options.sync_interval_ns;
-	c->worker.ops->sync(c->worker.self, node->address, &sync,
-			    c->options.call_timeout_ms, on_sync, command);
-}
-
-void cq_controller_sync_workers(struct cq_controller *c, int64_t now_ns)
-{
-	uint32_t count = cq_fleet_state_count(c->fleet);
-	GPtrArray **renew = g_new0(GPtrArray *, count + 1);
-	uint32_t due = 0;
-	uint32_t i;
-
-	for (i = 0; i < count; i++) {
-		struct cq_fleet_node *node = cq_fleet_state_node(c->fleet, i);
-
-		if (!node->listed && !node->reported)
-			continue;
-		check_lost(c, i, now_ns);
-		if (node->syncing || now_ns < node->next_sync_ns)
-			continue;
-		renew[i] = g_ptr_array_new_with_free_func(g_free);
-		due++;
-	}
-	if (due && c->epoch)
-		collect_owner(c, renew, now_ns);
-	else if (due)
-		collect_caretaker(c, renew);
-	for (i = 0; i < count; i++) {
-		if (!renew[i])
-			continue;
-		send_sync(c, i, renew[i], now_ns);
-		g_ptr_array_free(renew[i], TRUE);
-	}
-	g_free(renew);
+	cq_fleet_state_visit_worker(c->fleet, worker, visit_stray, c);
 }
--- a/src/coordination/gang.c
+++ b/src/coordination/gang.c
@@ -565,8 +565,11 @@
 	switch (gang->state) {
 	case CQ_GANG_HOLDING:
 	case CQ_GANG_RELEASING:
-		return commands &&
-		       (state == MEMBER_HELD || state == MEMBER_RELEASED);
+		/*
+		 * Once a release was sent, the leases that run already bound
+		 * the time in part, whatever owners come and go meanwhile.
+		 */
+		return commands && !gang->released && state == MEMBER_HELD;
 	case CQ_GANG_RUNNING:
 	case CQ_GANG_CHECKPOINTING:
 		return state == MEMBER_RELEASED;
--- a/src/programs/schedd/jobs.c
+++ b/src/programs/schedd/jobs.c
@@ -225,7 +225,9 @@
 	options.task_lease_ms =
 		(uint32_t)cq_config_integer(config, "task-lease-ms");
 	options.held_lease_ms =
-		MIN(options.held_lease_ms, options.task_lease_ms);
+		MIN(options.held_lease_ms,
+		    options.task_lease_ms -
+			    (uint32_t)(options.contact_ns / CQ_NS_PER_MS));
 	options.lost_after_ns =
 		cq_config_integer(config, "worker-lost-ms") * CQ_NS_PER_MS;
 	options.retention_ms = cq_config_integer(config, "job-retention-ms");
--- a/src/programs/schedd/main.c
+++ b/src/programs/schedd/main.c
@@ -6,7 +6,7 @@
 
 static const struct cq_setting settings[] = {
 	{ "task-lease-ms", "CQ_TASK_LEASE_MS", CQ_SETTING_INTEGER, "15000",
-	  3000, 300000, "lease of running tasks, milliseconds" },
+	  6000, 300000, "lease of running tasks, milliseconds" },
 	{ "worker-lost-ms", "CQ_WORKER_LOST_MS", CQ_SETTING_INTEGER, "5000",
 	  1000, 60000, "silence after which a worker is lost, milliseconds" },
 	{ "job-retention-ms", "CQ_JOB_RETENTION_MS", CQ_SETTING_INTEGER,
--- /dev/null
+++ b/tests/unit/test_controller.c
@@ -0,0 +1,351 @@
+/* The job controller with real gangs and planner in simulated time. */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "chestnutquay/log.h"
+#include "../support/sim_jobs.h"
+
+#define TASK_LEASE_MS 15000
+/* Workers look at their tasks this often. */
+#define STEP_MS 20
+
+static const struct cq_sim_job gang_of_four = { "j1", 4, 8, 20000, true };
+
+static struct cq_sim_jobs *create(uint32_t hosts, uint32_t workers)
+{
+	struct cq_sim_jobs_options options;
+
+	cq_sim_jobs_options_init(&options);
+	options.hosts = hosts;
+	options.workers.count = workers;
+	return cq_sim_jobs_create(&options);
+}
+
+static const struct cq_sim_workers_record *record_of(struct cq_sim_jobs *jobs)
+{
+	return cq_sim_workers_record(cq_sim_jobs_workers(jobs));
+}
+
+/* What must hold in every run, whatever went wrong. */
+static void check_invariants(struct cq_sim_jobs *jobs)
+{
+	const struct cq_sim_workers_record *record = record_of(jobs);
+
+	g_assert_cmpint(record->longest_part_ns, <=,
+			(TASK_LEASE_MS + STEP_MS) * CQ_NS_PER_MS);
+	g_assert_cmpuint(record->double_attempts, ==, 0);
+	g_assert_cmpuint(record->double_starts, ==, 0);
+}
+
+/* Guards against tasks that are started again after a takeover. */
+static void test_adoption(void)
+{
+	struct cq_sim_jobs *jobs = create(2, 4);
+	struct cq_job_record record;
+	int32_t owner;
+
+	cq_sim_jobs_submit(jobs, &gang_of_four);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_RUNNING, 10000));
+	owner = cq_sim_jobs_owner(jobs);
+	cq_sim_jobs_kill(jobs, owner);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_FINISHED, 60000));
+	g_assert_cmpint(cq_sim_jobs_owner(jobs), !=, owner);
+	g_assert_cmpuint(record_of(jobs)->starts, ==, 4);
+	cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j1", &record);
+	g_assert_cmpuint(record.attempt, ==, 1);
+	check_invariants(jobs);
+	cq_sim_jobs_destroy(jobs);
+}
+
+/*
+ * Guards against tasks that end because nobody can renew the ownership lease
+ * while the store is down.
+ */
+static void test_store_outage(void)
+{
+	static const struct cq_sim_job long_job = { "j1", 4, 8, 1200000, true };
+	static const struct cq_sim_job next_job = { "j2", 1, 8, 1000, true };
+	struct cq_sim_jobs *jobs = create(2, 5);
+	struct cq_job_record record;
+
+	cq_sim_jobs_submit(jobs, &long_job);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_RUNNING, 10000));
+	cq_sim_jobs_store_down(jobs, true);
+	cq_sim_jobs_submit(jobs, &next_job);
+	cq_sim_jobs_run_ms(jobs, 900000);
+	g_assert_cmpuint(
+		cq_sim_workers_running(cq_sim_jobs_workers(jobs), "j1"), ==, 4);
+	g_assert_cmpuint(record_of(jobs)->starts, ==, 4);
+	cq_sim_jobs_store_down(jobs, false);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j2", CQ_PHASE_FINISHED, 30000));
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_FINISHED, 600000));
+	cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j1", &record);
+	g_assert_cmpuint(record.attempt, ==, 1);
+	check_invariants(jobs);
+	cq_sim_jobs_destroy(jobs);
+}
+
+/*
+ * Guards against losing running gangs when the owner dies while the store is
+ * down: another schedd renews them with the last epoch and starts nothing.
+ */
+static void test_caretaker(void)
+{
+	static const struct cq_sim_job long_job = { "j1", 4, 8, 600000, true };
+	static const struct cq_sim_job waiting = { "j2", 1, 8, 1000, true };
+	struct cq_sim_jobs *jobs = create(2, 5);
+	int32_t owner;
+	int32_t other;
+
+	cq_sim_jobs_submit(jobs, &long_job);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_RUNNING, 10000));
+	owner = cq_sim_jobs_owner(jobs);
+	other = 1 - owner;
+	cq_sim_jobs_store_down(jobs, true);
+	cq_sim_jobs_submit(jobs, &waiting);
+	cq_sim_jobs_kill(jobs, owner);
+	cq_sim_jobs_run_ms(jobs, 8000);
+	cq_controller_set_caretaker(cq_sim_jobs_controller(jobs, other), 1,
+				    cq_sim_now_ns(cq_sim_jobs_sim(jobs)));
+	cq_sim_jobs_run_ms(jobs, 300000);
+	g_assert_cmpuint(
+		cq_sim_workers_running(cq_sim_jobs_workers(jobs), "j1"), ==, 4);
+	g_assert_cmpuint(record_of(jobs)->starts, ==, 4);
+	cq_sim_jobs_store_down(jobs, false);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_FINISHED, 600000));
+	g_assert_cmpuint(record_of(jobs)->starts, ==, 5);
+	check_invariants(jobs);
+	cq_sim_jobs_destroy(jobs);
+}
+
+/*
+ * Guards against starts after the data centre was taken out, and against jobs
+ * that stay there: they are checkpointed within the notice and move.
+ */
+static void test_data_centre_out(void)
+{
+	static const struct cq_sim_job waiting = { "j2", 4, 8, 5000, true };
+	struct cq_sim_jobs *jobs = create(2, 4);
+	struct cq_job_record record;
+	int64_t out_ns;
+
+	cq_sim_jobs_submit(jobs, &gang_of_four);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_RUNNING, 10000));
+	cq_sim_jobs_submit(jobs, &waiting);
+	cq_sim_jobs_run_ms(jobs, 3000);
+	cq_sim_jobs_set_in(jobs, false);
+	out_ns = cq_sim_jobs_out_ns(jobs);
+	cq_sim_jobs_run_ms(jobs, 6000);
+	g_assert_cmpuint(cq_sim_workers_live(cq_sim_jobs_workers(jobs)), ==, 0);
+	cq_sim_jobs_run_ms(jobs, 20000);
+	g_assert_cmpint(record_of(jobs)->last_start_ns - out_ns, <=,
+			3 * CQ_NS_PER_S);
+	g_assert_false(cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j1", &record));
+	g_assert_true(
+		cq_sim_jobs_read(jobs, CQ_SIM_JOBS_OTHER_DC, "j1", &record));
+	g_assert_cmpint(record.phase, ==, CQ_PHASE_CHECKPOINTED);
+	g_assert_cmpuint(record.restore_attempt, ==, 1);
+	g_assert_cmpint(record.done_ms, >=, 2500);
+	g_assert_cmpuint(record.moves, ==, 1);
+	g_assert_true(
+		cq_sim_jobs_read(jobs, CQ_SIM_JOBS_OTHER_DC, "j2", &record));
+	g_assert_cmpint(record.phase, ==, CQ_PHASE_QUEUED);
+	check_invariants(jobs);
+	cq_sim_jobs_destroy(jobs);
+}
+
+/* Guards against a job that a move loses or doubles when the owner dies. */
+static void test_move_owner_dies(void)
+{
+	int64_t delay_ms;
+
+	for (delay_ms = 0; delay_ms <= 200; delay_ms++) {
+		struct cq_sim_jobs *jobs = create(2, 4);
+		struct cq_job_record here;
+		struct cq_job_record there;
+		static const struct cq_sim_job job = { "j1", 4, 8, 5000, true };
+
+		cq_sim_jobs_run_ms(jobs, 3000);
+		cq_sim_jobs_set_in(jobs, false);
+		cq_sim_jobs_run_ms(jobs, 500);
+		cq_sim_jobs_submit(jobs, &job);
+		cq_sim_jobs_run_ms(jobs, delay_ms);
+		cq_sim_jobs_kill(jobs, cq_sim_jobs_owner(jobs));
+		cq_sim_jobs_run_ms(jobs, 20000);
+		g_assert_false(
+			cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j1", &here));
+		g_assert_true(cq_sim_jobs_read(jobs, CQ_SIM_JOBS_OTHER_DC, "j1",
+					       &there));
+		g_assert_cmpint(there.phase, ==, CQ_PHASE_QUEUED);
+		cq_sim_jobs_destroy(jobs);
+	}
+}
+
+/* Guards against a wave of cancellations that starves everything else. */
+static void test_cancel_wave(void)
+{
+	enum { WAVE = 10000 };
+	static const struct cq_sim_job after = { "after", 1, 8, 1000, true };
+	struct cq_sim_jobs *jobs = create(1, 40);
+	struct cq_sim_job job = { NULL, 1, 8, 3600000, true };
+	struct cq_job_record record;
+	uint32_t i;
+
+	for (i = 0; i < WAVE; i++) {
+		char *id = g_strdup_printf("j%u", i);
+
+		job.id = id;
+		cq_sim_jobs_submit(jobs, &job);
+		g_free(id);
+	}
+	g_assert_true(cq_sim_jobs_wait(jobs, "j0", CQ_PHASE_RUNNING, 20000));
+	cq_sim_jobs_run_ms(jobs, 5000);
+	g_assert_cmpuint(cq_sim_workers_running(cq_sim_jobs_workers(jobs), ""),
+			 ==, 40);
+	for (i = 0; i < WAVE; i++) {
+		char *id = g_strdup_printf("j%u", i);
+
+		cq_sim_jobs_cancel(jobs, id);
+		g_free(id);
+	}
+	cq_sim_jobs_submit(jobs, &after);
+	g_assert_true(
+		cq_sim_jobs_wait(jobs, "after", CQ_PHASE_FINISHED, 60000));
+	for (i = 0; i < WAVE; i++) {
+		char *id = g_strdup_printf("j%u", i);
+
+		g_assert_true(
+			cq_sim_jobs_wait(jobs, id, CQ_PHASE_CANCELLED, 60000));
+		g_free(id);
+	}
+	g_assert_cmpuint(cq_sim_workers_live(cq_sim_jobs_workers(jobs)), ==, 0);
+	cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "after", &record);
+	g_assert_cmpuint(record.attempt, ==, 1);
+	check_invariants(jobs);
+	cq_sim_jobs_destroy(jobs);
+}
+
+/* Guards against a failing worker that takes every job down with it. */
+static void test_failing_worker(void)
+{
+	static const struct cq_sim_worker_faults failing = { .fail_tasks =
+								     true };
+	static const struct cq_sim_worker_faults none;
+	struct cq_sim_jobs *jobs = create(1, 10);
+	struct cq_sim_job job = { NULL, 1, 8, 1000, true };
+	struct cq_job_record record;
+	char *workers;
+	uint32_t i;
+
+	cq_sim_worker_set_faults(cq_sim_jobs_workers(jobs), 3, &failing);
+	for (i = 0; i < 30; i++) {
+		char *id = g_strdup_printf("j%u", i);
+
+		job.id = id;
+		cq_sim_jobs_submit(jobs, &job);
+		g_free(id);
+	}
+	for (i = 0; i < 30; i++) {
+		char *id = g_strdup_printf("j%u", i);
+
+		g_assert_true(
+			cq_sim_jobs_wait(jobs, id, CQ_PHASE_FINISHED, 120000));
+		cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, id, &record);
+		g_assert_cmpuint(record.attempt, <=, 2);
+		g_free(id);
+	}
+	workers = cq_controller_list_workers(
+		cq_sim_jobs_controller(jobs, 0),
+		cq_sim_now_ns(cq_sim_jobs_sim(jobs)));
+	g_assert_nonnull(strstr(workers, "\"state\":\"quarantined\""));
+	free(workers);
+	/* A probe finds it well again. */
+	cq_sim_worker_set_faults(cq_sim_jobs_workers(jobs), 3, &none);
+	cq_sim_jobs_run_ms(jobs, 130000);
+	workers = cq_controller_list_workers(
+		cq_sim_jobs_controller(jobs, 0),
+		cq_sim_now_ns(cq_sim_jobs_sim(jobs)));
+	g_assert_null(strstr(workers, "\"state\":\"quarantined\""));
+	free(workers);
+	cq_sim_jobs_destroy(jobs);
+}
+
+/* Guards against a job that fails everywhere being started for ever. */
+static void test_failing_job(void)
+{
+	static const struct cq_sim_worker_faults failing = { .fail_tasks =
+								     true };
+	static const struct cq_sim_job job = { "j1", 1, 8, 1000, true };
+	struct cq_sim_jobs *jobs = create(2, 8);
+	struct cq_job_record record;
+	uint32_t i;
+
+	for (i = 0; i < 8; i++)
+		cq_sim_worker_set_faults(cq_sim_jobs_workers(jobs), i,
+					 &failing);
+	cq_sim_jobs_submit(jobs, &job);
+	/* The count survives a takeover. */
+	cq_sim_jobs_run_ms(jobs, 3000);
+	cq_sim_jobs_kill(jobs, cq_sim_jobs_owner(jobs));
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_FAILED, 60000));
+	cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j1", &record);
+	g_assert_cmpuint(record.failed_worker_count, ==, 3);
+	g_assert_cmpuint(record.attempt, ==, 3);
+	cq_sim_jobs_destroy(jobs);
+}
+
+/* Guards against a job that can never run waiting for ever. */
+static void test_never_fits(void)
+{
+	static const struct cq_sim_job job = { "j1", 5, 8, 1000, true };
+	struct cq_sim_jobs *jobs = create(1, 4);
+	struct cq_job_record record;
+
+	cq_sim_jobs_submit(jobs, &job);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_FAILED, 10000));
+	cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j1", &record);
+	g_assert_cmpstr(record.reason, !=, "");
+	g_assert_cmpuint(record_of(jobs)->starts, ==, 0);
+	cq_sim_jobs_destroy(jobs);
+}
+
+/* Guards against tasks on accelerators that another task already holds. */
+static void test_no_overlap_after_takeover(void)
+{
+	struct cq_sim_jobs *jobs = create(2, 4);
+	static const struct cq_sim_job first = { "j1", 2, 8, 30000, true };
+	static const struct cq_sim_job second = { "j2", 4, 8, 1000, true };
+	struct cq_job_record record;
+
+	cq_sim_jobs_submit(jobs, &first);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_RUNNING, 10000));
+	cq_sim_jobs_kill(jobs, cq_sim_jobs_owner(jobs));
+	cq_sim_jobs_submit(jobs, &second);
+	cq_sim_jobs_run_ms(jobs, 15000);
+	/* The second job has to wait for the workers of the first. */
+	cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j2", &record);
+	g_assert_cmpint(record.phase, ==, CQ_PHASE_QUEUED);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j2", CQ_PHASE_FINISHED, 60000));
+	check_invariants(jobs);
+	cq_sim_jobs_destroy(jobs);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	if (getenv("CQ_TEST_LOG"))
+		cq_log_open("test", "h", CQ_LOG_DEBUG, NULL);
+	g_test_add_func("/controller/adoption", test_adoption);
+	g_test_add_func("/controller/store_outage", test_store_outage);
+	g_test_add_func("/controller/caretaker", test_caretaker);
+	g_test_add_func("/controller/data_centre_out", test_data_centre_out);
+	g_test_add_func("/controller/move_owner_dies", test_move_owner_dies);
+	g_test_add_func("/controller/cancel_wave", test_cancel_wave);
+	g_test_add_func("/controller/failing_worker", test_failing_worker);
+	g_test_add_func("/controller/failing_job", test_failing_job);
+	g_test_add_func("/controller/never_fits", test_never_fits);
+	g_test_add_func("/controller/no_overlap_after_takeover",
+			test_no_overlap_after_takeover);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_controller_faults.c
@@ -0,0 +1,369 @@
+/*
+ * The job controller with real gangs and planner in simulated time: every
+ * fault at every step of a start, a checkpoint and a stop.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "chestnutquay/log.h"
+#include "../support/sim_jobs.h"
+
+#define TASK_LEASE_MS 15000
+/* Workers look at their tasks this often. */
+#define STEP_MS 20
+#define FINISH_LIMIT_MS 300000
+
+static const struct cq_sim_job gang_of_four = { "j1", 4, 8, 20000, true };
+
+static struct cq_sim_jobs *create(uint32_t hosts, uint32_t workers)
+{
+	struct cq_sim_jobs_options options;
+
+	cq_sim_jobs_options_init(&options);
+	options.hosts = hosts;
+	options.workers.count = workers;
+	return cq_sim_jobs_create(&options);
+}
+
+static const struct cq_sim_workers_record *record_of(struct cq_sim_jobs *jobs)
+{
+	return cq_sim_workers_record(cq_sim_jobs_workers(jobs));
+}
+
+/* What must hold in every run, whatever went wrong. */
+static void check_invariants(struct cq_sim_jobs *jobs)
+{
+	const struct cq_sim_workers_record *record = record_of(jobs);
+
+	g_assert_cmpint(record->longest_part_ns, <=,
+			(TASK_LEASE_MS + STEP_MS) * CQ_NS_PER_MS);
+	g_assert_cmpuint(record->double_attempts, ==, 0);
+	g_assert_cmpuint(record->double_starts, ==, 0);
+}
+
+enum fault {
+	OWNER_DIES,
+	OWNER_DIES_FOR_GOOD,
+	OWNER_PAUSES,
+	OWNER_PAUSES_SHORTLY,
+	OWNER_FENCED,
+	WORKER_DIES,
+	WORKER_RESTARTS,
+	WORKER_PAUSES,
+	WORKER_PAUSES_LONG,
+	WORKER_DEAF,
+	WORKER_SILENT,
+	WORKER_DOWN,
+	ONE_ANSWER_LOST,
+	ANSWERS_LOST,
+	STORE_DOWN,
+	OWNER_AND_WORKER_DIE,
+	OWNER_DIES_TWICE,
+	WORKER_THEN_OWNERS_DIE,
+	FAULT_COUNT,
+};
+
+static const char *const fault_names[FAULT_COUNT] = {
+	[OWNER_DIES] = "owner dies and restarts",
+	[OWNER_DIES_FOR_GOOD] = "owner dies for good",
+	[OWNER_PAUSES] = "owner pauses past its lease",
+	[OWNER_PAUSES_SHORTLY] = "owner pauses within its lease",
+	[OWNER_FENCED] = "another owner acquires",
+	[WORKER_DIES] = "worker dies for good",
+	[WORKER_RESTARTS] = "worker restarts at once",
+	[WORKER_PAUSES] = "worker pauses within the lease",
+	[WORKER_PAUSES_LONG] = "worker pauses past the lease",
+	[WORKER_DEAF] = "calls to the worker are lost",
+	[WORKER_SILENT] = "answers of the worker are lost",
+	[WORKER_DOWN] = "the worker refuses connections",
+	[ONE_ANSWER_LOST] = "one answer is lost",
+	[ANSWERS_LOST] = "half of all answers are lost",
+	[STORE_DOWN] = "the store is down",
+	[OWNER_AND_WORKER_DIE] = "owner and worker die",
+	[OWNER_DIES_TWICE] = "owner and successor die",
+	[WORKER_THEN_OWNERS_DIE] = "worker dies, then owner and successor",
+};
+
+/* When the fault strikes: the n-th command of a kind has been executed. */
+struct moment {
+	const char *verb;
+	uint32_t number;
+};
+
+struct scenario {
+	struct cq_sim_jobs *jobs;
+	enum fault fault;
+	struct moment moment;
+	uint32_t seen;
+	bool struck;
+	int32_t owner;
+	int32_t second;
+	uint32_t worker;
+};
+
+static void later(struct scenario *s, int64_t ms, cq_sim_fn *fn)
+{
+	struct cq_sim *sim = cq_sim_jobs_sim(s->jobs);
+
+	cq_sim_at(sim, cq_sim_now_ns(sim) + ms * CQ_NS_PER_MS, fn, s, NULL);
+}
+
+static void restart_owner(void *ctx)
+{
+	struct scenario *s = ctx;
+
+	cq_sim_jobs_restart(s->jobs, s->owner);
+}
+
+static void resume_owner(void *ctx)
+{
+	struct scenario *s = ctx;
+
+	cq_sim_jobs_resume(s->jobs, s->owner);
+}
+
+static void kill_successor(void *ctx)
+{
+	struct scenario *s = ctx;
+
+	s->second = cq_sim_jobs_owner(s->jobs);
+	if (s->second >= 0)
+		cq_sim_jobs_kill(s->jobs, s->second);
+}
+
+static void kill_owner(void *ctx)
+{
+	struct scenario *s = ctx;
+
+	s->owner = cq_sim_jobs_owner(s->jobs);
+	if (s->owner >= 0)
+		cq_sim_jobs_kill(s->jobs, s->owner);
+}
+
+static void restart_successor(void *ctx)
+{
+	struct scenario *s = ctx;
+
+	if (s->second >= 0)
+		cq_sim_jobs_restart(s->jobs, s->second);
+}
+
+static void heal_worker(void *ctx)
+{
+	static const struct cq_sim_worker_faults none;
+	struct scenario *s = ctx;
+	struct cq_sim_workers *workers = cq_sim_jobs_workers(s->jobs);
+
+	cq_sim_worker_set_faults(workers, s->worker, &none);
+	cq_sim_worker_resume(workers, s->worker);
+	cq_sim_worker_start(workers, s->worker);
+	cq_sim_workers_lose_answers(workers, 0);
+}
+
+static void heal_store(void *ctx)
+{
+	struct scenario *s = ctx;
+
+	cq_sim_jobs_store_down(s->jobs, false);
+}
+
+static void strike_owner(struct scenario *s)
+{
+	switch (s->fault) {
+	case OWNER_DIES:
+		cq_sim_jobs_kill(s->jobs, s->owner);
+		later(s, 3000, restart_owner);
+		break;
+	case OWNER_DIES_FOR_GOOD:
+	case OWNER_AND_WORKER_DIE:
+		cq_sim_jobs_kill(s->jobs, s->owner);
+		break;
+	case OWNER_DIES_TWICE:
+		cq_sim_jobs_kill(s->jobs, s->owner);
+		/* The successor has read the workers and is about to act. */
+		later(s, 5300, kill_successor);
+		later(s, 6000, restart_owner);
+		later(s, 9000, restart_successor);
+		break;
+	case WORKER_THEN_OWNERS_DIE:
+		/* Just before the owner takes the worker for lost. */
+		later(s, 4500, kill_owner);
+		later(s, 10500, kill_successor);
+		later(s, 20000, restart_owner);
+		later(s, 20000, restart_successor);
+		break;
+	case OWNER_PAUSES:
+		cq_sim_jobs_pause(s->jobs, s->owner);
+		later(s, 9000, resume_owner);
+		break;
+	case OWNER_PAUSES_SHORTLY:
+		cq_sim_jobs_pause(s->jobs, s->owner);
+		later(s, 3000, resume_owner);
+		break;
+	case OWNER_FENCED:
+		cq_sim_jobs_fence(s->jobs);
+		break;
+	default:
+		break;
+	}
+}
+
+static void strike_worker(struct scenario *s)
+{
+	struct cq_sim_workers *workers = cq_sim_jobs_workers(s->jobs);
+	struct cq_sim_worker_faults faults = {
+		.deaf = s->fault == WORKER_DEAF,
+		.silent = s->fault == WORKER_SILENT,
+		.down = s->fault == WORKER_DOWN,
+	};
+
+	switch (s->fault) {
+	case WORKER_DIES:
+	case WORKER_THEN_OWNERS_DIE:
+	case OWNER_AND_WORKER_DIE:
+		cq_sim_worker_kill(workers, s->worker);
+		break;
+	case WORKER_RESTARTS:
+		cq_sim_worker_kill(workers, s->worker);
+		cq_sim_worker_start(workers, s->worker);
+		break;
+	case WORKER_PAUSES:
+		cq_sim_worker_pause(workers, s->worker);
+		later(s, 3000, heal_worker);
+		break;
+	case WORKER_PAUSES_LONG:
+		cq_sim_worker_pause(workers, s->worker);
+		later(s, 40000, heal_worker);
+		break;
+	case WORKER_DEAF:
+	case WORKER_SILENT:
+	case WORKER_DOWN:
+		cq_sim_worker_set_faults(workers, s->worker, &faults);
+		later(s, 20000, heal_worker);
+		break;
+	case ONE_ANSWER_LOST:
+		cq_sim_workers_lose_next(workers, 1);
+		break;
+	case ANSWERS_LOST:
+		cq_sim_workers_lose_answers(workers, 500);
+		later(s, 20000, heal_worker);
+		break;
+	case STORE_DOWN:
+		cq_sim_jobs_store_down(s->jobs, true);
+		later(s, 60000, heal_store);
+		break;
+	default:
+		break;
+	}
+}
+
+static void strike(void *ctx)
+{
+	struct scenario *s = ctx;
+
+	s->owner = cq_sim_jobs_owner(s->jobs);
+	strike_owner(s);
+	strike_worker(s);
+}
+
+static void on_command(void *ctx, const char *verb, uint32_t worker,
+		       const char *task_id)
+{
+	struct scenario *s = ctx;
+
+	(void)task_id;
+	if (s->struck || strcmp(verb, s->moment.verb) != 0 ||
+	    ++s->seen < s->moment.number)
+		return;
+	s->struck = true;
+	s->worker = worker;
+	/* Not within the call: the worker has executed the command. */
+	later(s, 0, strike);
+}
+
+/*
+ * Guards against a gang that runs in part, twice or never after a fault at any
+ * step of its start, its checkpoint or its stop.
+ */
+static void test_fault_table(void)
+{
+	static const struct moment moments[] = {
+		{ "start", 1 },	     { "start", 3 },	  { "start", 4 },
+		{ "throttle", 1 },   { "throttle", 2 },	  { "throttle", 4 },
+		{ "checkpoint", 1 }, { "checkpoint", 4 }, { "stop", 1 },
+		{ "stop", 4 },
+	};
+	size_t i;
+	int fault;
+
+	for (fault = 0; fault < FAULT_COUNT; fault++)
+		for (i = 0; i < G_N_ELEMENTS(moments); i++) {
+			struct scenario s = { .jobs = create(3, 6),
+					      .fault = (enum fault)fault,
+					      .moment = moments[i],
+					      .second = -1 };
+
+			g_test_message("%s after %s %u", fault_names[fault],
+				       moments[i].verb, moments[i].number);
+			cq_sim_workers_on_command(cq_sim_jobs_workers(s.jobs),
+						  on_command, &s);
+			cq_sim_jobs_submit(s.jobs, &gang_of_four);
+			if (moments[i].verb[0] == 'c' ||
+			    !strcmp(moments[i].verb, "stop")) {
+				cq_sim_jobs_wait(s.jobs, "j1", CQ_PHASE_RUNNING,
+						 10000);
+				cq_sim_jobs_run_ms(s.jobs, 3000);
+				cq_sim_jobs_set_in(s.jobs, false);
+				cq_sim_jobs_run_ms(s.jobs, 3000);
+				cq_sim_jobs_set_in(s.jobs, true);
+			}
+			if (!cq_sim_jobs_wait(s.jobs, "j1", CQ_PHASE_FINISHED,
+					      FINISH_LIMIT_MS)) {
+				struct cq_job_record record;
+
+				/* It may have moved to the other centre. */
+				g_assert_true(cq_sim_jobs_read(
+					s.jobs, CQ_SIM_JOBS_OTHER_DC, "j1",
+					&record));
+				g_assert_cmpuint(
+					cq_sim_workers_live(
+						cq_sim_jobs_workers(s.jobs)),
+					==, 0);
+			}
+			g_assert_true(s.struck);
+			check_invariants(s.jobs);
+			cq_sim_jobs_destroy(s.jobs);
+		}
+}
+
+/* Guards against a gang in part that a caretaker keeps alive. */
+static void test_caretaker_leaves_parts(void)
+{
+	struct cq_sim_jobs *jobs = create(2, 4);
+	struct scenario s = { .jobs = jobs,
+			      .fault = OWNER_DIES_FOR_GOOD,
+			      .moment = { "throttle", 2 } };
+
+	cq_sim_workers_on_command(cq_sim_jobs_workers(jobs), on_command, &s);
+	cq_sim_jobs_submit(jobs, &gang_of_four);
+	while (!s.struck)
+		cq_sim_jobs_run_ms(jobs, STEP_MS);
+	cq_sim_jobs_store_down(jobs, true);
+	cq_controller_set_caretaker(cq_sim_jobs_controller(jobs, 1 - s.owner),
+				    1, cq_sim_now_ns(cq_sim_jobs_sim(jobs)));
+	cq_sim_jobs_run_ms(jobs, 60000);
+	check_invariants(jobs);
+	cq_sim_jobs_destroy(jobs);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	if (getenv("CQ_TEST_LOG"))
+		cq_log_open("test", "h", CQ_LOG_DEBUG, NULL);
+	g_test_add_func("/controller_faults/table", test_fault_table);
+	g_test_add_func("/controller_faults/caretaker_leaves_parts",
+			test_caretaker_leaves_parts);
+	return g_test_run();
+}
