--- a/src/programs/common/daemon.c
+++ b/src/programs/common/daemon.c
@@ -32,6 +32,7 @@
 		cq_daemon_ready_fn *ready;
 		cq_daemon_drain_fn *drain;
 		cq_daemon_tick_fn *tick;
+		cq_daemon_route_fn *abort;
 	} fn;
 	void *ctx;
 	bool done; /* drain hooks */
@@ -57,6 +58,7 @@
 	GArray *ready_checks;
 	GArray *drains;
 	GArray *ticks;
+	GArray *aborts;
 	char *id;
 	char *token;
 	uint64_t incarnation;
@@ -221,6 +223,7 @@
 	daemon->ready_checks = g_array_new(FALSE, FALSE, sizeof(struct hook));
 	daemon->drains = g_array_new(FALSE, FALSE, sizeof(struct hook));
 	daemon->ticks = g_array_new(FALSE, FALSE, sizeof(struct hook));
+	daemon->aborts = g_array_new(FALSE, FALSE, sizeof(struct hook));
 	if (!parse_settings(daemon, program, summary, extra, extra_count, argc,
 			    argv, &err) ||
 	    !open_parts(daemon, program, &err)) {
@@ -260,6 +263,7 @@
 	g_array_free(daemon->ready_checks, TRUE);
 	g_array_free(daemon->drains, TRUE);
 	g_array_free(daemon->ticks, TRUE);
+	g_array_free(daemon->aborts, TRUE);
 	cq_metrics_destroy(daemon->metrics);
 	cq_config_destroy(daemon->config);
 	cq_log_close();
@@ -456,11 +460,21 @@
 
 static void on_operator_abort(void *ctx, struct cq_http_exchange *exchange)
 {
-	struct cq_daemon_held *held = cq_http_exchange_user(exchange);
+	struct cq_daemon *daemon = ctx;
+	guint i;
+
+	for (i = 0; i < daemon->aborts->len; i++) {
+		struct hook hook =
+			g_array_index(daemon->aborts, struct hook, i);
+
+		hook.fn.abort(hook.ctx, exchange);
+	}
+}
 
-	(void)ctx;
-	if (held)
-		held->aborted(held);
+void cq_daemon_add_abort(struct cq_daemon *daemon, cq_daemon_route_fn *fn,
+			 void *ctx)
+{
+	add_hook(daemon->aborts, (struct hook){ .fn.abort = fn, .ctx = ctx });
 }
 
 void cq_daemon_respond_error(struct cq_http_exchange *exchange, uint32_t status,
--- a/src/programs/common/daemon.h
+++ b/src/programs/common/daemon.h
@@ -63,13 +63,11 @@
 			 const char *prefix, cq_daemon_route_fn *fn, void *ctx);
 
 /*
- * A route function that answers later sets the exchange's user pointer to a
- * struct that begins with this one. aborted is called when the client went
- * away; the exchange must not be answered afterwards.
+ * Called when an operator's client went away before the answer, for every
+ * exchange; a route that answers later needs it.
  */
-struct cq_daemon_held {
-	void (*aborted)(struct cq_daemon_held *held);
-};
+void cq_daemon_add_abort(struct cq_daemon *daemon, cq_daemon_route_fn *fn,
+			 void *ctx);
 
 /* Receives the peer messages of one kind. */
 void cq_daemon_on_peer(struct cq_daemon *daemon, enum cq_peer_kind kind,
--- a/src/programs/common/operator_calls.c
+++ b/src/programs/common/operator_calls.c
@@ -9,6 +9,7 @@
 			const char *fault);
 static void change_free(gpointer data);
 static void on_tick(void *ctx, int64_t now_ns);
+static void on_abort(void *ctx, struct cq_http_exchange *exchange);
 static void append_name(json_t *list, const struct cq_member *member);
 
 static void change_free(gpointer data)
@@ -53,6 +54,11 @@
 	cq_operator_writes_tick(ctx, now_ns);
 }
 
+static void on_abort(void *ctx, struct cq_http_exchange *exchange)
+{
+	cq_operator_writes_aborted(ctx, exchange);
+}
+
 struct cq_operator_calls *cq_operator_calls_create(struct cq_cluster *cluster)
 {
 	static const struct {
@@ -87,6 +93,7 @@
 					       "");
 	cq_cluster_on_settings(cluster, on_settings, calls);
 	cq_daemon_add_tick(calls->daemon, on_tick, calls);
+	cq_daemon_add_abort(calls->daemon, on_abort, calls);
 	for (i = 0; i < G_N_ELEMENTS(routes); i++)
 		cq_daemon_add_route(calls->daemon, routes[i].method,
 				    routes[i].prefix, routes[i].fn, calls);
--- a/src/programs/common/operator_calls.h
+++ b/src/programs/common/operator_calls.h
@@ -14,7 +14,7 @@
 
 /*
  * Adds the routes to the cluster's daemon. Destroy it before the cluster;
- * writes that are still open then end without an answer.
+ * writes that are still open are then answered with 504.
  */
 struct cq_operator_calls *cq_operator_calls_create(struct cq_cluster *cluster);
 void cq_operator_calls_destroy(struct cq_operator_calls *calls);
--- a/src/programs/common/operator_calls_private.h
+++ b/src/programs/common/operator_calls_private.h
@@ -65,6 +65,9 @@
 
 /* Retries and ends open writes. */
 void cq_operator_writes_tick(struct cq_operator_calls *calls, int64_t now_ns);
+/* The client of an exchange went away. */
+void cq_operator_writes_aborted(struct cq_operator_calls *calls,
+				const struct cq_http_exchange *exchange);
 void cq_operator_writes_destroy(struct cq_operator_calls *calls);
 
 #endif
--- a/src/programs/common/operator_calls_settings.c
+++ b/src/programs/common/operator_calls_settings.c
@@ -24,7 +24,6 @@
 };
 
 struct cq_operator_write {
-	struct cq_daemon_held held; /* must be first */
 	struct cq_operator_calls *calls;
 	struct cq_http_exchange *exchange; /* NULL: nobody waits */
 	enum write_state state;
@@ -65,7 +64,6 @@
 static void fail_write(struct cq_operator_write *write, uint32_t status,
 		       const char *code, const char *message);
 static void finish(struct cq_operator_write *write);
-static void on_aborted(struct cq_daemon_held *held);
 static void tick_write(struct cq_operator_write *write, int64_t now_ns);
 static int64_t now_of(const struct cq_operator_calls *calls);
 
@@ -225,7 +223,6 @@
 {
 	struct cq_operator_write *write = g_new0(struct cq_operator_write, 1);
 
-	write->held.aborted = on_aborted;
 	write->calls = calls;
 	write->exchange = exchange;
 	write->key = g_strdup(key);
@@ -234,7 +231,6 @@
 					     write->sequence);
 	write->expected = expected;
 	write->deadline_ns = now_of(calls) + WRITE_DEADLINE_NS;
-	cq_http_exchange_set_user(exchange, write);
 	g_ptr_array_add(calls->writes, write);
 	put(write);
 }
@@ -413,21 +409,24 @@
 
 	if (write->call)
 		store->ops->cancel(store->self, write->call);
-	/* The server would otherwise report its end to a freed write. */
-	if (write->exchange)
-		cq_http_exchange_set_user(write->exchange, NULL);
 	g_ptr_array_remove_fast(write->calls->writes, write);
 	free(write->document);
 	g_free(write->key);
 	g_free(write);
 }
 
-/* The write itself goes on: it may have reached the store already. */
-static void on_aborted(struct cq_daemon_held *held)
+void cq_operator_writes_aborted(struct cq_operator_calls *calls,
+				const struct cq_http_exchange *exchange)
 {
-	struct cq_operator_write *write = (struct cq_operator_write *)held;
+	guint i;
 
-	write->exchange = NULL;
+	for (i = 0; i < calls->writes->len; i++) {
+		struct cq_operator_write *write = calls->writes->pdata[i];
+
+		/* The write goes on: it may have reached the store already. */
+		if (write->exchange == exchange)
+			write->exchange = NULL;
+	}
 }
 
 static void tick_write(struct cq_operator_write *write, int64_t now_ns)
@@ -470,6 +469,9 @@
 void cq_operator_writes_destroy(struct cq_operator_calls *calls)
 {
 	while (calls->writes->len)
-		finish(calls->writes->pdata[calls->writes->len - 1]);
+		fail_write(calls->writes->pdata[calls->writes->len - 1], 504,
+			   "unknown",
+			   "this daemon stops; whether the store took the "
+			   "change is not known");
 	g_ptr_array_free(calls->writes, TRUE);
 }
--- a/tests/scripts/test_cqctl_faults.sh
+++ b/tests/scripts/test_cqctl_faults.sh
@@ -18,7 +18,12 @@
 		"http://$1/v1/members" |
 		jq -r ".members[] | select(.id == \"$2\") | .state")" = "$3" ]
 }
-indirect() {
+in_force() {
+	[ "$(curl -sf -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
+		"http://$1/v1/data-centres" | jq ".data_centres[] |
+			select(.name == \"$2\") | .members_in_force")" = "$3" ]
+}
+direct() {
 	[ "$(curl -sf -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
 		"http://$1/v1/status" | jq '.store_direct')" = "$2" ]
 }
@@ -52,7 +57,7 @@
 run settings set workspaces/red weight=3
 run settings get data-centres/rajkot
 faults '{"down":false}'
-wait_for "direct store calls" indirect 127.0.23.11:7102 true
+wait_for "direct store calls" direct 127.0.23.11:7102 true
 
 echo "# two writers with the same revision: one wins, the other is told"
 run_masked settings set workspaces/blue weight=1
@@ -84,6 +89,7 @@
 kill -CONT "$b"
 wait_for "b to return" state_of 127.0.23.11:7102 b/fake-daemon alive
 wait_for "the newest settings at b" revision_of 127.0.23.12:7102 8
+wait_for "b to hear of them from a" in_force 127.0.23.12:7102 surat 2
 run_masked data-centre list --server 127.0.23.12:7102
 
 echo "# a planned stop"
