--- a/src/programs/common/daemon.c
+++ b/src/programs/common/daemon.c
@@ -460,14 +460,9 @@
 
 static void on_operator_abort(void *ctx, struct cq_http_exchange *exchange)
 {
-	struct cq_daemon_held *held = cq_http_exchange_user(exchange);
 	struct cq_daemon *daemon = ctx;
 	guint i;
 
-	if (held) {
-		held->aborted(held);
-		return;
-	}
 	for (i = 0; i < daemon->aborts->len; i++) {
 		struct hook hook =
 			g_array_index(daemon->aborts, struct hook, i);
--- a/src/programs/common/daemon.h
+++ b/src/programs/common/daemon.h
@@ -62,19 +62,9 @@
 void cq_daemon_add_route(struct cq_daemon *daemon, const char *method,
 			 const char *prefix, cq_daemon_route_fn *fn, void *ctx);
 
-/*
- * A route function that answers later sets the exchange's user pointer to a
- * struct that begins with this one. aborted is called when the client went
- * away; the exchange must not be answered afterwards.
- */
-struct cq_daemon_held {
-	void (*aborted)(struct cq_daemon_held *held);
-};
-
 /*
  * Called when an operator's client went away before the answer, for every
- * exchange without a user pointer; for parts that find the exchange by
- * themselves.
+ * exchange; a route that answers later needs it.
  */
 void cq_daemon_add_abort(struct cq_daemon *daemon, cq_daemon_route_fn *fn,
 			 void *ctx);
