--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -75,8 +75,7 @@
 		start "entryd$i" "$bin/cq-entryd" $common \
 			--peer-address "$ip:7001" --operator-address "$ip:7002" \
 			--caller-address "$ip:7003" --share-hold-ms 0 \
-			--accept-after-term-ms 500 \
-			--workspaces lids:1 --classes seal-fit:0,simulation:1
+			--accept-after-term-ms 500
 		# shellcheck disable=SC2086
 		start "schedd$i" "$bin/cq-schedd" $common \
 			--peer-address "$ip:7011" --operator-address "$ip:7012"
--- a/src/programs/common/cluster.c
+++ b/src/programs/common/cluster.c
@@ -18,6 +18,7 @@
 	union {
 		cq_cluster_settings_fn *settings;
 		cq_cluster_member_fn *member;
+		cq_cluster_contact_fn *contact;
 	} fn;
 	void *ctx;
 };
@@ -29,6 +30,7 @@
 	struct cq_settings_sync *sync;
 	struct cq_store_relay *relay;
 	GArray *on_settings;
+	GArray *on_contact;
 	GArray *on_member;
 	bool host_list_pending;
 	int64_t host_list_next_ns;
@@ -65,6 +67,7 @@
 				const char *fault);
 static void on_membership_message(void *ctx,
 				  const struct cq_peer_message *message);
+static void tell_contact(struct cq_cluster *cluster, const char *id);
 static void on_settings_message(void *ctx,
 				const struct cq_peer_message *message);
 static void on_relay_message(void *ctx, const struct cq_peer_message *message);
@@ -200,6 +203,8 @@
 	cluster->daemon = daemon;
 	cluster->on_settings =
 		g_array_new(FALSE, FALSE, sizeof(struct listener));
+	cluster->on_contact =
+		g_array_new(FALSE, FALSE, sizeof(struct listener));
 	cluster->on_member = g_array_new(FALSE, FALSE, sizeof(struct listener));
 	cluster->settings = cq_settings_create();
 	create_counters(cluster);
@@ -236,6 +241,7 @@
 	cq_settings_destroy(cluster->settings);
 	g_array_free(cluster->on_settings, TRUE);
 	g_array_free(cluster->on_member, TRUE);
+	g_array_free(cluster->on_contact, TRUE);
 	g_free(cluster);
 }
 
@@ -342,8 +348,25 @@
 	struct cq_error err = CQ_ERROR_INIT;
 
 	if (!cq_membership_receive(cluster->membership, message,
-				   now_ns(cluster), &err))
+				   now_ns(cluster), &err)) {
 		log_bad_message(message, &err);
+		return;
+	}
+	tell_contact(cluster, message->from_id);
+}
+
+static void tell_contact(struct cq_cluster *cluster, const char *id)
+{
+	const struct cq_member *member =
+		cq_membership_find(cluster->membership, id);
+	guint i;
+
+	for (i = 0; member && i < cluster->on_contact->len; i++) {
+		struct listener *listener =
+			&g_array_index(cluster->on_contact, struct listener, i);
+
+		listener->fn.contact(listener->ctx, member, now_ns(cluster));
+	}
 }
 
 static void on_settings_message(void *ctx,
@@ -488,6 +511,14 @@
 	g_array_append_val(cluster->on_member, listener);
 }
 
+void cq_cluster_on_contact(struct cq_cluster *cluster,
+			   cq_cluster_contact_fn *fn, void *ctx)
+{
+	struct listener listener = { .fn.contact = fn, .ctx = ctx };
+
+	g_array_append_val(cluster->on_contact, listener);
+}
+
 int64_t cq_cluster_settings_behind_ns(const struct cq_cluster *cluster,
 				      int64_t at_ns)
 {
--- a/src/programs/common/cluster.h
+++ b/src/programs/common/cluster.h
@@ -46,6 +46,12 @@
 void cq_cluster_on_member(struct cq_cluster *cluster, cq_cluster_member_fn *fn,
 			  void *ctx);
 
+/* A membership message of a known member arrived. */
+typedef void cq_cluster_contact_fn(void *ctx, const struct cq_member *member,
+				   int64_t now_ns);
+void cq_cluster_on_contact(struct cq_cluster *cluster,
+			   cq_cluster_contact_fn *fn, void *ctx);
+
 /*
  * Nanoseconds since this process learned that a live member holds newer
  * settings than it does; 0 if it does not know of any.
--- a/src/programs/entryd/entryd.h
+++ b/src/programs/entryd/entryd.h
@@ -19,36 +19,33 @@
 
 /* Callers' requests. */
 struct entryd_requests;
+struct entryd_sources;
 
 extern const struct cq_setting entryd_requests_settings[];
 extern const int32_t entryd_requests_setting_count;
 
 /*
- * Serves callers; their job calls go to job_calls, which outlives the object.
+ * Serves callers; their job calls go to job_calls. Sources and job calls
+ * outlive the object.
  * NULL and err on a bad setting or an address in use.
  */
 struct entryd_requests *entryd_requests_create(struct cq_daemon *daemon,
+					       struct entryd_sources *sources,
 					       struct cq_job_calls *job_calls,
 					       struct cq_error *err);
 void entryd_requests_destroy(struct entryd_requests *requests);
 
 /*
- * Where the router learns about entry hosts, workspaces and classes. The
- * static source reads them from flags; membership and settings can take its
- * place.
+ * What the router knows of entry hosts, workspaces and classes: membership,
+ * settings and the claim on this host's index. The context of both tables is
+ * the object.
  */
-struct entryd_sources {
-	const struct cq_router_members_ops *members;
-	void *members_ctx;
-	const struct cq_router_policy_ops *policy;
-	void *policy_ctx;
-};
-
-struct entryd_static;
-
-struct entryd_static *entryd_static_create(const struct cq_config *config,
-					   struct entryd_sources *sources,
-					   struct cq_error *err);
-void entryd_static_destroy(struct entryd_static *source);
+struct entryd_sources;
+
+extern const struct cq_router_members_ops entryd_members_ops;
+extern const struct cq_router_policy_ops entryd_policy_ops;
+
+struct entryd_sources *entryd_sources_create(struct cq_cluster *cluster);
+void entryd_sources_destroy(struct entryd_sources *sources);
 
 #endif
--- a/src/programs/entryd/main.c
+++ b/src/programs/entryd/main.c
@@ -11,6 +11,7 @@
 	struct cq_operator_calls *operator_calls;
 	struct cq_capacity_reader *capacity;
 	struct entryd_requests *requests;
+	struct entryd_sources *sources;
 	struct cq_cluster *cluster;
 	struct cq_daemon *daemon;
 	struct entryd_jobs *jobs;
@@ -30,8 +31,9 @@
 	cq_operator_calls_set_capacity(operator_calls, cq_capacity_reader_get,
 				       capacity);
 	jobs = entryd_jobs_create(cluster);
-	requests =
-		entryd_requests_create(daemon, entryd_jobs_calls(jobs), &err);
+	sources = entryd_sources_create(cluster);
+	requests = entryd_requests_create(daemon, sources,
+					  entryd_jobs_calls(jobs), &err);
 	if (requests) {
 		exit_code = cq_daemon_run(daemon);
 	} else {
@@ -39,6 +41,7 @@
 		exit_code = err.code == CQ_ERR_INVALID ? CQ_EXIT_USAGE : 1;
 	}
 	entryd_requests_destroy(requests);
+	entryd_sources_destroy(sources);
 	entryd_jobs_destroy(jobs);
 	cq_operator_calls_destroy(operator_calls);
 	cq_capacity_reader_destroy(capacity);
--- a/src/programs/entryd/requests.c
+++ b/src/programs/entryd/requests.c
@@ -22,15 +22,6 @@
 const struct cq_setting entryd_requests_settings[] = {
 	{ "caller-address", "CQ_CALLER_ADDRESS", CQ_SETTING_ADDRESS, NULL, 0, 0,
 	  "listening address for callers" },
-	{ "data-centres", "CQ_DATA_CENTRES", CQ_SETTING_LIST, "", 0, 0,
-	  "NAME:COUNT of entry hosts of each data centre; the same everywhere" },
-	{ "entry-peers", "CQ_ENTRY_PEERS", CQ_SETTING_LIST, "", 0, 0,
-	  "DATA-CENTRE/INDEX=IPv4:PORT peer addresses of entry hosts" },
-	{ "workspaces", "CQ_WORKSPACES", CQ_SETTING_LIST, "default:1", 0, 0,
-	  "NAME:WEIGHT of each workspace" },
-	{ "classes", "CQ_CLASSES", CQ_SETTING_LIST,
-	  "urgent:0,normal:1,background:2", 0, 0,
-	  "NAME:RANK of each class; rank 0 is served first" },
 	{ "accept-after-term-ms", "CQ_ACCEPT_AFTER_TERM_MS", CQ_SETTING_INTEGER,
 	  "5000", 0, 600000,
 	  "time to go on accepting after SIGTERM, milliseconds" },
@@ -95,7 +86,7 @@
 static bool open_listener(struct entryd_requests *requests,
 			  struct cq_error *err);
 static void open_router(struct entryd_requests *requests,
-			const struct entryd_sources *sources);
+			struct entryd_sources *sources);
 
 const struct cq_router_ops entryd_router_ops = {
 	.call = on_call,
@@ -435,16 +426,16 @@
 }
 
 static void open_router(struct entryd_requests *requests,
-			const struct entryd_sources *sources)
+			struct entryd_sources *sources)
 {
 	struct cq_router_setup setup = {
 		.clock = cq_daemon_clock(requests->daemon),
 		.ops = &entryd_router_ops,
 		.ops_ctx = requests,
-		.members = sources->members,
-		.members_ctx = sources->members_ctx,
-		.policy = sources->policy,
-		.policy_ctx = sources->policy_ctx,
+		.members = &entryd_members_ops,
+		.members_ctx = sources,
+		.policy = &entryd_policy_ops,
+		.policy_ctx = sources,
 	};
 	struct cq_router_options *options = &setup.options;
 	uint64_t incarnation = cq_daemon_incarnation(requests->daemon);
@@ -472,12 +463,12 @@
 }
 
 struct entryd_requests *entryd_requests_create(struct cq_daemon *daemon,
+					       struct entryd_sources *sources,
 					       struct cq_job_calls *job_calls,
 					       struct cq_error *err)
 {
 	struct entryd_requests *requests = g_new0(struct entryd_requests, 1);
 	struct cq_endpoint_http_options endpoint_options;
-	struct entryd_sources sources;
 	uint32_t share;
 
 	requests->daemon = daemon;
@@ -485,12 +476,6 @@
 	requests->loop = cq_daemon_loop(daemon);
 	requests->max_timeout_ms =
 		(uint32_t)setting(requests, "endpoint-run-max-ms");
-	requests->static_source =
-		entryd_static_create(cq_daemon_config(daemon), &sources, err);
-	if (!requests->static_source) {
-		g_free(requests);
-		return NULL;
-	}
 	/* The connections of an endpoint are shared like its slots. */
 	share = (uint32_t)(setting(requests, "endpoint-connections") /
 			   setting(requests, "index-count"));
@@ -505,7 +490,7 @@
 	};
 	requests->endpoint =
 		cq_endpoint_http_create(requests->client, &endpoint_options);
-	open_router(requests, &sources);
+	open_router(requests, sources);
 	ev_timer_init(&requests->tick, on_tick, TICK_S, TICK_S);
 	ev_timer_init(&requests->poll, on_poll, 0., POLL_S);
 	requests->tick.data = requests;
@@ -532,6 +517,5 @@
 	cq_endpoint_http_destroy(requests->endpoint);
 	cq_http_client_destroy(requests->client);
 	requests->vtable->destroy(requests->router);
-	entryd_static_destroy(requests->static_source);
 	g_free(requests);
 }
--- a/src/programs/entryd/requests.h
+++ b/src/programs/entryd/requests.h
@@ -21,7 +21,6 @@
 	struct cq_daemon *daemon;
 	struct cq_job_calls *job_calls;
 	struct ev_loop *loop;
-	struct entryd_static *static_source;
 	struct cq_http_client *client;
 	struct cq_endpoint_http *endpoint;
 	struct cq_http_server *server;
