--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -9,6 +9,8 @@
 #define INDIRECT_PROBES 2
 /* A tick this late means that this process stood still, not the others. */
 #define PAUSE_NS (700 * CQ_NS_PER_MS)
+/* The scan is the only work that grows with the number of members. */
+#define EXPIRY_INTERVAL_NS (500 * CQ_NS_PER_MS)
 /* Periods between attempts to reach dead members and unknown seeds. */
 #define RECONNECT_EVERY 3
 
@@ -301,7 +303,10 @@
 			record->suspect_deadline_ns += paused_ns;
 		}
 	}
-	expire(m, now_ns);
+	if (now_ns >= m->next_expiry_ns) {
+		m->next_expiry_ns = now_ns + EXPIRY_INTERVAL_NS;
+		expire(m, now_ns);
+	}
 	if (m->probe_correlation && m->indirect_ns && m->probe_target &&
 	    now_ns >= m->indirect_ns)
 		send_indirect(m);
--- a/src/coordination/membership_private.h
+++ b/src/coordination/membership_private.h
@@ -42,6 +42,7 @@
 	uint64_t periods;
 	int64_t next_period_ns;
 	int64_t last_tick_ns;
+	int64_t next_expiry_ns;
 	/* The probe of this period; 0: answered or none. */
 	uint64_t probe_correlation;
 	struct record *probe_target;
--- a/src/coordination/ownership.c
+++ b/src/coordination/ownership.c
@@ -215,7 +215,10 @@
 	o->epoch = 0;
 	o->acquire_ns = 0;
 	o->read_back = false;
-	/* The key is read afresh before anything is decided. */
+	/* The key is read afresh, at once, before anything is decided. */
+	if (o->watch)
+		o->store->ops->cancel(o->store->self, o->watch);
+	o->watch = NULL;
 	o->seen = false;
 	o->next_watch_ns = now_ns;
 	cq_ownership_set_state(o, o->stopping ? CQ_OWNERSHIP_STOPPED
--- a/src/coordination/settings_sync.c
+++ b/src/coordination/settings_sync.c
@@ -220,11 +220,22 @@
 {
 	struct cq_settings_sync *sync = ctx;
 	int64_t now_ns = cq_settings_sync_clock_ns(sync);
+	int64_t before;
 
 	sync->watch = NULL;
 	if (result->status == CQ_STORE_OK) {
 		sync->watch_failures = 0;
+		before = cq_settings_revision(sync->tree);
 		take_entries(sync, result, now_ns);
+		/*
+		 * At once, because a change in between would wait for the next
+		 * tick; unless the answer was short and empty, because a
+		 * faulty store could then keep this process busy.
+		 */
+		if (!sync->list_wanted &&
+		    (cq_settings_revision(sync->tree) > before ||
+		     now_ns - sync->watch_sent_ns >= CQ_NS_PER_S))
+			start_watch(sync);
 		return;
 	}
 	if (result->status != CQ_STORE_UNAVAILABLE &&
--- a/src/coordination/settings_sync_private.h
+++ b/src/coordination/settings_sync_private.h
@@ -59,6 +59,7 @@
 	struct cq_store_call *watch;
 	struct cq_store_call *list;
 	int64_t next_watch_ns;
+	int64_t watch_sent_ns;
 	int64_t next_list_ns;
 	uint32_t watch_failures;
 	uint32_t list_failures;
--- a/src/state/settings.c
+++ b/src/state/settings.c
@@ -99,10 +99,13 @@
 	union cq_settings_typed typed;
 	bool ok;
 
-	if (!json_is_object(root))
-		return cq_error_set(err, CQ_ERROR_STATE, CQ_ERR_INVALID,
-				    "%s: stored document is not an object: %s",
-				    subtree->key, root ? "" : fault.text);
+	if (!json_is_object(root)) {
+		cq_error_set(err, CQ_ERROR_STATE, CQ_ERR_INVALID,
+			     "%s: stored document is not an object: %s",
+			     subtree->key, root ? "" : fault.text);
+		json_decref(root);
+		return false;
+	}
 	if (json_is_true(json_object_get(root, "deleted"))) {
 		json_decref(root);
 		json_decref(subtree->settings);
--- a/tests/support/sim_faults.c
+++ b/tests/support/sim_faults.c
@@ -71,6 +71,7 @@
 	[CQ_SIM_STORE_HANG] = "store_hang",
 	[CQ_SIM_STORE_SLOW] = "store_slow",
 	[CQ_SIM_LOST_ANSWERS] = "lost_answers",
+	[CQ_SIM_RESETS] = "resets",
 	[CQ_SIM_LOSS] = "loss",
 	[CQ_SIM_DUPLICATES] = "duplicates",
 	[CQ_SIM_PLANNED_STOP] = "planned_stop",
@@ -425,6 +426,9 @@
 		case CQ_SIM_LOST_ANSWERS:
 			store.lost_answer_permille = 500;
 			break;
+		case CQ_SIM_RESETS:
+			store.reset_permille = 500;
+			break;
 		case CQ_SIM_LOSS:
 			net.loss_permille = 333;
 			break;
--- a/tests/support/sim_faults.h
+++ b/tests/support/sim_faults.h
@@ -26,8 +26,9 @@
 	CQ_SIM_STORE_HANG,
 	CQ_SIM_STORE_SLOW,
 	CQ_SIM_LOST_ANSWERS, /* half of the store's answers are lost */
-	CQ_SIM_LOSS,	     /* a third of the messages is lost */
-	CQ_SIM_DUPLICATES,   /* a third arrives twice, all out of order */
+	CQ_SIM_RESETS,	   /* half of the connections break before the answer */
+	CQ_SIM_LOSS,	   /* a third of the messages is lost */
+	CQ_SIM_DUPLICATES, /* a third arrives twice, all out of order */
 	CQ_SIM_PLANNED_STOP, /* hand-over and leave; ends with a restart */
 	CQ_SIM_FAULT_KINDS,
 };
--- a/tests/support/sim_store.c
+++ b/tests/support/sim_store.c
@@ -181,6 +181,12 @@
 		cq_sim_store_unref(call);
 		return;
 	}
+	if (cq_sim_random(store->sim, 1000) < store->faults.reset_permille) {
+		call->status = CQ_STORE_UNKNOWN;
+		if (call->entries)
+			g_ptr_array_free(call->entries, TRUE);
+		call->entries = NULL;
+	}
 	cq_sim_at(store->sim,
 		  cq_sim_now_ns(store->sim) + cq_sim_store_delay(store),
 		  answer_arrived, call, cq_sim_store_unref);
--- a/tests/support/sim_store.h
+++ b/tests/support/sim_store.h
@@ -19,7 +19,8 @@
 	bool down;	  /* connections are refused: UNAVAILABLE */
 	bool hang;	  /* requests are taken and never run: UNKNOWN */
 	bool keep_leases; /* leases do not run while down or hung */
-	uint32_t lost_answer_permille;	    /* run, but UNKNOWN to the caller */
+	uint32_t lost_answer_permille; /* run, but UNKNOWN to the caller */
+	uint32_t reset_permille; /* run, but UNKNOWN to the caller at once */
 	int64_t min_delay_ns, max_delay_ns; /* each way */
 };
 
--- a/tests/unit/test_store_relay.c
+++ b/tests/unit/test_store_relay.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "../support/sim_faults.h"
+#include "protocol/gen/coordination.pb-c.h"
 
 #define NONE CQ_SIM_FAULT_KINDS
 /* Node 0 makes the calls; its data centre has nodes 0 to 3, dc1 4 to 7. */
@@ -167,6 +168,10 @@
 		  OK | LOST | REFUSED, OK | LOST | REFUSED },
 		{ CQ_SIM_LOST_ANSWERS, NONE, false, OK | LOST | REFUSED,
 		  OK | LOST | REFUSED },
+		{ CQ_SIM_RESETS, NONE, false, OK | LOST | REFUSED,
+		  OK | LOST | REFUSED },
+		{ CQ_SIM_CUT_STORE, CQ_SIM_RESETS, true, OK | LOST | REFUSED,
+		  OK | LOST | REFUSED },
 	};
 	guint i;
 	enum operation operation;
@@ -315,6 +320,53 @@
 	}
 }
 
+/* Guards against a request that arrives twice running twice. */
+static void test_duplicate_request(void)
+{
+	Cq__StoreRelayRequest request = CQ__STORE_RELAY_REQUEST__INIT;
+	struct cq_peer_message message = {
+		.from_address = "10.0.0.2:7000",
+		.from_id = "x",
+		.from_incarnation = 4,
+		.kind = CQ_PEER_STORE_RELAY,
+		.correlation = 9,
+	};
+	static const struct {
+		uint64_t incarnation, correlation;
+		uint32_t writes;
+	} cases[] = {
+		{ 4, 9, 1 }, { 4, 9, 1 }, { 4, 10, 2 },
+		{ 5, 9, 3 }, { 4, 9, 3 },
+	};
+	struct world world;
+	uint8_t payload[128];
+	guint i;
+
+	create(&world, 6);
+	request.operation = CQ__STORE_OPERATION__STORE_PUT;
+	request.key = "test/key";
+	request.value.data = (uint8_t *)"v";
+	request.value.len = 1;
+	request.revision = CQ_STORE_ANY_REVISION;
+	request.timeout_ms = 500;
+	message.payload = payload;
+	message.payload_len = cq__store_relay_request__pack(&request, payload);
+	world.writes = 0;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cq_sim_node *node =
+			cq_sim_cluster_node(world.cluster, CALLER);
+
+		message.from_incarnation = cases[i].incarnation;
+		message.correlation = cases[i].correlation;
+		g_assert_true(cq_store_relay_receive(
+			cq_sim_node_relay(node), &message,
+			cq_sim_node_now_ns(node), NULL));
+		cq_sim_cluster_run_ms(world.cluster, 600);
+		g_assert_cmpuint(world.writes, ==, cases[i].writes);
+	}
+	destroy(&world);
+}
+
 /* Guards against messages that crash or run something. */
 static void test_malformed(void)
 {
@@ -360,6 +412,8 @@
 	g_test_add_func("/store_relay/return", test_return);
 	g_test_add_func("/store_relay/outage_load", test_outage_load);
 	g_test_add_func("/store_relay/cancel", test_cancel);
+	g_test_add_func("/store_relay/duplicate_request",
+			test_duplicate_request);
 	g_test_add_func("/store_relay/malformed", test_malformed);
 	return g_test_run();
 }
