Keep the results of all tests in run-tests.sh

Cause: the script calls itself for each unit test and emptied the results file each time, so that a failing unit test was forgotten: the run printed FAIL for it, counted 4 of 10 tests and ended with 0.

Change: the file is emptied once, before the tests.

Conclusion: make check fails when a test fails.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -8,7 +8,6 @@
 cd "$top" || exit 2
 logs=$build/test-logs
 mkdir -p "$logs"
-: >"$logs/results"
 export CQ_BUILD="$build"
 export RC_PARAMS="${RC_PARAMS:-seed=20261204}"
 export ASAN_OPTIONS="detect_leaks=0:abort_on_error=0"
@@ -42,6 +41,7 @@
 	run_one "$CQ_RUN_ONE" "$2"
 	exit 0
 fi
+: >"$logs/results"
 for f in "$build"/tests/unit/test_* "$build"/tests/property/prop_*; do
 	case $f in *.o | *.d) continue ;; esac
 	[ -x "$f" ] && echo "$f"
