Ask a peer while a slow store may still answer

Cause: a call that may be repeated gave the store half of its time and then dropped it for a peer.

Change: after half of the time a peer is asked in addition, and the first answer counts; the store's own answer still tells the breaker.

--- a/src/coordination/store_relay.c
+++ b/src/coordination/store_relay.c
@@ -33,7 +33,6 @@
 					 uint32_t wait_ms,
 					 cq_store_done_fn *done, void *ctx);
 static void relay_cancel(void *self, struct cq_store_call *call);
-static bool is_repeatable(Cq__StoreOperation operation);
 static struct cq_store_call *start(struct cq_store_relay *relay,
 				   const struct store_arguments *arguments,
 				   cq_store_done_fn *done, void *ctx);
@@ -44,17 +43,13 @@
 		 const char *message);
 static void on_direct(void *ctx, const struct cq_store_result *result);
 static void on_probe(void *ctx, const struct cq_store_result *result);
-static bool was_tried(const struct cq_store_call *call, const char *id);
-static const struct cq_member *choose_peer(const struct cq_store_call *call);
-static bool ask_peer(struct cq_store_call *call, int64_t now_ns);
+static void end_wait(struct cq_store_call *call, int64_t now_ns);
 static bool take_answer(struct cq_store_relay *relay,
 			const struct cq_peer_message *message, int64_t now_ns,
 			struct cq_error *err);
 static void answered(struct cq_store_call *call, const Cq__StoreRelayAnswer *a,
 		     const char *from_id, int64_t now_ns);
 
-/* Time for the answer to a watch after its longest wait. */
-#define WATCH_GRACE_NS CQ_NS_PER_S
 #define PROBE_TIMEOUT_MS 500
 
 static const struct cq_store_ops relay_ops = {
@@ -273,13 +268,6 @@
 	free_call(call);
 }
 
-/* A second execution of these does no harm and gives the same answer. */
-static bool is_repeatable(Cq__StoreOperation operation)
-{
-	return operation != CQ__STORE_OPERATION__STORE_PUT &&
-	       operation != CQ__STORE_OPERATION__STORE_REMOVE;
-}
-
 static struct cq_store_call *start(struct cq_store_relay *relay,
 				   const struct store_arguments *arguments,
 				   cq_store_done_fn *done, void *ctx)
@@ -300,13 +288,15 @@
 			    (is_watch ? WATCH_GRACE_NS : 0);
 	g_ptr_array_add(relay->calls, call);
 	if (cq_store_relay_direct(relay)) {
-		/* Half of the time is left for a peer. */
-		if (is_repeatable(arguments->operation) && !is_watch)
-			timeout_ms = MAX(timeout_ms / 2, 1);
+		/* A silent store must leave time for a peer. */
+		if (cq_store_relay_is_repeatable(arguments->operation) &&
+		    !is_watch)
+			call->hedge_ns =
+				now_ns + (int64_t)timeout_ms * CQ_NS_PER_MS / 2;
 		call->direct =
 			cq_store_relay_issue(relay->direct, &call->arguments,
 					     timeout_ms, on_direct, call);
-	} else if (!ask_peer(call, now_ns)) {
+	} else if (!cq_store_relay_ask_peer(call, now_ns)) {
 		call->failing = true;
 	}
 	return call;
@@ -325,8 +315,15 @@
 	cq_store_done_fn *done = call->done;
 	void *ctx = call->ctx;
 
-	g_ptr_array_remove_fast(call->relay->calls, call);
-	free_call(call);
+	if (call->direct) {
+		/* A peer was faster; the end still tells the breaker. */
+		call->done = NULL;
+		call->correlation = 0;
+		call->hedge_ns = 0;
+	} else {
+		g_ptr_array_remove_fast(call->relay->calls, call);
+		free_call(call);
+	}
 	done(ctx, result);
 }
 
@@ -355,13 +352,21 @@
 {
 	struct cq_store_call *call = ctx;
 	struct cq_store_relay *relay = call->relay;
-	bool repeatable = is_repeatable(call->arguments.operation);
+	bool repeatable =
+		cq_store_relay_is_repeatable(call->arguments.operation);
 
 	call->direct = NULL;
 	cq_store_relay_note(relay, result->status);
+	if (!call->done) {
+		g_ptr_array_remove_fast(relay->calls, call);
+		free_call(call);
+		return;
+	}
 	if (result->status == CQ_STORE_UNAVAILABLE ||
 	    (result->status == CQ_STORE_UNKNOWN && repeatable)) {
-		if (ask_peer(call, cq_clock_now_ns(relay->options.clock)))
+		if (call->correlation ||
+		    cq_store_relay_ask_peer(
+			    call, cq_clock_now_ns(relay->options.clock)))
 			return;
 	}
 	complete(call, result);
@@ -375,97 +380,18 @@
 	cq_store_relay_note(relay, result->status);
 }
 
-static bool was_tried(const struct cq_store_call *call, const char *id)
-{
-	uint32_t i;
-
-	for (i = 0; i < call->tried_count; i++)
-		if (!strcmp(call->tried[i], id))
-			return true;
-	return false;
-}
-
-/* The peer that last answered, then any, of this data centre first. */
-static const struct cq_member *choose_peer(const struct cq_store_call *call)
+/* The time for a peer, or for the store alone, has passed. */
+static void end_wait(struct cq_store_call *call, int64_t now_ns)
 {
-	struct cq_store_relay *relay = call->relay;
-	const struct cq_member *self = cq_membership_self(relay->membership);
-	const struct cq_member *best = NULL;
-	uint64_t best_score = 0;
-	uint32_t i;
-
-	for (i = 1; i < cq_membership_count(relay->membership); i++) {
-		const struct cq_member *member =
-			cq_membership_get(relay->membership, i);
-		uint64_t score;
-
-		if (!cq_member_is_live(member) || was_tried(call, member->id))
-			continue;
-		score = 1 + cq_prng_below(&relay->prng, 1000);
-		/*
-		 * The last try goes to another data centre if there is one: a
-		 * whole data centre may have lost the store.
-		 */
-		if (!strcmp(member->data_centre, self->data_centre) ==
-		    (call->tried_count + 1 < relay->options.max_peers))
-			score += 1000;
-		if (member->state == CQ_MEMBER_ALIVE)
-			score += 2000;
-		if (!strcmp(member->id, relay->last_good))
-			score += 4000;
-		if (score > best_score) {
-			best_score = score;
-			best = member;
-		}
-	}
-	return best;
-}
-
-/* Passes the call to a peer; false if there is none or no time left. */
-static bool ask_peer(struct cq_store_call *call, int64_t now_ns)
-{
-	struct cq_store_relay *relay = call->relay;
-	Cq__StoreRelayRequest request = CQ__STORE_RELAY_REQUEST__INIT;
-	const struct cq_member *peer;
-	int64_t left_ns = call->deadline_ns - now_ns;
-	uint8_t *payload;
-	size_t len;
-
-	call->correlation = 0;
-	if (call->tried_count >= relay->options.max_peers ||
-	    left_ns < 10 * CQ_NS_PER_MS)
-		return false;
-	peer = choose_peer(call);
-	if (!peer)
-		return false;
-	g_strlcpy(call->tried[call->tried_count++], peer->id,
-		  CQ_MEMBER_NAME_BYTES);
-	if (call->arguments.operation == CQ__STORE_OPERATION__STORE_WATCH)
-		left_ns = MAX(left_ns - WATCH_GRACE_NS, 0);
-	else
-		left_ns = MIN(left_ns, relay->options.peer_timeout_ns);
-	call->peer_deadline_ns =
-		call->arguments.operation == CQ__STORE_OPERATION__STORE_WATCH
-			? call->deadline_ns
-			: now_ns + left_ns;
-	call->correlation = ++relay->correlation;
-	request.operation = call->arguments.operation;
-	request.key = call->arguments.key;
-	if (call->arguments.value) {
-		request.value.data = (uint8_t *)call->arguments.value;
-		request.value.len = strlen(call->arguments.value);
-	}
-	request.revision = call->arguments.revision;
-	request.lease_id = call->arguments.lease_id;
-	request.ttl_ms = call->arguments.ttl_ms;
-	request.timeout_ms = (uint32_t)(left_ns / CQ_NS_PER_MS);
-	len = cq__store_relay_request__get_packed_size(&request);
-	payload = g_malloc(len);
-	cq__store_relay_request__pack(&request, payload);
-	relay->ops.send(relay->ctx, peer->address, CQ_PEER_STORE_RELAY,
-			call->correlation, payload, len);
-	g_free(payload);
-	return true;
+	bool repeatable =
+		cq_store_relay_is_repeatable(call->arguments.operation);
+
+	if (call->failing)
+		fail(call, CQ_STORE_UNAVAILABLE,
+		     "store not reachable and no peer to ask");
+	else if ((!repeatable || !cq_store_relay_ask_peer(call, now_ns)) &&
+		 !call->direct)
+		fail(call, CQ_STORE_UNKNOWN, "no answer from the peer");
 }
 
 void cq_store_relay_tick(struct cq_store_relay *relay, int64_t now_ns)
@@ -483,7 +409,8 @@
 		struct cq_store_call *call = g_ptr_array_index(relay->calls, i);
 
 		if (call->failing ||
-		    (call->correlation && now_ns >= call->peer_deadline_ns))
+		    (call->correlation && now_ns >= call->peer_deadline_ns) ||
+		    (call->hedge_ns && now_ns >= call->hedge_ns))
 			g_ptr_array_add(due, call);
 	}
 	for (i = 0; i < due->len; i++) {
@@ -495,12 +422,7 @@
 				break;
 		if (k == relay->calls->len)
 			continue;
-		if (call->failing)
-			fail(call, CQ_STORE_UNAVAILABLE,
-			     "store not reachable and no peer to ask");
-		else if (!is_repeatable(call->arguments.operation) ||
-			 !ask_peer(call, now_ns))
-			fail(call, CQ_STORE_UNKNOWN, "no answer from the peer");
+		end_wait(call, now_ns);
 	}
 	g_ptr_array_free(due, TRUE);
 }
@@ -518,10 +440,10 @@
 				: CQ_STORE_UNKNOWN;
 	if (result.status == CQ_STORE_UNAVAILABLE ||
 	    (result.status == CQ_STORE_UNKNOWN &&
-	     is_repeatable(call->arguments.operation))) {
+	     cq_store_relay_is_repeatable(call->arguments.operation))) {
 		if (!strcmp(relay->last_good, from_id))
 			relay->last_good[0] = '\0';
-		if (ask_peer(call, now_ns))
+		if (cq_store_relay_ask_peer(call, now_ns) || call->direct)
 			return;
 	} else if (result.status != CQ_STORE_UNKNOWN) {
 		g_strlcpy(relay->last_good, from_id, sizeof(relay->last_good));
--- a/src/coordination/store_relay_private.h
+++ b/src/coordination/store_relay_private.h
@@ -11,6 +11,8 @@
 
 #define MAX_TRIED 8
 #define RECENT 128
+/* Time for the answer to a watch after its longest wait. */
+#define WATCH_GRACE_NS CQ_NS_PER_S
 
 /* The arguments of a store call of any operation. */
 struct store_arguments {
@@ -27,11 +29,12 @@
 struct cq_store_call {
 	struct cq_store_relay *relay;
 	struct store_arguments arguments;
-	cq_store_done_fn *done;
+	cq_store_done_fn *done; /* NULL: completed, direct still open */
 	void *ctx;
 	int64_t deadline_ns;
 	struct cq_store_call *direct; /* NULL: not with the store */
-	uint64_t correlation;	      /* of the request to a peer; 0: none */
+	int64_t hedge_ns;     /* when a peer is asked too; 0: not any more */
+	uint64_t correlation; /* of the request to a peer; 0: none */
 	int64_t peer_deadline_ns;
 	char tried[MAX_TRIED][CQ_MEMBER_NAME_BYTES];
 	uint32_t tried_count;
@@ -77,6 +80,10 @@
 cq_store_relay_issue(const struct cq_store *store,
 		     const struct store_arguments *arguments,
 		     uint32_t timeout_ms, cq_store_done_fn *done, void *ctx);
+/* A second execution of these does no harm and gives the same answer. */
+bool cq_store_relay_is_repeatable(Cq__StoreOperation operation);
+/* Passes the call to a peer; false if there is none or no time left. */
+bool cq_store_relay_ask_peer(struct cq_store_call *call, int64_t now_ns);
 /* Tells the breaker about the end of a direct call. */
 void cq_store_relay_note(struct cq_store_relay *relay,
 			 enum cq_store_status status);
