--- a/include/chestnutquay/planner.h
+++ b/include/chestnutquay/planner.h
@@ -8,7 +8,16 @@
  * was created anew gives valid plans and learns again.
  *
  * The caller carries out the actions, and builds the next snapshot from what
- * the workers report. Actions that had no effect are planned again.
+ * the workers report. Actions that had no effect are planned again. Duties of
+ * the caller:
+ * - A gang whose start is under way is listed as running with all its tasks.
+ * - A checkpoint action is echoed in the stop_* fields of the job until the
+ *   job is stopped.
+ * - A job stopped for CQ_REASON_MEMORY_OVERRUN is queued again with the memory
+ *   it was observed to use; with the declared size it would be stopped again.
+ * - A plan is made at least at every stop deadline, and several times within
+ *   urgent_start_ns.
+ * - A probe is asked for in every plan until it is answered.
  */
 #ifndef CHESTNUTQUAY_PLANNER_H
 #define CHESTNUTQUAY_PLANNER_H
--- a/src/state/planner.c
+++ b/src/state/planner.c
@@ -38,6 +38,8 @@
 	planner->history = cq_history_create();
 	planner->health = cq_health_create();
 	planner->standing = cq_standing_create();
+	planner->possible = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  g_free, NULL);
 	return planner;
 }
 
@@ -48,6 +50,7 @@
 	cq_history_destroy(planner->history);
 	cq_health_destroy(planner->health);
 	cq_standing_destroy(planner->standing);
+	g_hash_table_destroy(planner->possible);
 	g_free(planner);
 }
 
--- a/src/state/planner_check.c
+++ b/src/state/planner_check.c
@@ -4,6 +4,9 @@
 #include "state/planner_internal.h"
 
 #define PERMILLE 1000
+/* Sizes known to fit the fleet, and sizes checked in one plan at most. */
+#define MAX_POSSIBLE 65536
+#define MAX_SIZE_CHECKS 64
 /* Keeps sums over a worker and over a gang within 64 bits. */
 #define MAX_MEMORY_BYTES (UINT64_C(1) << 50)
 #define MAX_MILLICORES (UINT32_C(1) << 30)
@@ -206,3 +209,56 @@
 		return misfit_set(misfit, CQ_RESOURCE_TASKS, job->tasks, gang);
 	return true;
 }
+
+static uint64_t mix(uint64_t hash, uint64_t value)
+{
+	/* The finalizer of splitmix64. */
+	hash ^= value + UINT64_C(0x9e3779b97f4a7c15) + (hash << 6);
+	hash = (hash ^ (hash >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	hash = (hash ^ (hash >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return hash ^ (hash >> 31);
+}
+
+static uint64_t hash_fleet(const struct cq_snapshot *snapshot)
+{
+	uint64_t hash = mix(snapshot->dc_count, snapshot->worker_count);
+	uint32_t i;
+
+	for (i = 0; i < snapshot->worker_count; i++) {
+		const struct cq_fleet_worker *worker = &snapshot->workers[i];
+
+		hash = mix(hash, ((uint64_t)worker->dc << 32) | worker->rack);
+		hash = mix(hash, ((uint64_t)worker->accelerators << 32) |
+					 worker->millicores);
+		hash = mix(hash, worker->memory_bytes);
+	}
+	return hash;
+}
+
+bool cq_check_possible(struct cq_plan_context *ctx, uint32_t job,
+		       struct cq_misfit *misfit)
+{
+	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+	struct cq_planner *planner = ctx->planner;
+	uint64_t hash = mix(entry->dc, entry->tasks);
+
+	if (!ctx->fleet_hash) {
+		ctx->fleet_hash = hash_fleet(ctx->snapshot);
+		if (planner->fleet_hash != ctx->fleet_hash ||
+		    g_hash_table_size(planner->possible) > MAX_POSSIBLE)
+			g_hash_table_remove_all(planner->possible);
+		planner->fleet_hash = ctx->fleet_hash;
+	}
+	hash = mix(hash,
+		   ((uint64_t)entry->adjacency << 32) | entry->accelerators);
+	hash = mix(hash, entry->millicores);
+	hash = mix(hash, entry->memory_bytes);
+	/* The rest is checked in a later plan. */
+	if (g_hash_table_contains(planner->possible, &hash) ||
+	    ctx->size_checks++ >= MAX_SIZE_CHECKS)
+		return true;
+	if (!cq_planner_can_ever_run(ctx->snapshot, entry, misfit))
+		return false;
+	g_hash_table_add(planner->possible, g_memdup2(&hash, sizeof(hash)));
+	return true;
+}
--- a/src/state/planner_health.c
+++ b/src/state/planner_health.c
@@ -22,6 +22,7 @@
 struct cq_health {
 	GHashTable *job_workers; /* job to a set of workers */
 	GHashTable *worker_jobs; /* worker to a set of jobs */
+	GHashTable *totals;	 /* job to its number of failures */
 	GHashTable *quarantined; /* worker to struct quarantine */
 	GQueue order;		 /* job ids by first failure */
 };
@@ -75,6 +76,8 @@
 
 	health->job_workers = set_table_new();
 	health->worker_jobs = set_table_new();
+	health->totals =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	health->quarantined =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&health->order);
@@ -87,6 +90,7 @@
 		return;
 	g_hash_table_destroy(health->job_workers);
 	g_hash_table_destroy(health->worker_jobs);
+	g_hash_table_destroy(health->totals);
 	g_hash_table_destroy(health->quarantined);
 	g_queue_clear_full(&health->order, g_free);
 	g_free(health);
@@ -99,6 +103,9 @@
 		g_queue_push_tail(&health->order, g_strdup(job));
 	set_add(health->job_workers, job, worker);
 	set_add(health->worker_jobs, worker, job);
+	g_hash_table_insert(
+		health->totals, g_strdup(job),
+		GUINT_TO_POINTER(cq_health_job_total(health, job) + 1));
 	while (g_queue_get_length(&health->order) > MAX_RECORDS) {
 		char *oldest = g_queue_pop_head(&health->order);
 
@@ -121,6 +128,7 @@
 	GHashTableIter iter;
 	gpointer key;
 
+	g_hash_table_remove(health->totals, job);
 	if (!set)
 		return;
 	g_hash_table_iter_init(&iter, set);
@@ -208,6 +216,19 @@
 	return failures;
 }
 
+uint32_t cq_health_job_total(const struct cq_health *health, const char *job)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(health->totals, job));
+}
+
+bool cq_health_failed_on(const struct cq_health *health, const char *job,
+			 const char *worker)
+{
+	GHashTable *set = g_hash_table_lookup(health->job_workers, job);
+
+	return set && g_hash_table_contains(set, worker);
+}
+
 void cq_health_quarantine(struct cq_health *health, const char *worker,
 			  int64_t now_ns)
 {
@@ -221,5 +242,6 @@
 bool cq_health_is_empty(const struct cq_health *health)
 {
 	return g_hash_table_size(health->worker_jobs) == 0 &&
+	       g_hash_table_size(health->totals) == 0 &&
 	       g_hash_table_size(health->quarantined) == 0;
 }
--- a/src/state/planner_index.c
+++ b/src/state/planner_index.c
@@ -160,6 +160,7 @@
 	const struct cq_history_entry **histories = g_new0(
 		const struct cq_history_entry *,
 		(gsize)snapshot->workspace_count * snapshot->class_count + 1);
+	bool any_failure = !cq_health_is_empty(ctx->planner->health);
 	uint32_t i;
 
 	for (i = 0; i < snapshot->workspace_count * snapshot->class_count; i++)
@@ -175,6 +176,9 @@
 		job->first_task = CQ_NONE;
 		job->rank = snapshot->classes[entry->class_index].rank;
 		job->predicted_run_ns = predict_run_ns(ctx, i, histories);
+		job->failed_before =
+			any_failure &&
+			cq_health_job_total(ctx->planner->health, entry->id);
 		if (entry->state != CQ_JOB_RUNNING)
 			continue;
 		elapsed = MAX(ctx->now_ns - entry->started_ns, 0);
@@ -317,7 +321,6 @@
 		return;
 	}
 	ctx->jobs[job].leaving = true;
-	ctx->jobs[job].checkpointed = true;
 	action = cq_plan_add_action(ctx, CQ_ACTION_CHECKPOINT, reason, job);
 	action->for_job = for_job;
 	action->deadline_ns = deadline_ns;
--- a/src/state/planner_internal.h
+++ b/src/state/planner_internal.h
@@ -20,6 +20,8 @@
 	struct cq_history *history;
 	struct cq_health *health;
 	struct cq_standing *standing;
+	GHashTable *possible; /* hashes of job sizes the fleet can hold */
+	uint64_t fleet_hash;  /* of the fleet they were checked against */
 };
 
 /* Resources of one or several tasks. */
@@ -61,9 +63,9 @@
 	uint32_t task_count;
 	uint32_t rank; /* of its class */
 	enum cq_tier tier;
-	bool leaving;	   /* checkpointed to be stopped, or stopped */
-	bool stopped;	   /* a stop action is in this plan */
-	bool checkpointed; /* a checkpoint action is in this plan */
+	bool leaving; /* checkpointed to be stopped, or stopped */
+	bool stopped; /* a stop action is in this plan */
+	bool failed_before;
 	int64_t predicted_run_ns;
 	int64_t predicted_end_ns; /* running */
 	uint64_t lost_ms;	  /* accelerator-ms lost by an eviction */
@@ -121,6 +123,8 @@
 	GArray *waits;
 	GArray *shortfalls;
 	uint32_t starts_left;
+	uint32_t size_checks;
+	uint64_t fleet_hash; /* 0: not computed yet */
 };
 
 static inline struct cq_part *cq_part_at(const struct cq_plan_context *ctx,
@@ -168,6 +172,10 @@
 bool cq_snapshot_check(const struct cq_snapshot *snapshot,
 		       struct cq_error *err);
 
+/* Whether a waiting job could ever run; remembers sizes that can. */
+bool cq_check_possible(struct cq_plan_context *ctx, uint32_t job,
+		       struct cq_misfit *misfit);
+
 /* planner_index.c */
 void cq_plan_index(struct cq_plan_context *ctx);
 void cq_plan_context_clear(struct cq_plan_context *ctx);
@@ -220,6 +228,9 @@
 /* What a job may take on a worker now; false: no start there. */
 bool cq_place_room(const struct cq_plan_context *ctx, uint32_t job,
 		   uint32_t worker, struct cq_need *room, bool *was_reserved);
+/* Cost that makes a job return last to workers it failed on. */
+uint64_t cq_place_failure_cost(const struct cq_plan_context *ctx, uint32_t job,
+			       uint32_t worker);
 /* Chooses workers with free capacity. */
 bool cq_place_free(struct cq_plan_context *ctx, uint32_t job,
 		   bool *was_reserved);
@@ -288,6 +299,10 @@
 /* Distinct workers on which failures are laid to the job. */
 uint32_t cq_health_job_failures(const struct cq_health *health,
 				const char *job);
+/* All failures of the job, whoever they are laid to. */
+uint32_t cq_health_job_total(const struct cq_health *health, const char *job);
+bool cq_health_failed_on(const struct cq_health *health, const char *job,
+			 const char *worker);
 void cq_health_quarantine(struct cq_health *health, const char *worker,
 			  int64_t now_ns);
 bool cq_health_is_empty(const struct cq_health *health);
--- a/src/state/planner_place.c
+++ b/src/state/planner_place.c
@@ -10,6 +10,7 @@
 
 /* Order of preference among workers, as the high bits of a cost. */
 #define COST_INTRUDES (UINT64_C(1) << 32)
+#define COST_FAILED_BEFORE (UINT64_C(1) << 48)
 
 static bool charge_chosen(struct cq_plan_context *ctx, uint32_t job,
 			  uint32_t *parts);
@@ -58,6 +59,17 @@
 	return cost;
 }
 
+uint64_t cq_place_failure_cost(const struct cq_plan_context *ctx, uint32_t job,
+			       uint32_t worker)
+{
+	if (!ctx->jobs[job].failed_before ||
+	    !cq_health_failed_on(ctx->planner->health,
+				 ctx->snapshot->jobs[job].id,
+				 ctx->snapshot->workers[worker].name))
+		return 0;
+	return COST_FAILED_BEFORE;
+}
+
 static int compare_candidates(const void *a, const void *b)
 {
 	const struct cq_candidate *left = a;
@@ -168,8 +180,10 @@
 			continue;
 		ctx->candidates[count].worker = worker;
 		ctx->candidates[count].tasks = tasks;
-		ctx->candidates[count].cost = free_cost(
-			ctx, worker, (int64_t)tasks * entry->accelerators);
+		ctx->candidates[count].cost =
+			free_cost(ctx, worker,
+				  (int64_t)tasks * entry->accelerators) +
+			cq_place_failure_cost(ctx, job, worker);
 		count++;
 	}
 	return count;
@@ -294,9 +308,10 @@
 		ctx->candidates[count].worker = worker;
 		ctx->candidates[count].tasks = tasks;
 		ctx->candidates[count].cost =
-			(uint64_t)(room.accelerators -
-				   (int64_t)tasks * entry->accelerators)
-			<< 8;
+			((uint64_t)(room.accelerators -
+				    (int64_t)tasks * entry->accelerators)
+			 << 8) +
+			cq_place_failure_cost(ctx, job, worker);
 		count++;
 	}
 	return cq_place_choose(ctx, count, job, &cost);
--- a/src/state/planner_queue.c
+++ b/src/state/planner_queue.c
@@ -13,6 +13,7 @@
 #define MAX_ATTEMPTS 512
 #define MAX_RECLAIMS 64
 #define MAX_FAILED_SHAPES 64
+#define FAILURE_FACTOR 4
 
 struct queued {
 	uint32_t job;
@@ -105,24 +106,39 @@
 	g_array_append_val(ctx->waits, wait);
 }
 
+/*
+ * A job that only few workers can hold may never fail on enough distinct
+ * ones, so a multiple of that number of failures counts as well.
+ */
+static bool fails_for_good(const struct cq_plan_context *ctx,
+			   const struct cq_fleet_job *job)
+{
+	const struct cq_health *health = ctx->planner->health;
+
+	return cq_health_job_failures(health, job->id) >=
+		       ctx->policy->job_failure_workers ||
+	       cq_health_job_total(health, job->id) >=
+		       ctx->policy->job_failure_workers * FAILURE_FACTOR;
+}
+
 /* Removes jobs from the queue whose fate is settled. */
 static bool settle(struct cq_plan_context *ctx, uint32_t job)
 {
 	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+	struct cq_misfit misfit;
 	struct cq_action *action;
 
-	if (cq_health_job_failures(ctx->planner->health, entry->id) >=
-	    ctx->policy->job_failure_workers) {
+	if (ctx->jobs[job].failed_before && fails_for_good(ctx, entry)) {
 		cq_plan_add_action(ctx, CQ_ACTION_REJECT,
 				   CQ_REASON_FAILS_ANYWHERE, job);
 		return true;
 	}
-	if (entry->dc != CQ_NONE && entry->dc >= ctx->snapshot->dc_count) {
+	if (!cq_check_possible(ctx, job, &misfit)) {
 		action = cq_plan_add_action(ctx, CQ_ACTION_REJECT,
 					    CQ_REASON_NEVER_FITS, job);
-		action->resource = CQ_RESOURCE_DC;
-		action->requested = entry->dc;
-		action->largest = ctx->snapshot->dc_count;
+		action->resource = misfit.resource;
+		action->requested = misfit.requested;
+		action->largest = misfit.largest;
 		return true;
 	}
 	if (entry->dc != CQ_NONE &&
@@ -133,22 +149,6 @@
 	return false;
 }
 
-static bool reject_if_impossible(struct cq_plan_context *ctx, uint32_t job)
-{
-	struct cq_misfit misfit;
-	struct cq_action *action;
-
-	if (cq_planner_can_ever_run(ctx->snapshot, &ctx->snapshot->jobs[job],
-				    &misfit))
-		return false;
-	action = cq_plan_add_action(ctx, CQ_ACTION_REJECT, CQ_REASON_NEVER_FITS,
-				    job);
-	action->resource = misfit.resource;
-	action->requested = misfit.requested;
-	action->largest = misfit.largest;
-	return true;
-}
-
 static bool is_at_least(const struct cq_plan_context *ctx, uint32_t job,
 			const struct failed_shape *failed)
 {
@@ -198,6 +198,16 @@
 	failed->was_reserved = was_reserved;
 }
 
+static bool has_unused_guarantee(const struct cq_plan_context *ctx,
+				 uint32_t job)
+{
+	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+
+	return entry->accelerators > 0 &&
+	       ctx->workspace_unused[entry->workspace] >=
+		       (int64_t)entry->accelerators * entry->tasks;
+}
+
 /*
  * First pass: jobs within the guarantees of their workspace, of any class,
  * before jobs that would borrow; otherwise the borrowers would be reclaimed
@@ -218,7 +228,20 @@
 			queue->attempts++;
 			if (cq_place_guaranteed(ctx, entry.job))
 				continue;
-			if (queue->reclaims < MAX_RECLAIMS &&
+			/*
+			 * Idle capacity costs nobody any work, unless a job of
+			 * a class served before is waiting for it.
+			 */
+			if ((kept == 0 ||
+			     queue->entries[0].rank == entry.rank) &&
+			    has_unused_guarantee(ctx, entry.job) &&
+			    cq_place_free(ctx, entry.job, NULL)) {
+				cq_place_start(ctx, entry.job,
+					       CQ_REASON_BORROWED, NULL);
+				continue;
+			}
+			if (has_unused_guarantee(ctx, entry.job) &&
+			    queue->reclaims < MAX_RECLAIMS &&
 			    cq_reclaim_cells(ctx, entry.job)) {
 				queue->reclaims++;
 				add_wait(ctx, entry.job, CQ_REASON_WAIT_RECLAIM,
@@ -284,9 +307,11 @@
 		reason = failed->reason;
 	}
 	if (urgent && queue->reclaims < MAX_RECLAIMS &&
-	    !find_failed(ctx, &queue->failed_reclaim, job, false)) {
+	    !find_failed(ctx, &queue->failed_reclaim, job, true)) {
 		queue->reclaims++;
-		if (cq_reclaim_borrowed(ctx, job, 0)) {
+		/* Own jobs that are served later, or borrowers that are. */
+		if (cq_reclaim_cells(ctx, job) ||
+		    cq_reclaim_borrowed(ctx, job, 0)) {
 			add_wait(ctx, job, CQ_REASON_WAIT_RECLAIM, ctx->now_ns);
 			return;
 		}
@@ -294,9 +319,6 @@
 	}
 	if (deserves_reservation(ctx, queue, job)) {
 		start_ns = cq_place_reserve(ctx, job);
-		if (start_ns == CQ_FLEET_UNKNOWN_NS &&
-		    reject_if_impossible(ctx, job))
-			return;
 		queue->reservations++;
 		if (!urgent && start_ns != CQ_FLEET_UNKNOWN_NS &&
 		    queue->reclaims < MAX_RECLAIMS) {
--- a/src/state/planner_reclaim.c
+++ b/src/state/planner_reclaim.c
@@ -267,10 +267,7 @@
 	uint32_t i;
 	uint32_t k;
 
-	if (entry->accelerators == 0 ||
-	    (!reclaim.urgent &&
-	     ctx->workspace_unused[entry->workspace] <
-		     (int64_t)entry->accelerators * entry->tasks))
+	if (entry->accelerators == 0)
 		return false;
 	reclaim.deadline_ns = reclaim_deadline_ns(ctx, job, reclaim.urgent);
 	all = cq_place_collect_own(ctx, entry->workspace);
@@ -288,7 +285,8 @@
 			continue;
 		ctx->candidates[count].worker = worker;
 		ctx->candidates[count].tasks = limit;
-		ctx->candidates[count].cost = worker_cost;
+		ctx->candidates[count].cost =
+			worker_cost + cq_place_failure_cost(ctx, job, worker);
 		count++;
 	}
 	if (!cq_place_choose(ctx, count, job, &cost))
@@ -340,7 +338,8 @@
 			continue;
 		ctx->candidates[count].worker = worker;
 		ctx->candidates[count].tasks = limit;
-		ctx->candidates[count].cost = worker_cost;
+		ctx->candidates[count].cost =
+			worker_cost + cq_place_failure_cost(ctx, job, worker);
 		count++;
 	}
 	if (!cq_place_choose(ctx, count, job, &cost))
