--- /dev/null
+++ b/tests/scripts/test_pages.sh
@@ -0,0 +1,17 @@
+# The pages of the repository.
+# Guards against links and file names that lead nowhere.
+git ls-files '*.md' | while read -r page; do
+	dir=$(dirname "$page")
+	grep -oE '\]\([^)#]+' "$page" | sed 's/^](//' |
+		grep -v '^[a-z]*:' | while read -r target; do
+		[ -e "$dir/$target" ] || echo "$page: no $target"
+	done
+done
+# Names of files and directories in the pages, as `src/...`.
+grep -ohE '`(src|include|tests|docs|bench|scripts)/[A-Za-z0-9_./-]+`' \
+	README.md CONTRIBUTING.md docs/architecture.md docs/CAPACITY.md \
+	docs/operate/*.md | tr -d '`' | sort -u | while read -r name; do
+	case $name in *NAME*) continue ;; esac
+	[ -e "$name" ] || echo "no $name"
+done
+echo checked
