--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,12 @@
 BENCH_BIN := $(BENCH_SRC:bench/%.c=$(B)/bench/%)
 BENCH_LIB_SRC := $(filter-out $(BENCH_SRC),$(wildcard bench/*.c))
 BENCH_LIB_OBJ := $(BENCH_LIB_SRC:%.c=$(B)/%.o)
-FUZZ_SRC := $(wildcard tests/fuzz/fuzz_*.c)
+# A target is built once the header of its module is in the tree.
+fuzz_needs = $(if $(wildcard include/chestnutquay/$2.h),,tests/fuzz/fuzz_$1.c)
+FUZZ_SRC := $(filter-out $(call fuzz_needs,job,jobs) \
+	$(call fuzz_needs,caller,caller) \
+	$(call fuzz_needs,peer_request,peer_request), \
+	$(wildcard tests/fuzz/fuzz_*.c))
 FUZZ_BIN := $(FUZZ_SRC:tests/fuzz/%.c=build-fuzz/%)
 
 .PHONY: all check lint format bench demo deps generate clean tests fuzz \
