--- a/src/programs/cqctl/jobs.c
+++ b/src/programs/cqctl/jobs.c
@@ -15,6 +15,7 @@
 static int run_cancel(struct cqctl *ctl);
 static int job_call(struct cqctl *ctl, const char *method, const char *suffix,
 		    const char *verb, struct cqctl_answer *answer);
+static void note_limit(const struct cqctl *ctl, const json_t *body);
 static void append_query(GString *path, const char *name, const char *value);
 static void print_fields(const json_t *object);
 static void print_reasons(const struct cqctl *ctl, const json_t *body);
@@ -141,6 +142,18 @@
 	g_free(encoded);
 }
 
+static void note_limit(const struct cqctl *ctl, const json_t *body)
+{
+	json_int_t total = json_integer_value(json_object_get(body, "total"));
+	size_t shown = json_array_size(json_object_get(body, "jobs"));
+
+	if (total > (json_int_t)shown)
+		cqctl_note(ctl,
+			   "%zu of %" JSON_INTEGER_FORMAT
+			   " jobs are shown; see --limit and the filters",
+			   shown, total);
+}
+
 static int run_list(struct cqctl *ctl)
 {
 	static const struct cqctl_column columns[] = {
@@ -179,6 +192,7 @@
 			cqctl_print_table(ctl,
 					  json_object_get(answer.body, "jobs"),
 					  columns, G_N_ELEMENTS(columns));
+		note_limit(ctl, answer.body);
 		result = cqctl_check_freshness(ctl, answer.body);
 	}
 	cqctl_answer_clear(&answer);
--- a/src/programs/cqctl/output.c
+++ b/src/programs/cqctl/output.c
@@ -15,6 +15,7 @@
 static char *time_text(json_int_t unix_ms);
 static char *bytes_text(double bytes);
 static char *list_text(const json_t *list);
+static double age_of(const json_t *body);
 static bool is_number_column(const struct cqctl_column *column);
 static void print_cell(const char *text, size_t width, bool right, bool last);
 
@@ -241,6 +242,27 @@
 	g_free(widths);
 }
 
+/* The age of the answer or, in a list, of its oldest row; -1: not told. */
+static double age_of(const json_t *body)
+{
+	const json_t *age = json_object_get(body, "age_ms");
+	double oldest = age ? json_number_value(age) : -1;
+	const char *name;
+	json_t *value;
+	json_t *row;
+	size_t i;
+
+	json_object_foreach((json_t *)body, name, value)
+	{
+		json_array_foreach(value, i, row)
+		{
+			age = json_object_get(row, "age_ms");
+			oldest = MAX(oldest, age ? json_number_value(age) : -1);
+		}
+	}
+	return oldest;
+}
+
 int cqctl_check_freshness(const struct cqctl *ctl, const json_t *body)
 {
 	bool stale = json_is_true(json_object_get(body, "stale"));
@@ -255,9 +277,13 @@
 		g_free(text);
 	}
 	if (stale) {
-		text = duration_text(
-			json_number_value(json_object_get(body, "age_ms")));
-		cqctl_note(ctl, "this answer is stale; it is %s old", text);
+		text = duration_text(age_of(body));
+		if (age_of(body) < 0)
+			cqctl_note(ctl, "this answer is stale; how old it is "
+					"was not told");
+		else
+			cqctl_note(ctl, "this answer is stale; it is %s old",
+				   text);
 		g_free(text);
 	}
 	if (!stale && !partial)
--- a/tests/scripts/test_cqctl_faults.sh
+++ b/tests/scripts/test_cqctl_faults.sh
@@ -77,6 +77,7 @@
 
 echo "# a partial list"
 run jobs list --server 127.0.23.13:7102
+run jobs list --server 127.0.23.13:7102 --state waiting
 
 echo "# a daemon that is silent"
 kill -STOP "$b"
--- a/tests/standins/fake-daemon/main.c
+++ b/tests/standins/fake-daemon/main.c
@@ -89,6 +89,13 @@
 		answer_fixed(ctx, exchange);
 	else if (state && strcmp(state, "waiting") != 0)
 		cq_http_exchange_respond_json(exchange, 200, "{\"jobs\":[]}");
+	else if (fake->partial && state)
+		/* The owner of one data centre did not answer. */
+		cq_http_exchange_respond_json(
+			exchange, 200,
+			"{\"jobs\":[" JOB "}," JOB
+			",\"stale\":true,\"age_ms\":90000}],"
+			"\"stale\":true,\"missing\":[]}");
 	else if (fake->partial)
 		cq_http_exchange_respond_json(
 			exchange, 200,
@@ -96,7 +103,8 @@
 			"}],\"missing\":[\"rajkot\",\"vadodara\"]}");
 	else
 		cq_http_exchange_respond_json(exchange, 200,
-					      "{\"jobs\":[" JOB "}]}");
+					      "{\"jobs\":[" JOB "}],"
+					      "\"total\":2}");
 }
 
 static void submit_job(void *ctx, struct cq_http_exchange *exchange)
