--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -227,6 +227,7 @@
 	struct entry *entry = entry_create(router, request, origin, caller);
 	const struct cq_router_policy_ops *policy = router->setup.policy;
 	void *policy_ctx = router->setup.policy_ctx;
+	uint32_t rank = 0;
 
 	/* Nobody but the home knows whether an earlier copy of a key ran. */
 	entry->maybe_ran = keyed(entry) &&
@@ -237,12 +238,13 @@
 			      "no workspace of this name exists");
 		return;
 	}
-	if (!policy->class_rank(policy_ctx, request->class_name,
-				&entry->item.rank)) {
+	if (!policy->class_rank(policy_ctx, request->class_name, &rank) ||
+	    rank >= CQ_ADMISSION_MAX_RANKS) {
 		router_refuse(router, entry, CQ_REFUSAL_UNKNOWN_CLASS,
 			      "no class of this name exists");
 		return;
 	}
+	entry->item.rank = rank;
 	cq_admission_note_arrival(router->admission, entry->item.rank,
 				  entry->arrival_ns);
 	if (keyed(entry) && entry->origin.kind != CQ_ORIGIN_SPILL)
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -302,6 +302,9 @@
 	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MAX_CONNECTION_AGE_S);
 	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
 			 request->fresh_connection ? 1L : 0L);
+	/* Kept open, such connections would pile up to the limit unused. */
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
+			 request->fresh_connection ? 1L : 0L);
 	curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 0L);
 	if (call->body_len || !strcmp(request->method, "POST") ||
 	    !strcmp(request->method, "PUT")) {
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -170,16 +170,20 @@
 			      uint32_t status, const char *code,
 			      const char *message)
 {
+	/* A key may belong to an earlier request that ran. */
+	const char *run = cq_http_exchange_header(exchange, "Idempotency-Key")
+				  ? "unknown"
+				  : "no";
 	char *json = g_strdup_printf("{\"error\":{\"code\":\"%s\",\"message\":"
-				     "\"%s\",\"run\":\"no\"}}",
-				     code, message);
+				     "\"%s\",\"run\":\"%s\"}}",
+				     code, message, run);
 
 	exchange->status = status;
 	exchange->response = MHD_create_response_from_buffer(
 		strlen(json), json, MHD_RESPMEM_MUST_COPY);
 	MHD_add_response_header(exchange->response, "Content-Type",
 				"application/json");
-	MHD_add_response_header(exchange->response, "Cq-Run", "no");
+	MHD_add_response_header(exchange->response, "Cq-Run", run);
 	g_free(json);
 	return send_answer(exchange);
 }
--- a/tests/standins/fake-endpoint/main.c
+++ b/tests/standins/fake-endpoint/main.c
@@ -8,8 +8,8 @@
  *   GET /v1/stats     {"executions","refused","repeated_ids",
  *                     "repeated_bodies","endpoints":[{"port","executions",
  *                     "refused","concurrent","max_concurrent","connections",
- *                     "max_connections"}]}; ?bodies=1 adds {"bodies":{B:N}}
- *   PUT /v1/faults    {"endpoints":[INDEX...] (default: all),
+ *                     "max_connections"}]}; ?bodies=1 adds {"bodies":{"TARGET
+ * BODY":N}} PUT /v1/faults    {"endpoints":[INDEX...] (default: all),
  *                     "service_ms","jitter_ms","leaving","never_answer",
  *                     "fail_fast","close_mid_answer","cross_answers","down",
  *                     "silence_connections"}; see endpoint.h
--- a/tests/support/request_world.h
+++ b/tests/support/request_world.h
@@ -102,6 +102,8 @@
 
 struct world_faults *world_endpoint_faults(struct world *world, uint32_t index);
 uint64_t world_endpoint_calls(const struct world *world, uint32_t index);
+/* Most requests that it ran at one time. */
+uint32_t world_endpoint_peak(const struct world *world, uint32_t index);
 /* Most requests at one time over the slots, of all endpoints; 0 is right. */
 uint32_t world_slots_exceeded(const struct world *world);
 /* Most connections of one host to one endpoint over its share. */
--- a/tests/support/request_world_internal.h
+++ b/tests/support/request_world_internal.h
@@ -36,6 +36,7 @@
 	uint32_t data_centre;
 	struct world_faults faults;
 	uint32_t running;
+	uint32_t peak;
 	uint32_t worst; /* over its slots */
 	uint64_t calls;
 };
@@ -46,6 +47,8 @@
 	uint32_t index;
 	char *address;
 	struct process *process; /* NULL: down */
+	/* An earlier process that was replaced while it was paused. */
+	struct process *replaced;
 	bool cut;
 	int64_t delay_ns;
 	int64_t changed_ns; /* last death or cut */
--- a/tests/support/request_world_net.c
+++ b/tests/support/request_world_net.c
@@ -162,6 +162,7 @@
 {
 	flight->outcome = outcome;
 	flight->status = status;
+	flight->cross = outcome == CQ_ENDPOINT_CROSSED;
 	world_at(world, world->now_ns + world->options.link_ns, on_back,
 		 flight);
 }
@@ -209,6 +210,7 @@
 		world->executions++;
 	}
 	e->running++;
+	e->peak = MAX(e->peak, e->running);
 	if (e->running > world->options.slots)
 		e->worst = MAX(e->worst, e->running - world->options.slots);
 	if (e->faults.fail_fast || !flight->logical)
