--- a/tests/support/request_world.c
+++ b/tests/support/request_world.c
@@ -308,6 +308,7 @@
 	for (i = 0; i < world->endpoints->len; i++) {
 		struct endpoint *e = world->endpoints->pdata[i];
 
+		g_queue_clear(&e->waiting);
 		g_free(e->id);
 		g_free(e->address);
 		g_free(e);
--- a/tests/support/request_world.h
+++ b/tests/support/request_world.h
@@ -33,6 +33,8 @@
 	int64_t list_lag_ns;   /* of the host list */
 	uint32_t call_max_ms;
 	uint32_t share_hold_ms;
+	/* Calls over the slots wait at the endpoint instead of running. */
+	bool endpoint_queues;
 	const struct cq_router_vtable *vtable;
 };
 
--- a/tests/support/request_world_internal.h
+++ b/tests/support/request_world_internal.h
@@ -36,6 +36,7 @@
 	uint32_t data_centre;
 	struct world_faults faults;
 	uint32_t running;
+	GQueue waiting; /* struct flight, with endpoint_queues */
 	uint32_t peak;
 	uint32_t worst; /* over its slots */
 	uint64_t calls;
--- a/tests/support/request_world_net.c
+++ b/tests/support/request_world_net.c
@@ -34,6 +34,7 @@
 	size_t len;
 };
 
+static void on_run_end(struct world *world, void *ctx);
 static void on_call(void *ctx, uint64_t call_id,
 		    const struct cq_endpoint_call *call);
 static void on_probe(void *ctx, uint64_t call_id, const char *address,
@@ -167,12 +168,35 @@
 		 flight);
 }
 
+static void start_run(struct world *world, struct flight *flight)
+{
+	struct endpoint *e = flight->endpoint;
+	double spread = world->options.service_spread;
+	double factor = 1 + spread * (2 * g_rand_double(world->random) - 1);
+	int64_t run_ns = (int64_t)((double)world->options.service_ns * factor) +
+			 e->faults.extra_ns;
+
+	if (flight->logical) {
+		flight->logical->executions++;
+		world->executions++;
+	}
+	e->running++;
+	e->peak = MAX(e->peak, e->running);
+	if (e->running > world->options.slots)
+		e->worst = MAX(e->worst, e->running - world->options.slots);
+	if (e->faults.fail_fast || !flight->logical)
+		run_ns = CQ_NS_PER_MS;
+	world_at(world, world->now_ns + run_ns, on_run_end, flight);
+}
+
 static void on_run_end(struct world *world, void *ctx)
 {
 	struct flight *flight = ctx;
 	struct endpoint *e = flight->endpoint;
 
 	e->running--;
+	if (e->waiting.length)
+		start_run(world, g_queue_pop_head(&e->waiting));
 	if (e->faults.never_answer) {
 		flight_release(flight);
 		return;
@@ -190,10 +214,6 @@
 {
 	struct flight *flight = ctx;
 	struct endpoint *e = flight->endpoint;
-	double spread = world->options.service_spread;
-	double factor = 1 + spread * (2 * g_rand_double(world->random) - 1);
-	int64_t run_ns = (int64_t)((double)world->options.service_ns * factor) +
-			 e->faults.extra_ns;
 
 	if (e->faults.down) {
 		send_back(world, flight, CQ_ENDPOINT_NOT_SENT, 0);
@@ -205,17 +225,11 @@
 		send_back(world, flight, CQ_ENDPOINT_REFUSED, 503);
 		return;
 	}
-	if (flight->logical) {
-		flight->logical->executions++;
-		world->executions++;
-	}
-	e->running++;
-	e->peak = MAX(e->peak, e->running);
-	if (e->running > world->options.slots)
-		e->worst = MAX(e->worst, e->running - world->options.slots);
-	if (e->faults.fail_fast || !flight->logical)
-		run_ns = CQ_NS_PER_MS;
-	world_at(world, world->now_ns + run_ns, on_run_end, flight);
+	if (world->options.endpoint_queues &&
+	    e->running >= world->options.slots)
+		g_queue_push_tail(&e->waiting, flight);
+	else
+		start_run(world, flight);
 }
 
 static struct flight *take_off(struct process *process, uint64_t call_id,
