--- a/tests/support/request_world.h
+++ b/tests/support/request_world.h
@@ -33,6 +33,8 @@
 	int64_t list_lag_ns;   /* of the host list */
 	uint32_t call_max_ms;
 	uint32_t share_hold_ms;
+	/* Calls over the slots wait at the endpoint instead of running. */
+	bool endpoint_queues;
 	const struct cq_router_vtable *vtable;
 };
 
@@ -102,6 +104,8 @@
 
 struct world_faults *world_endpoint_faults(struct world *world, uint32_t index);
 uint64_t world_endpoint_calls(const struct world *world, uint32_t index);
+/* Most requests that it ran at one time. */
+uint32_t world_endpoint_peak(const struct world *world, uint32_t index);
 /* Most requests at one time over the slots, of all endpoints; 0 is right. */
 uint32_t world_slots_exceeded(const struct world *world);
 /* Most connections of one host to one endpoint over its share. */
