Serve workspaces, decisions and counters; test permits and paused owners

The fault table freed the simulation before its last events. A caretaker would have begun 13 to 14 s after an owner's death, later than the 12.5 s that renewals grant.

Change: tests in which the settings do not arrive, in which starts wait at paused workers, and in which an owner wakes up past its lease while nobody else has acquired; records kept for a limited time, refill after a return, lost answers of the store; the scripted run covers a submission during a store outage, lost answers, and an owner that dies during an outage. The caretaker begins 3 s after membership lost the owner.

--- a/include/chestnutquay/controller.h
+++ b/include/chestnutquay/controller.h
@@ -161,6 +161,8 @@
 char *cq_controller_explain_job(struct cq_controller *c, const char *job_id,
 				int64_t now_ns);
 char *cq_controller_list_workers(struct cq_controller *c, int64_t now_ns);
+/* Accelerators and jobs of each workspace, as of the last plan. */
+char *cq_controller_list_workspaces(struct cq_controller *c);
 /* Whether a submission could ever run here; the reason if not. */
 bool cq_controller_can_ever_run(struct cq_controller *c,
 				const struct cq_job_record *record,
--- a/include/chestnutquay/fleet_state.h
+++ b/include/chestnutquay/fleet_state.h
@@ -39,7 +39,8 @@
 struct cq_fleet_node {
 	char name[CQ_JOB_NAME_BYTES];
 	char address[24];
-	uint32_t rack;
+	char rack_name[CQ_JOB_NAME_BYTES];
+	uint32_t rack; /* number of the name */
 	bool listed;   /* on the host list */
 	bool reported; /* reported all its tasks in this epoch */
 	bool lost;     /* gave no answer for too long */
--- a/src/coordination/controller.c
+++ b/src/coordination/controller.c
@@ -62,6 +62,8 @@
 	c->commands = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	c->probes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->accounts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->retired = g_queue_new();
 	c->dcs = g_array_new(FALSE, FALSE, sizeof(struct cq_controller_dc));
 	c->classes =
@@ -74,6 +76,7 @@
 	c->sequence = (uint64_t)cq_clock_unix_ms(options->clock) * 1000;
 	cq_policy_init(&c->policy);
 	c->checkpoint_cost_ns = CHECKPOINT_COST_NS;
+	cq_controller_open_metrics(c);
 	return c;
 }
 
@@ -88,6 +91,7 @@
 	g_hash_table_destroy(c->store_calls);
 	g_hash_table_destroy(c->commands);
 	g_hash_table_destroy(c->probes);
+	g_hash_table_destroy(c->accounts);
 	g_queue_free_full(c->retired, g_free);
 	g_array_free(c->dcs, TRUE);
 	g_array_free(c->classes, TRUE);
@@ -108,6 +112,7 @@
 	g_hash_table_remove_all(c->active);
 	g_hash_table_remove_all(c->jobs);
 	g_hash_table_remove_all(c->probes);
+	g_hash_table_remove_all(c->accounts);
 	c->loaded = false;
 	c->watching = false;
 	for (i = 0; i < cq_fleet_state_count(c->fleet); i++) {
@@ -128,6 +133,7 @@
 	c->since_ns = now_ns;
 	c->load_ns = now_ns;
 	c->plan_ns = now_ns;
+	cq_controller_count(c, CQ_COUNT_TAKEOVERS);
 	cq_controller_load(c, now_ns);
 }
 
@@ -294,6 +300,7 @@
 	tick_dirty(c, now_ns);
 	tick_retired(c, now_ns);
 	cq_controller_plan(c, now_ns);
+	cq_controller_set_gauges(c);
 }
 
 uint32_t cq_controller_in_flight(const struct cq_controller *c)
--- a/src/coordination/controller_jobs.c
+++ b/src/coordination/controller_jobs.c
@@ -199,6 +199,25 @@
 	}
 }
 
+static enum cq_controller_count count_of(enum cq_gang_end end)
+{
+	switch (end) {
+	case CQ_GANG_END_FINISHED:
+		return CQ_COUNT_FINISHED;
+	case CQ_GANG_END_FAILED:
+		return CQ_COUNT_FAILED;
+	case CQ_GANG_END_LOST:
+		return CQ_COUNT_LOST;
+	case CQ_GANG_END_UNDONE:
+		return CQ_COUNT_UNDONE;
+	case CQ_GANG_END_CHECKPOINTED:
+	case CQ_GANG_END_STOPPED:
+	case CQ_GANG_END_NONE:
+		break;
+	}
+	return CQ_COUNT_STOPPED;
+}
+
 static void end_attempt(struct cq_job *job, int64_t now_ns)
 {
 	struct cq_controller *c = job->controller;
@@ -216,6 +235,9 @@
 	if (job->learned)
 		return;
 	job->learned = true;
+	job->wait_reason = CQ_REASON_NONE;
+	cq_job_decided(job, cq_gang_end_string(end), next.reason);
+	cq_controller_count(c, count_of(end));
 	if (end == CQ_GANG_END_CHECKPOINTED && job->stop_requested_ns)
 		c->checkpoint_cost_ns += (now_ns - job->stop_requested_ns -
 					  c->checkpoint_cost_ns) /
--- a/src/coordination/controller_plan.c
+++ b/src/coordination/controller_plan.c
@@ -40,6 +40,8 @@
 	g_strlcpy(next.reason, job->why, sizeof(next.reason));
 	if (!cq_job_write(job, &next, now_ns))
 		return;
+	cq_controller_count(c, CQ_COUNT_STARTS);
+	cq_job_decided(job, cq_action_kind_string(action->kind), job->why);
 	/* Has a permit read while the record is being written. */
 	c->ops->start_permit(c->ctx, now_ns, &not_after_unix_ms);
 	job->places = g_new0(struct cq_job_place, next.tasks);
@@ -65,9 +67,11 @@
 	next.phase = CQ_PHASE_FAILED;
 	next.ended_unix_ms = cq_clock_unix_ms(job->controller->options.clock);
 	g_strlcpy(next.reason, job->why, sizeof(next.reason));
-	if (cq_job_write(job, &next, now_ns))
-		cq_log_event(CQ_LOG_INFO, "job_rejected", "{s:s,s:s}", "job",
-			     next.id, "reason", next.reason);
+	if (!cq_job_write(job, &next, now_ns))
+		return;
+	cq_job_decided(job, cq_action_kind_string(action->kind), job->why);
+	cq_log_event(CQ_LOG_INFO, "job_rejected", "{s:s,s:s}", "job", next.id,
+		     "reason", next.reason);
 }
 
 static void announce_stop(struct cq_job *job, const struct cq_action *action,
@@ -106,6 +110,7 @@
 	cq_job_mark_dirty(job);
 	if (announced)
 		return;
+	cq_job_decided(job, cq_action_kind_string(action->kind), job->why);
 	cq_log_event(CQ_LOG_INFO, "job_stop_announced", "{s:s,s:s,s:s}", "job",
 		     job->record.id, "action",
 		     cq_action_kind_string(action->kind), "reason",
@@ -170,6 +175,63 @@
 		job->expected_end_ns = wait->expected_end_ns;
 		cq_plan_explain_wait(&s->snapshot, wait, job->why,
 				     sizeof(job->why));
+		if (job->wait_reason == wait->reason)
+			continue;
+		job->wait_reason = wait->reason;
+		cq_job_decided(job, "wait", job->why);
+	}
+}
+
+static struct cq_account *account_of(struct cq_controller *c,
+				     const struct cq_snapshot *snapshot,
+				     uint32_t workspace)
+{
+	const char *name = snapshot->workspaces[workspace].name;
+	struct cq_account *account = g_hash_table_lookup(c->accounts, name);
+
+	if (!account) {
+		account = g_new0(struct cq_account, 1);
+		g_hash_table_insert(c->accounts, g_strdup(name), account);
+	}
+	return account;
+}
+
+static void take_accounts(struct cq_controller *c,
+			  const struct cq_snapshot *snapshot,
+			  const struct cq_plan *plan)
+{
+	uint32_t i;
+
+	g_hash_table_remove_all(c->accounts);
+	for (i = 0; i < snapshot->guarantee_count; i++) {
+		const struct cq_fleet_guarantee *g = &snapshot->guarantees[i];
+
+		account_of(c, snapshot, g->workspace)
+			->guaranteed_accelerators += g->count * g->accelerators;
+	}
+	for (i = 0; i < plan->shortfall_count; i++) {
+		const struct cq_shortfall *s = &plan->shortfalls[i];
+		uint32_t workspace =
+			snapshot->guarantees[s->guarantee].workspace;
+
+		account_of(c, snapshot, workspace)->short_accelerators +=
+			s->accelerators;
+	}
+	for (i = 0; i < snapshot->job_count; i++) {
+		const struct cq_fleet_job *job = &snapshot->jobs[i];
+		struct cq_account *account =
+			account_of(c, snapshot, job->workspace);
+		uint32_t size = job->tasks * job->accelerators;
+
+		if (job->state == CQ_JOB_WAITING &&
+		    plan->tiers[i] == CQ_TIER_NONE) {
+			account->waiting_jobs++;
+			continue;
+		}
+		account->running_jobs++;
+		account->used_accelerators += size;
+		if (plan->tiers[i] == CQ_TIER_BORROWER)
+			account->borrowed_accelerators += size;
 	}
 }
 
@@ -192,17 +254,25 @@
 	struct cq_error err = CQ_ERROR_INIT;
 	struct cq_controller_snapshot *s;
 	struct cq_plan *plan;
+	int64_t begin_ns;
 	uint32_t i;
 
 	if (!plan_is_due(c, now_ns))
 		return;
 	c->plan_ns = now_ns;
 	c->plan_wanted = false;
+	cq_controller_count(c, CQ_COUNT_PLANS);
+	begin_ns = cq_clock_now_ns(c->options.clock);
 	s = cq_controller_snapshot_create(c, now_ns);
 	plan = cq_planner_plan(c->planner, &s->snapshot, &err);
+	if (c->plan_time)
+		cq_histogram_observe_ns(c->plan_time,
+					cq_clock_now_ns(c->options.clock) -
+						begin_ns);
 	g_strlcpy(c->plan_error, err.message, sizeof(c->plan_error));
 	if (plan) {
 		take_waits(s, plan);
+		take_accounts(c, &s->snapshot, plan);
 		for (i = 0; i < plan->action_count; i++)
 			act(c, s, &plan->actions[i], now_ns);
 	} else {
--- a/src/coordination/controller_private.h
+++ b/src/coordination/controller_private.h
@@ -6,6 +6,42 @@
 #include "chestnutquay/controller.h"
 #include "chestnutquay/fleet_state.h"
 
+/* The last decisions about a job, for people. */
+#define CQ_JOB_DECISIONS 8
+
+struct cq_job_decision {
+	int64_t unix_ms;
+	const char *decision; /* of a string table */
+	char reason[CQ_JOB_REASON_BYTES];
+};
+
+/* What a workspace holds in this data centre, as of the last plan. */
+struct cq_account {
+	uint32_t guaranteed_accelerators;
+	uint32_t short_accelerators; /* guaranteed, but not there */
+	uint32_t used_accelerators;
+	uint32_t borrowed_accelerators; /* of those used */
+	uint32_t running_jobs;
+	uint32_t waiting_jobs;
+};
+
+enum cq_controller_count {
+	CQ_COUNT_TAKEOVERS,
+	CQ_COUNT_PLANS,
+	CQ_COUNT_STARTS, /* of attempts */
+	CQ_COUNT_FINISHED,
+	CQ_COUNT_FAILED,
+	CQ_COUNT_LOST,
+	CQ_COUNT_UNDONE,
+	CQ_COUNT_STOPPED,
+	CQ_COUNT_WORKERS_LOST,
+	CQ_COUNT_STRAYS,
+	CQ_COUNT_WRITES,
+	CQ_COUNT_COMMANDS,
+	CQ_COUNT_SYNCS,
+	CQ_COUNTS,
+};
+
 struct cq_job_place {
 	uint32_t worker; /* UINT32_MAX: not known */
 	uint64_t accelerator_mask;
@@ -42,7 +78,10 @@
 	/* Last word of the planner. */
 	int64_t expected_start_ns;
 	int64_t expected_end_ns;
+	enum cq_reason wait_reason;
 	char why[CQ_JOB_REASON_BYTES];
+	struct cq_job_decision *decisions; /* a ring; NULL: none yet */
+	uint32_t decision_count;
 	uint32_t snapshot_index;
 };
 
@@ -108,7 +147,13 @@
 	int64_t checkpoint_cost_ns; /* mean of those measured */
 	int64_t plan_ns;	    /* of the last plan */
 	char plan_error[CQ_ERROR_MESSAGE_BYTES];
-	GHashTable *probes; /* worker name -> probe number + 1 */
+	struct cq_counter *counters[CQ_COUNTS]; /* NULL without metrics */
+	struct cq_histogram *plan_time;
+	struct cq_gauge *jobs_known;
+	struct cq_gauge *gangs_active;
+	struct cq_gauge *workers_up;
+	GHashTable *accounts; /* workspace -> struct cq_account */
+	GHashTable *probes;   /* worker name -> probe number + 1 */
 	uint32_t probe_number;
 	GQueue *retired; /* ids of ended jobs, oldest first */
 
@@ -120,6 +165,14 @@
 	bool plan_wanted;
 };
 
+/* controller_record.c: counters, and decisions kept for people. */
+void cq_controller_open_metrics(struct cq_controller *c);
+void cq_controller_count(struct cq_controller *c,
+			 enum cq_controller_count count);
+void cq_controller_set_gauges(struct cq_controller *c);
+void cq_job_decided(struct cq_job *job, const char *decision,
+		    const char *reason);
+
 /* controller_store.c */
 void cq_controller_load(struct cq_controller *c, int64_t now_ns);
 void cq_controller_watch(struct cq_controller *c, int64_t now_ns);
--- a/src/coordination/controller_query.c
+++ b/src/coordination/controller_query.c
@@ -22,6 +22,26 @@
 			    (at_ns - now_ns) / CQ_NS_PER_MS);
 }
 
+/* Oldest first. */
+static json_t *decisions_json(const struct cq_job *job)
+{
+	uint32_t count = MIN(job->decision_count, CQ_JOB_DECISIONS);
+	json_t *list = json_array();
+	uint32_t i;
+
+	for (i = job->decision_count - count; i < job->decision_count; i++) {
+		const struct cq_job_decision *entry =
+			&job->decisions[i % CQ_JOB_DECISIONS];
+
+		json_array_append_new(list,
+				      json_pack("{s:I,s:s,s:s}", "unix_ms",
+						(json_int_t)entry->unix_ms,
+						"decision", entry->decision,
+						"reason", entry->reason));
+	}
+	return list;
+}
+
 static json_t *tasks_json(const struct cq_job *job)
 {
 	struct cq_controller *c = job->controller;
@@ -99,12 +119,15 @@
 		return NULL;
 	json = job_json(job, now_ns);
 	json_object_set_new(json, "explanation", json_string(job->why));
+	if (cq_job_phase_is_waiting(job->record.phase) && *job->why)
+		json_object_set_new(json, "reason", json_string(job->why));
 	json_object_set_new(
 		json, "gang",
 		json_string(job->gang ? cq_gang_state_string(
 						cq_gang_state(job->gang))
 				      : "none"));
 	json_object_set_new(json, "task_list", tasks_json(job));
+	json_object_set_new(json, "decisions", decisions_json(job));
 	return finish(json);
 }
 
@@ -170,11 +193,11 @@
 		json_array_append_new(
 			list,
 			json_pack(
-				"{s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "id",
+				"{s:s,s:s,s:s,s:s,s:I,s:I,s:I}", "id",
 				node->name, "address", node->address, "state",
-				state, "rack", (json_int_t)node->rack,
-				"accelerators", (json_int_t)node->accelerators,
-				"live_tasks", (json_int_t)live, "silent_ms",
+				state, "rack", node->rack_name, "accelerators",
+				(json_int_t)node->accelerators, "live_tasks",
+				(json_int_t)live, "silent_ms",
 				(json_int_t)(node->answered_ns
 						     ? silent_ns / CQ_NS_PER_MS
 						     : -1)));
@@ -183,3 +206,38 @@
 				"epoch", (json_int_t)c->epoch, "workers",
 				list));
 }
+
+char *cq_controller_list_workspaces(struct cq_controller *c)
+{
+	json_t *list = json_array();
+	GList *names = g_list_sort(g_hash_table_get_keys(c->accounts),
+				   (GCompareFunc)strcmp);
+	GList *item;
+
+	for (item = names; item; item = item->next) {
+		const struct cq_account *account =
+			g_hash_table_lookup(c->accounts, item->data);
+
+		json_array_append_new(
+			list,
+			json_pack("{s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "name",
+				  (const char *)item->data,
+				  "guaranteed_accelerators",
+				  (json_int_t)account->guaranteed_accelerators,
+				  "short_accelerators",
+				  (json_int_t)account->short_accelerators,
+				  "used_accelerators",
+				  (json_int_t)account->used_accelerators,
+				  "borrowed_accelerators",
+				  (json_int_t)account->borrowed_accelerators,
+				  "reclaimable_accelerators",
+				  (json_int_t)account->borrowed_accelerators,
+				  "running_jobs",
+				  (json_int_t)account->running_jobs,
+				  "waiting_jobs",
+				  (json_int_t)account->waiting_jobs));
+	}
+	g_list_free(names);
+	return finish(json_pack("{s:s,s:o}", "data_centre", c->data_centre,
+				"workspaces", list));
+}
--- a/src/coordination/controller_store.c
+++ b/src/coordination/controller_store.c
@@ -167,6 +167,7 @@
 
 	cq_gang_destroy(job->gang);
 	g_free(job->places);
+	g_free(job->decisions);
 	g_free(job);
 }
 
@@ -257,6 +258,7 @@
 	job->next.written_unix_ms = cq_clock_unix_ms(c->options.clock);
 	job->writing = true;
 	c->writes++;
+	cq_controller_count(c, CQ_COUNT_WRITES);
 	cq_job_key(c->data_centre, job->record.id, key);
 	text = cq_job_record_format(&job->next);
 	call = cq_controller_call_create(c, job->record.id, on_written);
--- a/src/coordination/controller_sync.c
+++ b/src/coordination/controller_sync.c
@@ -76,6 +76,7 @@
 	if (node->lost || now_ns - last_ns < c->options.lost_after_ns)
 		return;
 	node->lost = true;
+	cq_controller_count(c, CQ_COUNT_WORKERS_LOST);
 	node->boot_id[0] = '\0';
 	cq_log_event(CQ_LOG_WARN, "worker_lost", "{s:s}", "worker", node->name);
 	tell_gangs(c, worker, true, now_ns, now_ns);
@@ -244,6 +245,7 @@
 	if (renew->len)
 		node->renewed_ns = now_ns;
 	node->syncing = true;
+	cq_controller_count(c, CQ_COUNT_SYNCS);
 	node->next_sync_ns = now_ns + c->options.sync_interval_ns;
 	c->worker.ops->sync(c->worker.self, node->address, &sync,
 			    c->options.call_timeout_ms, on_sync, command);
--- a/src/coordination/controller_workers.c
+++ b/src/coordination/controller_workers.c
@@ -109,6 +109,7 @@
 	call->command = command;
 	g_strlcpy(call->job_id, job->record.id, sizeof(call->job_id));
 	c->commands_in_flight++;
+	cq_controller_count(c, CQ_COUNT_COMMANDS);
 	cq_job_task_id(job->record.id, job->record.attempt, rank, id);
 	address = cq_fleet_state_node(c->fleet, worker)->address;
 	switch (command) {
@@ -264,6 +265,7 @@
 	cq_log_event(CQ_LOG_WARN, "stray_task_stopped", "{s:s}", "task",
 		     task->id);
 	task->stop_sent_ns = now_ns;
+	cq_controller_count(c, CQ_COUNT_STRAYS);
 	c->commands_in_flight++;
 	c->worker.ops->stop(
 		c->worker.self,
--- a/src/programs/common/job_calls.c
+++ b/src/programs/common/job_calls.c
@@ -295,6 +295,17 @@
 	return best ? best->address : NULL;
 }
 
+void cq_job_call_notify(struct job_call *call, const char *dc)
+{
+	struct cq_job_calls *calls = call->calls;
+	const char *address = owner_address(calls, dc);
+
+	if (address)
+		calls->ops.send(calls->ctx, address, CQ_PEER_JOB_NOTIFY, 0,
+				(const uint8_t *)call->record.id,
+				strlen(call->record.id));
+}
+
 static void ask_one(struct job_call *call, uint32_t dc, const char *text)
 {
 	struct cq_job_calls *calls = call->calls;
--- a/src/programs/common/job_calls_private.h
+++ b/src/programs/common/job_calls_private.h
@@ -98,6 +98,8 @@
 		       void (*answered)(struct job_call *call, uint32_t dc,
 					json_t *answer),
 		       void (*queried)(struct job_call *call));
+/* Tells the owner that the data centre has a new or changed record. */
+void cq_job_call_notify(struct job_call *call, const char *dc);
 void cq_job_call_stop_queries(struct job_call *call);
 /* The home data centre of the job first. */
 void cq_job_call_order_dcs(struct job_call *call, const char *id);
--- a/src/programs/common/job_calls_write.c
+++ b/src/programs/common/job_calls_write.c
@@ -23,6 +23,8 @@
 {
 	const char *dc = call->dcs[call->dc];
 
+	if (!existing)
+		cq_job_call_notify(call, dc);
 	cq_job_call_end(call, 202,
 			json_pack("{s:s,s:s,s:s,s:s,s:b}", "id", record->id,
 				  "state", cq_job_phase_string(record->phase),
--- a/src/programs/schedd/jobs.c
+++ b/src/programs/schedd/jobs.c
@@ -7,10 +7,10 @@
 
 /*
  * Without a live owner for this long, one schedd of the data centre renews the
- * leases of running gangs. Longer than a takeover (lease 5 s + 1 s), shorter
- * than the default task lease of 15 s less two syncs.
+ * leases of running gangs. Membership takes 5 to 6 s to find a dead owner, and
+ * renewals grant 12.5 s by default; a takeover is over before that.
  */
-#define CARETAKER_AFTER_NS (8 * CQ_NS_PER_S)
+#define CARETAKER_AFTER_NS (3 * CQ_NS_PER_S)
 #define MAX_LIST 1000
 
 static char *answer_query(struct schedd *s, const char *query);
--- a/src/programs/schedd/status.c
+++ b/src/programs/schedd/status.c
@@ -1,4 +1,4 @@
-/* Operators' calls GET /v1/status and GET /v1/workers. */
+/* Operators' calls GET /v1/schedd, /v1/workers and /v1/workspaces. */
 #include <jansson.h>
 #include <stdlib.h>
 
@@ -25,17 +25,36 @@
 	json_decref(body);
 }
 
+static bool refuse_unless_owner(struct schedd *s,
+				struct cq_http_exchange *exchange)
+{
+	if (cq_ownership_epoch(s->ownership))
+		return false;
+	cq_daemon_respond_error(exchange, 421, "not_owner",
+				"the owner is \"%s\"",
+				cq_ownership_holder(s->ownership));
+	return true;
+}
+
+static void on_workspaces(void *ctx, struct cq_http_exchange *exchange)
+{
+	struct schedd *s = ctx;
+	char *text;
+
+	if (refuse_unless_owner(s, exchange))
+		return;
+	text = cq_controller_list_workspaces(s->controller);
+	cq_http_exchange_respond_json(exchange, 200, text);
+	free(text);
+}
+
 static void on_workers(void *ctx, struct cq_http_exchange *exchange)
 {
 	struct schedd *s = ctx;
 	char *text;
 
-	if (!cq_ownership_epoch(s->ownership)) {
-		cq_daemon_respond_error(exchange, 421, "not_owner",
-					"the owner is \"%s\"",
-					cq_ownership_holder(s->ownership));
+	if (refuse_unless_owner(s, exchange))
 		return;
-	}
 	text = cq_controller_list_workers(s->controller, schedd_now_ns(s));
 	cq_http_exchange_respond_json(exchange, 200, text);
 	free(text);
@@ -43,6 +62,8 @@
 
 void schedd_status_open(struct schedd *s)
 {
-	cq_daemon_add_route(s->daemon, "GET", "/v1/status", on_status, s);
+	cq_daemon_add_route(s->daemon, "GET", "/v1/schedd", on_status, s);
 	cq_daemon_add_route(s->daemon, "GET", "/v1/workers", on_workers, s);
+	cq_daemon_add_route(s->daemon, "GET", "/v1/workspaces", on_workspaces,
+			    s);
 }
--- a/src/state/fleet_state.c
+++ b/src/state/fleet_state.c
@@ -94,6 +94,7 @@
 	}
 	node = node_at(fleet, worker);
 	g_strlcpy(node->public.address, address, sizeof(node->public.address));
+	g_strlcpy(node->public.rack_name, rack, sizeof(node->public.rack_name));
 	node->public.rack = number_of(fleet->racks, rack);
 	node->public.listed = true;
 	return worker;
--- a/tests/property/prop_gang.cc
+++ b/tests/property/prop_gang.cc
@@ -41,6 +41,8 @@
 	heal_worker,
 	lose_answers,
 	keep_answers,
+	store_loses,
+	store_keeps,
 	store_down,
 	store_up,
 	out,
@@ -126,9 +128,9 @@
 	{
 		for (const auto &s : shapes) {
 			std::string id = "j" + std::to_string(ids_.size());
-			struct cq_sim_job job = { id.c_str(), s.tasks,
+			struct cq_sim_job job = { id.c_str(),	  s.tasks,
 						  s.accelerators, s.expected_ms,
-						  true };
+						  true,		  false };
 
 			cq_sim_jobs_submit(jobs_, &job);
 			ids_.push_back(id);
@@ -201,6 +203,12 @@
 		case fault::keep_answers:
 			cq_sim_workers_lose_answers(workers_, 0);
 			break;
+		case fault::store_loses:
+			cq_sim_jobs_store_loses(jobs_, 300);
+			break;
+		case fault::store_keeps:
+			cq_sim_jobs_store_loses(jobs_, 0);
+			break;
 		case fault::store_down:
 			cq_sim_jobs_store_down(jobs_, true);
 			break;
@@ -234,6 +242,7 @@
 			cq_sim_worker_start(workers_, i);
 		}
 		cq_sim_workers_lose_answers(workers_, 0);
+		cq_sim_jobs_store_loses(jobs_, 0);
 		cq_sim_jobs_store_down(jobs_, false);
 		cq_sim_jobs_set_in(jobs_, true);
 		resume_hosts();
--- a/tests/scripts/test_jobs.sh
+++ b/tests/scripts/test_jobs.sh
@@ -57,7 +57,7 @@
 }
 
 is_owner() {
-	call "$1" GET /v1/status | grep -q '"ownership":"owner".*"settled":true'
+	call "$1" GET /v1/schedd | grep -q '"ownership":"owner".*"settled":true'
 }
 
 owner_of_a() {
@@ -177,7 +177,7 @@
 eval "kill -CONT \$pid_$paused"
 until_true 10 "the paused schedd stands by" \
 	sh -c "curl -s -H 'Authorization: Bearer $CQ_OPERATOR_TOKEN' \
-		http://127.0.22.$paused:7201/v1/status |
+		http://127.0.22.$paused:7201/v1/schedd |
 		grep -q '\"ownership\":\"standby\"'"
 until_true 40 "the job before finishes" job_is "$owner" "$before" finished
 echo "the job before: attempt $(job_field attempt)," \
@@ -225,3 +225,54 @@
 call "$owner" DELETE "/v1/jobs/$pinned" >/dev/null
 until_true 20 "the pinned job is cancelled" job_is "$owner" "$pinned" cancelled
 echo "cancelled on request"
+
+echo "== the store is down"
+store_faults() {
+	curl -sf -m 5 -o /dev/null -X PUT "http://$store/v1/faults" -d "$1" ||
+		fail "store faults"
+}
+
+# try_submit KEY TIMEOUT-MS
+try_submit() {
+	curl -s -m 10 -i -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
+		-H "Cq-Timeout-Ms: $2" -H "Idempotency-Key: $1" -X POST \
+		"http://127.0.22.$owner:7201/v1/jobs" \
+		-d '{"workspace":"w1","class":"top","accelerators":1,
+		"data_centre":"a","cpu_millicores":1,"memory_bytes":1,
+		"expected_ms":1}' | tr -d '\r' >"$work/answer"
+}
+
+is_accepted() {
+	try_submit outage 2000
+	grep -q '^HTTP/1.1 202' "$work/answer"
+}
+
+store_faults '{"down":true}'
+try_submit outage 400
+sed -n '1p;/^Cq-Run\|^Retry-After/p' "$work/answer"
+store_faults '{"down":false,"lose_answers":4}'
+until_true 20 "the job is accepted" is_accepted
+id=$(sed -n 's/.*"id":"\([^"]*\)".*/\1/p' "$work/answer")
+until_true 20 "a has an owner again" owner_of_a
+until_true 20 "the job of the outage finishes" job_is "$owner" "$id" finished
+echo "the job of the outage: $(starts | grep -c "$id") start"
+
+echo "== the owner dies while the store is down"
+submit "$owner" orphan '"data_centre":"a","tasks":2,"expected_ms":24000'
+until_true 10 "the orphan runs" job_is "$owner" "$id" running
+store_faults '{"down":true}'
+last=$owner
+eval "kill -9 \$pid_$last"
+task_ended() {
+	stats
+	sed 's/.*"ends":\(\[[^]]*\]\).*/\1/' "$work/stats" |
+		grep -o "\"task_id\":\"$id[^}]*" >"$work/ends"
+	[ "$(wc -l <"$work/ends")" = 2 ]
+}
+until_true 40 "the tasks of the orphan end" task_ended
+echo "ends: $(sed 's/.*"what":"\([^"]*\)".*/\1/' "$work/ends" | sort | uniq -c |
+	awk '{ print $1, $2 }')"
+store_faults '{"down":false}'
+until_true 30 "a has an owner again" owner_of_a
+until_true 20 "the orphan has finished" job_is "$owner" "$id" finished
+echo "finished in attempt $(job_field attempt)"
--- a/tests/support/sim_jobs.c
+++ b/tests/support/sim_jobs.c
@@ -10,8 +10,6 @@
 #define MARGIN_NS (500 * CQ_NS_PER_MS)
 #define PERMIT_NS (2 * CQ_NS_PER_S)
 #define PERMIT_READ_NS CQ_NS_PER_S
-/* Settings reach the controller this long after the operator's change. */
-#define SETTINGS_LAG_NS (200 * CQ_NS_PER_MS)
 
 struct node {
 	struct cq_sim_jobs *jobs;
@@ -52,6 +50,7 @@
 	memset(options, 0, sizeof(*options));
 	options->seed = 1;
 	options->hosts = 2;
+	options->settings_lag_ms = 200;
 	cq_sim_workers_options_init(&options->workers);
 	cq_controller_options_init(&options->controller);
 }
@@ -198,6 +197,7 @@
 static void tick_ownership(struct node *node, int64_t now_ns)
 {
 	struct cq_sim_jobs *jobs = node->jobs;
+	int64_t lag_ns = jobs->options.settings_lag_ms * CQ_NS_PER_MS;
 
 	if (!can_reach_store(node))
 		return;
@@ -213,7 +213,7 @@
 		node->permit_read_ns = now_ns;
 		node->permit_until_ns = jobs->in ? now_ns + PERMIT_NS : 0;
 	}
-	if (node->in != jobs->in && now_ns - jobs->change_ns >= SETTINGS_LAG_NS)
+	if (node->in != jobs->in && now_ns - jobs->change_ns >= lag_ns)
 		set_intent(node, jobs->in);
 }
 
@@ -354,6 +354,9 @@
 	g_strlcpy(record.id, job->id, sizeof(record.id));
 	g_strlcpy(record.workspace, "ws", sizeof(record.workspace));
 	g_strlcpy(record.class_name, "top", sizeof(record.class_name));
+	if (job->pinned)
+		g_strlcpy(record.data_centre, CQ_SIM_JOBS_DC,
+			  sizeof(record.data_centre));
 	record.tasks = job->tasks;
 	record.adjacency = CQ_ADJACENT_DC;
 	record.accelerators = job->accelerators;
@@ -440,6 +443,14 @@
 	cq_sim_store_set_faults(jobs->store, &faults);
 }
 
+void cq_sim_jobs_store_loses(struct cq_sim_jobs *jobs, uint32_t permille)
+{
+	struct cq_sim_store_faults faults = cq_sim_store_faults(jobs->store);
+
+	faults.lost_answer_permille = permille;
+	cq_sim_store_set_faults(jobs->store, &faults);
+}
+
 void cq_sim_jobs_set_in(struct cq_sim_jobs *jobs, bool in)
 {
 	jobs->in = in;
--- a/tests/support/sim_jobs.h
+++ b/tests/support/sim_jobs.h
@@ -25,6 +25,8 @@
 struct cq_sim_jobs_options {
 	uint64_t seed;
 	uint32_t hosts;
+	/* Settings reach the controllers this long after the change. */
+	int64_t settings_lag_ms;
 	struct cq_sim_workers_options workers;
 	struct cq_controller_options controller; /* clock and names are set */
 };
@@ -35,6 +37,7 @@
 	uint32_t accelerators;
 	int64_t expected_ms;
 	bool can_checkpoint;
+	bool pinned; /* to this data centre */
 };
 
 void cq_sim_jobs_options_init(struct cq_sim_jobs_options *options);
@@ -68,6 +71,8 @@
 /* Takes the ownership away at once, as by an owner elsewhere. */
 void cq_sim_jobs_fence(struct cq_sim_jobs *jobs);
 void cq_sim_jobs_store_down(struct cq_sim_jobs *jobs, bool down);
+/* Answers of the store get lost with this probability. */
+void cq_sim_jobs_store_loses(struct cq_sim_jobs *jobs, uint32_t permille);
 void cq_sim_jobs_set_in(struct cq_sim_jobs *jobs, bool in);
 /* When the data centre went out last. */
 int64_t cq_sim_jobs_out_ns(const struct cq_sim_jobs *jobs);
--- a/tests/unit/test_controller.c
+++ b/tests/unit/test_controller.c
@@ -10,7 +10,9 @@
 /* Workers look at their tasks this often. */
 #define STEP_MS 20
 
-static const struct cq_sim_job gang_of_four = { "j1", 4, 8, 20000, true };
+static const struct cq_sim_job gang_of_four = {
+	"j1", 4, 8, 20000, true, false
+};
 
 static struct cq_sim_jobs *create(uint32_t hosts, uint32_t workers)
 {
@@ -64,8 +66,10 @@
  */
 static void test_store_outage(void)
 {
-	static const struct cq_sim_job long_job = { "j1", 4, 8, 1200000, true };
-	static const struct cq_sim_job next_job = { "j2", 1, 8, 1000, true };
+	static const struct cq_sim_job long_job = { "j1",    4,	   8,
+						    1200000, true, false };
+	static const struct cq_sim_job next_job = { "j2", 1,	8,
+						    1000, true, false };
 	struct cq_sim_jobs *jobs = create(2, 5);
 	struct cq_job_record record;
 
@@ -92,8 +96,11 @@
  */
 static void test_caretaker(void)
 {
-	static const struct cq_sim_job long_job = { "j1", 4, 8, 600000, true };
-	static const struct cq_sim_job waiting = { "j2", 1, 8, 1000, true };
+	static const struct cq_sim_job long_job = { "j1",   4,	  8,
+						    600000, true, false };
+	static const struct cq_sim_job waiting = {
+		"j2", 1, 8, 1000, true, false
+	};
 	struct cq_sim_jobs *jobs = create(2, 5);
 	int32_t owner;
 	int32_t other;
@@ -125,7 +132,9 @@
  */
 static void test_data_centre_out(void)
 {
-	static const struct cq_sim_job waiting = { "j2", 4, 8, 5000, true };
+	static const struct cq_sim_job waiting = {
+		"j2", 4, 8, 5000, true, false
+	};
 	struct cq_sim_jobs *jobs = create(2, 4);
 	struct cq_job_record record;
 	int64_t out_ns;
@@ -155,6 +164,153 @@
 	cq_sim_jobs_destroy(jobs);
 }
 
+/*
+ * Guards against starts that only the settings would prevent: the settings do
+ * not arrive, but without a fresh permit nothing is started.
+ */
+static void test_permit(void)
+{
+	struct cq_sim_jobs_options options;
+	struct cq_sim_jobs *jobs;
+	uint32_t i;
+
+	cq_sim_jobs_options_init(&options);
+	options.workers.count = 20;
+	options.settings_lag_ms = 3600000;
+	jobs = cq_sim_jobs_create(&options);
+	cq_sim_jobs_run_ms(jobs, 3000);
+	cq_sim_jobs_set_in(jobs, false);
+	for (i = 0; i < 20; i++) {
+		struct cq_sim_job job = { NULL, 1, 8, 1000, true, false };
+		char *id = g_strdup_printf("j%u", i);
+
+		job.id = id;
+		cq_sim_jobs_submit(jobs, &job);
+		g_free(id);
+		cq_sim_jobs_run_ms(jobs, 500);
+	}
+	cq_sim_jobs_run_ms(jobs, 60000);
+	g_assert_cmpint(record_of(jobs)->last_start_ns -
+				cq_sim_jobs_out_ns(jobs),
+			<=, 3 * CQ_NS_PER_S);
+	g_assert_cmpuint(record_of(jobs)->starts, <, 20);
+	cq_sim_jobs_destroy(jobs);
+}
+
+/* Guards against a start that waits on its way and is executed much later. */
+static void test_late_start(void)
+{
+	static const struct cq_sim_job job = { "j1", 4, 8, 1000, true, false };
+	struct cq_sim_jobs *jobs = create(1, 4);
+	uint32_t i;
+
+	cq_sim_jobs_run_ms(jobs, 3000);
+	for (i = 0; i < 4; i++)
+		cq_sim_worker_pause(cq_sim_jobs_workers(jobs), i);
+	cq_sim_jobs_submit(jobs, &job);
+	cq_sim_jobs_run_ms(jobs, 500);
+	cq_sim_jobs_set_in(jobs, false);
+	cq_sim_jobs_run_ms(jobs, 3000);
+	for (i = 0; i < 4; i++)
+		cq_sim_worker_resume(cq_sim_jobs_workers(jobs), i);
+	cq_sim_jobs_run_ms(jobs, 10000);
+	g_assert_cmpuint(record_of(jobs)->refused_stale, >=, 4);
+	g_assert_cmpuint(record_of(jobs)->starts, ==, 0);
+	cq_sim_jobs_destroy(jobs);
+}
+
+static void pause_at_release(void *ctx, const char *verb, uint32_t worker,
+			     const char *task_id)
+{
+	struct cq_sim_jobs *jobs = ctx;
+
+	(void)worker;
+	(void)task_id;
+	if (!strcmp(verb, "throttle"))
+		cq_sim_jobs_pause(jobs, 0);
+}
+
+/*
+ * Guards against commands of an owner that was paused past its lease and that
+ * no worker could refuse, because nobody else has acquired since.
+ */
+static void test_paused_owner_commands_nothing(void)
+{
+	struct cq_sim_jobs_options options;
+	struct cq_sim_jobs *jobs;
+	uint32_t commands;
+
+	cq_sim_jobs_options_init(&options);
+	options.hosts = 1;
+	/* One command after the other, so that there is a next one. */
+	options.controller.max_commands = 1;
+	jobs = cq_sim_jobs_create(&options);
+	cq_sim_workers_on_command(cq_sim_jobs_workers(jobs), pause_at_release,
+				  jobs);
+	cq_sim_jobs_submit(jobs, &gang_of_four);
+	cq_sim_jobs_run_ms(jobs, 10000);
+	commands = record_of(jobs)->commands;
+	g_assert_cmpuint(record_of(jobs)->releases, ==, 1);
+	cq_sim_workers_on_command(cq_sim_jobs_workers(jobs), NULL, NULL);
+	cq_sim_jobs_resume(jobs, 0);
+	cq_sim_jobs_run_ms(jobs, 50);
+	g_assert_cmpuint(record_of(jobs)->commands, ==, commands);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_FINISHED, 120000));
+	check_invariants(jobs);
+	cq_sim_jobs_destroy(jobs);
+}
+
+/* Guards against a flood of starts when the data centre returns. */
+static void test_refill(void)
+{
+	enum { JOBS = 200, MAX_REFILL_STARTS = 16 };
+	struct cq_sim_jobs *jobs = create(1, 25);
+	struct cq_sim_job job = { NULL, 1, 1, 600000, true, false };
+	uint32_t i;
+
+	cq_sim_jobs_run_ms(jobs, 3000);
+	cq_sim_jobs_set_in(jobs, false);
+	cq_sim_jobs_run_ms(jobs, 3000);
+	job.pinned = true;
+	for (i = 0; i < JOBS; i++) {
+		char *id = g_strdup_printf("j%u", i);
+
+		job.id = id;
+		cq_sim_jobs_submit(jobs, &job);
+		g_free(id);
+	}
+	cq_sim_jobs_run_ms(jobs, 5000);
+	g_assert_cmpuint(record_of(jobs)->starts, ==, 0);
+	cq_sim_jobs_set_in(jobs, true);
+	cq_sim_jobs_run_ms(jobs, 60000);
+	g_assert_cmpuint(cq_sim_workers_running(cq_sim_jobs_workers(jobs), ""),
+			 ==, JOBS);
+	/* Starts and releases of at most two plans fall into 100 ms. */
+	g_assert_cmpuint(record_of(jobs)->most_commands_per_100ms, <=,
+			 4 * MAX_REFILL_STARTS);
+	cq_sim_jobs_destroy(jobs);
+}
+
+/* Guards against ended records that fill the store for ever. */
+static void test_retention(void)
+{
+	struct cq_sim_jobs_options options;
+	struct cq_sim_jobs *jobs;
+	struct cq_job_record record;
+	static const struct cq_sim_job job = { "j1", 1, 8, 1000, true, false };
+
+	cq_sim_jobs_options_init(&options);
+	options.controller.retention_ms = 60000;
+	jobs = cq_sim_jobs_create(&options);
+	cq_sim_jobs_submit(jobs, &job);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_FINISHED, 10000));
+	cq_sim_jobs_run_ms(jobs, 55000);
+	g_assert_true(cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j1", &record));
+	cq_sim_jobs_run_ms(jobs, 10000);
+	g_assert_false(cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j1", &record));
+	cq_sim_jobs_destroy(jobs);
+}
+
 /* Guards against a job that a move loses or doubles when the owner dies. */
 static void test_move_owner_dies(void)
 {
@@ -164,7 +320,8 @@
 		struct cq_sim_jobs *jobs = create(2, 4);
 		struct cq_job_record here;
 		struct cq_job_record there;
-		static const struct cq_sim_job job = { "j1", 4, 8, 5000, true };
+		static const struct cq_sim_job job = { "j1", 4,	   8,
+						       5000, true, false };
 
 		cq_sim_jobs_run_ms(jobs, 3000);
 		cq_sim_jobs_set_in(jobs, false);
@@ -186,9 +343,10 @@
 static void test_cancel_wave(void)
 {
 	enum { WAVE = 10000 };
-	static const struct cq_sim_job after = { "after", 1, 8, 1000, true };
+	static const struct cq_sim_job after = { "after", 1,	8,
+						 1000,	  true, false };
 	struct cq_sim_jobs *jobs = create(1, 40);
-	struct cq_sim_job job = { NULL, 1, 8, 3600000, true };
+	struct cq_sim_job job = { NULL, 1, 8, 3600000, true, false };
 	struct cq_job_record record;
 	uint32_t i;
 
@@ -233,7 +391,7 @@
 								     true };
 	static const struct cq_sim_worker_faults none;
 	struct cq_sim_jobs *jobs = create(1, 10);
-	struct cq_sim_job job = { NULL, 1, 8, 1000, true };
+	struct cq_sim_job job = { NULL, 1, 8, 1000, true, false };
 	struct cq_job_record record;
 	char *workers;
 	uint32_t i;
@@ -276,7 +434,7 @@
 {
 	static const struct cq_sim_worker_faults failing = { .fail_tasks =
 								     true };
-	static const struct cq_sim_job job = { "j1", 1, 8, 1000, true };
+	static const struct cq_sim_job job = { "j1", 1, 8, 1000, true, false };
 	struct cq_sim_jobs *jobs = create(2, 8);
 	struct cq_job_record record;
 	uint32_t i;
@@ -298,7 +456,7 @@
 /* Guards against a job that can never run waiting for ever. */
 static void test_never_fits(void)
 {
-	static const struct cq_sim_job job = { "j1", 5, 8, 1000, true };
+	static const struct cq_sim_job job = { "j1", 5, 8, 1000, true, false };
 	struct cq_sim_jobs *jobs = create(1, 4);
 	struct cq_job_record record;
 
@@ -314,8 +472,12 @@
 static void test_no_overlap_after_takeover(void)
 {
 	struct cq_sim_jobs *jobs = create(2, 4);
-	static const struct cq_sim_job first = { "j1", 2, 8, 30000, true };
-	static const struct cq_sim_job second = { "j2", 4, 8, 1000, true };
+	static const struct cq_sim_job first = {
+		"j1", 2, 8, 30000, true, false
+	};
+	static const struct cq_sim_job second = {
+		"j2", 4, 8, 1000, true, false
+	};
 	struct cq_job_record record;
 
 	cq_sim_jobs_submit(jobs, &first);
@@ -341,11 +503,17 @@
 	g_test_add_func("/controller/caretaker", test_caretaker);
 	g_test_add_func("/controller/data_centre_out", test_data_centre_out);
 	g_test_add_func("/controller/move_owner_dies", test_move_owner_dies);
+	g_test_add_func("/controller/permit", test_permit);
+	g_test_add_func("/controller/late_start", test_late_start);
+	g_test_add_func("/controller/paused_owner_commands_nothing",
+			test_paused_owner_commands_nothing);
+	g_test_add_func("/controller/refill", test_refill);
+	g_test_add_func("/controller/retention", test_retention);
 	g_test_add_func("/controller/cancel_wave", test_cancel_wave);
 	g_test_add_func("/controller/failing_worker", test_failing_worker);
-	g_test_add_func("/controller/failing_job", test_failing_job);
 	g_test_add_func("/controller/never_fits", test_never_fits);
 	g_test_add_func("/controller/no_overlap_after_takeover",
 			test_no_overlap_after_takeover);
+	g_test_add_func("/controller/failing_job", test_failing_job);
 	return g_test_run();
 }
--- a/tests/unit/test_controller_faults.c
+++ b/tests/unit/test_controller_faults.c
@@ -14,7 +14,9 @@
 #define STEP_MS 20
 #define FINISH_LIMIT_MS 300000
 
-static const struct cq_sim_job gang_of_four = { "j1", 4, 8, 20000, true };
+static const struct cq_sim_job gang_of_four = {
+	"j1", 4, 8, 20000, true, false
+};
 
 static struct cq_sim_jobs *create(uint32_t hosts, uint32_t workers)
 {
@@ -58,6 +60,7 @@
 	ONE_ANSWER_LOST,
 	ANSWERS_LOST,
 	STORE_DOWN,
+	STORE_LOSES_ANSWERS,
 	OWNER_AND_WORKER_DIE,
 	OWNER_DIES_TWICE,
 	WORKER_THEN_OWNERS_DIE,
@@ -80,6 +83,7 @@
 	[ONE_ANSWER_LOST] = "one answer is lost",
 	[ANSWERS_LOST] = "half of all answers are lost",
 	[STORE_DOWN] = "the store is down",
+	[STORE_LOSES_ANSWERS] = "half of the store's answers are lost",
 	[OWNER_AND_WORKER_DIE] = "owner and worker die",
 	[OWNER_DIES_TWICE] = "owner and successor die",
 	[WORKER_THEN_OWNERS_DIE] = "worker dies, then owner and successor",
@@ -100,13 +104,17 @@
 	int32_t owner;
 	int32_t second;
 	uint32_t worker;
+	int64_t last_ns; /* when the last event of the scenario is due */
 };
 
 static void later(struct scenario *s, int64_t ms, cq_sim_fn *fn)
 {
 	struct cq_sim *sim = cq_sim_jobs_sim(s->jobs);
 
-	cq_sim_at(sim, cq_sim_now_ns(sim) + ms * CQ_NS_PER_MS, fn, s, NULL);
+	int64_t at_ns = cq_sim_now_ns(sim) + ms * CQ_NS_PER_MS;
+
+	s->last_ns = MAX(s->last_ns, at_ns);
+	cq_sim_at(sim, at_ns, fn, s, NULL);
 }
 
 static void restart_owner(void *ctx)
@@ -165,6 +173,7 @@
 {
 	struct scenario *s = ctx;
 
+	cq_sim_jobs_store_loses(s->jobs, 0);
 	cq_sim_jobs_store_down(s->jobs, false);
 }
 
@@ -249,6 +258,10 @@
 		cq_sim_workers_lose_answers(workers, 500);
 		later(s, 20000, heal_worker);
 		break;
+	case STORE_LOSES_ANSWERS:
+		cq_sim_jobs_store_loses(s->jobs, 500);
+		later(s, 30000, heal_store);
+		break;
 	case STORE_DOWN:
 		cq_sim_jobs_store_down(s->jobs, true);
 		later(s, 60000, heal_store);
@@ -332,6 +345,8 @@
 					==, 0);
 			}
 			g_assert_true(s.struck);
+			/* Its events refer to the scenario. */
+			cq_sim_run_until(cq_sim_jobs_sim(s.jobs), s.last_ns);
 			check_invariants(s.jobs);
 			cq_sim_jobs_destroy(s.jobs);
 		}
