--- a/include/chestnutquay/controller.h
+++ b/include/chestnutquay/controller.h
@@ -161,7 +161,7 @@
 char *cq_controller_explain_job(struct cq_controller *c, const char *job_id,
 				int64_t now_ns);
 char *cq_controller_list_workers(struct cq_controller *c, int64_t now_ns);
-/* Guarantees, use and shortfalls of the workspaces in this data centre. */
+/* Accelerators and jobs of each workspace, as of the last plan. */
 char *cq_controller_list_workspaces(struct cq_controller *c);
 /* Equal workers of one rack that are listed and answer. */
 struct cq_controller_rack {
--- a/src/programs/schedd/status.c
+++ b/src/programs/schedd/status.c
@@ -1,4 +1,4 @@
-/* Operators' call GET /v1/ownership. */
+/* Operators' call GET /v1/schedd. */
 #include <jansson.h>
 #include <stdlib.h>
 
@@ -27,5 +27,5 @@
 
 void schedd_status_open(struct schedd *s)
 {
-	cq_daemon_add_route(s->daemon, "GET", "/v1/ownership", on_status, s);
+	cq_daemon_add_route(s->daemon, "GET", "/v1/schedd", on_status, s);
 }
