--- a/tests/scripts/test_requests.sh
+++ b/tests/scripts/test_requests.sh
@@ -66,7 +66,7 @@
 		--host-id "entry$2" --index "$2" --index-count 2 \
 		--peer-address "$1:7100" --operator-address "$1:7200" \
 		--store-address "$ip:7000" --caller-address "$1:7300" \
-		--entry-peers "dc1/0=$a:7100,dc1/1=$b:7100" \
+		--seeds "$a:7100,$b:7100" \
 		--share-hold-ms 0 --accept-after-term-ms 3000 \
 		--max-body-bytes 100000 2>>"$tmp/entryd.log" &
 	started=$!
@@ -82,12 +82,30 @@
 "$build/bin/cq-fake-endpoint" --listen $ip:9000 --control $ip:8999 --count 4 \
 	--service-ms 10 >"$tmp/endpoint.log" &
 pids="$pids $!"
+wait_for curl -sf "http://$ip:7000/v1/stats"
+# setting KEY JSON
+setting() {
+	curl -sf -o /dev/null -X PUT "http://$ip:7000/v1/kv/settings/$1" \
+		-d "{\"writer\":\"test\",\"sequence\":1,\"settings\":$2}"
+}
+setting global '{"classes":[{"name":"urgent","rank":0,"weight":100},
+	{"name":"normal","rank":1,"weight":10}]}'
+setting data-centres/dc1 '{"state":"in","entry_hosts":2}'
+setting workspaces/default '{"weight":1}'
 start_entry $a 0
 pid_a=$started
 start_entry $b 1
 pid_b=$started
 wait_for ready $a
 wait_for ready $b
+# members HOST: how many daemons the host sees alive.
+members() {
+	curl -s -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
+		"http://$1:7200/v1/members" |
+		jq '[.members[] | select(.state == "alive")] | length'
+}
+see_each_other() { [ "$(members $a)" = 2 ] && [ "$(members $b)" = 2 ]; }
+wait_for see_each_other
 
 echo "== answers"
 call $a pair -H "$W" -H "$C" -H 'Content-Type: text/plain' -d hello
