Vary the deployment in the coordination property

Cause: all cases ran 2 data centres with 3 schedds and 1 entryd each.

Change: draws 1 to 3 data centres, 1 to 4 schedds and 0 to 2 entryds each.

Not seen by it, only by the unit tests: the key's lease not compared, a permit counted from the answer, a watcher that does not fail over, commands while handing over, a permit used past its end.

--- a/tests/property/prop_coordination.cc
+++ b/tests/property/prop_coordination.cc
@@ -171,6 +171,12 @@
 		25, rc::gen::container<std::vector<Step>>(genStep(nodes)));
 }
 
+rc::Gen<uint32_t> genNumber(uint32_t least, uint32_t most)
+{
+	return rc::gen::resize(rc::kNominalSize,
+			       rc::gen::inRange<uint32_t>(least, most + 1));
+}
+
 /*
  * Guards against two owners, settings that revert or skip a change, starts
  * after `out`, and a deployment that does not recover when faults end.
@@ -179,11 +185,14 @@
 {
 	return rc::check("safety under any faults, recovery after them", [] {
 		const uint64_t seed = *rc::gen::arbitrary<uint32_t>();
-		const auto steps = *genSteps(8);
-		World world(seed, 2, 3, 1);
-
-		cq_sim_faults_set_dc(world.faults, 0, true);
-		cq_sim_faults_set_dc(world.faults, 1, true);
+		const auto dcs = *genNumber(1, 3);
+		const auto schedds = *genNumber(1, 4);
+		const auto entryds = *genNumber(0, 2);
+		const auto steps = *genSteps(dcs * (schedds + entryds));
+		World world(seed, dcs, schedds, entryds);
+
+		for (uint32_t dc = 0; dc < dcs; dc++)
+			cq_sim_faults_set_dc(world.faults, dc, true);
 		world.run(steps);
 		RC_CLASSIFY(steps.size() >= 10, "10 steps or more");
 		RC_CLASSIFY(cq_sim_faults_permits(world.faults) > 100,
