Test a client that goes away and a store that never answers

Cause: an operator's call that is answered late uses the exchange after the client may have gone; the 504 answer was not tested. Change: two cases in the faults test.

--- a/tests/scripts/test_cqctl_faults.sh
+++ b/tests/scripts/test_cqctl_faults.sh
@@ -18,6 +18,10 @@
 		"http://$1/v1/members" |
 		jq -r ".members[] | select(.id == \"$2\") | .state")" = "$3" ]
 }
+weight_is() {
+	[ "$("$bin/cqctl" settings get "$1" --output json |
+		jq '.settings.weight')" = "$2" ]
+}
 in_force() {
 	[ "$(curl -sf -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
 		"http://$1/v1/data-centres" | jq ".data_centres[] |
@@ -59,12 +63,26 @@
 faults '{"down":false}'
 wait_for "direct store calls" direct 127.0.23.11:7102 true
 
+echo "# the client goes away before the store has answered: the change goes on"
+faults '{"delay_ms":700}'
+run settings set workspaces/green weight=1 --timeout-ms 300
+faults '{"delay_ms":0}'
+wait_for "the change to be in force" weight_is workspaces/green 1
+run settings get workspaces/green
+"$bin/cqctl" settings set workspaces/green --remove >/dev/null
+
+echo "# the store takes calls and never answers: the outcome is not known"
+faults '{"silent":true}'
+run settings set workspaces/red weight=4
+faults '{"silent":false}'
+wait_for "direct store calls" direct 127.0.23.11:7102 true
+
 echo "# two writers with the same revision: one wins, the other is told"
 run_masked settings set workspaces/blue weight=1
-"$bin/cqctl" settings set workspaces/blue weight=2 --revision 5 \
+"$bin/cqctl" settings set workspaces/blue weight=2 --revision 7 \
 	--server 127.0.23.11:7102 >"$work/one" 2>&1 &
 one=$!
-"$bin/cqctl" settings set workspaces/blue weight=3 --revision 5 \
+"$bin/cqctl" settings set workspaces/blue weight=3 --revision 7 \
 	--server 127.0.23.13:7102 >"$work/two" 2>&1 &
 two=$!
 wait "$one"
@@ -89,7 +107,7 @@
 run status
 kill -CONT "$b"
 wait_for "b to return" state_of 127.0.23.11:7102 b/fake-daemon alive
-wait_for "the newest settings at b" revision_of 127.0.23.12:7102 8
+wait_for "the newest settings at b" revision_of 127.0.23.12:7102 10
 wait_for "b to hear of them from a" in_force 127.0.23.12:7102 surat 2
 run_masked data-centre list --server 127.0.23.12:7102
 
