Let the cqctl tests run on another loopback network

Cause: two runs of the tests on one machine at a time used the same addresses; one run met the daemons and revisions of the other (revision 24 instead of 1). Change: CQ_TEST_NET chooses the network, the output is the same; a test that finds its addresses in use says so and stops. Conclusion: runs at the same time need their own CQ_TEST_NET.

--- a/tests/scripts/cqctl_common.sh
+++ b/tests/scripts/cqctl_common.sh
@@ -1,9 +1,12 @@
-# Functions of the cqctl tests; sourced. Everything runs on 127.0.23.x.
+# Functions of the cqctl tests; sourced. Everything runs on 127.0.23.x, or on
+# the network in CQ_TEST_NET when two runs share a machine; the output shows
+# 127.0.23.x in both cases.
+net=${CQ_TEST_NET:-127.0.23}
 bin=${CQ_BUILD:-build}/bin
 work=$(mktemp -d)
 pids=
 export CQ_OPERATOR_TOKEN=test-token-1
-store=127.0.23.1:7300
+store=$net.1:7300
 
 # Ends the processes that this test started.
 cleanup() {
@@ -37,6 +40,10 @@
 }
 
 start_store() {
+	if answers "$store/v1/stats"; then
+		echo "$net.x is in use by another run; set CQ_TEST_NET"
+		exit 1
+	fi
 	"$bin/cq-fake-store" --listen="$store" >"$work/store.log" 2>&1 &
 	pids="$pids $!"
 	wait_for "the store" answers "$store/v1/stats"
@@ -49,20 +56,24 @@
 	octet=$3
 	shift 3
 	"$bin/cq-fake-daemon" --deployment=test --data-centre="$dc" \
-		--host-id="$host" --peer-address="127.0.23.$octet:7101" \
-		--operator-address="127.0.23.$octet:7102" \
-		--store-address="$store" --seeds=127.0.23.11:7101 \
+		--host-id="$host" --peer-address="$net.$octet:7101" \
+		--operator-address="$net.$octet:7102" \
+		--store-address="$store" --seeds="$net.11:7101" \
 		--drain-ms=2000 "$@" >"$work/$host.log" 2>&1 &
 	started=$!
 	pids="$pids $started"
-	wait_for "daemon $host" answers "127.0.23.$octet:7102/healthz"
+	wait_for "daemon $host" answers "$net.$octet:7102/healthz"
 }
 
 # run ARGUMENT...: prints the command, its output and its exit code.
 run() {
-	echo "\$ cqctl $*"
-	"$bin/cqctl" "$@" 2>&1
-	echo "exit $?"
+	"$bin/cqctl" "$@" >"$work/output" 2>&1
+	status=$?
+	{
+		echo "\$ cqctl $*"
+		cat "$work/output"
+		echo "exit $status"
+	} | sed "s/$net\\./127.0.23./g"
 }
 
 # Like run, with everything that differs from run to run replaced.
--- a/tests/scripts/test_burn_live.sh
+++ b/tests/scripts/test_burn_live.sh
@@ -5,9 +5,9 @@
 start_store
 start_daemon a surat 15
 a=$started
-wait_for readiness answers 127.0.23.15:7102/readyz
-export CQ_SERVER=127.0.23.15:7102
-hosts=127.0.23.15:7102,127.0.23.16:7102
+wait_for readiness answers $net.15:7102/readyz
+export CQ_SERVER=$net.15:7102
+hosts=$net.15:7102,$net.16:7102
 set_weight() {
 	"$bin/cqctl" settings set workspaces/red weight="$1" >/dev/null
 }
@@ -19,7 +19,7 @@
 	"$bin/cq-burn" --scrapes="$work/readings" --objectives="$work/global" \
 		--output=json | jq -c '.objectives[0].whole | [.total, .bad]'
 	"$bin/cq-burn" --scrapes="$work/readings" --objectives="$work/global" |
-		grep -e restarted -e '^settings'
+		grep -e restarted -e '^settings' | sed "s/$net\\./127.0.23./"
 }
 
 echo "# the objectives come from the settings"
@@ -42,7 +42,7 @@
 kill -TERM "$a"
 wait "$a"
 start_daemon a surat 15
-wait_for readiness answers 127.0.23.15:7102/readyz
+wait_for readiness answers $net.15:7102/readyz
 set_weight 4
 record
 figures
--- a/tests/scripts/test_cqctl.sh
+++ b/tests/scripts/test_cqctl.sh
@@ -4,7 +4,7 @@
 unset CQ_SERVER
 start_store
 start_daemon a surat 11 --schedd
-wait_for readiness answers 127.0.23.11:7102/readyz
+wait_for readiness answers $net.11:7102/readyz
 
 echo "# usage"
 run
@@ -14,14 +14,14 @@
 run data-centre out --help
 run members
 run members --server nonsense
-run members --server 127.0.23.11:7102 --output xml
-run members --server 127.0.23.11:7102 --timeout-ms 0
-run jobs show --server 127.0.23.11:7102
-run members --server 127.0.23.11:7102 --unknown
-export CQ_SERVER=127.0.23.11:7102
+run members --server $net.11:7102 --output xml
+run members --server $net.11:7102 --timeout-ms 0
+run jobs show --server $net.11:7102
+run members --server $net.11:7102 --unknown
+export CQ_SERVER=$net.11:7102
 
 echo "# connection"
-run members --server 127.0.23.12:9
+run members --server $net.12:9
 CQ_OPERATOR_TOKEN=wrong-token run members
 
 echo "# settings"
--- a/tests/scripts/test_cqctl_faults.sh
+++ b/tests/scripts/test_cqctl_faults.sh
@@ -40,15 +40,15 @@
 start_daemon c rajkot 13 --partial
 c=$started
 for octet in 11 12 13; do
-	wait_for "members at $octet" member_count 127.0.23.$octet:7102 3
-	wait_for "readiness of $octet" answers 127.0.23.$octet:7102/readyz
+	wait_for "members at $octet" member_count $net.$octet:7102 3
+	wait_for "readiness of $octet" answers $net.$octet:7102/readyz
 done
-export CQ_SERVER=127.0.23.11:7102
+export CQ_SERVER=$net.11:7102
 
 echo "# in force on every daemon, read from another one"
 run_masked data-centre in surat --create
 run_masked data-centre in rajkot --create
-run settings get data-centres/rajkot --server 127.0.23.13:7102
+run settings get data-centres/rajkot --server $net.13:7102
 
 echo "# the answer of the store is lost: the change is read back"
 faults '{"lose_answers":1}'
@@ -61,7 +61,7 @@
 run settings set workspaces/red weight=3
 run settings get data-centres/rajkot
 faults '{"down":false}'
-wait_for "direct store calls" direct 127.0.23.11:7102 true
+wait_for "direct store calls" direct $net.11:7102 true
 
 echo "# the client goes away before the store has answered: the change goes on"
 faults '{"delay_ms":700}'
@@ -75,15 +75,15 @@
 faults '{"silent":true}'
 run settings set workspaces/red weight=4
 faults '{"silent":false}'
-wait_for "direct store calls" direct 127.0.23.11:7102 true
+wait_for "direct store calls" direct $net.11:7102 true
 
 echo "# two writers with the same revision: one wins, the other is told"
 run_masked settings set workspaces/blue weight=1
 "$bin/cqctl" settings set workspaces/blue weight=2 --revision 7 \
-	--server 127.0.23.11:7102 >"$work/one" 2>&1 &
+	--server $net.11:7102 >"$work/one" 2>&1 &
 one=$!
 "$bin/cqctl" settings set workspaces/blue weight=3 --revision 7 \
-	--server 127.0.23.13:7102 >"$work/two" 2>&1 &
+	--server $net.13:7102 >"$work/two" 2>&1 &
 two=$!
 wait "$one"
 first=$?
@@ -94,26 +94,26 @@
 	sed -E -e 's/after [0-9.]+ s/after T s/'
 
 echo "# a partial list"
-run jobs list --server 127.0.23.13:7102
-run jobs list --server 127.0.23.13:7102 --state waiting
+run jobs list --server $net.13:7102
+run jobs list --server $net.13:7102 --state waiting
 
 echo "# a daemon that is silent"
 kill -STOP "$b"
-run members --server 127.0.23.12:7102 --timeout-ms 300
+run members --server $net.12:7102 --timeout-ms 300
 run_masked settings set workspaces/blue weight=9 --timeout-ms 2500
-wait_for "b to count as dead" state_of 127.0.23.11:7102 b/fake-daemon dead
+wait_for "b to count as dead" state_of $net.11:7102 b/fake-daemon dead
 run_masked data-centre out surat
 run_masked data-centre list
 run status
 kill -CONT "$b"
-wait_for "b to return" state_of 127.0.23.11:7102 b/fake-daemon alive
-wait_for "the newest settings at b" revision_of 127.0.23.12:7102 10
-wait_for "b to hear of them from a" in_force 127.0.23.12:7102 surat 2
-run_masked data-centre list --server 127.0.23.12:7102
+wait_for "b to return" state_of $net.11:7102 b/fake-daemon alive
+wait_for "the newest settings at b" revision_of $net.12:7102 10
+wait_for "b to hear of them from a" in_force $net.12:7102 surat 2
+run_masked data-centre list --server $net.12:7102
 
 echo "# a planned stop"
 kill -TERM "$c"
 wait "$c"
 echo "exit $?"
-wait_for "c to leave" state_of 127.0.23.11:7102 c/fake-daemon left
+wait_for "c to leave" state_of $net.11:7102 c/fake-daemon left
 run_masked data-centre in surat
