--- a/include/chestnutquay/http_server.h
+++ b/include/chestnutquay/http_server.h
@@ -3,7 +3,8 @@
  *
  * The handler is called once the whole request has arrived and may answer at
  * once or later. Requests over the limits are answered with 413 or 431 and
- * never reach the handler; slow senders are closed at the idle timeout.
+ * never reach the handler. A connection has the idle timeout to deliver each
+ * request as a whole: a client that sends a byte now and then is closed too.
  */
 #ifndef CHESTNUTQUAY_HTTP_SERVER_H
 #define CHESTNUTQUAY_HTTP_SERVER_H
@@ -30,7 +31,7 @@
 	uint32_t max_body_bytes;
 	/* Sum of all request bodies held; more are answered with 503. */
 	uint64_t max_total_body_bytes;
-	uint32_t idle_timeout_s;
+	uint32_t idle_timeout_s; /* also for a whole request to arrive */
 };
 
 /* Defaults: 1024 connections, 1 MiB body, 64 MiB total, 30 s. */
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -13,6 +13,7 @@
 #define DEFAULT_MAX_BODY_BYTES (1U << 20)
 #define DEFAULT_MAX_TOTAL_BODY_BYTES (UINT64_C(64) << 20)
 #define DEFAULT_IDLE_TIMEOUT_S 30
+#define SLOW_CHECK_S 0.5
 /* Memory of one connection for its request line and headers. */
 #define CONNECTION_MEMORY_BYTES ((size_t)32 << 10)
 
@@ -40,6 +41,14 @@
 	void *user;
 };
 
+/* A connection, kept by libmicrohttpd as its socket context. */
+struct connection {
+	struct connection *next, *prev;
+	int fd;
+	bool handling;	/* a whole request is with the handler */
+	double since_s; /* opened, or its last answer ended */
+};
+
 struct cq_http_server {
 	struct ev_loop *loop;
 	struct cq_http_server_options options;
@@ -49,6 +58,8 @@
 	ev_io epoll_watcher;
 	ev_timer timeout_watcher;
 	ev_prepare prepare_watcher;
+	ev_timer slow_watcher;
+	struct connection *connections;
 	struct cq_http_exchange *exchanges;
 	uint64_t body_bytes;
 	uint32_t open;
@@ -77,6 +88,11 @@
 			      uint32_t status, const char *code,
 			      const char *message);
 static enum MHD_Result send_answer(struct cq_http_exchange *exchange);
+static void on_connection(void *cls, struct MHD_Connection *mhd,
+			  void **socket_ctx,
+			  enum MHD_ConnectionNotificationCode code);
+static void on_slow_check(struct ev_loop *loop, ev_timer *watcher, int events);
+static struct connection *connection_of(struct MHD_Connection *mhd);
 static void run_daemon(struct cq_http_server *server);
 static void suspend(struct cq_http_exchange *exchange);
 static void resume(struct cq_http_exchange *exchange);
@@ -193,6 +209,7 @@
 	struct cq_http_server *server = exchange->server;
 
 	exchange->state = EXCHANGE_HANDLING;
+	connection_of(exchange->connection)->handling = true;
 	server->handler.request(server->ctx, exchange);
 	if (exchange->response)
 		return send_answer(exchange);
@@ -295,10 +312,11 @@
 	struct cq_http_server *server = cls;
 	struct cq_http_exchange *exchange = *con_cls;
 
-	(void)connection;
 	(void)code;
 	if (!exchange)
 		return;
+	connection_of(connection)->handling = false;
+	connection_of(connection)->since_s = ev_now(server->loop);
 	*con_cls = NULL;
 	if (exchange->state == EXCHANGE_HANDLING && !exchange->response &&
 	    server->handler.aborted)
@@ -306,6 +324,54 @@
 	exchange_free(exchange);
 }
 
+static struct connection *connection_of(struct MHD_Connection *mhd)
+{
+	return MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+		->socket_context;
+}
+
+static void on_connection(void *cls, struct MHD_Connection *mhd,
+			  void **socket_ctx,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	struct cq_http_server *server = cls;
+	struct connection *c = *socket_ctx;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		c = g_new0(struct connection, 1);
+		c->fd = MHD_get_connection_info(
+				mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
+				->connect_fd;
+		c->since_s = ev_now(server->loop);
+		c->next = server->connections;
+		if (c->next)
+			c->next->prev = c;
+		server->connections = c;
+		*socket_ctx = c;
+		return;
+	}
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		server->connections = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	g_free(c);
+}
+
+/* libmicrohttpd's own timeout starts again with every byte. */
+static void on_slow_check(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	struct cq_http_server *server = watcher->data;
+	double limit_s = server->options.idle_timeout_s;
+	struct connection *c;
+
+	(void)events;
+	for (c = server->connections; c; c = c->next)
+		if (!c->handling && ev_now(loop) - c->since_s > limit_s)
+			shutdown(c->fd, SHUT_RDWR);
+}
+
 static void run_daemon(struct cq_http_server *server)
 {
 	MHD_run(server->daemon);
@@ -377,6 +443,7 @@
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES,
 		MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
 		MHD_OPTION_END);
 	if (!server->daemon) {
 		cq_error_set(err, CQ_ERROR_TRANSPORT, CQ_ERR_SYSTEM,
@@ -391,6 +458,10 @@
 	ev_io_init(&server->epoll_watcher, on_epoll, info->epoll_fd, EV_READ);
 	ev_timer_init(&server->timeout_watcher, on_timeout, 0., 0.);
 	ev_prepare_init(&server->prepare_watcher, on_prepare);
+	ev_timer_init(&server->slow_watcher, on_slow_check, SLOW_CHECK_S,
+		      SLOW_CHECK_S);
+	server->slow_watcher.data = server;
+	ev_timer_start(loop, &server->slow_watcher);
 	server->epoll_watcher.data = server;
 	server->timeout_watcher.data = server;
 	server->prepare_watcher.data = server;
@@ -415,6 +486,7 @@
 	ev_io_stop(server->loop, &server->epoll_watcher);
 	ev_timer_stop(server->loop, &server->timeout_watcher);
 	ev_prepare_stop(server->loop, &server->prepare_watcher);
+	ev_timer_stop(server->loop, &server->slow_watcher);
 	MHD_stop_daemon(server->daemon);
 	g_free(server);
 }
--- a/tests/scripts/test_requests.sh
+++ b/tests/scripts/test_requests.sh
@@ -88,6 +88,13 @@
 pid_b=$started
 wait_for ready $a
 wait_for ready $b
+for pid in $pids; do
+	# Another run would serve this one's calls.
+	kill -0 "$pid" 2>/dev/null || {
+		echo "a program did not start: are 127.0.21.x in use?"
+		exit 1
+	}
+done
 
 echo "== answers"
 call $a pair -H "$W" -H "$C" -H 'Content-Type: text/plain' -d hello
--- a/tests/unit/test_transport.c
+++ b/tests/unit/test_transport.c
@@ -1,6 +1,10 @@
+#include <arpa/inet.h>
 #include <ev.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "chestnutquay/http_client.h"
 #include "chestnutquay/http_server.h"
@@ -185,6 +189,69 @@
 	g_assert_cmpint(f->outcome, ==, CQ_HTTP_NOT_SENT);
 }
 
+struct dripper {
+	int fd;
+	ev_timer timer;
+	uint32_t closed;
+};
+
+static void on_drip(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct dripper *d = timer->data;
+	char byte;
+
+	(void)events;
+	if (send(d->fd, "x", 1, MSG_NOSIGNAL) == 1 &&
+	    recv(d->fd, &byte, 1, MSG_DONTWAIT) != 0)
+		return;
+	d->closed = 1;
+	ev_timer_stop(loop, timer);
+}
+
+/*
+ * Guards against a client that holds a connection by sending its head, or its
+ * body, one byte at a time: each byte restarts libmicrohttpd's own timeout.
+ */
+static void test_slow_sender(void)
+{
+	static const char *const starts[] = {
+		"POST /echo HTTP/1.1\r\nHost: x\r\nX-Slow: ",
+		"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 900\r\n\r\n",
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(starts); i++) {
+		struct fixture f = { 0 };
+		struct cq_http_server_handler handler = { handle, aborted };
+		struct cq_http_server_options options;
+		struct sockaddr_in address = { .sin_family = AF_INET };
+		struct dripper d = { 0 };
+
+		f.loop = ev_loop_new(0);
+		cq_http_server_options_init(&options, "127.0.0.1", 0);
+		options.idle_timeout_s = 1;
+		f.server = cq_http_server_create(f.loop, &options, &handler, &f,
+						 NULL);
+		address.sin_port = htons(cq_http_server_port(f.server));
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		d.fd = socket(AF_INET, SOCK_STREAM, 0);
+		g_assert_cmpint(connect(d.fd, (struct sockaddr *)&address,
+					sizeof(address)),
+				==, 0);
+		g_assert_cmpint(send(d.fd, starts[i], strlen(starts[i]),
+				     MSG_NOSIGNAL),
+				>, 0);
+		ev_timer_init(&d.timer, on_drip, 0.1, 0.1);
+		d.timer.data = &d;
+		ev_timer_start(f.loop, &d.timer);
+		run_until(f.loop, &d.closed, 1);
+		g_assert_cmpuint(f.handled, ==, 0);
+		close(d.fd);
+		cq_http_server_destroy(f.server);
+		ev_loop_destroy(f.loop);
+	}
+}
+
 /* Guards against a completion after a call was cancelled. */
 static void test_cancel(struct fixture *f, gconstpointer data)
 {
@@ -324,6 +391,7 @@
 	HTTP_TEST("timeout_is_unknown", test_timeout_is_unknown);
 	HTTP_TEST("refused_is_not_sent", test_refused_is_not_sent);
 	HTTP_TEST("cancel", test_cancel);
+	g_test_add_func("/transport/http/slow-sender", test_slow_sender);
 	g_test_add_func("/transport/frame/table", test_frame_table);
 	g_test_add_func("/transport/peers", test_peers);
 	return g_test_run();
