--- a/tests/scripts/test_requests.sh
+++ b/tests/scripts/test_requests.sh
@@ -98,6 +98,13 @@
 pid_b=$started
 wait_for ready $a
 wait_for ready $b
+for pid in $pids; do
+	# Another run would serve this one's calls.
+	kill -0 "$pid" 2>/dev/null || {
+		echo "a program did not start: are 127.0.21.x in use?"
+		exit 1
+	}
+done
 # members HOST: how many daemons the host sees alive.
 members() {
 	curl -s -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
