Test the job calls against store faults, and a planned stop

Cause: only the scripted run covered the job calls, with one fault each; the caretaker test released all tasks before the owner died, so that a caretaker that renews gangs in part went unnoticed; tasks of a removed job had no test.

The script stops the owner with SIGTERM.

Not noticed by any test, and kept as second lines of defence: writes of records by a process that may not command, answers of an earlier attempt (the call timeout is shorter than the delay of the next attempt), and a conflict that is not adopted (the watch brings the same record).

--- a/Makefile
+++ b/Makefile
@@ -85,7 +85,7 @@
 $(foreach d,$(PROGRAM_DIRS),$(eval $(call link_rule,$d,$(call program_name,$d),$(PROGRAM_COMMON_OBJ))))
 $(foreach d,$(STANDIN_DIRS),$(eval $(call link_rule,$d,cq-$(notdir $d),$(TEST_LIB_OBJ))))
 
-$(B)/tests/unit/%: $(B)/tests/unit/%.o $(TEST_LIB_OBJ) $(LIB)
+$(B)/tests/unit/%: $(B)/tests/unit/%.o $(TEST_LIB_OBJ) $(PROGRAM_COMMON_OBJ) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
 
 $(B)/tests/property/%: tests/property/%.cc $(TEST_LIB_OBJ) $(LIB)
--- a/src/programs/schedd/cluster.c
+++ b/src/programs/schedd/cluster.c
@@ -110,6 +110,8 @@
 	int64_t now_ns = schedd_now_ns(s);
 
 	cq_controller_drain(s->controller);
+	if (cq_job_calls_open(s->job_calls))
+		return false;
 	if (!s->handing_over) {
 		if (cq_controller_in_flight(s->controller))
 			return false;
--- a/src/programs/schedd/jobs.c
+++ b/src/programs/schedd/jobs.c
@@ -1,4 +1,6 @@
+#include <inttypes.h>
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,6 +14,7 @@
  */
 #define CARETAKER_AFTER_NS (3 * CQ_NS_PER_S)
 #define MAX_LIST 1000
+#define MIN_LEASE_SYNCS 6
 
 static char *answer_query(struct schedd *s, const char *query);
 
@@ -222,6 +225,9 @@
 	options.writer = cq_daemon_id(s->daemon);
 	options.metrics = cq_daemon_metrics(s->daemon);
 	options.seed = cq_daemon_incarnation(s->daemon);
+	options.sync_interval_ns =
+		cq_config_integer(config, "sync-ms") * CQ_NS_PER_MS;
+	options.contact_ns = options.sync_interval_ns * 5 / 2;
 	options.task_lease_ms =
 		(uint32_t)cq_config_integer(config, "task-lease-ms");
 	options.held_lease_ms =
@@ -238,6 +244,25 @@
 					     schedd_now_ns(s));
 }
 
+bool schedd_jobs_check(const struct schedd *s)
+{
+	const struct cq_config *config = cq_daemon_config(s->daemon);
+	int64_t lease_ms = cq_config_integer(config, "task-lease-ms");
+	int64_t sync_ms = cq_config_integer(config, "sync-ms");
+
+	/*
+	 * Contact takes 2.5 intervals of the lease; the rest has to outlast a
+	 * lost call and a takeover.
+	 */
+	if (lease_ms >= MIN_LEASE_SYNCS * sync_ms)
+		return true;
+	fprintf(stderr,
+		"cq-schedd: --task-lease-ms: %" PRId64 " is below %d times "
+		"--sync-ms, %" PRId64 "\n",
+		lease_ms, MIN_LEASE_SYNCS, MIN_LEASE_SYNCS * sync_ms);
+	return false;
+}
+
 static void open_calls(struct schedd *s)
 {
 	static const struct cq_job_calls_ops ops = { send_message, local };
--- a/src/programs/schedd/main.c
+++ b/src/programs/schedd/main.c
@@ -7,6 +7,9 @@
 static const struct cq_setting settings[] = {
 	{ "task-lease-ms", "CQ_TASK_LEASE_MS", CQ_SETTING_INTEGER, "15000",
 	  6000, 300000, "lease of running tasks, milliseconds" },
+	{ "sync-ms", "CQ_SYNC_MS", CQ_SETTING_INTEGER, "1000", 500, 30000,
+	  "interval of calls to each worker, milliseconds; the task lease is "
+	  "at least six times as long" },
 	{ "worker-lost-ms", "CQ_WORKER_LOST_MS", CQ_SETTING_INTEGER, "5000",
 	  1000, 60000, "silence after which a worker is lost, milliseconds" },
 	{ "job-retention-ms", "CQ_JOB_RETENTION_MS", CQ_SETTING_INTEGER,
@@ -25,6 +28,10 @@
 				    &exit_code);
 	if (!s.daemon)
 		return exit_code;
+	if (!schedd_jobs_check(&s)) {
+		cq_daemon_destroy(s.daemon);
+		return CQ_EXIT_USAGE;
+	}
 	schedd_cluster_open(&s);
 	schedd_jobs_open(&s);
 	schedd_hosts_open(&s);
--- a/src/programs/schedd/schedd.h
+++ b/src/programs/schedd/schedd.h
@@ -46,6 +46,8 @@
 void schedd_cluster_close(struct schedd *s);
 
 /* jobs.c: the controller, job calls and queries of peers. */
+/* Checks the settings against each other; prints what is wrong. */
+bool schedd_jobs_check(const struct schedd *s);
 void schedd_jobs_open(struct schedd *s);
 void schedd_jobs_close(struct schedd *s);
 void schedd_jobs_owner_changed(struct schedd *s);
--- a/tests/scripts/test_jobs.sh
+++ b/tests/scripts/test_jobs.sh
@@ -226,6 +226,20 @@
 until_true 20 "the pinned job is cancelled" job_is "$owner" "$pinned" cancelled
 echo "cancelled on request"
 
+echo "== planned stop of the owner"
+submit "$owner" stop '"data_centre":"a","tasks":2,"expected_ms":6000'
+until_true 10 "the job runs" job_is "$owner" "$id" running
+stopped=$owner
+eval "kill -TERM \$pid_$stopped; wait \$pid_$stopped"
+echo "exit code $?"
+until_true 20 "a has another owner" owner_of_a
+until_true 20 "the job finishes" job_is "$owner" "$id" finished
+echo "finished in attempt $(job_field attempt) after" \
+	"$(starts | grep -c "$id") starts"
+start_schedd "$stopped" a 0
+until_true 20 "the stopped schedd is back" \
+	sh -c "curl -s http://127.0.22.$stopped:7201/readyz | grep -q ready$"
+
 echo "== the store is down"
 store_faults() {
 	curl -sf -m 5 -o /dev/null -X PUT "http://$store/v1/faults" -d "$1" ||
--- a/tests/unit/test_controller.c
+++ b/tests/unit/test_controller.c
@@ -260,6 +260,23 @@
 	cq_sim_jobs_destroy(jobs);
 }
 
+/* Guards against tasks that hold accelerators for a job that is gone. */
+static void test_strays(void)
+{
+	struct cq_sim_jobs *jobs = create(1, 4);
+	char key[CQ_JOB_KEY_BYTES];
+
+	cq_sim_jobs_submit(jobs, &gang_of_four);
+	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_RUNNING, 10000));
+	cq_job_key(CQ_SIM_JOBS_DC, "j1", key);
+	cq_sim_store_write(cq_sim_jobs_store(jobs), key, NULL,
+			   CQ_STORE_ANY_REVISION);
+	/* Long before their leases lapse. */
+	cq_sim_jobs_run_ms(jobs, 3000);
+	g_assert_cmpuint(cq_sim_workers_live(cq_sim_jobs_workers(jobs)), ==, 0);
+	cq_sim_jobs_destroy(jobs);
+}
+
 /* Guards against a flood of starts when the data centre returns. */
 static void test_refill(void)
 {
@@ -507,6 +524,7 @@
 	g_test_add_func("/controller/late_start", test_late_start);
 	g_test_add_func("/controller/paused_owner_commands_nothing",
 			test_paused_owner_commands_nothing);
+	g_test_add_func("/controller/strays", test_strays);
 	g_test_add_func("/controller/refill", test_refill);
 	g_test_add_func("/controller/retention", test_retention);
 	g_test_add_func("/controller/cancel_wave", test_cancel_wave);
--- a/tests/unit/test_controller_faults.c
+++ b/tests/unit/test_controller_faults.c
@@ -355,15 +355,22 @@
 /* Guards against a gang in part that a caretaker keeps alive. */
 static void test_caretaker_leaves_parts(void)
 {
-	struct cq_sim_jobs *jobs = create(2, 4);
-	struct scenario s = { .jobs = jobs,
-			      .fault = OWNER_DIES_FOR_GOOD,
+	struct cq_sim_jobs_options options;
+	struct cq_sim_jobs *jobs;
+	struct scenario s = { .fault = OWNER_DIES_FOR_GOOD,
 			      .moment = { "throttle", 2 } };
 
+	cq_sim_jobs_options_init(&options);
+	/* One release after the other, so that some are missing. */
+	options.controller.max_commands = 1;
+	jobs = cq_sim_jobs_create(&options);
+	s.jobs = jobs;
 	cq_sim_workers_on_command(cq_sim_jobs_workers(jobs), on_command, &s);
 	cq_sim_jobs_submit(jobs, &gang_of_four);
 	while (!s.struck)
 		cq_sim_jobs_run_ms(jobs, STEP_MS);
+	cq_sim_jobs_run_ms(jobs, STEP_MS);
+	g_assert_cmpuint(record_of(jobs)->releases, ==, 2);
 	cq_sim_jobs_store_down(jobs, true);
 	cq_controller_set_caretaker(cq_sim_jobs_controller(jobs, 1 - s.owner),
 				    1, cq_sim_now_ns(cq_sim_jobs_sim(jobs)));
