--- a/Makefile
+++ b/Makefile
@@ -92,7 +92,8 @@
 $(foreach d,$(PROGRAM_DIRS),$(eval $(call link_rule,$d,$(call program_name,$d),$(PROGRAM_COMMON_OBJ))))
 $(foreach d,$(STANDIN_DIRS),$(eval $(call link_rule,$d,cq-$(notdir $d),$(TEST_LIB_OBJ) $(PROGRAM_COMMON_OBJ))))
 
-$(B)/tests/unit/%: $(B)/tests/unit/%.o $(TEST_LIB_OBJ) $(LIB)
+$(B)/tests/unit/%: $(B)/tests/unit/%.o $(TEST_LIB_OBJ) $(PROGRAM_COMMON_OBJ) \
+		$(LIB)
 	@echo "  LINK $@"
 	$(Q)$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
 
--- a/src/programs/schedd/cluster.c
+++ b/src/programs/schedd/cluster.c
@@ -75,6 +75,8 @@
 	struct schedd *s = ctx;
 
 	cq_controller_drain(s->controller);
+	if (cq_job_calls_open(s->job_calls))
+		return false;
 	if (!s->handing_over) {
 		if (cq_controller_in_flight(s->controller))
 			return false;
