Take over task renewals before the owner counts as dead

Cause: a schedd began to renew task leases 3 s after the owner counted as dead, about 10 s after its death; with a renewal some seconds old this was later than the task lease of 15 s. Change: a suspect owner counts as gone for renewals, which are harmless when two schedds send them, and the wait is 1 s.

--- a/src/programs/schedd/jobs.c
+++ b/src/programs/schedd/jobs.c
@@ -12,7 +12,7 @@
  * leases of running gangs. Membership takes 5 to 6 s to find a dead owner, and
  * renewals grant 12.5 s by default; a takeover is over before that.
  */
-#define CARETAKER_AFTER_NS (3 * CQ_NS_PER_S)
+#define CARETAKER_AFTER_NS CQ_NS_PER_S
 #define MAX_LIST 1000
 /* Racks of a data centre in the published capacity. */
 #define MAX_RACKS 512
@@ -47,30 +47,43 @@
 	cq_controller_set_epoch(s->controller, epoch, now_ns);
 }
 
-static bool owner_is_known(const struct schedd *s)
+/*
+ * Whether the owner answers, and whether this schedd is the first of those of
+ * the data centre that answer. A suspect member counts as gone here: renewals
+ * harm nobody when two schedds send them, and waiting until the member is dead
+ * leaves less of the task lease than a renewal needs.
+ */
+static void look_around(const struct schedd *s, bool *owner_answers,
+			bool *is_first)
 {
-	const char *dc = cq_daemon_data_centre(s->daemon);
+	const struct cq_member *self = cq_membership_self(s->membership);
 	uint32_t i;
 
-	for (i = 0; i < cq_membership_count(s->membership); i++) {
+	*owner_answers = self->owner_epoch != 0;
+	*is_first = true;
+	for (i = 1; i < cq_membership_count(s->membership); i++) {
 		const struct cq_member *member =
 			cq_membership_get(s->membership, i);
 
-		if (member->owner_epoch && cq_member_is_live(member) &&
-		    !strcmp(member->data_centre, dc))
-			return true;
+		if (member->role != CQ_ROLE_SCHEDD ||
+		    member->state != CQ_MEMBER_ALIVE ||
+		    strcmp(member->data_centre, self->data_centre) != 0)
+			continue;
+		*owner_answers |= member->owner_epoch != 0;
+		*is_first &= strcmp(member->id, self->id) > 0;
 	}
-	return false;
 }
 
 static void check_caretaker(struct schedd *s, int64_t now_ns)
 {
+	bool owner_answers;
+	bool is_first;
 	bool wanted;
 
-	if (owner_is_known(s))
+	look_around(s, &owner_answers, &is_first);
+	if (owner_answers)
 		s->owner_seen_ns = now_ns;
-	wanted = now_ns - s->owner_seen_ns > CARETAKER_AFTER_NS &&
-		 cq_membership_rank(s->membership) == 0;
+	wanted = is_first && now_ns - s->owner_seen_ns > CARETAKER_AFTER_NS;
 	cq_controller_set_caretaker(
 		s->controller,
 		wanted ? cq_ownership_last_epoch(s->ownership) : 0, now_ns);
