--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,8 @@
 BENCH_BIN := $(BENCH_SRC:bench/%.c=$(B)/bench/%)
 BENCH_LIB_SRC := $(filter-out $(BENCH_SRC),$(wildcard bench/*.c))
 BENCH_LIB_OBJ := $(BENCH_LIB_SRC:%.c=$(B)/%.o)
+# An archive, so that a benchmark links only the parts that it uses.
+BENCH_LIB := $(B)/libbench.a
 # A target is built once the header of its module is in the tree.
 fuzz_needs = $(if $(wildcard include/chestnutquay/$2.h),,tests/fuzz/fuzz_$1.c)
 FUZZ_SRC := $(filter-out $(call fuzz_needs,job,jobs) \
@@ -98,7 +100,11 @@
 	$(CXX) $(CPPFLAGS) $(CXXFLAGS_ALL) -MMD -MP -MF $@.d -o $@ $< \
 		$(TEST_LIB_OBJ) $(LIB) -lrapidcheck $(LDLIBS_ALL)
 
-$(B)/bench/%: $(B)/bench/%.o $(BENCH_LIB_OBJ) $(TEST_LIB_OBJ) $(LIB)
+$(BENCH_LIB): $(BENCH_LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(B)/bench/%: $(B)/bench/%.o $(BENCH_LIB) $(TEST_LIB_OBJ) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
 
 build-fuzz/%: tests/fuzz/%.c $(LIB_SRC)
