--- a/src/programs/entryd/requests.c
+++ b/src/programs/entryd/requests.c
@@ -476,9 +476,13 @@
 	requests->loop = cq_daemon_loop(daemon);
 	requests->max_timeout_ms =
 		(uint32_t)setting(requests, "endpoint-run-max-ms");
-	/* The connections of an endpoint are shared like its slots. */
+	/*
+	 * The connections of an endpoint are shared like its slots. Half of the
+	 * index's share is used, because an endpoint may not have noticed yet
+	 * that those of the index's former holder are gone.
+	 */
 	share = (uint32_t)(setting(requests, "endpoint-connections") /
-			   setting(requests, "index-count"));
+			   (2 * setting(requests, "index-count")));
 	requests->client = cq_http_client_create(requests->loop, MAX(share, 1),
 						 MAX_IDLE_CONNECTIONS);
 	endpoint_options = (struct cq_endpoint_http_options){
