Add the decisions benchmark, fault tables, and headroom for urgent jobs

Cause: the planner had no figures against other schedulers. The first runs showed it stopping borrowers all the time: every urgent job stopped one, which started again when the urgent job ended.

Borrowers leave the accelerators free that urgent jobs usually use; the loss of a stop counts the whole unsaved work when a checkpoint cannot end by the deadline; parts of multi-worker cells move as well; small jobs fill cells in use before they open another; reservations are given after half a run time of waiting. 37 unit tests, most in tables.

--- /dev/null
+++ b/bench/decisions_plan_time.c
@@ -0,0 +1,230 @@
+#include "decisions_plan_time.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "chestnutquay/clock.h"
+#include "decisions_workload.h"
+#include "state/planner_internal.h"
+
+#define GB (UINT64_C(1) << 30)
+#define WORKSPACES 20
+#define RACK_SIZE 40
+#define TASKS_PER_WORKER 4
+#define RUN_S 3600
+
+#define ENDS_PER_1000_TASKS 3
+
+struct scene {
+	struct fleet_builder *fleet;
+	struct cq_planner *planner;
+	struct random_source random;
+};
+
+static double wall_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (double)now.tv_sec * 1e3 + (double)now.tv_nsec / 1e6;
+}
+
+static int compare_doubles(const void *a, const void *b)
+{
+	double left = *(const double *)a;
+	double right = *(const double *)b;
+
+	return (left > right) - (left < right);
+}
+
+static uint32_t add_random_job(struct scene *scene, uint32_t accelerators)
+{
+	struct fleet_builder *fleet = scene->fleet;
+	uint32_t index =
+		fleet_add_job(fleet, random_below(&scene->random, WORKSPACES),
+			      random_below(&scene->random, 3), 1, accelerators);
+	struct cq_fleet_job *job = fleet_job(fleet, index);
+
+	job->declared_run_ns =
+		(int64_t)(random_lognormal(&scene->random, RUN_S, 1) *
+			  (double)CQ_NS_PER_S);
+	job->can_checkpoint = true;
+	job->checkpoint_cost_ns = 10 * CQ_NS_PER_S;
+	job->restart_cost_ns = 20 * CQ_NS_PER_S;
+	return index;
+}
+
+static void run(struct scene *scene, uint32_t job, uint32_t worker,
+		uint64_t mask, uint64_t cell, uint32_t rank)
+{
+	struct cq_fleet_task task = {
+		.job = job,
+		.rank = rank,
+		.worker = worker,
+		.accelerator_mask = mask,
+		.cell = cell,
+		.throttle_percent = 100,
+	};
+
+	fleet_job(scene->fleet, job)->state = CQ_JOB_RUNNING;
+	fleet_job(scene->fleet, job)->started_ns = scene->fleet->now_ns;
+	g_array_append_val(scene->fleet->tasks, task);
+}
+
+/* Every worker runs four tasks of two accelerators; the rest waits. */
+static void build(struct scene *scene, uint32_t workers)
+{
+	static const char *const names[] = { "c0", "c1", "c2" };
+	static const uint32_t sizes[] = { 1, 1, 2, 2, 2, 4, 8 };
+	struct cq_fleet_job *gang;
+	char name[16];
+	uint32_t i;
+
+	scene->fleet = fleet_builder_create(MAX(workers / 1000, 3U), workers,
+					    RACK_SIZE, 8, 64000, 256 * GB);
+	scene->fleet->now_ns = 3600 * CQ_NS_PER_S;
+	for (i = 0; i < 3; i++)
+		fleet_add_class(scene->fleet, names[i], i == 0);
+	for (i = 0; i < WORKSPACES; i++) {
+		g_snprintf(name, sizeof(name), "ws%u", i);
+		fleet_add_workspace(scene->fleet,
+				    g_string_chunk_insert(scene->fleet->names,
+							  name));
+		fleet_add_guarantee(scene->fleet, i,
+				    workers / (WORKSPACES * 3) + 1, 8,
+				    CQ_ADJACENT_WORKER);
+		fleet_add_guarantee(scene->fleet, i,
+				    workers / (WORKSPACES * 8) + 1, 2,
+				    CQ_ADJACENT_WORKER);
+	}
+	scene->planner = cq_planner_create();
+	for (i = 0; i < workers * TASKS_PER_WORKER; i++)
+		run(scene, add_random_job(scene, 2), i / TASKS_PER_WORKER,
+		    UINT64_C(3) << (i % TASKS_PER_WORKER * 2), 0, 0);
+	for (i = 0; i < workers + workers / 22; i++) {
+		gang = fleet_job(
+			scene->fleet,
+			add_random_job(
+				scene,
+				sizes[random_below(&scene->random,
+						   G_N_ELEMENTS(sizes))]));
+		if (random_below(&scene->random, 50) == 0)
+			gang->tasks = 16;
+	}
+}
+
+/* Some jobs end; jobs of the same size arrive in their place. */
+static void end_some(struct scene *scene)
+{
+	struct fleet_builder *fleet = scene->fleet;
+	uint32_t ends = MAX(fleet->tasks->len * ENDS_PER_1000_TASKS / 1000, 1U);
+	uint32_t i;
+
+	while (ends-- > 0 && fleet->tasks->len > 0) {
+		uint32_t job = g_array_index(fleet->tasks, struct cq_fleet_task,
+					     random_below(&scene->random,
+							  fleet->tasks->len))
+				       .job;
+
+		fleet_job(fleet, job)->state = CQ_JOB_WAITING;
+		fleet_job(fleet, job)->submitted_ns = fleet->now_ns;
+		fleet_job(fleet, job)->stop_requested_ns = 0;
+		fleet_job(fleet, job)->stop_for = CQ_FLEET_NONE;
+		for (i = fleet->tasks->len; i-- > 0;)
+			if (g_array_index(fleet->tasks, struct cq_fleet_task, i)
+				    .job == job)
+				g_array_remove_index_fast(fleet->tasks, i);
+	}
+}
+
+static void apply(struct scene *scene, const struct cq_plan *plan)
+{
+	struct fleet_builder *fleet = scene->fleet;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < plan->action_count; i++) {
+		const struct cq_action *action = &plan->actions[i];
+		struct cq_fleet_job *job;
+
+		if (action->job == CQ_FLEET_NONE)
+			continue;
+		job = fleet_job(fleet, action->job);
+		if (action->kind == CQ_ACTION_CHECKPOINT) {
+			job->stop_requested_ns = fleet->now_ns;
+			job->stop_deadline_ns = action->deadline_ns;
+			job->stop_reason = action->reason;
+			job->stop_for = action->for_job;
+		}
+		if (action->kind == CQ_ACTION_STOP) {
+			job->state = CQ_JOB_WAITING;
+			job->stop_requested_ns = 0;
+			job->stop_for = CQ_FLEET_NONE;
+			for (k = fleet->tasks->len; k-- > 0;)
+				if (g_array_index(fleet->tasks,
+						  struct cq_fleet_task, k)
+					    .job == action->job)
+					g_array_remove_index_fast(fleet->tasks,
+								  k);
+		}
+		for (k = 0; k < action->placement_count; k++)
+			run(scene, action->job, action->placements[k].worker,
+			    action->placements[k].accelerator_mask,
+			    action->placements[k].cell, k);
+	}
+}
+
+static double one_round(struct scene *scene)
+{
+	struct cq_snapshot snapshot;
+	struct cq_plan *plan;
+	double began_ms;
+	double took_ms;
+
+	scene->fleet->now_ns += CQ_NS_PER_S;
+	end_some(scene);
+	snapshot = fleet_snapshot(scene->fleet);
+	began_ms = wall_ms();
+	plan = sim_plan_with_planner(scene->planner, &snapshot);
+	took_ms = wall_ms() - began_ms;
+	apply(scene, plan);
+	cq_plan_destroy(plan);
+	return took_ms;
+}
+
+struct plan_time measure_plan_time(uint32_t workers, uint32_t rounds,
+				   uint64_t seed)
+{
+	struct scene scene = { .random = { seed } };
+	struct plan_time result = { 0 };
+	double *times = g_new0(double, rounds);
+	size_t before_bytes;
+	uint32_t i;
+
+	build(&scene, workers);
+	/* The first plans place all cells, which happens once. */
+	for (i = 0; i < 3; i++)
+		one_round(&scene);
+	for (i = 0; i < rounds; i++)
+		times[i] = one_round(&scene);
+	qsort(times, rounds, sizeof(*times), compare_doubles);
+	result.p50_ms = times[rounds / 2];
+	result.p99_ms = times[MIN((uint32_t)(rounds * 0.99), rounds - 1)];
+	if (getenv("CQ_BENCH_VERBOSE"))
+		fprintf(stderr, "%u workers: %u tasks, %u jobs in snapshot\n",
+			workers, scene.fleet->tasks->len,
+			scene.fleet->jobs->len);
+	before_bytes = mallinfo2().uordblks;
+	cq_planner_destroy(scene.planner);
+	result.kept_bytes_per_worker =
+		(double)(before_bytes - mallinfo2().uordblks) / workers;
+	result.scratch_bytes_per_worker = sizeof(struct cq_pworker) +
+					  sizeof(struct cq_candidate) +
+					  sizeof(uint32_t);
+	result.scratch_bytes_per_task = sizeof(struct cq_ptask);
+	fleet_builder_destroy(scene.fleet);
+	g_free(times);
+	return result;
+}
--- a/src/state/planner.c
+++ b/src/state/planner.c
@@ -14,7 +14,7 @@
 		.max_starts_per_plan = 256,
 		.max_refill_starts_per_plan = 16,
 		.refill_ns = 60 * CQ_NS_PER_S,
-		.max_reservations = 4,
+		.max_reservations = 1,
 		.urgent_start_ns = DEFAULT_URGENT_START_NS,
 		.start_margin_ns = DEFAULT_START_MARGIN_NS,
 		.checkpoint_grace_ns = 30 * CQ_NS_PER_S,
@@ -115,6 +115,7 @@
 	cq_plan_guard(&ctx);
 	cq_plan_cells(&ctx);
 	cq_plan_tiers(&ctx);
+	cq_plan_headroom(&ctx);
 	cq_plan_queue(&ctx);
 	cq_plan_estimate(&ctx);
 	cq_cells_save(&ctx);
--- a/src/state/planner_cells.c
+++ b/src/state/planner_cells.c
@@ -18,13 +18,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define REPLACE_NS (60 * CQ_NS_PER_S)
+
 /* Cells in their last places; kept between calls, by name of the worker. */
 struct cq_standing {
 	GHashTable *cells; /* label to GArray of struct standing_part */
 	/* The state in which placing all unused cells anew did not help. */
 	int64_t short_accelerators;
 	uint32_t short_cells;
-	uint32_t short_bound;
+	int64_t short_at_ns;
 };
 
 struct standing_part {
@@ -119,6 +121,22 @@
 		(void *)snapshot->guarantees);
 }
 
+/* Accelerators with the same share of the cores and memory. */
+static struct cq_need share_of(const struct cq_pworker *worker,
+			       uint32_t accelerators)
+{
+	struct cq_need share = worker->total;
+
+	if (accelerators == worker->total.accelerators)
+		return share;
+	share.accelerators = accelerators;
+	share.millicores = worker->total.millicores * accelerators /
+			   worker->total.accelerators;
+	share.memory_bytes = worker->total.memory_bytes / 1024 * accelerators /
+			     worker->total.accelerators * 1024;
+	return share;
+}
+
 void cq_cells_add_part(struct cq_plan_context *ctx, uint32_t cell,
 		       uint32_t worker, uint32_t accelerators)
 {
@@ -131,16 +149,10 @@
 		.worker = worker,
 		.next_on_worker = entry->first_part,
 		.next_of_workspace = ctx->workspace_parts[workspace],
-		.total = { accelerators,
-			   entry->total.millicores * accelerators /
-				   entry->total.accelerators,
-			   entry->total.memory_bytes / 1024 * accelerators /
-				   entry->total.accelerators * 1024 },
+		.total = share_of(entry, accelerators),
 		.live = true,
 	};
 
-	if (accelerators == entry->total.accelerators)
-		part.total = entry->total;
 	if (ctx->cells[cell].part_count == 0)
 		ctx->cells[cell].first_part = index;
 	ctx->cells[cell].part_count++;
@@ -177,6 +189,25 @@
 	entry->part_count = 0;
 }
 
+void cq_cells_move_part(struct cq_plan_context *ctx, uint32_t part,
+			uint32_t worker)
+{
+	struct cq_part *entry = cq_part_at(ctx, part);
+	struct cq_pworker *to = &ctx->workers[worker];
+	uint32_t accelerators = (uint32_t)entry->total.accelerators;
+	uint32_t *link = &ctx->workers[entry->worker].first_part;
+
+	while (*link != part)
+		link = &cq_part_at(ctx, *link)->next_on_worker;
+	*link = entry->next_on_worker;
+	ctx->workers[entry->worker].cell_accelerators -= accelerators;
+	entry->worker = worker;
+	entry->total = share_of(to, accelerators);
+	entry->next_on_worker = to->first_part;
+	to->first_part = part;
+	to->cell_accelerators += accelerators;
+}
+
 uint32_t cq_cells_room(const struct cq_plan_context *ctx, uint32_t worker)
 {
 	const struct cq_pworker *entry = &ctx->workers[worker];
@@ -456,22 +487,21 @@
 {
 	struct cq_standing *standing = ctx->planner->standing;
 	struct cq_shortfall *shortfalls;
-	uint32_t bound = 0;
 	bool complete;
 	uint32_t g;
 	uint32_t c;
 
-	for (c = 0; c < ctx->cell_count; c++)
-		bound += ctx->cells[c].bound;
 	complete = place_all(ctx);
 	/*
-	 * When some have no room, all unused cells are placed anew, once for
-	 * the same state of the fleet.
+	 * When some have no room, all unused cells are placed anew. That makes
+	 * borrowers of jobs that were charged to them, so it is not repeated
+	 * in every plan while capacity is short.
 	 */
 	if (!complete &&
 	    (standing->short_accelerators != ctx->usable_accelerators ||
 	     standing->short_cells != ctx->cell_count ||
-	     standing->short_bound != bound)) {
+	     ctx->now_ns - standing->short_at_ns >= REPLACE_NS)) {
+		standing->short_at_ns = ctx->now_ns;
 		for (c = 0; c < ctx->cell_count; c++)
 			if (!ctx->cells[c].bound && ctx->cells[c].part_count)
 				cq_cells_remove(ctx, c);
@@ -479,7 +509,6 @@
 	}
 	standing->short_accelerators = complete ? -1 : ctx->usable_accelerators;
 	standing->short_cells = ctx->cell_count;
-	standing->short_bound = bound;
 	shortfalls =
 		g_new0(struct cq_shortfall, ctx->snapshot->guarantee_count + 1);
 	for (c = 0; c < ctx->cell_count; c++)
--- a/src/state/planner_index.c
+++ b/src/state/planner_index.c
@@ -10,7 +10,6 @@
 static int64_t predict_run_ns(const struct cq_plan_context *ctx, uint32_t job,
 			      const struct cq_history_entry **histories);
 static void index_jobs(struct cq_plan_context *ctx);
-static uint64_t lost_work_ms(const struct cq_plan_context *ctx, uint32_t job);
 
 uint32_t cq_need_count(struct cq_need room, const struct cq_fleet_job *job,
 		       uint32_t limit)
@@ -125,18 +124,18 @@
 			    __builtin_popcountll(ctx->workers[i].free_mask));
 }
 
-/* Estimated loss of stopping a job now, restart included. */
-static uint64_t lost_work_ms(const struct cq_plan_context *ctx, uint32_t job)
+uint64_t cq_lost_work_ms(const struct cq_plan_context *ctx, uint32_t job,
+			 int64_t deadline_ns)
 {
 	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
 	int64_t lost_ns = entry->restart_cost_ns;
 	int64_t kept_ns = MAX(entry->started_ns, entry->last_checkpoint_ns);
+	int64_t unsaved_ns = MAX(ctx->now_ns - kept_ns, 0);
 
-	if (entry->can_checkpoint)
-		lost_ns += MIN(entry->checkpoint_cost_ns,
-			       MAX(ctx->now_ns - kept_ns, 0));
-	else
-		lost_ns += MAX(ctx->now_ns - kept_ns, 0);
+	if (entry->can_checkpoint &&
+	    ctx->now_ns + entry->checkpoint_cost_ns <= deadline_ns)
+		unsaved_ns = MIN(entry->checkpoint_cost_ns, unsaved_ns);
+	lost_ns += unsaved_ns;
 	return (uint64_t)(lost_ns / CQ_NS_PER_MS) *
 	       MAX(entry->accelerators * entry->tasks, 1U);
 }
@@ -185,7 +184,6 @@
 		job->predicted_end_ns =
 			ctx->now_ns +
 			cq_history_remaining_ns(job->predicted_run_ns, elapsed);
-		job->lost_ms = lost_work_ms(ctx, i);
 		/*
 		 * A stop that made room for a job that no longer waits is
 		 * dropped; the checkpoint does no harm.
@@ -303,7 +301,7 @@
 	ctx->jobs[job].leaving = true;
 	action = cq_plan_add_action(ctx, CQ_ACTION_STOP, reason, job);
 	action->for_job = for_job;
-	action->lost_accelerator_ms = ctx->jobs[job].lost_ms;
+	action->lost_accelerator_ms = cq_lost_work_ms(ctx, job, ctx->now_ns);
 }
 
 void cq_plan_evict(struct cq_plan_context *ctx, uint32_t job,
@@ -324,5 +322,5 @@
 	action = cq_plan_add_action(ctx, CQ_ACTION_CHECKPOINT, reason, job);
 	action->for_job = for_job;
 	action->deadline_ns = deadline_ns;
-	action->lost_accelerator_ms = ctx->jobs[job].lost_ms;
+	action->lost_accelerator_ms = cq_lost_work_ms(ctx, job, deadline_ns);
 }
--- a/src/state/planner_internal.h
+++ b/src/state/planner_internal.h
@@ -22,6 +22,10 @@
 	struct cq_standing *standing;
 	GHashTable *possible; /* hashes of job sizes the fleet can hold */
 	uint64_t fleet_hash;  /* of the fleet they were checked against */
+	/* Smoothed accelerators in use by urgent jobs, and their variance. */
+	double urgent_mean;
+	double urgent_variance;
+	int64_t urgent_at_ns; /* 0: nothing observed yet */
 };
 
 /* Resources of one or several tasks. */
@@ -68,7 +72,6 @@
 	bool failed_before;
 	int64_t predicted_run_ns;
 	int64_t predicted_end_ns; /* running */
-	uint64_t lost_ms;	  /* accelerator-ms lost by an eviction */
 };
 
 struct cq_part {
@@ -122,6 +125,9 @@
 	GArray *actions;
 	GArray *waits;
 	GArray *shortfalls;
+	/* Free accelerators, and how many of them urgent jobs will need. */
+	int64_t free_accelerators;
+	int64_t headroom;
 	uint32_t starts_left;
 	uint32_t size_checks;
 	uint64_t fleet_hash; /* 0: not computed yet */
@@ -184,6 +190,9 @@
 struct cq_action *cq_plan_add_action(struct cq_plan_context *ctx,
 				     enum cq_action_kind kind,
 				     enum cq_reason reason, uint32_t job);
+/* Accelerator-ms lost by stopping a job by the deadline, restart included. */
+uint64_t cq_lost_work_ms(const struct cq_plan_context *ctx, uint32_t job,
+			 int64_t deadline_ns);
 /* Announces the stop of a running job, or stops it when it must be now. */
 void cq_plan_evict(struct cq_plan_context *ctx, uint32_t job,
 		   enum cq_reason reason, uint32_t for_job,
@@ -191,6 +200,10 @@
 void cq_plan_stop(struct cq_plan_context *ctx, uint32_t job,
 		  enum cq_reason reason, uint32_t for_job);
 
+/* planner_headroom.c */
+/* Predicts how many accelerators urgent jobs will need soon. */
+void cq_plan_headroom(struct cq_plan_context *ctx);
+
 /* planner_guard.c */
 void cq_plan_guard(struct cq_plan_context *ctx);
 void cq_plan_health(struct cq_plan_context *ctx);
@@ -203,6 +216,9 @@
 		       uint32_t worker, uint32_t accelerators);
 /* Takes an unused cell off its workers. */
 void cq_cells_remove(struct cq_plan_context *ctx, uint32_t cell);
+/* Moves one part; the caller made sure of the room and the region. */
+void cq_cells_move_part(struct cq_plan_context *ctx, uint32_t part,
+			uint32_t worker);
 /* Accelerators of a worker that no cell holds. */
 uint32_t cq_cells_room(const struct cq_plan_context *ctx, uint32_t worker);
 struct cq_standing *cq_standing_create(void);
@@ -220,7 +236,13 @@
 		       struct cq_need need);
 /* Takes a running job out of the cells; it counts as a borrower no more. */
 void cq_tiers_release(struct cq_plan_context *ctx, uint32_t job);
-/* Moves an unused cell of the workspace to the worker, if one can go. */
+/* Accelerators of the smallest part that could hold the need. */
+int64_t cq_cells_smallest(const struct cq_plan_context *ctx, uint32_t workspace,
+			  struct cq_need need);
+/* Whether a part that is in use already has room for the need. */
+bool cq_cells_has_open_part(const struct cq_plan_context *ctx,
+			    uint32_t workspace, struct cq_need need);
+/* Moves an unused part of the workspace to the worker, if one can go. */
 bool cq_cells_rebind(struct cq_plan_context *ctx, uint32_t workspace,
 		     uint32_t worker, struct cq_need need);
 
@@ -236,6 +258,7 @@
 		   bool *was_reserved);
 /* Starts the job within the guarantees of its workspace, if it fits. */
 bool cq_place_guaranteed(struct cq_plan_context *ctx, uint32_t job);
+bool cq_place_spares_cells(const struct cq_plan_context *ctx, uint32_t job);
 /* Workers with parts of the workspace; returns the number of candidates. */
 uint32_t cq_place_collect_own(struct cq_plan_context *ctx, uint32_t workspace);
 /*
--- a/src/state/planner_place.c
+++ b/src/state/planner_place.c
@@ -10,6 +10,7 @@
 
 /* Order of preference among workers, as the high bits of a cost. */
 #define COST_INTRUDES (UINT64_C(1) << 32)
+#define COST_OPENS_CELL (UINT64_C(1) << 40)
 #define COST_FAILED_BEFORE (UINT64_C(1) << 48)
 
 static bool charge_chosen(struct cq_plan_context *ctx, uint32_t job,
@@ -270,10 +271,26 @@
 	return true;
 }
 
+/*
+ * A small job takes no whole cell while a cell in use has room for it;
+ * otherwise small jobs would break up the shapes of their own workspace.
+ */
+bool cq_place_spares_cells(const struct cq_plan_context *ctx, uint32_t job)
+{
+	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+	struct cq_need need = cq_job_need(entry, 1);
+
+	return entry->tasks == 1 &&
+	       need.accelerators <
+		       cq_cells_smallest(ctx, entry->workspace, need) &&
+	       cq_cells_has_open_part(ctx, entry->workspace, need);
+}
+
 /* Places the job on own cells that are free. */
 static bool choose_own(struct cq_plan_context *ctx, uint32_t job)
 {
 	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+	bool spares = cq_place_spares_cells(ctx, job);
 	uint32_t all = cq_place_collect_own(ctx, entry->workspace);
 	uint32_t count = 0;
 	uint64_t cost;
@@ -283,6 +300,7 @@
 		uint32_t worker = ctx->candidates[i].worker;
 		struct cq_need room;
 		uint32_t entitled = 0;
+		bool opens_cell = true;
 		uint32_t tasks;
 		uint32_t p;
 
@@ -301,13 +319,18 @@
 				continue;
 			cq_need_subtract(&unused, part->used);
 			entitled += cq_need_count(unused, entry, entry->tasks);
+			if (ctx->cells[part->cell].used > 0 &&
+			    cq_need_count(unused, entry, 1))
+				opens_cell = false;
 		}
 		tasks = MIN(entitled, cq_need_count(room, entry, entry->tasks));
-		if (tasks == 0)
+		if (tasks == 0 || (opens_cell && spares))
 			continue;
 		ctx->candidates[count].worker = worker;
 		ctx->candidates[count].tasks = tasks;
 		ctx->candidates[count].cost =
+			/* Whole cells are kept for jobs as large as they. */
+			(opens_cell ? COST_OPENS_CELL : 0) +
 			((uint64_t)(room.accelerators -
 				    (int64_t)tasks * entry->accelerators)
 			 << 8) +
@@ -321,10 +344,13 @@
 static bool rebind_and_charge(struct cq_plan_context *ctx, uint32_t job,
 			      uint32_t *parts)
 {
-	uint32_t count = collect_free(ctx, job, NULL);
+	uint32_t count;
 	uint64_t cost;
 	uint32_t i;
 
+	if (cq_place_spares_cells(ctx, job))
+		return false;
+	count = collect_free(ctx, job, NULL);
 	if (ctx->snapshot->jobs[job].tasks > 1)
 		return cq_place_choose(ctx, count, job, &cost) &&
 		       charge_chosen(ctx, job, parts);
@@ -397,6 +423,7 @@
 			cq_need_subtract(&worker->free, cq_job_need(entry, 1));
 		}
 	}
+	ctx->free_accelerators -= (int64_t)entry->accelerators * entry->tasks;
 	ctx->starts_left--;
 	ctx->dc_starts_left[ctx->workers[ctx->chosen[0].worker].dc]--;
 	ctx->jobs[job].tier = parts ? CQ_TIER_GUARANTEED : CQ_TIER_BORROWER;
--- a/src/state/planner_queue.c
+++ b/src/state/planner_queue.c
@@ -11,9 +11,10 @@
 #define AGE_OFFSET_S 30.0
 /* Bounds the time of a plan; each attempt scans the workers. */
 #define MAX_ATTEMPTS 512
-#define MAX_RECLAIMS 64
+#define MAX_RECLAIMS 32
 #define MAX_FAILED_SHAPES 64
 #define FAILURE_FACTOR 4
+#define RESERVE_AGE_SHARE 2
 
 struct queued {
 	uint32_t job;
@@ -198,6 +199,18 @@
 	failed->was_reserved = was_reserved;
 }
 
+/* Whether a start leaves what urgent jobs will need soon. */
+static bool leaves_headroom(const struct cq_plan_context *ctx, uint32_t job)
+{
+	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+	int64_t need = (int64_t)entry->accelerators * entry->tasks;
+
+	/* A job that needs nearly all of the fleet would never start. */
+	return need == 0 || need > ctx->usable_accelerators - ctx->headroom ||
+	       ctx->snapshot->classes[entry->class_index].urgent ||
+	       ctx->free_accelerators - need >= ctx->headroom;
+}
+
 static bool has_unused_guarantee(const struct cq_plan_context *ctx,
 				 uint32_t job)
 {
@@ -235,6 +248,7 @@
 			if ((kept == 0 ||
 			     queue->entries[0].rank == entry.rank) &&
 			    has_unused_guarantee(ctx, entry.job) &&
+			    leaves_headroom(ctx, entry.job) &&
 			    cq_place_free(ctx, entry.job, NULL)) {
 				cq_place_start(ctx, entry.job,
 					       CQ_REASON_BORROWED, NULL);
@@ -264,11 +278,13 @@
 {
 	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
 
+	/*
+	 * A reservation keeps capacity idle, so a job gets one only after it
+	 * has waited for a share of its own run time.
+	 */
 	return queue->reservations < ctx->policy->max_reservations &&
-	       (entry->tasks > 1 ||
-		entry->accelerators * 2 >= ctx->max_accelerators ||
-		ctx->now_ns - entry->submitted_ns >
-			ctx->jobs[job].predicted_run_ns);
+	       ctx->now_ns - entry->submitted_ns >
+		       ctx->jobs[job].predicted_run_ns / RESERVE_AGE_SHARE;
 }
 
 /* Second pass: one job that has no guarantee left. */
@@ -292,7 +308,8 @@
 			add_wait(ctx, job, CQ_REASON_WAIT_TURN, start_ns);
 			return;
 		}
-		if (cq_place_free(ctx, job, &was_reserved)) {
+		if (leaves_headroom(ctx, job) &&
+		    cq_place_free(ctx, job, &was_reserved)) {
 			cq_place_start(ctx, job,
 				       queue->reservations
 					       ? CQ_REASON_BACKFILLED
@@ -309,9 +326,9 @@
 	if (urgent && queue->reclaims < MAX_RECLAIMS &&
 	    !find_failed(ctx, &queue->failed_reclaim, job, true)) {
 		queue->reclaims++;
-		/* Own jobs that are served later, or borrowers that are. */
-		if (cq_reclaim_cells(ctx, job) ||
-		    cq_reclaim_borrowed(ctx, job, 0)) {
+		/* Borrowers that are served later, or own jobs that are. */
+		if (cq_reclaim_borrowed(ctx, job, 0) ||
+		    cq_reclaim_cells(ctx, job)) {
 			add_wait(ctx, job, CQ_REASON_WAIT_RECLAIM, ctx->now_ns);
 			return;
 		}
--- a/src/state/planner_reclaim.c
+++ b/src/state/planner_reclaim.c
@@ -99,7 +99,11 @@
 		victims[found].task = t;
 		victims[found].kept = false;
 		victims[found].cost =
-			ctx->jobs[job].leaving ? 0 : ctx->jobs[job].lost_ms + 1;
+			ctx->jobs[job].leaving
+				? 0
+				: cq_lost_work_ms(ctx, job,
+						  reclaim->deadline_ns) +
+					  1;
 		/* Tasks within the own guarantee go last. */
 		if (ctx->jobs[job].tier == CQ_TIER_GUARANTEED)
 			victims[found].cost *= 16;
--- a/src/state/planner_tiers.c
+++ b/src/state/planner_tiers.c
@@ -76,31 +76,55 @@
 	ctx->jobs[job].tier = CQ_TIER_NONE;
 }
 
-static bool is_movable(const struct cq_plan_context *ctx, uint32_t cell)
+int64_t cq_cells_smallest(const struct cq_plan_context *ctx, uint32_t workspace,
+			  struct cq_need need)
 {
-	const struct cq_cell *entry = &ctx->cells[cell];
+	int64_t smallest = INT64_MAX / 4;
+	uint32_t p;
+
+	for (p = ctx->workspace_parts[workspace]; p != CQ_NONE;
+	     p = cq_part_at(ctx, p)->next_of_workspace)
+		if (cq_part_at(ctx, p)->total.accelerators >= need.accelerators)
+			smallest = MIN(smallest,
+				       cq_part_at(ctx, p)->total.accelerators);
+	return smallest;
+}
+
+/* Whether an unused part may stand on the worker instead. */
+static bool may_move(const struct cq_plan_context *ctx, uint32_t part,
+		     uint32_t worker)
+{
+	const struct cq_part *entry = cq_part_at(ctx, part);
+	const struct cq_cell *cell = &ctx->cells[entry->cell];
+	enum cq_adjacency adjacency =
+		ctx->snapshot->guarantees[cell->guarantee].adjacency;
 
-	return entry->part_count == 1 && entry->used == 0 && !entry->bound;
+	if (entry->used.accelerators || entry->used.millicores ||
+	    entry->used.memory_bytes || entry->worker == worker)
+		return false;
+	/* The other parts of the cell stay, so this one stays near them. */
+	return cell->part_count == 1 ||
+	       cq_region_of(ctx, entry->worker, adjacency) ==
+		       cq_region_of(ctx, worker, adjacency);
 }
 
-/* An unused cell on the worker that can change places with the other one. */
+/* An unused part on the worker that can change places with the other one. */
 static uint32_t find_swap(const struct cq_plan_context *ctx, uint32_t worker,
-			  uint32_t cell)
+			  uint32_t other)
 {
-	const struct cq_part *other =
-		cq_part_at(ctx, ctx->cells[cell].first_part);
-	uint32_t size = (uint32_t)other->total.accelerators;
+	uint32_t size = (uint32_t)cq_part_at(ctx, other)->total.accelerators;
+	uint32_t from = cq_part_at(ctx, other)->worker;
 	uint32_t p;
 
 	for (p = ctx->workers[worker].first_part; p != CQ_NONE;
 	     p = cq_part_at(ctx, p)->next_on_worker) {
-		const struct cq_part *part = cq_part_at(ctx, p);
-		uint32_t leaves = (uint32_t)part->total.accelerators;
+		uint32_t leaves =
+			(uint32_t)cq_part_at(ctx, p)->total.accelerators;
 
-		if (is_movable(ctx, part->cell) &&
+		if (may_move(ctx, p, from) &&
 		    cq_cells_room(ctx, worker) + leaves >= size &&
-		    cq_cells_room(ctx, other->worker) + size >= leaves)
-			return part->cell;
+		    cq_cells_room(ctx, from) + size >= leaves)
+			return p;
 	}
 	return CQ_NONE;
 }
@@ -115,15 +139,13 @@
 		return false;
 	for (p = ctx->workspace_parts[workspace]; p != CQ_NONE;
 	     p = cq_part_at(ctx, p)->next_of_workspace) {
-		uint32_t cell = cq_part_at(ctx, p)->cell;
 		uint32_t from = cq_part_at(ctx, p)->worker;
 		uint32_t size =
 			(uint32_t)cq_part_at(ctx, p)->total.accelerators;
 		uint32_t swap = CQ_NONE;
 
-		/* The cell brings its share of the cores and memory along. */
-		if (from == worker || !is_movable(ctx, cell) ||
-		    need.accelerators > size ||
+		/* The part brings its share of the cores and memory along. */
+		if (need.accelerators > size || !may_move(ctx, p, worker) ||
 		    need.millicores * entry->total.accelerators >
 			    entry->total.millicores * size ||
 		    need.memory_bytes >
@@ -131,27 +153,34 @@
 				    entry->total.accelerators * 1024)
 			continue;
 		if (cq_cells_room(ctx, worker) < size) {
-			swap = find_swap(ctx, worker, cell);
+			swap = find_swap(ctx, worker, p);
 			if (swap == CQ_NONE)
 				continue;
-			size = (uint32_t)cq_part_at(ctx,
-						    ctx->cells[cell].first_part)
-				       ->total.accelerators;
-			cq_cells_remove(ctx, swap);
+			cq_cells_move_part(ctx, swap, from);
 		}
-		cq_cells_remove(ctx, cell);
-		cq_cells_add_part(ctx, cell, worker, size);
-		if (swap != CQ_NONE)
-			cq_cells_add_part(
-				ctx, swap, from,
-				ctx->snapshot
-					->guarantees[ctx->cells[swap].guarantee]
-					.accelerators);
+		cq_cells_move_part(ctx, p, worker);
 		return true;
 	}
 	return false;
 }
 
+bool cq_cells_has_open_part(const struct cq_plan_context *ctx,
+			    uint32_t workspace, struct cq_need need)
+{
+	uint32_t p;
+
+	for (p = ctx->workspace_parts[workspace]; p != CQ_NONE;
+	     p = cq_part_at(ctx, p)->next_of_workspace) {
+		const struct cq_part *part = cq_part_at(ctx, p);
+		struct cq_need room = part->total;
+
+		cq_need_subtract(&room, part->used);
+		if (part->used.accelerators && cq_need_fits(need, room))
+			return true;
+	}
+	return false;
+}
+
 static uint32_t labelled_part(const struct cq_plan_context *ctx, uint32_t task,
 			      struct cq_need need)
 {
@@ -218,7 +247,10 @@
 		uint32_t part =
 			cq_cells_find_part(ctx, entry->workspace, worker, need);
 
+		/* A small job must not take up a large cell. */
 		if (part == CQ_NONE &&
+		    need.accelerators * 2 >
+			    cq_cells_smallest(ctx, entry->workspace, need) &&
 		    cq_cells_rebind(ctx, entry->workspace, worker, need))
 			part = cq_cells_find_part(ctx, entry->workspace, worker,
 						  need);
--- a/tests/support/fleet_sim.c
+++ b/tests/support/fleet_sim.c
@@ -434,6 +434,7 @@
 		job->gone_ns = now_ns + COMMAND_NS;
 		if (action->reason == CQ_REASON_MEMORY_OVERRUN)
 			job->grown = true;
+		sim->stats.stops[action->reason]++;
 		if (action->reason == CQ_REASON_GANG_MEMBER_LOST) {
 			sim->stats.lost_gangs++;
 		} else {
--- a/tests/support/fleet_sim.h
+++ b/tests/support/fleet_sim.h
@@ -73,6 +73,7 @@
 	uint64_t starts;
 	uint64_t evictions;
 	uint64_t lost_gangs;
+	uint64_t stops[32]; /* by enum cq_reason */
 	uint64_t guarantee_misses;
 	uint64_t partial_gangs;
 	double free_accelerator_s;     /* integral of free accelerators */
--- a/tests/unit/test_planner.c
+++ b/tests/unit/test_planner.c
@@ -123,12 +123,417 @@
 			CQ_REASON_GUARANTEED);
 }
 
-int main(int argc, char **argv)
+/* What the fleet loses, and which guarantee is then short by how much. */
+static const struct shortfall_case {
+	const char *name;
+	uint32_t lost_workers; /* from the first on */
+	uint32_t short_a;      /* shapes of 4 x 8 in one worker */
+	uint32_t short_b;      /* shapes of 8 x 2 in one worker */
+} shortfall_cases[] = {
+	{ "nothing", 0, 0, 0 },
+	{ "spare workers", 2, 0, 0 },
+	{ "small shapes go first", 3, 0, 4 },
+	{ "then large shapes", 5, 1, 8 },
+	{ "everything", 8, 4, 8 },
+};
+
+/* Guards against a shortfall that is not reported, or in the wrong order. */
+static void test_shortfall(struct world *world, gconstpointer data)
 {
-	g_test_init(&argc, &argv, NULL);
+	const struct shortfall_case *entry = data;
+	uint32_t expected[2] = { entry->short_a, entry->short_b };
+	uint32_t found[2] = { 0, 0 };
+	uint32_t i;
+
+	fleet_add_guarantee(world->fleet, world->a, 4, 8, CQ_ADJACENT_WORKER);
+	fleet_add_guarantee(world->fleet, world->b, 8, 2, CQ_ADJACENT_WORKER);
+	for (i = 0; i < entry->lost_workers; i++)
+		fleet_worker(world->fleet, i)->state = CQ_WORKER_LOST;
+	plan(world);
+	for (i = 0; i < world->plan->shortfall_count; i++)
+		found[world->plan->shortfalls[i].guarantee] =
+			world->plan->shortfalls[i].shapes;
+	for (i = 0; i < 2; i++)
+		g_assert_cmpuint(found[i], ==, expected[i]);
+}
+
+/* Sizes that can never run, with the resource and the largest that could. */
+static const struct misfit_case {
+	const char *name;
+	uint32_t tasks;
+	uint32_t accelerators;
+	uint32_t millicores;
+	uint64_t memory_bytes;
+	enum cq_adjacency adjacency;
+	enum cq_resource resource;
+	uint64_t largest;
+} misfit_cases[] = {
+	{ "fits", 4, 8, 64000, 256 * GB, CQ_ADJACENT_DC, CQ_RESOURCE_NONE, 0 },
+	{ "accelerators", 1, 9, 1, 1, CQ_ADJACENT_DC, CQ_RESOURCE_ACCELERATORS,
+	  8 },
+	{ "cores", 1, 1, 64001, 1, CQ_ADJACENT_DC, CQ_RESOURCE_MILLICORES,
+	  64000 },
+	{ "memory", 1, 1, 1, 256 * GB + 1, CQ_ADJACENT_DC,
+	  CQ_RESOURCE_MEMORY_BYTES, 256 * GB },
+	{ "gang in a data centre", 5, 8, 1, 1, CQ_ADJACENT_DC,
+	  CQ_RESOURCE_TASKS, 4 },
+	{ "gang in a rack", 3, 8, 1, 1, CQ_ADJACENT_RACK, CQ_RESOURCE_TASKS,
+	  2 },
+	{ "gang in a worker", 3, 4, 1, 1, CQ_ADJACENT_WORKER, CQ_RESOURCE_TASKS,
+	  2 },
+};
+
+/* Guards against accepting a job that would wait for ever. */
+static void test_misfit(struct world *world, gconstpointer data)
+{
+	const struct misfit_case *entry = data;
+	uint32_t index = fleet_add_job(world->fleet, world->a, world->batch,
+				       entry->tasks, entry->accelerators);
+	struct cq_fleet_job *job = fleet_job(world->fleet, index);
+	struct cq_snapshot snapshot;
+	struct cq_misfit misfit;
+	bool fits = entry->resource == CQ_RESOURCE_NONE;
+
+	job->millicores = entry->millicores;
+	job->memory_bytes = entry->memory_bytes;
+	job->adjacency = entry->adjacency;
+	snapshot = fleet_snapshot(world->fleet);
+	g_assert_cmpint(cq_planner_can_ever_run(&snapshot, job, &misfit), ==,
+			fits);
+	g_assert_cmpint(misfit.resource, ==, entry->resource);
+	g_assert_cmpuint(misfit.largest, ==, entry->largest);
+	plan(world);
+	g_assert_cmpint(find(world, CQ_ACTION_REJECT, index) != NULL, ==,
+			!fits);
+}
+
+/* Failures of jobs 0..5 on workers 0..5, and what follows from them. */
+static const struct failure_case {
+	const char *name;
+	int failures[8][2]; /* job, worker; ends with -1 */
+	bool quarantined;   /* worker 0 */
+	bool rejected;	    /* job 0 */
+} failure_cases[] = {
+	{ "once", { { 0, 0 }, { -1 } }, false, false },
+	{ "again on one worker",
+	  { { 0, 0 }, { 0, 0 }, { 0, 0 }, { -1 } },
+	  false,
+	  false },
+	{ "bad job", { { 0, 0 }, { 0, 1 }, { 0, 2 }, { -1 } }, false, true },
+	{ "bad worker", { { 0, 0 }, { 1, 0 }, { 2, 0 }, { -1 } }, true, false },
+	{ "bad worker and a job that failed elsewhere",
+	  { { 0, 0 }, { 1, 0 }, { 2, 0 }, { 0, 1 }, { -1 } },
+	  true,
+	  false },
+	{ "bad job on a worker with another failure",
+	  { { 0, 0 }, { 0, 1 }, { 0, 2 }, { 1, 0 }, { -1 } },
+	  false,
+	  true },
+};
+
+/* Guards against blaming a worker for a bad job, or the reverse. */
+static void test_failures(struct world *world, gconstpointer data)
+{
+	const struct failure_case *entry = data;
+	uint32_t i;
+
+	for (i = 0; i < 6; i++)
+		fleet_add_job(world->fleet, world->a, world->batch, 1, 8);
+	for (i = 0; entry->failures[i][0] >= 0; i++)
+		cq_planner_observe_failure(
+			world->planner,
+			fleet_job(world->fleet, entry->failures[i][0])->id,
+			fleet_worker(world->fleet, entry->failures[i][1])
+				->name);
+	plan(world);
+	g_assert_cmpint(cq_planner_is_quarantined(world->planner, "w0"), ==,
+			entry->quarantined);
+	g_assert_cmpint(find(world, CQ_ACTION_REJECT, 0) != NULL, ==,
+			entry->rejected);
+}
+
+/* Guards against quarantining so much that nothing is left to run on. */
+static void test_quarantine_cap(struct world *world, gconstpointer data)
+{
+	char job[8];
+	char worker[8];
+	uint32_t quarantined = 0;
+	uint32_t i;
+	uint32_t k;
+
+	(void)data;
+	world->fleet->policy.max_quarantine_permille = 250;
+	for (i = 0; i < 8; i++)
+		for (k = 0; k < 3; k++) {
+			g_snprintf(job, sizeof(job), "x%u", i * 3 + k);
+			g_snprintf(worker, sizeof(worker), "w%u", i);
+			cq_planner_observe_failure(world->planner, job, worker);
+		}
+	plan(world);
+	for (i = 0; i < 8; i++)
+		quarantined += cq_planner_is_quarantined(
+			world->planner, fleet_worker(world->fleet, i)->name);
+	g_assert_cmpuint(quarantined, ==, 2);
+	cq_planner_observe_probe(world->planner, "w0", true,
+				 world->fleet->now_ns);
+	g_assert_false(cq_planner_is_quarantined(world->planner, "w0"));
+}
+
+/* Observed use of one of two tasks that declared half a worker each. */
+static const struct usage_case {
+	const char *name;
+	uint64_t memory_bytes;
+	uint32_t millicores; /* of the first task; the second uses 30000 */
+	enum cq_action_kind kind;
+	bool acts;
+	uint32_t percent;
+} usage_cases[] = {
+	{ "as declared", 128 * GB, 32000, CQ_ACTION_STOP, false, 0 },
+	{ "some memory over", 140 * GB, 32000, CQ_ACTION_CHECKPOINT, true, 0 },
+	{ "memory nearly exhausted", 200 * GB, 32000, CQ_ACTION_STOP, true, 0 },
+	{ "cores over", 128 * GB, 40000, CQ_ACTION_THROTTLE, true, 80 },
+};
+
+/* Guards against a worker that is exhausted by a task it was told less of. */
+static void test_usage(struct world *world, gconstpointer data)
+{
+	const struct usage_case *entry = data;
+	uint32_t jobs[2];
+	uint32_t i;
+
+	for (i = 0; i < 2; i++) {
+		uint32_t task;
+
+		jobs[i] = fleet_add_job(world->fleet, world->a, world->batch, 1,
+					4);
+		fleet_job(world->fleet, jobs[i])->memory_bytes = 128 * GB;
+		fleet_job(world->fleet, jobs[i])->millicores = 32000;
+		fleet_job(world->fleet, jobs[i])->can_checkpoint = true;
+		task = fleet_run_task(world->fleet, jobs[i], 0, 0xf << (4 * i),
+				      0);
+		g_array_index(world->fleet->tasks, struct cq_fleet_task, task)
+			.observed_millicores = i ? 30000 : entry->millicores;
+		g_array_index(world->fleet->tasks, struct cq_fleet_task, task)
+			.observed_memory_bytes = i ? 60 * GB
+						   : entry->memory_bytes;
+	}
+	plan(world);
+	g_assert_cmpuint(world->plan->action_count, ==, entry->acts);
+	if (!entry->acts)
+		return;
+	g_assert_nonnull(find(world, entry->kind, jobs[0]));
+	g_assert_cmpuint(world->plan->actions[0].percent, ==, entry->percent);
+}
+
+/* A job in a data centre that goes out in 600 s. */
+static const struct leave_case {
+	const char *name;
+	int64_t declared_run_s;
+	bool can_checkpoint;
+	bool fleet_full; /* nowhere to go at once */
+	int64_t notice_s;
+	enum cq_action_kind kind;
+	bool acts;
+} leave_cases[] = {
+	{ "ends in time", 100, true, false, 600, CQ_ACTION_CHECKPOINT, false },
+	{ "moves at once", 9000, true, false, 600, CQ_ACTION_CHECKPOINT, true },
+	{ "runs on while there is no room", 9000, true, true, 600,
+	  CQ_ACTION_CHECKPOINT, false },
+	{ "leaves in time without room", 9000, true, true, 20,
+	  CQ_ACTION_CHECKPOINT, true },
+	{ "cannot be saved", 9000, false, false, 600, CQ_ACTION_STOP, false },
+	{ "notice over", 9000, false, false, 0, CQ_ACTION_STOP, true },
+};
+
+/* Guards against work lost with a data centre, and starts in it. */
+static void test_leave(struct world *world, gconstpointer data)
+{
+	const struct leave_case *entry = data;
+	uint32_t running =
+		fleet_add_job(world->fleet, world->a, world->batch, 1, 8);
+	struct cq_fleet_dc *dc =
+		&g_array_index(world->fleet->dcs, struct cq_fleet_dc, 0);
+	uint32_t waiting;
+	uint32_t i;
+
+	fleet_job(world->fleet, running)->declared_run_ns =
+		entry->declared_run_s * CQ_NS_PER_S;
+	fleet_job(world->fleet, running)->can_checkpoint =
+		entry->can_checkpoint;
+	fleet_job(world->fleet, running)->checkpoint_cost_ns = 10 * CQ_NS_PER_S;
+	fleet_run_task(world->fleet, running, 0, 0xff, 0);
+	if (entry->fleet_full)
+		fill(world, world->b, 4, 8);
+	waiting = fleet_add_job(world->fleet, world->a, world->batch, 1, 1);
+	fleet_job(world->fleet, waiting)->dc = 0;
+	dc->state = CQ_DC_OUT;
+	dc->notice_deadline_ns =
+		world->fleet->now_ns + entry->notice_s * CQ_NS_PER_S;
+	plan(world);
+	g_assert_cmpint(wait_reason(world, waiting), ==, CQ_REASON_WAIT_DC_OUT);
+	for (i = 0; i < world->plan->action_count; i++)
+		g_assert_cmpuint(world->plan->actions[i].job, ==, running);
+	g_assert_cmpint(find(world, entry->kind, running) != NULL, ==,
+			entry->acts);
+	if (entry->acts)
+		g_assert_cmpint(world->plan->actions[0].reason, ==,
+				CQ_REASON_DC_OUT);
+}
+
+/* Guards against a stampede into a data centre that has just returned. */
+static void test_refill(struct world *world, gconstpointer data)
+{
+	uint32_t i;
+
+	(void)data;
+	world->fleet->policy.max_refill_starts_per_plan = 3;
+	g_array_index(world->fleet->dcs, struct cq_fleet_dc, 0).in_since_ns =
+		world->fleet->now_ns - CQ_NS_PER_S;
+	for (i = 0; i < 20; i++) {
+		uint32_t job = fleet_add_job(world->fleet, world->a,
+					     world->batch, 1, 1);
+
+		fleet_job(world->fleet, job)->dc = 0;
+	}
+	plan(world);
+	g_assert_cmpuint(world->plan->action_count, ==, 3);
+}
+
+/* Guards against a gang that goes on without one of its members. */
+static void test_lost_member(struct world *world, gconstpointer data)
+{
+	uint32_t job =
+		fleet_add_job(world->fleet, world->a, world->batch, 2, 8);
+
+	(void)data;
+	fleet_run_task(world->fleet, job, 0, 0xff, 0);
+	fleet_run_task(world->fleet, job, 1, 0xff, 0);
+	plan(world);
+	g_assert_null(find(world, CQ_ACTION_STOP, job));
+	fleet_worker(world->fleet, 1)->state = CQ_WORKER_LOST;
+	plan(world);
+	g_assert_nonnull(find(world, CQ_ACTION_STOP, job));
+	g_assert_cmpint(find(world, CQ_ACTION_STOP, job)->reason, ==,
+			CQ_REASON_GANG_MEMBER_LOST);
+}
+
+/*
+ * Guards against cells that stand elsewhere for a new owner than for the old
+ * one, which would make tasks within a guarantee borrowers.
+ */
+static void test_rebuild_from_labels(struct world *world, gconstpointer data)
+{
+	uint32_t job;
+	uint32_t i;
+
+	(void)data;
+	fleet_add_guarantee(world->fleet, world->a, 2, 16, CQ_ADJACENT_RACK);
+	fleet_add_guarantee(world->fleet, world->b, 3, 8, CQ_ADJACENT_WORKER);
+	job = fleet_add_job(world->fleet, world->a, world->batch, 2, 8);
+	fleet_add_job(world->fleet, world->b, world->batch, 1, 8);
+	plan(world);
+	g_assert_cmpint(find(world, CQ_ACTION_START, job)->reason, ==,
+			CQ_REASON_GUARANTEED);
+	fleet_apply(world->fleet, world->plan);
+	cq_planner_destroy(world->planner);
+	world->planner = cq_planner_create();
+	plan(world);
+	g_assert_cmpuint(world->plan->shortfall_count, ==, 0);
+	for (i = 0; i < 2; i++)
+		g_assert_cmpint(world->plan->tiers[i], ==, CQ_TIER_GUARANTEED);
+}
+
+/* Guards against declared run times being trusted when history says other. */
+static void test_history(struct world *world, gconstpointer data)
+{
+	uint32_t index =
+		fleet_add_job(world->fleet, world->a, world->batch, 1, 1);
+	struct cq_snapshot snapshot;
+	int i;
+
+	(void)data;
+	for (i = 0; i < 8; i++)
+		cq_planner_observe_end(world->planner, "a", "batch",
+				       10 * CQ_NS_PER_S, 40 * CQ_NS_PER_S);
+	snapshot = fleet_snapshot(world->fleet);
+	g_assert_cmpint(
+		cq_planner_predict_run_ns(world->planner, &snapshot,
+					  fleet_job(world->fleet, index)),
+		==, 2400 * CQ_NS_PER_S);
+}
+
+/* Guards against small jobs taking what a large job waits for. */
+static void test_reservation(struct world *world, gconstpointer data)
+{
+	uint32_t large;
+	uint32_t small;
+	uint32_t quick;
+
+	(void)data;
+	/* The rack of workers 6 and 7 is free first. */
+	fill(world, world->b, 6, 7);
+	world->fleet->now_ns += 590 * CQ_NS_PER_S;
+	fill(world, world->b, 0, 6);
+	large = fleet_add_job(world->fleet, world->a, world->batch, 2, 8);
+	fleet_job(world->fleet, large)->adjacency = CQ_ADJACENT_RACK;
+	fleet_job(world->fleet, large)->submitted_ns -= 500 * CQ_NS_PER_S;
+	small = fleet_add_job(world->fleet, world->a, world->batch, 1, 1);
+	quick = fleet_add_job(world->fleet, world->a, world->batch, 1, 1);
+	fleet_job(world->fleet, quick)->declared_run_ns = CQ_NS_PER_S;
+	world->fleet->policy.completion_weight_permille = 0;
+	plan(world);
+	g_assert_null(find(world, CQ_ACTION_START, small));
+	g_assert_cmpint(wait_reason(world, small), ==,
+			CQ_REASON_WAIT_RESERVATION);
+	g_assert_nonnull(find(world, CQ_ACTION_START, quick));
+}
+
+/* Guards against a plan from a snapshot that refers to what is not there. */
+static void test_invalid(struct world *world, gconstpointer data)
+{
+	uint32_t job =
+		fleet_add_job(world->fleet, world->a, world->batch, 1, 1);
+	struct cq_error err = CQ_ERROR_INIT;
+	struct cq_snapshot snapshot;
+
+	(void)data;
+	fleet_run_task(world->fleet, job, 0, 0x100, 0);
+	snapshot = fleet_snapshot(world->fleet);
+	g_assert_null(cq_planner_plan(world->planner, &snapshot, &err));
+	g_assert_cmpint(err.code, ==, CQ_ERR_INVALID);
+	g_assert_cmpstr(err.message, ==, "snapshot: task 0 is out of range");
+}
+
 #define ADD(path, function) \
 	g_test_add(path, struct world, NULL, set_up, function, tear_down)
+#define ADD_CASES(path, cases, function)                                       \
+	do {                                                                   \
+		size_t n;                                                      \
+		for (n = 0; n < G_N_ELEMENTS(cases); n++) {                    \
+			char *name = g_strconcat(path, (cases)[n].name, NULL); \
+			g_test_add(name, struct world, &(cases)[n], set_up,    \
+				   function, tear_down);                       \
+			g_free(name);                                          \
+		}                                                              \
+	} while (0)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
 	ADD("/planner/gang/one-dc", test_gang_in_one_dc);
+	ADD("/planner/gang/lost-member", test_lost_member);
 	ADD("/planner/guarantee/reclaim", test_reclaim);
+	ADD("/planner/guarantee/rebuild", test_rebuild_from_labels);
+	ADD_CASES("/planner/guarantee/shortfall/", shortfall_cases,
+		  test_shortfall);
+	ADD_CASES("/planner/misfit/", misfit_cases, test_misfit);
+	ADD_CASES("/planner/failures/", failure_cases, test_failures);
+	ADD("/planner/failures/quarantine-cap", test_quarantine_cap);
+	ADD_CASES("/planner/usage/", usage_cases, test_usage);
+	ADD_CASES("/planner/leave/", leave_cases, test_leave);
+	ADD("/planner/leave/refill", test_refill);
+	ADD("/planner/queue/history", test_history);
+	ADD("/planner/queue/reservation", test_reservation);
+	ADD("/planner/snapshot/invalid", test_invalid);
 	return g_test_run();
 }
