Stop others only for a workspace below its guarantees

Cause: a workspace whose small jobs ran outside its cells still had unused cells, so its next job stopped borrowers although the workspace already ran as much as it was guaranteed.

Change: a job that is not urgent reclaims only if its workspace, with all it runs anywhere, stays within its guarantees. Reclaims within guarantees are bounded by 128 a plan, and the bound no longer counts as a misfit.

--- a/bench/bench_decisions.c
+++ b/bench/bench_decisions.c
@@ -191,12 +191,15 @@
 	if (getenv("CQ_BENCH_VERBOSE"))
 		fprintf(stderr,
 			"%s %s: %u jobs, %lu plans, %lu starts, %lu evictions, "
-			"ends at %.1f h\n",
+			"ends at %.1f h, free %.3f, lost %.4g s\n",
 			deployment_name(deployment), scheduler_names[scheduler],
 			sim->jobs->len, (unsigned long)sim->stats.plans,
 			(unsigned long)sim->stats.starts,
 			(unsigned long)sim->stats.evictions,
-			(double)fleet->now_ns / 3600e9);
+			(double)fleet->now_ns / 3600e9,
+			sim->stats.free_accelerator_s /
+				sim->stats.capacity_accelerator_s,
+			sim->stats.lost_accelerator_s);
 	if (getenv("CQ_BENCH_VERBOSE"))
 		for (i = 0; i < G_N_ELEMENTS(sim->stats.stops); i++)
 			if (sim->stats.stops[i])
--- a/src/state/planner_index.c
+++ b/src/state/planner_index.c
@@ -217,6 +217,8 @@
 	ctx->parts = g_array_new(FALSE, TRUE, sizeof(struct cq_part));
 	ctx->workspace_parts = g_new(uint32_t, snapshot->workspace_count + 1);
 	ctx->workspace_unused = g_new0(int64_t, snapshot->workspace_count + 1);
+	ctx->workspace_borrowed =
+		g_new0(int64_t, snapshot->workspace_count + 1);
 	for (i = 0; i < snapshot->workspace_count; i++)
 		ctx->workspace_parts[i] = CQ_NONE;
 	ctx->starts_left = ctx->policy->max_starts_per_plan;
@@ -248,6 +250,7 @@
 	g_free(ctx->cells);
 	g_free(ctx->workspace_parts);
 	g_free(ctx->workspace_unused);
+	g_free(ctx->workspace_borrowed);
 	g_array_free(ctx->parts, TRUE);
 	if (ctx->actions)
 		g_array_free(ctx->actions, TRUE);
--- a/src/state/planner_internal.h
+++ b/src/state/planner_internal.h
@@ -118,6 +118,7 @@
 	uint32_t cell_count;
 	GArray *parts;			 /* struct cq_part */
 	uint32_t *workspace_parts;	 /* heads of next_of_workspace */
+	int64_t *workspace_borrowed;	 /* accelerators of its borrowers */
 	int64_t *workspace_unused;	 /* accelerators of unused parts */
 	struct cq_candidate *candidates; /* scratch, one per worker */
 	struct cq_candidate *chosen;	 /* scratch, one per gang member */
--- a/src/state/planner_queue.c
+++ b/src/state/planner_queue.c
@@ -12,6 +12,7 @@
 /* Bounds the time of a plan; each attempt scans the workers. */
 #define MAX_ATTEMPTS 512
 #define MAX_RECLAIMS 32
+#define MAX_OWN_RECLAIMS 128
 #define MAX_FAILED_SHAPES 64
 #define FAILURE_FACTOR 4
 #define RESERVE_AGE_SHARE 2
@@ -221,6 +222,21 @@
 		       (int64_t)entry->accelerators * entry->tasks;
 }
 
+/*
+ * Whether the workspace, with all that it runs anywhere, stays within its
+ * guarantees; only then others are stopped for it. Its urgent jobs may still
+ * replace jobs that are served later.
+ */
+static bool is_below_guarantee(const struct cq_plan_context *ctx, uint32_t job)
+{
+	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+
+	return has_unused_guarantee(ctx, job) &&
+	       ctx->workspace_unused[entry->workspace] -
+			       ctx->workspace_borrowed[entry->workspace] >=
+		       (int64_t)entry->accelerators * entry->tasks;
+}
+
 /*
  * First pass: jobs within the guarantees of their workspace, of any class,
  * before jobs that would borrow; otherwise the borrowers would be reclaimed
@@ -254,8 +270,11 @@
 					       CQ_REASON_BORROWED, NULL);
 				continue;
 			}
-			if (has_unused_guarantee(ctx, entry.job) &&
-			    queue->reclaims < MAX_RECLAIMS &&
+			if (queue->reclaims >= MAX_OWN_RECLAIMS) {
+				queue->entries[kept++] = entry;
+				continue;
+			}
+			if (is_below_guarantee(ctx, entry.job) &&
 			    cq_reclaim_cells(ctx, entry.job)) {
 				queue->reclaims++;
 				add_wait(ctx, entry.job, CQ_REASON_WAIT_RECLAIM,
--- a/src/state/planner_tiers.c
+++ b/src/state/planner_tiers.c
@@ -312,5 +312,10 @@
 	for (i = 0; i < count; i++)
 		if (!charge_anywhere(ctx, borrowers[i]))
 			ctx->jobs[borrowers[i]].tier = CQ_TIER_BORROWER;
+	for (i = 0; i < snapshot->job_count; i++)
+		if (ctx->jobs[i].tier == CQ_TIER_BORROWER)
+			ctx->workspace_borrowed[snapshot->jobs[i].workspace] +=
+				(int64_t)snapshot->jobs[i].accelerators *
+				snapshot->jobs[i].tasks;
 	g_free(borrowers);
 }
--- a/tests/unit/test_planner.c
+++ b/tests/unit/test_planner.c
@@ -329,20 +329,20 @@
 static const struct leave_case {
 	const char *name;
 	int64_t declared_run_s;
-	bool can_checkpoint;
-	bool fleet_full; /* nowhere to go at once */
 	int64_t notice_s;
 	enum cq_action_kind kind;
+	bool can_checkpoint;
+	bool fleet_full; /* nowhere to go at once */
 	bool acts;
 } leave_cases[] = {
-	{ "ends in time", 100, true, false, 600, CQ_ACTION_CHECKPOINT, false },
-	{ "moves at once", 9000, true, false, 600, CQ_ACTION_CHECKPOINT, true },
-	{ "runs on while there is no room", 9000, true, true, 600,
-	  CQ_ACTION_CHECKPOINT, false },
-	{ "leaves in time without room", 9000, true, true, 20,
-	  CQ_ACTION_CHECKPOINT, true },
-	{ "cannot be saved", 9000, false, false, 600, CQ_ACTION_STOP, false },
-	{ "notice over", 9000, false, false, 0, CQ_ACTION_STOP, true },
+	{ "ends in time", 100, 600, CQ_ACTION_CHECKPOINT, true, false, false },
+	{ "moves at once", 9000, 600, CQ_ACTION_CHECKPOINT, true, false, true },
+	{ "runs on while there is no room", 9000, 600, CQ_ACTION_CHECKPOINT,
+	  true, true, false },
+	{ "leaves in time without room", 9000, 20, CQ_ACTION_CHECKPOINT, true,
+	  true, true },
+	{ "cannot be saved", 9000, 600, CQ_ACTION_STOP, false, false, false },
+	{ "notice over", 9000, 0, CQ_ACTION_STOP, false, false, true },
 };
 
 /* Guards against work lost with a data centre, and starts in it. */
