--- a/src/programs/schedd/jobs.c
+++ b/src/programs/schedd/jobs.c
@@ -8,11 +8,13 @@
 #include "programs/schedd/schedd.h"
 
 /*
- * Without a live owner for this long, one schedd of the data centre renews the
- * leases of running gangs. Membership takes 5 to 6 s to find a dead owner, and
- * renewals grant 12.5 s by default; a takeover is over before that.
+ * Without an owner that answers for this long, one schedd of the data centre
+ * renews the leases of running gangs. Renewals grant 12.5 s by default. A dead
+ * owner is suspected after 2 to 4 s, and the caretaker needs two syncs before
+ * its first renewal. It does no harm when the owner lives or another takes
+ * over.
  */
-#define CARETAKER_AFTER_NS CQ_NS_PER_S
+#define CARETAKER_AFTER_NS (2 * CQ_NS_PER_S)
 #define MAX_LIST 1000
 /* Racks of a data centre in the published capacity. */
 #define MAX_RACKS 512
@@ -47,46 +49,36 @@
 	cq_controller_set_epoch(s->controller, epoch, now_ns);
 }
 
-/*
- * Whether the owner answers, and whether this schedd is the first of those of
- * the data centre that answer. A suspect member counts as gone here: renewals
- * harm nobody when two schedds send them, and waiting until the member is dead
- * leaves less of the task lease than a renewal needs.
- */
-static void look_around(const struct schedd *s, bool *owner_answers,
-			bool *is_first)
+/* Suspected members do not count, for they may have died. */
+static bool answers_here(const struct schedd *s, const struct cq_member *member)
+{
+	return member->role == CQ_ROLE_SCHEDD &&
+	       member->state == CQ_MEMBER_ALIVE &&
+	       !strcmp(member->data_centre, cq_daemon_data_centre(s->daemon));
+}
+
+static void check_caretaker(struct schedd *s, int64_t now_ns)
 {
 	const struct cq_member *self = cq_membership_self(s->membership);
+	bool first = true;
 	uint32_t i;
 
-	*owner_answers = self->owner_epoch != 0;
-	*is_first = true;
-	for (i = 1; i < cq_membership_count(s->membership); i++) {
+	for (i = 0; i < cq_membership_count(s->membership); i++) {
 		const struct cq_member *member =
 			cq_membership_get(s->membership, i);
 
-		if (member->role != CQ_ROLE_SCHEDD ||
-		    member->state != CQ_MEMBER_ALIVE ||
-		    strcmp(member->data_centre, self->data_centre) != 0)
+		if (!answers_here(s, member))
 			continue;
-		*owner_answers |= member->owner_epoch != 0;
-		*is_first &= strcmp(member->id, self->id) > 0;
+		if (member->owner_epoch)
+			s->owner_seen_ns = now_ns;
+		first = first && strcmp(member->id, self->id) >= 0;
 	}
-}
-
-static void check_caretaker(struct schedd *s, int64_t now_ns)
-{
-	bool owner_answers;
-	bool is_first;
-	bool wanted;
-
-	look_around(s, &owner_answers, &is_first);
-	if (owner_answers)
-		s->owner_seen_ns = now_ns;
-	wanted = is_first && now_ns - s->owner_seen_ns > CARETAKER_AFTER_NS;
 	cq_controller_set_caretaker(
 		s->controller,
-		wanted ? cq_ownership_last_epoch(s->ownership) : 0, now_ns);
+		first && now_ns - s->owner_seen_ns > CARETAKER_AFTER_NS
+			? cq_ownership_last_epoch(s->ownership)
+			: 0,
+		now_ns);
 }
 
 static void publish_capacity(struct schedd *s, int64_t now_ns)
