--- a/src/state/planner_tiers.c
+++ b/src/state/planner_tiers.c
@@ -5,6 +5,9 @@
 
 #include <stdlib.h>
 
+/* Bounds the time of a plan for a workspace with very many cells. */
+#define MAX_PARTS_TRIED 64
+
 static bool charge_labelled(struct cq_plan_context *ctx, uint32_t job);
 static bool charge_anywhere(struct cq_plan_context *ctx, uint32_t job);
 
@@ -82,7 +85,8 @@
 	int64_t smallest = INT64_MAX / 4;
 	uint32_t p;
 
-	for (p = ctx->workspace_parts[workspace]; p != CQ_NONE;
+	for (p = ctx->workspace_parts[workspace];
+	     p != CQ_NONE && smallest > need.accelerators;
 	     p = cq_part_at(ctx, p)->next_of_workspace)
 		if (cq_part_at(ctx, p)->total.accelerators >= need.accelerators)
 			smallest = MIN(smallest,
@@ -133,12 +137,13 @@
 		     uint32_t worker, struct cq_need need)
 {
 	const struct cq_pworker *entry = &ctx->workers[worker];
+	uint32_t tries = MAX_PARTS_TRIED;
 	uint32_t p;
 
 	if (!entry->usable || entry->total.accelerators == 0)
 		return false;
-	for (p = ctx->workspace_parts[workspace]; p != CQ_NONE;
-	     p = cq_part_at(ctx, p)->next_of_workspace) {
+	for (p = ctx->workspace_parts[workspace]; p != CQ_NONE && tries > 0;
+	     p = cq_part_at(ctx, p)->next_of_workspace, tries--) {
 		uint32_t from = cq_part_at(ctx, p)->worker;
 		uint32_t size =
 			(uint32_t)cq_part_at(ctx, p)->total.accelerators;
