Count job start and completion times by class

Cause: cq-burn's objectives job_time, job_success and urgent_start found no events, because cq-schedd offered no such histograms. Change: the owner observes both when it records the change of phase.

--- a/Makefile
+++ b/Makefile
@@ -150,10 +150,11 @@
 	clang-format -i $(C_FILES)
 
 lint:
-	clang-format --dry-run -Werror $(C_FILES)
-	printf '%s\n' $(TIDY_FILES) | xargs -P 10 -I{} clang-tidy --quiet {} \
+	@echo "  FORMAT, TIDY, CPPCHECK"
+	@clang-format --dry-run -Werror $(C_FILES)
+	@printf '%s\n' $(TIDY_FILES) | xargs -P 10 -I{} clang-tidy --quiet {} \
 		-- $(CPPFLAGS) -std=gnu11 $(PKG_CFLAGS) 2>/dev/null
-	cppcheck --quiet --error-exitcode=1 --std=c11 -j 8 \
+	@cppcheck --quiet --error-exitcode=1 --std=c11 -j 8 \
 		--enable=warning,portability --inline-suppr \
 		--suppress=missingIncludeSystem --suppress=unknownMacro \
 		-Iinclude -Isrc -isrc/protocol/gen src
--- a/src/coordination/controller_private.h
+++ b/src/coordination/controller_private.h
@@ -170,6 +170,13 @@
 void cq_controller_open_metrics(struct cq_controller *c);
 void cq_controller_count(struct cq_controller *c,
 			 enum cq_controller_count count);
+/*
+ * Counts the time from submission to the first start, and to the end of jobs
+ * that were not cancelled, by class.
+ */
+void cq_controller_observe_phase(struct cq_controller *c,
+				 const struct cq_job_record *before,
+				 const struct cq_job_record *after);
 void cq_controller_set_gauges(struct cq_controller *c);
 void cq_job_decided(struct cq_job *job, const char *decision,
 		    const char *reason);
--- a/src/coordination/controller_record.c
+++ b/src/coordination/controller_record.c
@@ -1,6 +1,10 @@
 /* Counters, and the last decisions about each job. */
 #include "controller_private.h"
 
+static void observe(struct cq_controller *c, const char *name,
+		    const struct cq_job_record *record, const char *result,
+		    int64_t end_unix_ms);
+
 static const char *const count_names[CQ_COUNTS] = {
 	[CQ_COUNT_TAKEOVERS] = "cq_jobs_takeovers_total",
 	[CQ_COUNT_PLANS] = "cq_jobs_plans_total",
@@ -41,6 +45,37 @@
 		cq_counter_add(c->counters[count], 1);
 }
 
+static void observe(struct cq_controller *c, const char *name,
+		    const struct cq_job_record *record, const char *result,
+		    int64_t end_unix_ms)
+{
+	int64_t took_ms = MAX(end_unix_ms - record->submitted_unix_ms, 0);
+	char labels[CQ_JOB_NAME_BYTES + 64];
+
+	g_snprintf(labels, sizeof(labels), "class=\"%s\"%s", record->class_name,
+		   result);
+	cq_histogram_observe_ns(cq_metrics_histogram(c->options.metrics, name,
+						     labels),
+				took_ms * CQ_NS_PER_MS);
+}
+
+void cq_controller_observe_phase(struct cq_controller *c,
+				 const struct cq_job_record *before,
+				 const struct cq_job_record *after)
+{
+	if (!c->options.metrics || before->phase == after->phase)
+		return;
+	if (after->phase == CQ_PHASE_RUNNING && after->attempt == 1)
+		observe(c, "cq_job_start_seconds", after, "",
+			after->started_unix_ms);
+	else if (after->phase == CQ_PHASE_FINISHED)
+		observe(c, "cq_job_completion_seconds", after,
+			",result=\"succeeded\"", after->ended_unix_ms);
+	else if (after->phase == CQ_PHASE_FAILED)
+		observe(c, "cq_job_completion_seconds", after,
+			",result=\"failed\"", after->ended_unix_ms);
+}
+
 void cq_controller_set_gauges(struct cq_controller *c)
 {
 	int64_t up = 0;
--- a/src/coordination/controller_store.c
+++ b/src/coordination/controller_store.c
@@ -235,6 +235,8 @@
 	if (cq_job_phase_is_terminal(record->phase) &&
 	    (!cq_job_phase_is_terminal(job->record.phase) || !job->revision))
 		g_queue_push_tail(c->retired, g_strdup(record->id));
+	if (job->revision)
+		cq_controller_observe_phase(c, &job->record, record);
 	job->record = *record;
 	job->revision = revision;
 	c->plan_wanted = true;
