--- a/Makefile
+++ b/Makefile
@@ -135,8 +135,10 @@
 	scripts/run-tests.sh $(B)
 endif
 
-bench: all $(BENCH_BIN)
-	scripts/run-bench.sh $(B)
+# Build messages go to standard error: standard output holds figures only.
+bench:
+	@$(MAKE) --no-print-directory all $(BENCH_BIN) >&2
+	@scripts/run-bench.sh $(B)
 
 demo: deps
 	$(MAKE) all
--- a/tests/standins/fake-store/main.c
+++ b/tests/standins/fake-store/main.c
@@ -25,66 +25,10 @@
 #include "chestnutquay/config.h"
 #include "chestnutquay/http_server.h"
 #include "chestnutquay/store.h"
-
-struct entry {
-	char *key;
-	char *value; /* NULL: deleted */
-	int64_t revision;
-	int64_t lease_id;
-};
-
-struct lease {
-	int64_t id;
-	uint32_t ttl_ms;
-	int64_t deadline_ns;
-};
-
-struct watch {
-	struct fake_store *store;
-	struct cq_http_exchange *exchange;
-	char *prefix;
-	int64_t after;
-	ev_timer timer;
-};
-
-/* A finished answer that waits for the delay to pass. */
-struct delayed {
-	struct fake_store *store;
-	struct cq_http_exchange *exchange;
-	uint32_t status;
-	char *json;
-	ev_timer timer;
-};
-
-struct fake_store {
-	struct ev_loop *loop;
-	struct cq_http_server *server;
-	GHashTable *entries; /* key -> struct entry */
-	GHashTable *leases;  /* id -> struct lease */
-	GPtrArray *watches;
-	GPtrArray *silent;
-	GPtrArray *delayed;
-	int64_t revision;
-	int64_t next_lease;
-	bool down;
-	bool is_silent;
-	int64_t delay_ms;
-	int64_t lose_answers;
-	int64_t host_list_lag_ms;
-	char *hosts;
-	char *next_hosts;
-	int64_t next_hosts_at_ns;
-	uint64_t reads, writes, watch_calls;
-	ev_timer tick;
-};
+#include "fake_store.h"
 
 #define TICK_S 0.05
 
-static int64_t now_ns(void)
-{
-	return cq_clock_now_ns(cq_clock_system());
-}
-
 static void entry_free(void *data)
 {
 	struct entry *entry = data;
@@ -353,7 +297,7 @@
 	store->writes++;
 	lease->id = ++store->next_lease;
 	lease->ttl_ms = (uint32_t)query_integer(exchange, "ttl_ms", 5000);
-	lease->deadline_ns = now_ns() + lease->ttl_ms * CQ_NS_PER_MS;
+	lease->deadline_ns = fake_store_now_ns() + lease->ttl_ms * CQ_NS_PER_MS;
 	g_hash_table_insert(store->leases, &lease->id, lease);
 	answer_write(store, exchange,
 		     json_pack("{s:I}", "lease", (json_int_t)lease->id));
@@ -374,7 +318,8 @@
 	if (!strcmp(method, "DELETE"))
 		expire_lease(store, id);
 	else
-		lease->deadline_ns = now_ns() + lease->ttl_ms * CQ_NS_PER_MS;
+		lease->deadline_ns =
+			fake_store_now_ns() + lease->ttl_ms * CQ_NS_PER_MS;
 	answer_write(store, exchange,
 		     json_pack("{s:I}", "lease", (json_int_t)id));
 }
@@ -403,60 +348,6 @@
 	json_decref(ready);
 }
 
-static void handle_faults(struct fake_store *store,
-			  struct cq_http_exchange *exchange)
-{
-	json_t *faults =
-		json_loads(cq_http_exchange_body(exchange, NULL), 0, NULL);
-	json_t *value;
-
-	if ((value = json_object_get(faults, "down")))
-		store->down = json_is_true(value);
-	if ((value = json_object_get(faults, "silent")))
-		store->is_silent = json_is_true(value);
-	if ((value = json_object_get(faults, "delay_ms")))
-		store->delay_ms = json_integer_value(value);
-	if ((value = json_object_get(faults, "lose_answers")))
-		store->lose_answers = json_integer_value(value);
-	if ((value = json_object_get(faults, "host_list_lag_ms")))
-		store->host_list_lag_ms = json_integer_value(value);
-	json_decref(faults);
-	cq_http_exchange_respond_json(exchange, 200, "{}");
-}
-
-static void handle_hosts(struct fake_store *store,
-			 struct cq_http_exchange *exchange, const char *method)
-{
-	if (!strcmp(method, "PUT")) {
-		g_free(store->next_hosts);
-		store->next_hosts =
-			g_strdup(cq_http_exchange_body(exchange, NULL));
-		store->next_hosts_at_ns =
-			now_ns() + store->host_list_lag_ms * CQ_NS_PER_MS;
-		cq_http_exchange_respond_json(exchange, 200, "{}");
-		return;
-	}
-	if (store->next_hosts && now_ns() >= store->next_hosts_at_ns) {
-		g_free(store->hosts);
-		store->hosts = g_steal_pointer(&store->next_hosts);
-	}
-	cq_http_exchange_respond_json(exchange, 200, store->hosts);
-}
-
-static void handle_stats(struct fake_store *store,
-			 struct cq_http_exchange *exchange)
-{
-	char *json =
-		g_strdup_printf("{\"reads\":%" PRIu64 ",\"writes\":%" PRIu64
-				",\"watches\":%" PRIu64
-				",\"waiting\":%u,\"revision\":%" PRId64 "}",
-				store->reads, store->writes, store->watch_calls,
-				store->watches->len, store->revision);
-
-	cq_http_exchange_respond_json(exchange, 200, json);
-	g_free(json);
-}
-
 static void on_request(void *ctx, struct cq_http_exchange *exchange)
 {
 	struct fake_store *store = ctx;
@@ -464,9 +355,9 @@
 	const char *path = cq_http_exchange_path(exchange);
 
 	if (!strcmp(path, "/v1/faults")) {
-		handle_faults(store, exchange);
+		fake_store_faults(store, exchange);
 	} else if (!strcmp(path, "/v1/stats")) {
-		handle_stats(store, exchange);
+		fake_store_stats(store, exchange);
 	} else if (store->is_silent) {
 		g_ptr_array_add(store->silent, exchange);
 	} else if (store->down) {
@@ -490,7 +381,7 @@
 	} else if (!strcmp(path, "/v1/watch")) {
 		handle_watch(store, exchange);
 	} else if (!strcmp(path, "/v1/hosts")) {
-		handle_hosts(store, exchange, method);
+		fake_store_hosts(store, exchange, method);
 	} else {
 		answer_error(store, exchange, 404, "no such path");
 	}
@@ -542,7 +433,7 @@
 		       g_hash_table_iter_next(&iter, NULL, &value)) {
 			struct lease *lease = value;
 
-			expired = lease->deadline_ns <= now_ns();
+			expired = lease->deadline_ns <= fake_store_now_ns();
 			id = lease->id;
 		}
 		if (expired)
