Run the event loop for the last time before parts are destroyed

Cause: cq_cluster_destroy() ran the event loop eight times to write out the farewell of the membership. In cq-schedd and cq-entryd the job calls, the controller, the ownership and the host list were freed by then, while their routes, timers and peer handlers were still registered. A call or a timer that came due in those rounds used freed memory. Ruled out: an incomplete drain, which exits with 0.

Change: cq_daemon_add_stop() hooks run after the drain while every part exists; the daemon then writes out what they sent and closes the operators' listener, so that aborted exchanges also reach live parts. Job calls that are open or arrive late are answered with 503 "stopping". The owner hands over before its open calls end, because starts wait for the hand-over, not for the calls.

The unit test of the refusal is deterministic.

Conclusion: the loop never runs with destroyed parts.

--- a/src/programs/common/cluster.c
+++ b/src/programs/common/cluster.c
@@ -10,8 +10,6 @@
 /* Between reads of the host list, which lags by itself. */
 #define HOST_LIST_INTERVAL_NS (10 * CQ_NS_PER_S)
 #define HOST_LIST_TIMEOUT_MS 3000
-/* Loop rounds on stopping, so that the farewell leaves the process. */
-#define FAREWELL_ROUNDS 8
 #define MAX_SEEDS 64
 
 struct listener {
@@ -76,6 +74,7 @@
 static void on_hosts(void *ctx, const struct cq_host *hosts, size_t count);
 static bool is_behind(const struct cq_cluster *cluster);
 static void on_tick(void *ctx, int64_t at_ns);
+static void on_stop(void *ctx);
 static void update_gauges(struct cq_cluster *cluster, int64_t at_ns);
 static const char *ready_check(void *ctx);
 
@@ -223,18 +222,21 @@
 			  cluster);
 	cq_daemon_add_ready_check(daemon, ready_check, cluster);
 	cq_daemon_add_tick(daemon, on_tick, cluster);
+	cq_daemon_add_stop(daemon, on_stop, cluster);
 	return cluster;
 }
 
-void cq_cluster_destroy(struct cq_cluster *cluster)
+static void on_stop(void *ctx)
 {
-	int i;
+	struct cq_cluster *cluster = ctx;
+
+	cq_membership_leave(cluster->membership, now_ns(cluster));
+}
 
+void cq_cluster_destroy(struct cq_cluster *cluster)
+{
 	if (!cluster)
 		return;
-	cq_membership_leave(cluster->membership, now_ns(cluster));
-	for (i = 0; i < FAREWELL_ROUNDS; i++)
-		ev_run(cq_daemon_loop(cluster->daemon), EVRUN_NOWAIT);
 	cq_settings_sync_destroy(cluster->sync);
 	cq_store_relay_destroy(cluster->relay);
 	cq_membership_destroy(cluster->membership);
--- a/src/programs/common/daemon.c
+++ b/src/programs/common/daemon.c
@@ -19,6 +19,8 @@
 #define MAX_CONNECTIONS_PER_HOST 8
 #define MAX_IDLE_CONNECTIONS 512
 #define PEER_KINDS 64
+/* Loop rounds that write out the last answers and messages. */
+#define FAREWELL_ROUNDS 8
 
 struct route {
 	const char *method;
@@ -33,6 +35,7 @@
 		cq_daemon_drain_fn *drain;
 		cq_daemon_tick_fn *tick;
 		cq_daemon_route_fn *abort;
+		cq_daemon_stop_fn *stop;
 	} fn;
 	void *ctx;
 	bool done; /* drain hooks */
@@ -59,6 +62,7 @@
 	GArray *drains;
 	GArray *ticks;
 	GArray *aborts;
+	GArray *stops;
 	char *id;
 	char *token;
 	uint64_t incarnation;
@@ -103,6 +107,7 @@
 		       struct cq_error *err);
 static bool open_operators(struct cq_daemon *daemon, struct cq_error *err);
 static bool open_peers(struct cq_daemon *daemon, struct cq_error *err);
+static void stop(struct cq_daemon *daemon);
 static void on_operator_request(void *ctx, struct cq_http_exchange *exchange);
 static void on_operator_abort(void *ctx, struct cq_http_exchange *exchange);
 static void on_peer_message(void *ctx, const struct cq_peer_message *message);
@@ -224,6 +229,7 @@
 	daemon->drains = g_array_new(FALSE, FALSE, sizeof(struct hook));
 	daemon->ticks = g_array_new(FALSE, FALSE, sizeof(struct hook));
 	daemon->aborts = g_array_new(FALSE, FALSE, sizeof(struct hook));
+	daemon->stops = g_array_new(FALSE, FALSE, sizeof(struct hook));
 	if (!parse_settings(daemon, program, summary, extra, extra_count, argc,
 			    argv, &err) ||
 	    !open_parts(daemon, program, &err)) {
@@ -264,6 +270,7 @@
 	g_array_free(daemon->drains, TRUE);
 	g_array_free(daemon->ticks, TRUE);
 	g_array_free(daemon->aborts, TRUE);
+	g_array_free(daemon->stops, TRUE);
 	cq_metrics_destroy(daemon->metrics);
 	cq_config_destroy(daemon->config);
 	cq_log_close();
@@ -279,10 +286,31 @@
 		     CQ_VERSION, "data_centre", cq_daemon_data_centre(daemon),
 		     "id", daemon->id);
 	ev_run(daemon->loop, 0);
+	stop(daemon);
 	cq_log_event(CQ_LOG_INFO, "daemon_stopped", NULL);
 	return 0;
 }
 
+/*
+ * The loop must not run once a part is destroyed, because a call or a timer
+ * could then reach it.
+ */
+static void stop(struct cq_daemon *daemon)
+{
+	guint i;
+
+	for (i = 0; i < daemon->stops->len; i++) {
+		const struct hook *hook =
+			&g_array_index(daemon->stops, struct hook, i);
+
+		hook->fn.stop(hook->ctx);
+	}
+	for (i = 0; i < FAREWELL_ROUNDS; i++)
+		ev_run(daemon->loop, EVRUN_NOWAIT);
+	cq_http_server_destroy(daemon->operators);
+	daemon->operators = NULL;
+}
+
 static void on_signal(struct ev_loop *loop, ev_signal *watcher, int events)
 {
 	struct cq_daemon *daemon = watcher->data;
@@ -532,6 +560,12 @@
 	add_hook(daemon->drains, (struct hook){ .fn.drain = fn, .ctx = ctx });
 }
 
+void cq_daemon_add_stop(struct cq_daemon *daemon, cq_daemon_stop_fn *fn,
+			void *ctx)
+{
+	add_hook(daemon->stops, (struct hook){ .fn.stop = fn, .ctx = ctx });
+}
+
 void cq_daemon_add_tick(struct cq_daemon *daemon, cq_daemon_tick_fn *fn,
 			void *ctx)
 {
--- a/src/programs/common/daemon.h
+++ b/src/programs/common/daemon.h
@@ -91,6 +91,16 @@
 			 void *ctx);
 bool cq_daemon_draining(const struct cq_daemon *daemon);
 
+/*
+ * Called once by cq_daemon_run() after the drain. The hook answers or refuses
+ * what is still open and sends its farewell; later calls are refused. All
+ * parts still exist: cq_daemon_run() writes out what the hooks sent and closes
+ * the operators' listener before it returns.
+ */
+typedef void cq_daemon_stop_fn(void *ctx);
+void cq_daemon_add_stop(struct cq_daemon *daemon, cq_daemon_stop_fn *fn,
+			void *ctx);
+
 /* Called every 100 ms with the current time. */
 typedef void cq_daemon_tick_fn(void *ctx, int64_t now_ns);
 void cq_daemon_add_tick(struct cq_daemon *daemon, cq_daemon_tick_fn *fn,
--- a/src/programs/common/job_calls.c
+++ b/src/programs/common/job_calls.c
@@ -8,6 +8,7 @@
 #define RETRY_MS 100
 #define RETRY_AFTER_S "2"
 #define MIN_STORE_TIMEOUT_MS 50
+#define STOPPING_MESSAGE "this host is shutting down"
 
 static void call_free(struct job_call *call);
 static void on_store(void *ctx, const struct cq_store_result *result);
@@ -49,25 +50,30 @@
 	return calls;
 }
 
-void cq_job_calls_destroy(struct cq_job_calls *calls)
+void cq_job_calls_stop(struct cq_job_calls *calls)
 {
-	GList *open;
+	GList *open = g_hash_table_get_keys(calls->open);
 	GList *item;
 
-	if (!calls)
-		return;
-	open = g_hash_table_get_keys(calls->open);
+	calls->stopping = true;
 	for (item = open; item; item = item->next) {
 		struct job_call *call = item->data;
 
-		cq_job_call_refuse(
-			call, 503, "stopping", "this host is shutting down",
-			call->kind == JOB_CALL_SUBMIT && !call->maybe_written &&
-					!call->store_call
-				? "no"
-				: "unknown");
+		cq_job_call_refuse(call, 503, "stopping", STOPPING_MESSAGE,
+				   call->kind == JOB_CALL_SUBMIT &&
+						   !call->maybe_written &&
+						   !call->store_call
+					   ? "no"
+					   : "unknown");
 	}
 	g_list_free(open);
+}
+
+void cq_job_calls_destroy(struct cq_job_calls *calls)
+{
+	if (!calls)
+		return;
+	cq_job_calls_stop(calls);
 	g_hash_table_destroy(calls->open);
 	g_hash_table_destroy(calls->queries);
 	g_rand_free(calls->random);
@@ -511,12 +517,22 @@
 	return call;
 }
 
+bool cq_job_call_refuse_stopping(struct job_call *call)
+{
+	if (!call->calls->stopping)
+		return false;
+	cq_job_call_refuse(call, 503, "stopping", STOPPING_MESSAGE, "no");
+	return true;
+}
+
 void cq_job_calls_handle(struct cq_job_calls *calls,
 			 struct cq_http_exchange *exchange)
 {
 	const char *path = cq_http_exchange_path(exchange);
 	struct job_call *call = cq_job_call_create(calls, exchange);
 
+	if (cq_job_call_refuse_stopping(call))
+		return;
 	if (cq_job_calls_open(calls) > calls->options.max_open) {
 		cq_job_call_refuse(call, 503, "overloaded",
 				   "too many job calls at one time", "no");
--- a/src/programs/common/job_calls.h
+++ b/src/programs/common/job_calls.h
@@ -57,7 +57,9 @@
 		    const struct cq_store *store,
 		    const struct cq_settings *settings,
 		    const struct cq_membership *membership);
-/* Open exchanges are answered with 503. */
+/* Answers open exchanges, and all later ones at once, with 503. */
+void cq_job_calls_stop(struct cq_job_calls *calls);
+/* Stops first if that was not done. */
 void cq_job_calls_destroy(struct cq_job_calls *calls);
 
 /* Serves an exchange whose path is /v1/jobs or below. */
--- a/src/programs/common/job_calls_fleet.c
+++ b/src/programs/common/job_calls_fleet.c
@@ -125,6 +125,8 @@
 	bool workers = !strcmp(cq_http_exchange_path(exchange), "/v1/workers");
 	struct job_call *call = cq_job_call_create(calls, exchange);
 
+	if (cq_job_call_refuse_stopping(call))
+		return;
 	call->kind = JOB_CALL_FLEET;
 	call->answers = g_new0(json_t *, call->dc_count + 1);
 	cq_job_call_query(call, UINT32_MAX,
--- a/src/programs/common/job_calls_private.h
+++ b/src/programs/common/job_calls_private.h
@@ -27,6 +27,7 @@
 	uint64_t sequence;
 	uint64_t correlation;
 	GRand *random;
+	bool stopping;
 	GHashTable *open;    /* set of struct job_call */
 	GHashTable *queries; /* correlation -> struct job_query */
 };
@@ -74,6 +75,8 @@
 };
 
 /* job_calls.c */
+/* Refuses the call if the host is shutting down. */
+bool cq_job_call_refuse_stopping(struct job_call *call);
 struct job_call *cq_job_call_create(struct cq_job_calls *calls,
 				    struct cq_http_exchange *exchange);
 void cq_job_call_end(struct job_call *call, uint32_t status, json_t *body);
--- a/src/programs/entryd/jobs.c
+++ b/src/programs/entryd/jobs.c
@@ -18,6 +18,7 @@
 static void on_answer(void *ctx, const struct cq_peer_message *message);
 static void on_tick(void *ctx, int64_t now_ns);
 static bool drained(void *ctx);
+static void on_stop(void *ctx);
 
 static bool send_message(void *ctx, const char *address, enum cq_peer_kind kind,
 			 uint64_t correlation, const uint8_t *payload,
@@ -71,6 +72,13 @@
 	return !cq_job_calls_open(jobs->calls);
 }
 
+static void on_stop(void *ctx)
+{
+	struct entryd_jobs *jobs = ctx;
+
+	cq_job_calls_stop(jobs->calls);
+}
+
 struct entryd_jobs *entryd_jobs_create(struct cq_cluster *cluster)
 {
 	static const struct cq_job_calls_ops ops = { .send = send_message };
@@ -99,6 +107,7 @@
 	cq_daemon_on_peer(daemon, CQ_PEER_JOB_ANSWER, on_answer, jobs);
 	cq_daemon_add_tick(daemon, on_tick, jobs);
 	cq_daemon_add_drain(daemon, drained, jobs);
+	cq_daemon_add_stop(daemon, on_stop, jobs);
 	return jobs;
 }
 
--- a/src/programs/schedd/cluster.c
+++ b/src/programs/schedd/cluster.c
@@ -69,21 +69,23 @@
 	}
 }
 
-/* Finishes commands in flight, then names a successor. */
+/*
+ * Finishes commands in flight, then names a successor. Open calls don't delay
+ * the hand-over, because starts wait for it.
+ */
 static bool drain(void *ctx)
 {
 	struct schedd *s = ctx;
 
 	cq_controller_drain(s->controller);
-	if (cq_job_calls_open(s->job_calls))
-		return false;
 	if (!s->handing_over) {
 		if (cq_controller_in_flight(s->controller))
 			return false;
 		s->handing_over = true;
 		cq_ownership_hand_over(s->ownership, NULL, schedd_now_ns(s));
 	}
-	return cq_ownership_state(s->ownership) == CQ_OWNERSHIP_STOPPED;
+	return cq_ownership_state(s->ownership) == CQ_OWNERSHIP_STOPPED &&
+	       !cq_job_calls_open(s->job_calls);
 }
 
 void schedd_cluster_open(struct schedd *s)
--- a/src/programs/schedd/jobs.c
+++ b/src/programs/schedd/jobs.c
@@ -258,6 +258,13 @@
 	cq_job_calls_aborted(s->job_calls, exchange);
 }
 
+static void on_stop(void *ctx)
+{
+	struct schedd *s = ctx;
+
+	cq_job_calls_stop(s->job_calls);
+}
+
 static void open_controller(struct schedd *s)
 {
 	static const struct cq_controller_ops ops = { may_command,
@@ -343,6 +350,7 @@
 	cq_daemon_on_peer(s->daemon, CQ_PEER_JOB_ANSWER, on_answer, s);
 	cq_daemon_on_peer(s->daemon, CQ_PEER_JOB_NOTIFY, on_notify, s);
 	cq_daemon_add_tick(s->daemon, on_tick, s);
+	cq_daemon_add_stop(s->daemon, on_stop, s);
 }
 
 void schedd_jobs_close(struct schedd *s)
--- a/tests/scripts/test_jobs.sh
+++ b/tests/scripts/test_jobs.sh
@@ -230,8 +230,25 @@
 submit "$owner" stop '"data_centre":"a","tasks":2,"expected_ms":6000'
 until_true 10 "the job runs" job_is "$owner" "$id" running
 stopped=$owner
+# Guards against a call or timer that reaches a part of the daemon that is
+# destroyed already; the sanitizer build reports it.
+poll_until_refused() {
+	while curl -s -m 2 -o /dev/null -H \
+		"Authorization: Bearer $CQ_OPERATOR_TOKEN" \
+		"http://127.0.22.$stopped:7201/v1/jobs/$id" \
+		"http://127.0.22.$stopped:7201/v1/workers"; do
+		:
+	done
+}
+pollers=
+for _ in 1 2 3 4; do
+	poll_until_refused >/dev/null &
+	pollers="$pollers $!"
+done
 eval "kill -TERM \$pid_$stopped; wait \$pid_$stopped"
 echo "exit code $?"
+# shellcheck disable=SC2086
+wait $pollers
 until_true 20 "a has another owner" owner_of_a
 until_true 20 "the job finishes" job_is "$owner" "$id" finished
 echo "finished in attempt $(job_field attempt) after" \
--- a/tests/unit/test_job_calls.c
+++ b/tests/unit/test_job_calls.c
@@ -572,6 +572,33 @@
 	}
 }
 
+/*
+ * Guards against a call that is left without an answer when the host stops,
+ * and against one that is taken after that.
+ */
+static void test_stop(struct fixture *f, gconstpointer data)
+{
+	ev_timer give_up;
+
+	(void)data;
+	f->puts = HANG;
+	f->bad_puts = 1;
+	send_call(f, "POST", "", "k", "8000", JOB "}");
+	ev_timer_init(&give_up, on_give_up, GIVE_UP_S, 0.);
+	ev_timer_start(f->loop, &give_up);
+	while (!f->put_count)
+		ev_run(f->loop, EVRUN_ONCE);
+	ev_timer_stop(f->loop, &give_up);
+	cq_job_calls_stop(f->calls);
+	wait_for(f, 1);
+	g_assert_cmpuint(f->status, ==, 503);
+	g_assert_cmpstr(f->run, ==, "unknown");
+	call(f, "POST", "", "k2", NULL, JOB "}");
+	g_assert_cmpuint(f->status, ==, 503);
+	g_assert_cmpstr(f->run, ==, "no");
+	g_assert_cmpuint(g_hash_table_size(f->values), ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -583,5 +610,6 @@
 	CALL_TEST("show", test_show);
 	CALL_TEST("never_fits", test_never_fits);
 	CALL_TEST("cancel", test_cancel);
+	CALL_TEST("stop", test_stop);
 	return g_test_run();
 }
