Move own small jobs for a guaranteed shape and hold what a reclaim freed

The planner never moved a task charged to a cell.

Change: a job that fills a shape moves smaller jobs of its workspace, unless they are urgent, out of a cell while the guarantee has enough unused; only strictly smaller ones move, so that two jobs cannot displace each other in turn. It may do so, and reclaim from others, whatever its workspace borrows elsewhere. Room freed by a reclaim is held for its job from plan to plan. The failure of a smaller job no longer keeps a job that fills a shape from being tried.

/planner/reclaim/hold and the cases with small own jobs fail without the change.

--- a/src/state/planner.c
+++ b/src/state/planner.c
@@ -38,6 +38,7 @@
 	planner->history = cq_history_create();
 	planner->health = cq_health_create();
 	planner->standing = cq_standing_create();
+	planner->holds = cq_holds_create();
 	planner->possible = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  g_free, NULL);
 	return planner;
@@ -50,6 +51,7 @@
 	cq_history_destroy(planner->history);
 	cq_health_destroy(planner->health);
 	cq_standing_destroy(planner->standing);
+	g_hash_table_destroy(planner->holds);
 	g_hash_table_destroy(planner->possible);
 	g_free(planner);
 }
@@ -116,9 +118,11 @@
 	cq_plan_cells(&ctx);
 	cq_plan_tiers(&ctx);
 	cq_plan_headroom(&ctx);
+	cq_holds_apply(&ctx);
 	cq_plan_queue(&ctx);
 	cq_plan_estimate(&ctx);
 	cq_cells_save(&ctx);
+	cq_holds_save(&ctx);
 	plan = export_plan(&ctx);
 	cq_plan_context_clear(&ctx);
 	return plan;
--- a/src/state/planner_index.c
+++ b/src/state/planner_index.c
@@ -215,6 +215,7 @@
 	ctx->waits = g_array_new(FALSE, TRUE, sizeof(struct cq_wait));
 	ctx->shortfalls = g_array_new(FALSE, TRUE, sizeof(struct cq_shortfall));
 	ctx->parts = g_array_new(FALSE, TRUE, sizeof(struct cq_part));
+	ctx->holds = cq_holds_create();
 	ctx->workspace_parts = g_new(uint32_t, snapshot->workspace_count + 1);
 	ctx->workspace_unused = g_new0(int64_t, snapshot->workspace_count + 1);
 	ctx->workspace_borrowed =
--- a/src/state/planner_internal.h
+++ b/src/state/planner_internal.h
@@ -15,11 +15,13 @@
 struct cq_history_entry;
 struct cq_health;
 struct cq_standing;
+struct cq_hold;
 
 struct cq_planner {
 	struct cq_history *history;
 	struct cq_health *health;
 	struct cq_standing *standing;
+	GHashTable *holds;    /* job id to struct cq_hold */
 	GHashTable *possible; /* hashes of job sizes the fleet can hold */
 	uint64_t fleet_hash;  /* of the fleet they were checked against */
 	/* Smoothed accelerators in use by urgent jobs, and their variance. */
@@ -70,6 +72,7 @@
 	bool leaving; /* checkpointed to be stopped, or stopped */
 	bool stopped; /* a stop action is in this plan */
 	bool failed_before;
+	const struct cq_hold *hold; /* waiting: room kept by the last plan */
 	int64_t predicted_run_ns;
 	int64_t predicted_end_ns; /* running */
 };
@@ -123,6 +126,7 @@
 	struct cq_candidate *candidates; /* scratch, one per worker */
 	struct cq_candidate *chosen;	 /* scratch, one per gang member */
 	uint32_t chosen_count;
+	GHashTable *holds; /* those of this plan */
 	GArray *actions;
 	GArray *waits;
 	GArray *shortfalls;
@@ -240,6 +244,8 @@
 /* Accelerators of the smallest part that could hold the need. */
 int64_t cq_cells_smallest(const struct cq_plan_context *ctx, uint32_t workspace,
 			  struct cq_need need);
+/* Whether one task takes more than half of the smallest part it fits into. */
+bool cq_cells_fills_part(const struct cq_plan_context *ctx, uint32_t job);
 /* Whether a part that is in use already has room for the need. */
 bool cq_cells_has_open_part(const struct cq_plan_context *ctx,
 			    uint32_t workspace, struct cq_need need);
@@ -278,10 +284,25 @@
 
 /* planner_reclaim.c */
 bool cq_reclaim_cells(struct cq_plan_context *ctx, uint32_t job);
+/*
+ * As cq_reclaim_cells, for a job that fills shapes which smaller jobs of its
+ * own workspace occupy in part; those move to other cells of the workspace.
+ */
+bool cq_reclaim_repack(struct cq_plan_context *ctx, uint32_t job);
 /* Makes room for a borrower if that gains more than it loses. */
 bool cq_reclaim_borrowed(struct cq_plan_context *ctx, uint32_t job,
 			 int64_t wait_saved_ns);
 
+/* planner_hold.c */
+GHashTable *cq_holds_create(void);
+/* Holds the room that the last plan made for jobs that still wait. */
+void cq_holds_apply(struct cq_plan_context *ctx);
+/* Gives the room back to the job itself; false if there was none. */
+bool cq_holds_release(struct cq_plan_context *ctx, uint32_t job);
+/* Holds the room for the job on the chosen workers, in the next plan too. */
+void cq_holds_add(struct cq_plan_context *ctx, uint32_t job);
+void cq_holds_save(struct cq_plan_context *ctx);
+
 /* planner_queue.c */
 void cq_plan_queue(struct cq_plan_context *ctx);
 /* planner_estimate.c */
--- a/src/state/planner_queue.c
+++ b/src/state/planner_queue.c
@@ -28,6 +28,7 @@
 	uint32_t job;
 	enum cq_reason reason;
 	bool was_reserved; /* a reservation was in the way */
+	bool fills;	   /* could reclaim whole shapes */
 };
 
 struct failed_list {
@@ -167,19 +168,31 @@
 			ctx->jobs[failed->job].predicted_run_ns);
 }
 
+/*
+ * A job that fills a shape may stop smaller jobs of its workspace, so the
+ * failure of a smaller job says nothing about it.
+ */
+static bool is_own_failure(const struct cq_plan_context *ctx, uint32_t job,
+			   const struct failed_shape *failed)
+{
+	const struct cq_fleet_job *a = &ctx->snapshot->jobs[job];
+	const struct cq_fleet_job *b = &ctx->snapshot->jobs[failed->job];
+
+	if (a->workspace != b->workspace || a->class_index != b->class_index)
+		return false;
+	return !cq_cells_fills_part(ctx, job) ||
+	       (failed->fills && a->tasks == b->tasks &&
+		a->accelerators == b->accelerators);
+}
+
 static const struct failed_shape *find_failed(const struct cq_plan_context *ctx,
 					      const struct failed_list *list,
 					      uint32_t job, bool same_owner)
 {
-	const struct cq_fleet_job *jobs = ctx->snapshot->jobs;
 	uint32_t i;
 
 	for (i = 0; i < list->count; i++) {
-		uint32_t other = list->shapes[i].job;
-
-		if (same_owner &&
-		    (jobs[other].workspace != jobs[job].workspace ||
-		     jobs[other].class_index != jobs[job].class_index))
+		if (same_owner && !is_own_failure(ctx, job, &list->shapes[i]))
 			continue;
 		if (is_at_least(ctx, job, &list->shapes[i]))
 			return &list->shapes[i];
@@ -187,7 +200,8 @@
 	return NULL;
 }
 
-static void remember_failed(struct failed_list *list, uint32_t job,
+static void remember_failed(const struct cq_plan_context *ctx,
+			    struct failed_list *list, uint32_t job,
 			    enum cq_reason reason, bool was_reserved)
 {
 	struct failed_shape *failed;
@@ -198,6 +212,7 @@
 	failed->job = job;
 	failed->reason = reason;
 	failed->was_reserved = was_reserved;
+	failed->fills = cq_cells_fills_part(ctx, job);
 }
 
 /* Whether a start leaves what urgent jobs will need soon. */
@@ -237,6 +252,18 @@
 		       (int64_t)entry->accelerators * entry->tasks;
 }
 
+/*
+ * Stops others for a job within the guarantees of its workspace. A job that
+ * fills shapes may do so whatever the workspace borrows elsewhere.
+ */
+static bool reclaim_within_guarantee(struct cq_plan_context *ctx, uint32_t job)
+{
+	if (is_below_guarantee(ctx, job) && cq_reclaim_cells(ctx, job))
+		return true;
+	return has_unused_guarantee(ctx, job) &&
+	       cq_cells_fills_part(ctx, job) && cq_reclaim_repack(ctx, job);
+}
+
 /*
  * First pass: jobs within the guarantees of their workspace, of any class,
  * before jobs that would borrow; otherwise the borrowers would be reclaimed
@@ -249,11 +276,13 @@
 
 	for (i = 0; i < queue->count; i++) {
 		struct queued entry = queue->entries[i];
+		bool held = cq_holds_release(ctx, entry.job);
 
 		if (settle(ctx, entry.job))
 			continue;
 		if (ctx->starts_left > 0 && queue->attempts < MAX_ATTEMPTS &&
-		    !find_failed(ctx, &queue->failed_own, entry.job, true)) {
+		    (held ||
+		     !find_failed(ctx, &queue->failed_own, entry.job, true))) {
 			queue->attempts++;
 			if (cq_place_guaranteed(ctx, entry.job))
 				continue;
@@ -274,14 +303,13 @@
 				queue->entries[kept++] = entry;
 				continue;
 			}
-			if (is_below_guarantee(ctx, entry.job) &&
-			    cq_reclaim_cells(ctx, entry.job)) {
+			if (reclaim_within_guarantee(ctx, entry.job)) {
 				queue->reclaims++;
 				add_wait(ctx, entry.job, CQ_REASON_WAIT_RECLAIM,
 					 ctx->now_ns);
 				continue;
 			}
-			remember_failed(&queue->failed_own, entry.job,
+			remember_failed(ctx, &queue->failed_own, entry.job,
 					CQ_REASON_WAIT_CAPACITY, false);
 		}
 		queue->entries[kept++] = entry;
@@ -338,7 +366,8 @@
 		}
 		if (was_reserved)
 			reason = CQ_REASON_WAIT_RESERVATION;
-		remember_failed(&queue->failed_free, job, reason, was_reserved);
+		remember_failed(ctx, &queue->failed_free, job, reason,
+				was_reserved);
 	} else {
 		reason = failed->reason;
 	}
@@ -351,7 +380,8 @@
 			add_wait(ctx, job, CQ_REASON_WAIT_RECLAIM, ctx->now_ns);
 			return;
 		}
-		remember_failed(&queue->failed_reclaim, job, reason, false);
+		remember_failed(ctx, &queue->failed_reclaim, job, reason,
+				false);
 	}
 	if (deserves_reservation(ctx, queue, job)) {
 		start_ns = cq_place_reserve(ctx, job);
--- a/src/state/planner_reclaim.c
+++ b/src/state/planner_reclaim.c
@@ -12,6 +12,7 @@
 struct reclaim {
 	uint32_t job;
 	bool own_cells; /* within the guarantee of the workspace */
+	bool repack;	/* smaller own jobs move to other own cells */
 	bool urgent;
 	int64_t deadline_ns;
 	enum cq_reason reason;
@@ -31,6 +32,24 @@
 			 uint32_t *count, uint64_t *cost);
 static void apply(struct cq_plan_context *ctx, const struct reclaim *reclaim);
 
+static int64_t size_of(const struct cq_fleet_job *job)
+{
+	return (int64_t)job->accelerators * job->tasks;
+}
+
+/*
+ * Only strictly smaller jobs move, so that two jobs never displace each other
+ * in turn. Urgent jobs end soon and would miss their bound.
+ */
+static bool may_repack(const struct cq_plan_context *ctx,
+		       const struct reclaim *reclaim, uint32_t job)
+{
+	const struct cq_fleet_job *victim = &ctx->snapshot->jobs[job];
+
+	return !ctx->snapshot->classes[victim->class_index].urgent &&
+	       size_of(victim) < size_of(&ctx->snapshot->jobs[reclaim->job]);
+}
+
 static bool may_stop(const struct cq_plan_context *ctx,
 		     const struct reclaim *reclaim, uint32_t job)
 {
@@ -45,9 +64,11 @@
 	 * served later; that one is above the guarantee then.
 	 */
 	if (ctx->jobs[job].tier == CQ_TIER_GUARANTEED)
-		return reclaim->urgent && reclaim->own_cells &&
-		       victim->workspace == entry->workspace &&
-		       ctx->jobs[job].rank > own_rank;
+		return victim->workspace == entry->workspace &&
+		       (reclaim->repack
+				? may_repack(ctx, reclaim, job)
+				: reclaim->urgent && reclaim->own_cells &&
+					  ctx->jobs[job].rank > own_rank);
 	if (ctx->jobs[job].tier != CQ_TIER_BORROWER)
 		return false;
 	if (reclaim->own_cells)
@@ -57,8 +78,7 @@
 	return ctx->jobs[job].rank >= own_rank &&
 	       victim->evictions < ctx->policy->max_evictions &&
 	       ctx->now_ns - victim->started_ns >= ctx->policy->min_run_ns &&
-	       (uint64_t)victim->accelerators * victim->tasks <
-		       (uint64_t)entry->accelerators * entry->tasks;
+	       size_of(victim) < size_of(entry);
 }
 
 static int compare_victims(const void *a, const void *b)
@@ -197,8 +217,8 @@
 			cq_plan_evict(ctx, job, reclaim->reason, reclaim->job,
 				      reclaim->deadline_ns);
 		}
-		cq_need_add(&ctx->workers[worker].held, need);
 	}
+	cq_holds_add(ctx, reclaim->job);
 }
 
 static int64_t reclaim_deadline_ns(const struct cq_plan_context *ctx,
@@ -220,7 +240,7 @@
 		.urgent;
 }
 
-/* Accelerators of own jobs served later, which an urgent job may replace. */
+/* Tasks that fit into own cells, in place of the own jobs that may stop. */
 static uint32_t entitled_tasks(const struct cq_plan_context *ctx,
 			       const struct reclaim *reclaim, uint32_t worker)
 {
@@ -240,7 +260,7 @@
 			continue;
 		cq_need_subtract(&room, part->used);
 		for (t = ctx->workers[worker].first_task;
-		     t != CQ_NONE && reclaim->urgent;
+		     t != CQ_NONE && (reclaim->urgent || reclaim->repack);
 		     t = ctx->tasks[t].next_on_worker) {
 			uint32_t job = ctx->snapshot->tasks[t].job;
 
@@ -256,12 +276,13 @@
 	return MIN(entitled, entry->tasks);
 }
 
-bool cq_reclaim_cells(struct cq_plan_context *ctx, uint32_t job)
+static bool reclaim_own(struct cq_plan_context *ctx, uint32_t job, bool repack)
 {
 	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
 	struct reclaim reclaim = {
 		.job = job,
 		.own_cells = true,
+		.repack = repack,
 		.urgent = is_urgent(ctx, job),
 		.reason = CQ_REASON_RECLAIM,
 	};
@@ -310,6 +331,16 @@
 	return true;
 }
 
+bool cq_reclaim_cells(struct cq_plan_context *ctx, uint32_t job)
+{
+	return reclaim_own(ctx, job, false);
+}
+
+bool cq_reclaim_repack(struct cq_plan_context *ctx, uint32_t job)
+{
+	return reclaim_own(ctx, job, true);
+}
+
 bool cq_reclaim_borrowed(struct cq_plan_context *ctx, uint32_t job,
 			 int64_t wait_saved_ns)
 {
--- a/src/state/planner_tiers.c
+++ b/src/state/planner_tiers.c
@@ -94,6 +94,15 @@
 	return smallest;
 }
 
+bool cq_cells_fills_part(const struct cq_plan_context *ctx, uint32_t job)
+{
+	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
+	struct cq_need need = cq_job_need(entry, 1);
+
+	return need.accelerators * 2 >
+	       cq_cells_smallest(ctx, entry->workspace, need);
+}
+
 /* Whether an unused part may stand on the worker instead. */
 static bool may_move(const struct cq_plan_context *ctx, uint32_t part,
 		     uint32_t worker)
@@ -253,9 +262,7 @@
 			cq_cells_find_part(ctx, entry->workspace, worker, need);
 
 		/* A small job must not take up a large cell. */
-		if (part == CQ_NONE &&
-		    need.accelerators * 2 >
-			    cq_cells_smallest(ctx, entry->workspace, need) &&
+		if (part == CQ_NONE && cq_cells_fills_part(ctx, job) &&
 		    cq_cells_rebind(ctx, entry->workspace, worker, need))
 			part = cq_cells_find_part(ctx, entry->workspace, worker,
 						  need);
--- /dev/null
+++ b/tests/unit/test_planner_reclaim.c
@@ -0,0 +1,196 @@
+#include <glib.h>
+
+#include "../support/fleet_builder.h"
+#include "chestnutquay/clock.h"
+
+#define GB (UINT64_C(1) << 30)
+
+/* One data centre of 4 workers with 8 accelerators. */
+struct world {
+	struct fleet_builder *fleet;
+	struct cq_planner *planner;
+	struct cq_plan *plan;
+	uint32_t urgent, batch; /* classes */
+	uint32_t a, b;		/* workspaces */
+};
+
+static void set_up(struct world *world, gconstpointer data)
+{
+	(void)data;
+	world->fleet = fleet_builder_create(1, 4, 2, 8, 64000, 256 * GB);
+	world->fleet->now_ns = 1000 * CQ_NS_PER_S;
+	world->planner = cq_planner_create();
+	world->plan = NULL;
+	world->urgent = fleet_add_class(world->fleet, "urgent", true);
+	world->batch = fleet_add_class(world->fleet, "batch", false);
+	world->a = fleet_add_workspace(world->fleet, "a");
+	world->b = fleet_add_workspace(world->fleet, "b");
+}
+
+static void tear_down(struct world *world, gconstpointer data)
+{
+	(void)data;
+	cq_plan_destroy(world->plan);
+	cq_planner_destroy(world->planner);
+	fleet_builder_destroy(world->fleet);
+}
+
+static void plan(struct world *world)
+{
+	struct cq_snapshot snapshot = fleet_snapshot(world->fleet);
+	struct cq_error err = CQ_ERROR_INIT;
+
+	cq_plan_destroy(world->plan);
+	world->plan = cq_planner_plan(world->planner, &snapshot, &err);
+	g_assert_cmpstr(err.message, ==, "");
+}
+
+static enum cq_reason wait_reason(const struct world *world, uint32_t job)
+{
+	uint32_t i;
+
+	for (i = 0; i < world->plan->wait_count; i++)
+		if (world->plan->waits[i].job == job)
+			return world->plan->waits[i].reason;
+	return CQ_REASON_NONE;
+}
+
+/* Runs jobs of the given size on the worker until it is full. */
+static void fill(struct world *world, uint32_t workspace, uint32_t class_index,
+		 uint32_t worker, uint32_t from, uint32_t size, uint64_t cell)
+{
+	for (; from + size <= 8; from += size) {
+		uint32_t job = fleet_add_job(world->fleet, workspace,
+					     class_index, 1, size);
+
+		fleet_job(world->fleet, job)->can_checkpoint = true;
+		fleet_job(world->fleet, job)->checkpoint_cost_ns =
+			10 * CQ_NS_PER_S;
+		fleet_run_task(world->fleet, job, worker,
+			       ((UINT64_C(1) << size) - 1) << from, cell);
+	}
+}
+
+/*
+ * Workspace a holds two shapes of 8, in use by one small job each when these
+ * carry labels, and lends or borrows the rest; a job of 8 arrives.
+ */
+static const struct shape_case {
+	const char *name;
+	uint32_t in_cells;  /* size of its small jobs in both shapes; 0: none */
+	uint32_t elsewhere; /* size of its jobs on the other workers; 0: b's */
+	bool urgent_in_cell; /* the small jobs are urgent */
+	enum cq_reason expected;
+} shape_cases[] = {
+	{ "others borrow", 0, 0, false, CQ_REASON_WAIT_RECLAIM },
+	{ "borrows small elsewhere", 0, 2, false, CQ_REASON_WAIT_RECLAIM },
+	{ "small jobs in both shapes", 2, 0, false, CQ_REASON_WAIT_RECLAIM },
+	{ "small jobs in both shapes, borrows elsewhere", 2, 2, false,
+	  CQ_REASON_WAIT_RECLAIM },
+	{ "shapes in use by half", 4, 0, false, CQ_REASON_WAIT_RECLAIM },
+	{ "shapes in use", 8, 0, false, CQ_REASON_WAIT_CAPACITY },
+	{ "urgent jobs stay", 2, 0, true, CQ_REASON_WAIT_CAPACITY },
+};
+
+/*
+ * Guards against a guaranteed shape that waits for small jobs of its own
+ * workspace, borrowed ones or such that use its shapes in part.
+ */
+static void test_shape(struct world *world, gconstpointer data)
+{
+	const struct shape_case *entry = data;
+	uint32_t class_index = entry->urgent_in_cell ? world->urgent
+						     : world->batch;
+	uint32_t job;
+	uint32_t i;
+
+	fleet_add_guarantee(world->fleet, world->a, 2, 8, CQ_ADJACENT_WORKER);
+	for (i = 0; i < 2; i++) {
+		uint32_t id = g_array_index(world->fleet->guarantees,
+					    struct cq_fleet_guarantee, 0)
+				      .id;
+
+		if (entry->in_cells) {
+			uint32_t small = fleet_add_job(world->fleet, world->a,
+						       class_index, 1,
+						       entry->in_cells);
+
+			fleet_run_task(world->fleet, small, i,
+				       (UINT64_C(1) << entry->in_cells) - 1,
+				       ((uint64_t)id << 32) + i + 1);
+		}
+		fill(world, world->b, world->batch, i, entry->in_cells, 2, 0);
+		fill(world, entry->elsewhere ? world->a : world->b,
+		     world->batch, i + 2, 0,
+		     entry->elsewhere ? entry->elsewhere : 8, 0);
+	}
+	job = fleet_add_job(world->fleet, world->a, world->batch, 1, 8);
+	plan(world);
+	g_assert_cmpint(wait_reason(world, job), ==, entry->expected);
+	g_assert_cmpint(world->plan->action_count > 0, ==,
+			entry->expected == CQ_REASON_WAIT_RECLAIM);
+	if (entry->expected != CQ_REASON_WAIT_RECLAIM)
+		return;
+	/* The checkpoints, the stops, and the start. */
+	for (i = 0; i < 3; i++) {
+		fleet_apply(world->fleet, world->plan);
+		world->fleet->now_ns += 31 * CQ_NS_PER_S;
+		plan(world);
+	}
+	g_assert_cmpint(fleet_job(world->fleet, job)->state, ==,
+			CQ_JOB_RUNNING);
+}
+
+/* Guards against urgent jobs that take what a reclaim has freed in part. */
+static void test_hold(struct world *world, gconstpointer data)
+{
+	uint32_t borrower = fleet_add_workspace(world->fleet, "c");
+	uint32_t shape;
+	uint32_t other;
+	uint32_t i;
+
+	(void)data;
+	fleet_add_guarantee(world->fleet, world->a, 1, 8, CQ_ADJACENT_WORKER);
+	fleet_add_guarantee(world->fleet, world->b, 1, 8, CQ_ADJACENT_WORKER);
+	for (i = 0; i < 4; i++)
+		fill(world, borrower, world->batch, i, 0, 4, 0);
+	shape = fleet_add_job(world->fleet, world->a, world->batch, 1, 8);
+	plan(world);
+	g_assert_cmpint(wait_reason(world, shape), ==, CQ_REASON_WAIT_RECLAIM);
+	g_assert_cmpuint(world->plan->action_count, ==, 2);
+	g_assert_cmpint(world->plan->actions[0].kind, ==, CQ_ACTION_CHECKPOINT);
+	fleet_apply(world->fleet, world->plan);
+	/* One of the two ends by itself before its checkpoint. */
+	for (i = 0; i < world->fleet->tasks->len; i++)
+		if (g_array_index(world->fleet->tasks, struct cq_fleet_task, i)
+			    .job == world->plan->actions[0].job)
+			g_array_remove_index(world->fleet->tasks, i);
+	fleet_job(world->fleet, world->plan->actions[0].job)->state =
+		CQ_JOB_WAITING;
+	fleet_job(world->fleet, world->plan->actions[0].job)
+		->stop_requested_ns = 0;
+	other = fleet_add_job(world->fleet, world->b, world->urgent, 1, 4);
+	plan(world);
+	g_assert_cmpint(wait_reason(world, shape), ==, CQ_REASON_WAIT_RECLAIM);
+	g_assert_cmpint(wait_reason(world, other), ==, CQ_REASON_WAIT_RECLAIM);
+}
+
+#define ADD(path, function) \
+	g_test_add(path, struct world, NULL, set_up, function, tear_down)
+
+int main(int argc, char **argv)
+{
+	size_t n;
+
+	g_test_init(&argc, &argv, NULL);
+	for (n = 0; n < G_N_ELEMENTS(shape_cases); n++) {
+		char *name = g_strconcat("/planner/reclaim/shape/",
+					 shape_cases[n].name, NULL);
+
+		g_test_add(name, struct world, &shape_cases[n], set_up,
+			   test_shape, tear_down);
+		g_free(name);
+	}
+	ADD("/planner/reclaim/hold", test_hold);
+	return g_test_run();
+}
