Test writes without command, answers to old attempts and conflicts

Cause: faults put into the code on trial were not noticed by a test.

Change: tests/support/script_store.c is a store whose answers are given by the test; test_ownership_calls.c uses it instead of its own.

The tests found three faults, which are fixed: - Records of ended jobs were removed without the ownership check. - The answer to a write of a removed record was taken for that of a new record of the same id, which was then forgotten until the next takeover. Jobs now have a serial number that a store call carries. - The time at which a watch was sent was never set, so that a store that answers at once with nothing would be watched in a busy loop.

--- a/src/coordination/controller.c
+++ b/src/coordination/controller.c
@@ -265,6 +265,9 @@
 	int64_t unix_ms = cq_clock_unix_ms(c->options.clock);
 	const char *id;
 
+	/* A successor may have written a new record of the same id. */
+	if (!c->ops->may_command(c->ctx, now_ns))
+		return;
 	while ((id = g_queue_peek_head(c->retired))) {
 		struct cq_job *job = g_hash_table_lookup(c->jobs, id);
 
--- a/src/coordination/controller_private.h
+++ b/src/coordination/controller_private.h
@@ -52,8 +52,9 @@
 	struct cq_controller *controller;
 	struct cq_job_record record; /* as in the store */
 	int64_t revision;
-	bool dirty; /* queued for cq_job_reconcile() */
-	bool seen;  /* during a reading of all records */
+	uint64_t serial; /* differs from earlier jobs of the same id */
+	bool dirty;	 /* queued for cq_job_reconcile() */
+	bool seen;	 /* during a reading of all records */
 
 	/* The write under way. */
 	struct cq_job_record next;
@@ -92,6 +93,7 @@
 	void (*done)(struct cq_controller *c, const char *job_id,
 		     const struct cq_store_result *result);
 	char job_id[CQ_JOB_ID_BYTES];
+	uint64_t serial; /* of the job; 0: none */
 };
 
 /* A call to a worker under way. */
@@ -128,6 +130,7 @@
 	int64_t revision; /* up to which records are known */
 	int64_t watch_ns;
 	uint64_t sequence;
+	uint64_t serial; /* of the last job created */
 	GRand *random;
 
 	GHashTable *jobs;   /* id -> struct cq_job */
--- a/src/coordination/controller_store.c
+++ b/src/coordination/controller_store.c
@@ -37,7 +37,9 @@
 		     const struct cq_store_result *result))
 {
 	struct cq_controller_call *call = g_new0(struct cq_controller_call, 1);
+	const struct cq_job *job = g_hash_table_lookup(c->jobs, job_id);
 
+	call->serial = job ? job->serial : 0;
 	call->controller = c;
 	call->done = done;
 	g_strlcpy(call->job_id, job_id, sizeof(call->job_id));
@@ -49,9 +51,12 @@
 {
 	struct cq_controller_call *call = ctx;
 	struct cq_controller *c = call->controller;
+	const struct cq_job *job = g_hash_table_lookup(c->jobs, call->job_id);
 
 	g_hash_table_steal(c->store_calls, call);
-	call->done(c, call->job_id, result);
+	/* The record may have been removed and created again meanwhile. */
+	if ((job ? job->serial : 0) == call->serial)
+		call->done(c, call->job_id, result);
 	g_free(call);
 }
 
@@ -216,6 +221,7 @@
 
 		job = g_new0(struct cq_job, 1);
 		job->controller = c;
+		job->serial = ++c->serial;
 		g_strlcpy(job->record.id, id, sizeof(job->record.id));
 		g_hash_table_insert(c->jobs, job->record.id, job);
 		for (i = 0; i < record.failed_worker_count; i++)
--- a/src/coordination/settings_sync.c
+++ b/src/coordination/settings_sync.c
@@ -209,6 +209,7 @@
 
 static void start_watch(struct cq_settings_sync *sync)
 {
+	sync->watch_sent_ns = cq_settings_sync_clock_ns(sync);
 	sync->watch = sync->store->ops->watch(sync->store->self,
 					      CQ_SETTINGS_PREFIX,
 					      cq_settings_revision(sync->tree),
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -251,6 +251,7 @@
 struct capture {
 	GPtrArray *payloads; /* of GBytes */
 	enum cq_peer_kind kind;
+	uint64_t correlation;
 	char address[CQ_PEER_ADDRESS_BYTES];
 };
 
@@ -260,9 +261,9 @@
 {
 	struct capture *capture = ctx;
 
-	(void)correlation;
 	g_ptr_array_add(capture->payloads, g_bytes_new(payload, len));
 	capture->kind = kind;
+	capture->correlation = correlation;
 	g_strlcpy(capture->address, address, sizeof(capture->address));
 }
 
@@ -433,6 +434,55 @@
 	}
 }
 
+/*
+ * Guards against the answer to the probe of an earlier period that is taken
+ * for the answer of the member probed now, whose failure would stay unseen.
+ */
+static void test_late_answer(void)
+{
+	static const struct {
+		uint64_t older;
+		enum cq_member_state then;
+	} cases[] = { { 0, CQ_MEMBER_ALIVE }, { 1, CQ_MEMBER_SUSPECT } };
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct capture capture;
+		struct cq_membership *m = create_one(&capture);
+		Cq__MembershipProbe probe = CQ__MEMBERSHIP_PROBE__INIT;
+		Cq__MemberRecord self = CQ__MEMBER_RECORD__INIT;
+		struct cq_peer_message message = { .from_address = "10.0.0.2:1",
+						   .from_id = "teller",
+						   .kind = CQ_PEER_ACK };
+		uint8_t payload[128];
+		int64_t now_ms = 0, end_ms;
+
+		feed(m, "teller", 1, CQ_MEMBER_ALIVE);
+		while (capture.kind != CQ_PEER_PING) {
+			now_ms += 100;
+			cq_membership_tick(m, now_ms * CQ_NS_PER_MS);
+		}
+		self.id = "teller";
+		self.data_centre = "dc0";
+		self.address = "10.0.0.2:1";
+		self.incarnation = 1;
+		probe.self = &self;
+		message.correlation = capture.correlation - cases[i].older;
+		message.payload = payload;
+		message.payload_len =
+			cq__membership_probe__pack(&probe, payload);
+		g_assert_true(cq_membership_receive(
+			m, &message, now_ms * CQ_NS_PER_MS, NULL));
+		for (end_ms = now_ms + 1000; now_ms < end_ms; now_ms += 100)
+			cq_membership_tick(m, now_ms * CQ_NS_PER_MS);
+		cq_membership_tick(m, now_ms * CQ_NS_PER_MS);
+		g_assert_cmpint(cq_membership_find(m, "teller")->state, ==,
+				cases[i].then);
+		cq_membership_destroy(m);
+		g_ptr_array_free(capture.payloads, TRUE);
+	}
+}
+
 /* Guards against messages whose size grows with the number of hosts. */
 static void test_message_size(void)
 {
@@ -507,6 +557,7 @@
 	g_test_add_func("/membership/precedence", test_precedence);
 	g_test_add_func("/membership/refutation", test_refutation);
 	g_test_add_func("/membership/own_pause", test_own_pause);
+	g_test_add_func("/membership/late_answer", test_late_answer);
 	g_test_add_func("/membership/message_size", test_message_size);
 	g_test_add_func("/membership/malformed", test_malformed);
 	return g_test_run();
--- a/tests/unit/test_ownership_calls.c
+++ b/tests/unit/test_ownership_calls.c
@@ -6,116 +6,29 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../support/script_store.h"
 #include "chestnutquay/ownership.h"
-
-enum operation { GET, PUT, GRANT, KEEPALIVE, REVOKE, WATCH };
-
-struct cq_store_call {
-	enum operation operation;
-	char *key;
-	char *value;
-	int64_t lease_id;
-	cq_store_done_fn *done;
-	void *ctx;
+#include "protocol/gen/coordination.pb-c.h"
+#include "protocol/gen/membership.pb-c.h"
+
+enum operation {
+	GET = CQ_SCRIPT_GET,
+	PUT = CQ_SCRIPT_PUT,
+	GRANT = CQ_SCRIPT_GRANT,
+	KEEPALIVE = CQ_SCRIPT_KEEPALIVE,
+	REVOKE = CQ_SCRIPT_REVOKE,
+	WATCH = CQ_SCRIPT_WATCH,
 };
 
 struct world {
 	struct cq_manual_clock *clock;
-	struct cq_store store;
-	GPtrArray *calls; /* of struct cq_store_call, oldest first */
+	struct cq_script_store script;
 	struct cq_membership *membership;
 	struct cq_ownership *ownership;
 	int64_t revision;
 	int64_t last_lease;
 };
 
-static void free_call(gpointer data)
-{
-	struct cq_store_call *call = data;
-
-	g_free(call->key);
-	g_free(call->value);
-	g_free(call);
-}
-
-static struct cq_store_call *note(void *self, enum operation operation,
-				  const char *key, const char *value,
-				  int64_t lease_id, cq_store_done_fn *done,
-				  void *ctx)
-{
-	struct world *world = self;
-	struct cq_store_call *call = g_new0(struct cq_store_call, 1);
-
-	call->operation = operation;
-	call->key = g_strdup(key);
-	call->value = g_strdup(value);
-	call->lease_id = lease_id;
-	call->done = done;
-	call->ctx = ctx;
-	g_ptr_array_add(world->calls, call);
-	return call;
-}
-
-static struct cq_store_call *store_get(void *self, const char *key,
-				       uint32_t timeout_ms,
-				       cq_store_done_fn *done, void *ctx)
-{
-	(void)timeout_ms;
-	return note(self, GET, key, NULL, 0, done, ctx);
-}
-
-static struct cq_store_call *store_put(void *self, const char *key,
-				       const char *value, int64_t revision,
-				       int64_t lease_id, uint32_t timeout_ms,
-				       cq_store_done_fn *done, void *ctx)
-{
-	(void)timeout_ms;
-	(void)revision;
-	return note(self, PUT, key, value, lease_id, done, ctx);
-}
-
-static struct cq_store_call *store_grant(void *self, uint32_t ttl_ms,
-					 uint32_t timeout_ms,
-					 cq_store_done_fn *done, void *ctx)
-{
-	(void)ttl_ms;
-	(void)timeout_ms;
-	return note(self, GRANT, NULL, NULL, 0, done, ctx);
-}
-
-static struct cq_store_call *store_keepalive(void *self, int64_t lease_id,
-					     uint32_t timeout_ms,
-					     cq_store_done_fn *done, void *ctx)
-{
-	(void)timeout_ms;
-	return note(self, KEEPALIVE, NULL, NULL, lease_id, done, ctx);
-}
-
-static struct cq_store_call *store_revoke(void *self, int64_t lease_id,
-					  uint32_t timeout_ms,
-					  cq_store_done_fn *done, void *ctx)
-{
-	(void)timeout_ms;
-	return note(self, REVOKE, NULL, NULL, lease_id, done, ctx);
-}
-
-static struct cq_store_call *store_watch(void *self, const char *prefix,
-					 int64_t after_revision,
-					 uint32_t wait_ms,
-					 cq_store_done_fn *done, void *ctx)
-{
-	(void)after_revision;
-	(void)wait_ms;
-	return note(self, WATCH, prefix, NULL, 0, done, ctx);
-}
-
-static void store_cancel(void *self, struct cq_store_call *call)
-{
-	struct world *world = self;
-
-	g_assert_true(g_ptr_array_remove(world->calls, call));
-}
-
 static void ignore_message(void *ctx, const char *address,
 			   enum cq_peer_kind kind, uint64_t correlation,
 			   const uint8_t *payload, size_t len)
@@ -135,15 +48,6 @@
 
 static void init(struct world *world)
 {
-	static const struct cq_store_ops store_ops = {
-		.get = store_get,
-		.put = store_put,
-		.lease_grant = store_grant,
-		.lease_keepalive = store_keepalive,
-		.lease_revoke = store_revoke,
-		.watch = store_watch,
-		.cancel = store_cancel,
-	};
 	static const struct cq_membership_ops membership_ops = {
 		.send = ignore_message,
 	};
@@ -155,9 +59,7 @@
 
 	memset(world, 0, sizeof(*world));
 	world->clock = cq_manual_clock_create(CQ_NS_PER_S, 1000);
-	world->store.ops = &store_ops;
-	world->store.self = world;
-	world->calls = g_ptr_array_new_with_free_func(free_call);
+	cq_script_store_init(&world->script);
 	world->revision = 10;
 	cq_membership_options_init(&membership);
 	strcpy(membership.self.id, "me");
@@ -170,16 +72,16 @@
 	cq_ownership_options_init(&options);
 	options.clock = cq_manual_clock_get(world->clock);
 	world->ownership = cq_ownership_create(&options, world->membership,
-					       &world->store, &ownership_ops,
-					       NULL, now_of(world));
+					       &world->script.store,
+					       &ownership_ops, NULL,
+					       now_of(world));
 }
 
 static void clear(struct world *world)
 {
 	cq_ownership_destroy(world->ownership);
 	cq_membership_destroy(world->membership);
-	g_assert_cmpuint(world->calls->len, ==, 0);
-	g_ptr_array_free(world->calls, TRUE);
+	cq_script_store_clear(&world->script);
 	cq_manual_clock_destroy(world->clock);
 }
 
@@ -190,6 +92,20 @@
 	OURS_BEFORE,	/* this id, an earlier process */
 	OTHERS,
 	DELETED,
+	OLDER, /* none, and the answer is from before the last change */
+};
+
+/* Hand-over messages; those named OLD belong to an earlier attempt. */
+enum message {
+	OFFER,
+	OFFER_OLD_EPOCH,
+	ACCEPT,
+	ACCEPT_OLD_EPOCH,
+	ACCEPT_OTHER_SENDER,
+	DONE,
+	DONE_OLD_LEASE,
+	DONE_OLD_SEQUENCE,
+	DONE_OLD_EPOCH,
 };
 
 enum action {
@@ -198,8 +114,12 @@
 	PAUSE,	/* ms, without ticks */
 	ANSWER, /* operation, status, entry */
 	WANT,	/* such a call is under way */
+	NO_CALL,
+	HAND_OVER,
+	MESSAGE,
 	STATE,
-	MAY, /* 1: may command, 0: may not */
+	HOLDER, /* of the key, as known: OTHERS or OURS */
+	MAY,	/* 1: may command, 0: may not */
 };
 
 struct step {
@@ -211,32 +131,21 @@
 
 static struct cq_store_call *find(struct world *world, enum operation operation)
 {
-	guint i;
-
-	for (i = 0; i < world->calls->len; i++) {
-		struct cq_store_call *call = g_ptr_array_index(world->calls, i);
-
-		if (call->operation == operation)
-			return call;
-	}
-	return NULL;
+	return cq_script_store_find(&world->script,
+				    (enum cq_script_operation)operation, "");
 }
 
 static void answer(struct world *world, const struct step *step)
 {
 	struct cq_store_call *call = find(world, (enum operation)step->value);
-	struct cq_store_result result = { .status = step->status,
-					  .message = "" };
+	struct cq_store_result result = { .status = step->status };
 	struct cq_store_entry entry = { .key = "owners/dc0" };
 	char *value;
-	guint at = 0;
 
 	g_assert_nonnull(call);
-	g_assert_true(g_ptr_array_find(world->calls, call, &at));
-	g_ptr_array_steal_index(world->calls, at);
-	if (step->status == CQ_STORE_OK && call->operation == GRANT)
+	if (step->status == CQ_STORE_OK && step->value == GRANT)
 		world->last_lease++;
-	if (step->entry != NO_ENTRY)
+	if (step->entry != NO_ENTRY && step->entry != OLDER)
 		world->revision++;
 	entry.revision = world->revision;
 	value = g_strdup_printf(
@@ -248,13 +157,66 @@
 	entry.lease_id = step->entry == OURS_OLD_LEASE ? world->last_lease - 1
 			 : step->entry == OURS	       ? world->last_lease
 						       : 99;
-	result.revision = world->revision;
+	result.revision = world->revision - (step->entry == OLDER);
 	result.lease_id = world->last_lease;
 	result.entries = &entry;
-	result.entry_count = step->entry != NO_ENTRY;
-	call->done(call->ctx, &result);
+	result.entry_count = step->entry != NO_ENTRY && step->entry != OLDER;
+	cq_script_store_answer(&world->script, call, &result);
 	g_free(value);
-	free_call(call);
+}
+
+/* The peer is a live schedd of the same data centre. */
+static void add_peer(struct world *world)
+{
+	Cq__MembershipProbe probe = CQ__MEMBERSHIP_PROBE__INIT;
+	Cq__MemberRecord self = CQ__MEMBER_RECORD__INIT;
+	struct cq_peer_message message = { .from_address = "10.0.0.2:1",
+					   .from_id = "peer",
+					   .kind = CQ_PEER_PING };
+	uint8_t payload[128];
+
+	self.id = "peer";
+	self.data_centre = "dc0";
+	self.address = "10.0.0.2:1";
+	self.role = CQ_ROLE_SCHEDD;
+	probe.self = &self;
+	message.payload = payload;
+	message.payload_len = cq__membership_probe__pack(&probe, payload);
+	g_assert_true(cq_membership_receive(world->membership, &message,
+					    now_of(world), NULL));
+}
+
+static void deliver(struct world *world, enum message kind)
+{
+	Cq__HandOver hand_over = CQ__HAND_OVER__INIT;
+	struct cq_peer_message message = { .from_address = "10.0.0.2:1",
+					   .from_id = "peer",
+					   .kind = CQ_PEER_HANDOVER };
+	uint8_t payload[128];
+
+	hand_over.data_centre = "dc0";
+	hand_over.epoch = world->revision;
+	hand_over.lease_id = world->last_lease;
+	hand_over.sequence = 1;
+	if (kind <= OFFER_OLD_EPOCH) {
+		hand_over.step = CQ__HAND_OVER_STEP__HAND_OVER_OFFER;
+		hand_over.epoch -= kind == OFFER_OLD_EPOCH;
+	} else if (kind <= ACCEPT_OTHER_SENDER) {
+		hand_over.step = CQ__HAND_OVER_STEP__HAND_OVER_ACCEPT;
+		hand_over.epoch -= kind == ACCEPT_OLD_EPOCH;
+		hand_over.lease_id = 77;
+		if (kind == ACCEPT_OTHER_SENDER)
+			message.from_id = "third";
+	} else {
+		hand_over.step = CQ__HAND_OVER_STEP__HAND_OVER_DONE;
+		hand_over.epoch += kind != DONE_OLD_EPOCH;
+		hand_over.lease_id -= kind == DONE_OLD_LEASE;
+		hand_over.sequence -= kind == DONE_OLD_SEQUENCE;
+	}
+	message.payload = payload;
+	message.payload_len = cq__hand_over__pack(&hand_over, payload);
+	g_assert_true(cq_ownership_receive(world->ownership, &message,
+					   now_of(world), NULL));
 }
 
 static void run(struct world *world, int32_t ms)
@@ -417,6 +379,83 @@
 		    { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },
 		    { RUN, 400, 0, 0 },
 		    { WANT, GRANT, 0, 0 } } },
+		{ "a read from before the acquisition does not end it",
+		  { { RUN, 100, 0, 0 },
+		    { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },
+		    { RUN, 400, 0, 0 },
+		    { ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY },
+		    { ANSWER, WATCH, CQ_STORE_INVALID, NO_ENTRY },
+		    { RUN, 1200, 0, 0 },
+		    { WANT, GET, 0, 0 },
+		    { ANSWER, PUT, CQ_STORE_CONFLICT, OURS },
+		    { ANSWER, GET, CQ_STORE_NOT_FOUND, OLDER },
+		    { STATE, CQ_OWNERSHIP_OWNER, 0, 0 } } },
+		{ "no renewal of an earlier lease stays under way",
+		  { ACQUIRE,
+		    { RUN, 1000, 0, 0 },
+		    { WANT, KEEPALIVE, 0, 0 },
+		    { ANSWER, WATCH, CQ_STORE_OK, OTHERS },
+		    { NO_CALL, KEEPALIVE, 0, 0 } } },
+		{ "the winner of a race for the key is followed",
+		  { { RUN, 100, 0, 0 },
+		    { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },
+		    { RUN, 400, 0, 0 },
+		    { ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY },
+		    { ANSWER, PUT, CQ_STORE_CONFLICT, OTHERS },
+		    { STATE, CQ_OWNERSHIP_STANDBY, 0, 0 },
+		    { HOLDER, OTHERS, 0, 0 } } },
+		{ "an owner in time offers and changes the key",
+		  { ACQUIRE,
+		    { HAND_OVER, 0, 0, 0 },
+		    { MAY, 0, 0, 0 },
+		    { NO_CALL, PUT, 0, 0 },
+		    { MESSAGE, ACCEPT, 0, 0 },
+		    { WANT, PUT, 0, 0 },
+		    { NO_CALL, REVOKE, 0, 0 } } },
+		{ "a lapsed owner does not change the key",
+		  { ACQUIRE,
+		    { RUN, 4600, 0, 0 },
+		    { STATE, CQ_OWNERSHIP_LAPSED, 0, 0 },
+		    { HAND_OVER, 0, 0, 0 },
+		    { WANT, REVOKE, 0, 0 },
+		    { MESSAGE, ACCEPT, 0, 0 },
+		    { NO_CALL, PUT, 0, 0 } } },
+		{ "an owner that was not asked to stop does not change the key",
+		  { ACQUIRE,
+		    { MESSAGE, ACCEPT, 0, 0 },
+		    { NO_CALL, PUT, 0, 0 },
+		    { MAY, 1, 0, 0 } } },
+		{ "an acceptance of an earlier offer is not taken",
+		  { ACQUIRE,
+		    { HAND_OVER, 0, 0, 0 },
+		    { MESSAGE, ACCEPT_OLD_EPOCH, 0, 0 },
+		    { NO_CALL, PUT, 0, 0 } } },
+		{ "an acceptance by somebody else is not taken",
+		  { ACQUIRE,
+		    { HAND_OVER, 0, 0, 0 },
+		    { MESSAGE, ACCEPT_OTHER_SENDER, 0, 0 },
+		    { NO_CALL, PUT, 0, 0 } } },
+		{ "an offer of an earlier owner is not taken",
+		  { { RUN, 100, 0, 0 },
+		    { ANSWER, GET, CQ_STORE_OK, OTHERS },
+		    { MESSAGE, OFFER_OLD_EPOCH, 0, 0 },
+		    { NO_CALL, GRANT, 0, 0 },
+		    { STATE, CQ_OWNERSHIP_STANDBY, 0, 0 } } },
+		{ "only the end of the present hand-over makes an owner",
+		  { { RUN, 100, 0, 0 },
+		    { ANSWER, GET, CQ_STORE_OK, OTHERS },
+		    { MESSAGE, OFFER, 0, 0 },
+		    { MESSAGE, DONE, 0, 0 },
+		    { MAY, 0, 0, 0 },
+		    { ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY },
+		    { MESSAGE, DONE_OLD_LEASE, 0, 0 },
+		    { MAY, 0, 0, 0 },
+		    { MESSAGE, DONE_OLD_SEQUENCE, 0, 0 },
+		    { MAY, 0, 0, 0 },
+		    { MESSAGE, DONE_OLD_EPOCH, 0, 0 },
+		    { MAY, 0, 0, 0 },
+		    { MESSAGE, DONE, 0, 0 },
+		    { MAY, 1, 0, 0 } } },
 	};
 	guint i, k;
 
@@ -424,6 +463,7 @@
 		struct world world;
 
 		init(&world);
+		add_peer(&world);
 		for (k = 0; cases[i].steps[k].action != END; k++) {
 			const struct step *step = &cases[i].steps[k];
 			struct cq_ownership *o = world.ownership;
@@ -445,6 +485,21 @@
 				g_assert_nonnull(find(
 					&world, (enum operation)step->value));
 				break;
+			case NO_CALL:
+				g_assert_null(find(
+					&world, (enum operation)step->value));
+				break;
+			case HAND_OVER:
+				cq_ownership_hand_over(o, NULL, now_of(&world));
+				break;
+			case MESSAGE:
+				deliver(&world, (enum message)step->value);
+				break;
+			case HOLDER:
+				g_assert_cmpstr(cq_ownership_holder(o), ==,
+						step->value == OTHERS ? "other"
+								      : "me");
+				break;
 			case STATE:
 				g_assert_cmpstr(
 					cq_ownership_state_string(
@@ -517,7 +572,6 @@
 					      : CQ_STORE_NOT_FOUND,
 			.entries = &entry,
 			.entry_count = entry.value != NULL,
-			.message = "",
 		};
 		int64_t not_after_ms = 0, unix_ms, asked_ns;
 		bool granted;
@@ -543,10 +597,7 @@
 		g_assert_cmpstr(read->key, ==, entry.key);
 		cq_manual_clock_advance(world.clock,
 					cases[i].answer_ms * CQ_NS_PER_MS);
-		g_assert_true(g_ptr_array_find(world.calls, read, &k));
-		g_ptr_array_steal_index(world.calls, k);
-		read->done(read->ctx, &result);
-		free_call(read);
+		cq_script_store_answer(&world.script, read, &result);
 		cq_manual_clock_advance(world.clock,
 					cases[i].later_ms * CQ_NS_PER_MS);
 		unix_ms = cq_clock_unix_ms(cq_manual_clock_get(world.clock));
--- a/tests/unit/test_settings_sync_messages.c
+++ b/tests/unit/test_settings_sync_messages.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../support/script_store.h"
 #include "../support/sim_store.h"
 #include "chestnutquay/settings_sync.h"
 #include "protocol/gen/settings.pb-c.h"
@@ -17,6 +18,8 @@
 	enum cq_peer_kind kind; /* of the last message; 0: none */
 	int64_t revision;	/* in it */
 	size_t entries;
+	uint64_t correlation; /* of the last pull */
+	uint64_t answer_to;   /* correlation of messages delivered */
 	GString *applied;
 };
 
@@ -27,12 +30,12 @@
 	struct single *single = ctx;
 
 	(void)address;
-	(void)correlation;
 	single->kind = kind;
 	if (kind == CQ_PEER_SETTINGS_PULL) {
 		Cq__SettingsPull *pull =
 			cq__settings_pull__unpack(NULL, len, payload);
 
+		single->correlation = correlation;
 		single->revision = pull->after_revision;
 		cq__settings_pull__free_unpacked(pull, NULL);
 	} else if (kind == CQ_PEER_SETTINGS_STATE) {
@@ -106,6 +109,7 @@
 		.from_address = "10.0.0.9:7000",
 		.from_id = "peer",
 		.kind = kind,
+		.correlation = single->answer_to,
 		.payload = payload,
 		.payload_len = len,
 	};
@@ -235,6 +239,93 @@
 	}
 }
 
+/*
+ * Guards against an answer to an earlier pull that ends the wait for the
+ * present one, so that pulls would follow each other without a pause.
+ */
+static void test_answer_to_old_pull(void)
+{
+	static const struct {
+		int64_t older; /* how many pulls ago the answered one was */
+		enum cq_peer_kind then;
+	} cases[] = { { 0, CQ_PEER_SETTINGS_PULL }, { 1, 0 }, { 2, 0 } };
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Cq__SettingsState state = CQ__SETTINGS_STATE__INIT;
+		struct single single;
+		uint8_t payload[64];
+
+		single_init(&single, 4096);
+		deliver_change(&single, 5, 8, "workspaces/a");
+		g_assert_cmpint(single.kind, ==, CQ_PEER_SETTINGS_PULL);
+		single.answer_to =
+			single.correlation - (uint64_t)cases[i].older;
+		state.answer = true;
+		g_assert_true(
+			deliver(&single, CQ_PEER_SETTINGS_STATE, payload,
+				cq__settings_state__pack(&state, payload)));
+		/* Another gap; while a pull is under way none follows. */
+		deliver_change(&single, 8, 9, "workspaces/a");
+		g_assert_cmpint(single.kind, ==, cases[i].then);
+		single_clear(&single);
+	}
+}
+
+/* Guards against a store that keeps a watcher busy with empty answers. */
+static void test_empty_watch(void)
+{
+	static const struct {
+		int64_t after_ms; /* from the start of the watch */
+		bool again;	  /* the next watch starts at once */
+	} cases[] = { { 0, false }, { 900, false }, { 1000, true } };
+	static const struct cq_settings_sync_ops ops = { .send = single_send };
+	static const struct cq_store_result empty = { .status = CQ_STORE_OK };
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cq_manual_clock *clock =
+			cq_manual_clock_create(100 * CQ_NS_PER_S, 0);
+		struct cq_settings_sync_options options;
+		struct cq_settings_sync *sync;
+		struct cq_script_store script;
+		struct single single;
+		int64_t now_ns = 100 * CQ_NS_PER_S;
+
+		single_init(&single, 4096);
+		cq_script_store_init(&script);
+		cq_settings_sync_options_init(&options);
+		options.clock = cq_manual_clock_get(clock);
+		sync = cq_settings_sync_create(&options,
+					       cq_settings_sync_relay(),
+					       single.tree, single.membership,
+					       &script.store, &ops, &single,
+					       now_ns);
+		cq_settings_sync_tick(sync, now_ns);
+		cq_script_store_answer(&script,
+				       cq_script_store_find(&script,
+							    CQ_SCRIPT_LIST, ""),
+				       &empty);
+		cq_settings_sync_tick(sync, now_ns);
+		cq_manual_clock_advance(clock,
+					cases[i].after_ms * CQ_NS_PER_MS);
+		cq_script_store_answer(
+			&script,
+			cq_script_store_find(&script, CQ_SCRIPT_WATCH, ""),
+			&empty);
+		g_assert_cmpint(!!cq_script_store_find(&script, CQ_SCRIPT_WATCH,
+						       ""),
+				==, cases[i].again);
+		cq_settings_sync_tick(sync, now_ns + CQ_NS_PER_S);
+		g_assert_nonnull(
+			cq_script_store_find(&script, CQ_SCRIPT_WATCH, ""));
+		cq_settings_sync_destroy(sync);
+		cq_script_store_clear(&script);
+		cq_manual_clock_destroy(clock);
+		single_clear(&single);
+	}
+}
+
 /* Guards against messages that crash. */
 static void test_malformed(void)
 {
@@ -269,6 +360,9 @@
 	g_test_add_func("/settings_sync/relay_order", test_relay_order);
 	g_test_add_func("/settings_sync/pull", test_pull);
 	g_test_add_func("/settings_sync/foreign_answer", test_foreign_answer);
+	g_test_add_func("/settings_sync/answer_to_old_pull",
+			test_answer_to_old_pull);
+	g_test_add_func("/settings_sync/empty_watch", test_empty_watch);
 	g_test_add_func("/settings_sync/malformed", test_malformed);
 	return g_test_run();
 }
--- a/tests/unit/test_settings_write.c
+++ b/tests/unit/test_settings_write.c
@@ -25,12 +25,14 @@
 enum reply {
 	OK,
 	UNAVAILABLE,
-	LOST,		/* UNKNOWN */
-	CONFLICT_OURS,	/* the lost attempt arrived first */
-	CONFLICT_OTHER, /* at revision 20 */
+	LOST,		     /* UNKNOWN */
+	CONFLICT_OURS,	     /* the lost attempt arrived first */
+	CONFLICT_OTHER,	     /* at revision 20 */
+	CONFLICT_OWN_BEFORE, /* the same, an earlier change of this writer */
 	READ_OURS,
 	READ_OTHER, /* at revision 20 */
-	READ_SAME,  /* as expected by the write */
+	READ_OWN_BEFORE,
+	READ_SAME, /* as expected by the write */
 	READ_LOST,
 	NOTHING, /* end of the script; calls stay open */
 };
@@ -90,6 +92,7 @@
 					.revision = 20 };
 	struct cq_store_result result = { .entries = &entry, .message = "" };
 	cq_store_done_fn *done = script->done;
+	bool own_before;
 	char *document;
 
 	if (reply == NOTHING || !done)
@@ -101,16 +104,18 @@
 		entry.revision = 15;
 	if (reply == READ_SAME)
 		entry.revision = 10;
-	document = cq_settings_encode("{}", entry.revision == 15 ? "me" : "you",
-				      7);
+	own_before = reply == CONFLICT_OWN_BEFORE || reply == READ_OWN_BEFORE;
+	document = cq_settings_encode(
+		"{}", entry.revision == 15 || own_before ? "me" : "you",
+		own_before ? 6 : 7);
 	entry.value = document;
 	result.revision = 15;
 	result.entry_count = reply >= CONFLICT_OURS && reply != READ_LOST;
 	result.status = reply == OK	       ? CQ_STORE_OK
 			: reply == UNAVAILABLE ? CQ_STORE_UNAVAILABLE
 			: reply == LOST || reply == READ_LOST ? CQ_STORE_UNKNOWN
-			: reply <= CONFLICT_OTHER ? CQ_STORE_CONFLICT
-						  : CQ_STORE_OK;
+			: reply <= CONFLICT_OWN_BEFORE ? CQ_STORE_CONFLICT
+						       : CQ_STORE_OK;
 	script->done = NULL;
 	done(script->ctx, &result);
 	free(document);
@@ -147,6 +152,10 @@
 		{ { LOST, READ_OTHER, NOTHING },
 		  CQ_SETTINGS_WRITE_UNKNOWN,
 		  20 },
+		{ { LOST, READ_OWN_BEFORE, NOTHING },
+		  CQ_SETTINGS_WRITE_UNKNOWN,
+		  20 },
+		{ { CONFLICT_OWN_BEFORE, NOTHING }, CQ_SETTINGS_CONFLICT, 20 },
 		{ { LOST, READ_SAME, UNAVAILABLE, OK, NOTHING },
 		  CQ_SETTINGS_WRITTEN,
 		  15 },
--- a/tests/unit/test_store_relay.c
+++ b/tests/unit/test_store_relay.c
@@ -1,8 +1,10 @@
 #include <glib.h>
 #include <string.h>
 
+#include "../support/script_store.h"
 #include "../support/sim_faults.h"
 #include "protocol/gen/coordination.pb-c.h"
+#include "protocol/gen/membership.pb-c.h"
 
 #define NONE CQ_SIM_FAULT_KINDS
 /* Node 0 makes the calls; its data centre has nodes 0 to 3, dc1 4 to 7. */
@@ -367,6 +369,131 @@
 	destroy(&world);
 }
 
+struct sent {
+	uint32_t requests;
+	uint64_t correlation; /* of the last one */
+};
+
+static void note_sent(void *ctx, const char *address, enum cq_peer_kind kind,
+		      uint64_t correlation, const uint8_t *payload, size_t len)
+{
+	struct sent *sent = ctx;
+
+	(void)address;
+	(void)payload;
+	(void)len;
+	sent->requests += kind == CQ_PEER_STORE_RELAY;
+	sent->correlation = correlation;
+}
+
+static void deliver_answer(struct cq_store_relay *relay, uint64_t correlation,
+			   enum cq_store_status status)
+{
+	Cq__StoreRelayAnswer answer = CQ__STORE_RELAY_ANSWER__INIT;
+	Cq__StoreRelayEntry entry = CQ__STORE_RELAY_ENTRY__INIT;
+	Cq__StoreRelayEntry *entries[] = { &entry };
+	struct cq_peer_message message = { .from_address = "10.0.0.2:1",
+					   .from_id = "peer",
+					   .kind = CQ_PEER_STORE_RELAY_ANSWER,
+					   .correlation = correlation };
+	uint8_t payload[128];
+
+	entry.key = "test/key";
+	entry.value.data = (uint8_t *)"winner";
+	entry.value.len = strlen("winner");
+	entry.revision = 9;
+	answer.status = (uint32_t)status;
+	answer.n_entries = status == CQ_STORE_CONFLICT;
+	answer.entries = entries;
+	message.payload = payload;
+	message.payload_len = cq__store_relay_answer__pack(&answer, payload);
+	g_assert_true(cq_store_relay_receive(relay, &message, 0, NULL));
+}
+
+/*
+ * Guards against the answer of a peer that was asked before being taken for
+ * that of the peer asked now, and against a conflict that does not bring the
+ * winner's value.
+ */
+static void test_answer_of_earlier_peer(void)
+{
+	static const enum cq_store_status statuses[] = { CQ_STORE_UNAVAILABLE,
+							 CQ_STORE_CONFLICT,
+							 CQ_STORE_OK };
+	static const struct cq_membership_ops membership_ops = {
+		.send = note_sent,
+	};
+	static const struct cq_store_relay_ops ops = { .send = note_sent };
+	static const struct cq_store_result refused = {
+		.status = CQ_STORE_UNAVAILABLE
+	};
+	guint i, k;
+
+	for (i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		struct cq_manual_clock *clock = cq_manual_clock_create(0, 0);
+		struct cq_membership_options membership;
+		struct cq_store_relay_options options;
+		struct cq_script_store script;
+		struct cq_store_relay *relay;
+		struct cq_membership *m;
+		struct sent sent = { 0 };
+		const struct cq_store *store;
+		struct answer answer = { 0 };
+		uint64_t first;
+
+		cq_membership_options_init(&membership);
+		strcpy(membership.self.id, "me");
+		strcpy(membership.self.data_centre, "dc0");
+		strcpy(membership.self.address, "10.0.0.1:1");
+		m = cq_membership_create(&membership, &membership_ops, &sent,
+					 0);
+		for (k = 0; k < 2; k++) {
+			Cq__MembershipProbe probe = CQ__MEMBERSHIP_PROBE__INIT;
+			Cq__MemberRecord self = CQ__MEMBER_RECORD__INIT;
+			struct cq_peer_message message = {
+				.from_address = "10.0.0.2:1",
+				.kind = CQ_PEER_PING
+			};
+			uint8_t payload[128];
+
+			self.id = k ? "a" : "b";
+			self.data_centre = "dc0";
+			self.address = "10.0.0.2:1";
+			probe.self = &self;
+			message.payload = payload;
+			message.payload_len =
+				cq__membership_probe__pack(&probe, payload);
+			g_assert_true(
+				cq_membership_receive(m, &message, 0, NULL));
+		}
+		cq_script_store_init(&script);
+		cq_store_relay_options_init(&options);
+		options.clock = cq_manual_clock_get(clock);
+		relay = cq_store_relay_create(&options, &script.store, m, &ops,
+					      &sent);
+		store = cq_store_relay_store(relay);
+		store->ops->put(store->self, "test/key", "new", 5, 0, 2000,
+				on_done, &answer);
+		cq_script_store_answer(&script,
+				       cq_script_store_find(&script,
+							    CQ_SCRIPT_PUT, ""),
+				       &refused);
+		g_assert_cmpuint(sent.requests, ==, 1);
+		first = sent.correlation;
+		deliver_answer(relay, first, CQ_STORE_UNAVAILABLE);
+		g_assert_cmpuint(sent.requests, ==, 2);
+		deliver_answer(relay, first, statuses[i]);
+		g_assert_false(answer.done);
+		deliver_answer(relay, sent.correlation, CQ_STORE_CONFLICT);
+		g_assert_cmpint(answer.status, ==, CQ_STORE_CONFLICT);
+		g_assert_cmpstr(answer.value, ==, "winner");
+		cq_store_relay_destroy(relay);
+		cq_membership_destroy(m);
+		cq_script_store_clear(&script);
+		cq_manual_clock_destroy(clock);
+	}
+}
+
 /* Guards against messages that crash or run something. */
 static void test_malformed(void)
 {
@@ -414,6 +541,8 @@
 	g_test_add_func("/store_relay/cancel", test_cancel);
 	g_test_add_func("/store_relay/duplicate_request",
 			test_duplicate_request);
+	g_test_add_func("/store_relay/answer_of_earlier_peer",
+			test_answer_of_earlier_peer);
 	g_test_add_func("/store_relay/malformed", test_malformed);
 	return g_test_run();
 }
