Run every pair of the failures that the design names

Cause: the tables covered chosen pairs only, and the faults of whole hosts, racks and data centres, of a data centre cut off from the store alone or from the others alone, of a half-open data centre and of a silent connection did not exist in the simulation.

Change: test_fault_pairs.c makes the pairs by a loop over 15 failures: in both orders, with the second on the owner, a standby or the other data centre, and at four moments (steady, no owner yet, data centre taken out while both last, planned stop under way), 2,700 runs. Two operators race through the real settings_write.

--- a/tests/support/sim_cluster.c
+++ b/tests/support/sim_cluster.c
@@ -432,6 +432,11 @@
 	return node->host;
 }
 
+uint32_t cq_sim_node_host_in_dc(const struct cq_sim_node *node)
+{
+	return node->index % node->cluster->options.schedds;
+}
+
 const char *cq_sim_node_id(const struct cq_sim_node *node)
 {
 	return node->id;
--- a/tests/support/sim_cluster.h
+++ b/tests/support/sim_cluster.h
@@ -74,6 +74,8 @@
 
 /* Node numbers are host numbers of the sim. */
 int32_t cq_sim_node_host(const struct cq_sim_node *node);
+/* Schedds and entryds of a data centre share its hosts, numbered from 0. */
+uint32_t cq_sim_node_host_in_dc(const struct cq_sim_node *node);
 const char *cq_sim_node_id(const struct cq_sim_node *node);
 const char *cq_sim_node_data_centre(const struct cq_sim_node *node);
 bool cq_sim_node_is_running(const struct cq_sim_node *node);
--- a/tests/support/sim_faults.c
+++ b/tests/support/sim_faults.c
@@ -1,6 +1,5 @@
-#include "sim_faults.h"
+#include "sim_faults_private.h"
 
-#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,30 +7,6 @@
 /* Half of the clock skew that the design allows between two hosts. */
 #define SKEW_MS 250
 #define START_BOUND_MS 3000
-#define MAX_DCS 64
-
-struct active {
-	enum cq_sim_fault_kind kind;
-	uint32_t node;
-};
-
-struct write {
-	int64_t revision;
-	char *document; /* NULL: deleted */
-};
-
-struct cq_sim_faults {
-	struct cq_sim_cluster *cluster;
-	GArray *active;
-	char violation[512];
-	/* Store key -> array of struct write, oldest first. */
-	GHashTable *history;
-	int64_t *tree_revision; /* by node, of the running process */
-	uint32_t *life;		/* by node */
-	uint64_t permits;
-	int64_t out_since_ms[MAX_DCS];	/* Unix time; 0: in */
-	int64_t last_start_ms[MAX_DCS]; /* latest time a permit allows */
-};
 
 static void violate(struct cq_sim_faults *faults, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
@@ -50,10 +25,10 @@
 			   struct cq_sim_node *node);
 static void check_permit(struct cq_sim_faults *faults,
 			 struct cq_sim_node *node);
-static uint32_t dc_number(const struct cq_sim_node *node);
-static void isolate(struct cq_sim_faults *faults, uint32_t node, bool in,
-		    bool out, bool peers, bool store);
-static void apply_all(struct cq_sim_faults *faults);
+static bool kills(struct cq_sim_faults *faults, const struct active *a,
+		  const struct cq_sim_node *node);
+static void begin_kill(struct cq_sim_faults *faults, const struct active *a);
+static void end_kill(struct cq_sim_faults *faults, const struct active *ended);
 static bool is_active(const struct cq_sim_faults *faults,
 		      enum cq_sim_fault_kind kind, uint32_t node);
 
@@ -75,6 +50,13 @@
 	[CQ_SIM_LOSS] = "loss",
 	[CQ_SIM_DUPLICATES] = "duplicates",
 	[CQ_SIM_PLANNED_STOP] = "planned_stop",
+	[CQ_SIM_KILL_HOST] = "kill_host",
+	[CQ_SIM_KILL_RACK] = "kill_rack",
+	[CQ_SIM_KILL_DC] = "kill_dc",
+	[CQ_SIM_CUT_DC_STORE] = "cut_dc_store",
+	[CQ_SIM_CUT_DC_PEERS] = "cut_dc_peers",
+	[CQ_SIM_DEAF_DC] = "deaf_dc",
+	[CQ_SIM_SILENT_LINK] = "silent_link",
 };
 
 const char *cq_sim_fault_string(enum cq_sim_fault_kind kind)
@@ -181,7 +163,7 @@
 	return last;
 }
 
-static uint32_t dc_number(const struct cq_sim_node *node)
+uint32_t cq_sim_dc_number(const struct cq_sim_node *node)
 {
 	return (uint32_t)atoi(cq_sim_node_data_centre(node) + 2);
 }
@@ -201,7 +183,7 @@
 			cq_sim_cluster_node(faults->cluster, i);
 
 		if (other != node && cq_sim_node_may_command(other) &&
-		    dc_number(other) == dc_number(node))
+		    cq_sim_dc_number(other) == cq_sim_dc_number(node))
 			violate(faults, "%s and %s may command",
 				cq_sim_node_id(node), cq_sim_node_id(other));
 	}
@@ -261,7 +243,7 @@
 static void check_permit(struct cq_sim_faults *faults, struct cq_sim_node *node)
 {
 	struct cq_ownership *ownership = cq_sim_node_ownership(node);
-	uint32_t dc = dc_number(node);
+	uint32_t dc = cq_sim_dc_number(node);
 	int64_t not_after_ms, out_ms = faults->out_since_ms[dc];
 
 	if (!ownership ||
@@ -342,125 +324,81 @@
 		   0);
 }
 
-/* Blocks one direction or both between the node and peers or store. */
-static void isolate(struct cq_sim_faults *faults, uint32_t node, bool in,
-		    bool out, bool peers, bool store)
-{
-	struct cq_sim *sim = cq_sim_cluster_sim(faults->cluster);
-	int32_t i, n = (int32_t)cq_sim_cluster_count(faults->cluster);
-
-	for (i = 0; peers && i < n; i++) {
-		if (i == (int32_t)node)
-			continue;
-		if (in)
-			cq_sim_net_block(sim, i, (int32_t)node, true);
-		if (out)
-			cq_sim_net_block(sim, (int32_t)node, i, true);
-	}
-	if (store && in)
-		cq_sim_net_block(sim, CQ_SIM_STORE, (int32_t)node, true);
-	if (store && out)
-		cq_sim_net_block(sim, (int32_t)node, CQ_SIM_STORE, true);
-}
-
-/* Sets the network and the store to what the active faults say together. */
-static void apply_all(struct cq_sim_faults *faults)
+static bool is_active(const struct cq_sim_faults *faults,
+		      enum cq_sim_fault_kind kind, uint32_t node)
 {
-	struct cq_sim_cluster *cluster = faults->cluster;
-	struct cq_sim *sim = cq_sim_cluster_sim(cluster);
-	uint32_t n = cq_sim_cluster_count(cluster), k;
-	struct cq_sim_net_faults net = { 500 * CQ_NS_PER_US,
-					 1500 * CQ_NS_PER_US, 0, 0 };
-	struct cq_sim_store_faults store = {
-		.min_delay_ns = 500 * CQ_NS_PER_US,
-		.max_delay_ns = 2 * CQ_NS_PER_MS,
-	};
-	bool *group = g_new0(bool, n);
 	guint i;
 
-	cq_sim_net_heal(sim);
 	for (i = 0; i < faults->active->len; i++) {
 		const struct active *a =
 			&g_array_index(faults->active, struct active, i);
 
-		switch (a->kind) {
-		case CQ_SIM_CUT:
-			isolate(faults, a->node, true, true, true, true);
-			break;
-		case CQ_SIM_CUT_STORE:
-			isolate(faults, a->node, true, true, false, true);
-			break;
-		case CQ_SIM_CUT_PEERS:
-			isolate(faults, a->node, true, true, true, false);
-			break;
-		case CQ_SIM_DEAF:
-			isolate(faults, a->node, true, false, true, true);
-			break;
-		case CQ_SIM_MUTE:
-			isolate(faults, a->node, false, true, true, true);
-			break;
-		case CQ_SIM_DEAF_STORE:
-			isolate(faults, a->node, true, false, false, true);
-			break;
-		case CQ_SIM_CUT_DC:
-			for (k = 0; k < n; k++)
-				group[k] =
-					dc_number(cq_sim_cluster_node(cluster,
-								      k)) ==
-					dc_number(cq_sim_cluster_node(cluster,
-								      a->node));
-			cq_sim_cluster_partition(cluster, group, false);
-			break;
-		case CQ_SIM_STORE_DOWN:
-			store.down = true;
-			store.keep_leases = a->node % 2;
-			break;
-		case CQ_SIM_STORE_HANG:
-			store.hang = true;
-			store.keep_leases = a->node % 2;
-			break;
-		case CQ_SIM_STORE_SLOW:
-			/* Around the time limits of the callers. */
-			store.max_delay_ns = 900 * CQ_NS_PER_MS;
-			break;
-		case CQ_SIM_LOST_ANSWERS:
-			store.lost_answer_permille = 500;
-			break;
-		case CQ_SIM_RESETS:
-			store.reset_permille = 500;
-			break;
-		case CQ_SIM_LOSS:
-			net.loss_permille = 333;
-			break;
-		case CQ_SIM_DUPLICATES:
-			net.duplicate_permille = 333;
-			net.max_delay_ns = 200 * CQ_NS_PER_MS;
-			break;
-		case CQ_SIM_KILL:
-		case CQ_SIM_PAUSE:
-		case CQ_SIM_PLANNED_STOP:
-		case CQ_SIM_FAULT_KINDS:
-			break;
-		}
+		if (a->kind == kind && a->node == node)
+			return true;
 	}
-	cq_sim_net_faults(sim, &net);
-	cq_sim_store_set_faults(cq_sim_cluster_store(cluster), &store);
-	g_free(group);
+	return false;
 }
 
-static bool is_active(const struct cq_sim_faults *faults,
-		      enum cq_sim_fault_kind kind, uint32_t node)
+/* Whether the node does not run because of a fault of that kind at `at`. */
+static bool kills(struct cq_sim_faults *faults, const struct active *a,
+		  const struct cq_sim_node *node)
 {
-	guint i;
+	const struct cq_sim_node *at =
+		cq_sim_cluster_node(faults->cluster, a->node);
+	uint32_t host = cq_sim_node_host_in_dc(node);
+
+	switch (a->kind) {
+	case CQ_SIM_KILL:
+	case CQ_SIM_PLANNED_STOP:
+		return node == at;
+	case CQ_SIM_KILL_HOST:
+		return cq_sim_dc_number(node) == cq_sim_dc_number(at) &&
+		       host == cq_sim_node_host_in_dc(at);
+	case CQ_SIM_KILL_RACK:
+		return cq_sim_dc_number(node) == cq_sim_dc_number(at) &&
+		       host % 2 == cq_sim_node_host_in_dc(at) % 2;
+	case CQ_SIM_KILL_DC:
+		return cq_sim_dc_number(node) == cq_sim_dc_number(at);
+	default:
+		return false;
+	}
+}
 
-	for (i = 0; i < faults->active->len; i++) {
-		const struct active *a =
-			&g_array_index(faults->active, struct active, i);
+static void begin_kill(struct cq_sim_faults *faults, const struct active *a)
+{
+	uint32_t i;
 
-		if (a->kind == kind && a->node == node)
-			return true;
+	for (i = 0; i < cq_sim_cluster_count(faults->cluster); i++) {
+		struct cq_sim_node *node =
+			cq_sim_cluster_node(faults->cluster, i);
+
+		if (kills(faults, a, node))
+			cq_sim_node_kill(node);
+	}
+}
+
+/* Restarts what no other fault keeps down. */
+static void end_kill(struct cq_sim_faults *faults, const struct active *ended)
+{
+	uint32_t i;
+	guint k;
+
+	for (i = 0; i < cq_sim_cluster_count(faults->cluster); i++) {
+		struct cq_sim_node *node =
+			cq_sim_cluster_node(faults->cluster, i);
+		bool down = !kills(faults, ended, node);
+
+		for (k = 0; k < faults->active->len && !down; k++)
+			down = kills(faults,
+				     &g_array_index(faults->active,
+						    struct active, k),
+				     node);
+		if (down)
+			continue;
+		cq_sim_node_restart(node);
+		if (is_active(faults, CQ_SIM_PAUSE, i))
+			cq_sim_node_pause(node);
 	}
-	return false;
 }
 
 void cq_sim_fault_begin(struct cq_sim_faults *faults,
@@ -471,9 +409,7 @@
 	int64_t now_ns = cq_sim_node_now_ns(on);
 
 	g_array_append_val(faults->active, active);
-	if (kind == CQ_SIM_KILL) {
-		cq_sim_node_kill(on);
-	} else if (kind == CQ_SIM_PAUSE) {
+	if (kind == CQ_SIM_PAUSE) {
 		cq_sim_node_pause(on);
 	} else if (kind == CQ_SIM_PLANNED_STOP) {
 		if (cq_sim_node_is_running(on) &&
@@ -485,7 +421,8 @@
 					now_ns);
 		}
 	} else {
-		apply_all(faults);
+		begin_kill(faults, &active);
+		cq_sim_faults_apply(faults);
 	}
 }
 
@@ -493,6 +430,7 @@
 		      uint32_t node)
 {
 	struct cq_sim_node *on = cq_sim_cluster_node(faults->cluster, node);
+	struct active ended = { kind, node };
 	guint i;
 
 	for (i = 0; i < faults->active->len; i++) {
@@ -505,18 +443,12 @@
 	if (i == faults->active->len)
 		return;
 	g_array_remove_index(faults->active, i);
-	if (kind == CQ_SIM_KILL || kind == CQ_SIM_PLANNED_STOP) {
-		if (!is_active(faults, CQ_SIM_KILL, node) &&
-		    !is_active(faults, CQ_SIM_PLANNED_STOP, node)) {
-			cq_sim_node_restart(on);
-			if (is_active(faults, CQ_SIM_PAUSE, node))
-				cq_sim_node_pause(on);
-		}
-	} else if (kind == CQ_SIM_PAUSE) {
+	if (kind == CQ_SIM_PAUSE) {
 		if (!is_active(faults, CQ_SIM_PAUSE, node))
 			cq_sim_node_resume(on);
 	} else {
-		apply_all(faults);
+		end_kill(faults, &ended);
+		cq_sim_faults_apply(faults);
 	}
 }
 
@@ -529,62 +461,3 @@
 		cq_sim_fault_end(faults, active.kind, active.node);
 	}
 }
-
-bool cq_sim_settings_converged(struct cq_sim_cluster *cluster, void *ctx)
-{
-	int64_t newest = 0;
-	uint32_t i;
-
-	(void)ctx;
-	for (i = 0; i < cq_sim_cluster_count(cluster); i++) {
-		struct cq_sim_node *node = cq_sim_cluster_node(cluster, i);
-
-		if (!cq_sim_node_is_running(node) ||
-		    !cq_settings_sync_ready(cq_sim_node_sync(node)))
-			return false;
-		newest = MAX(newest,
-			     cq_settings_revision(cq_sim_node_settings(node)));
-	}
-	for (i = 0; i < cq_sim_cluster_count(cluster); i++)
-		if (cq_settings_revision(cq_sim_node_settings(
-			    cq_sim_cluster_node(cluster, i))) != newest)
-			return false;
-	return newest >= (ctx ? *(int64_t *)ctx : 0);
-}
-
-bool cq_sim_membership_converged(struct cq_sim_cluster *cluster, void *ctx)
-{
-	uint32_t i, k, running = 0;
-
-	(void)ctx;
-	for (i = 0; i < cq_sim_cluster_count(cluster); i++)
-		running +=
-			cq_sim_node_is_running(cq_sim_cluster_node(cluster, i));
-	for (i = 0; i < cq_sim_cluster_count(cluster); i++) {
-		struct cq_membership *m =
-			cq_sim_node_membership(cq_sim_cluster_node(cluster, i));
-		uint32_t alive = 0;
-
-		if (!m)
-			continue;
-		for (k = 0; k < cq_membership_count(m); k++)
-			alive += cq_membership_get(m, k)->state ==
-				 CQ_MEMBER_ALIVE;
-		if (alive != running || cq_membership_live(m) != running)
-			return false;
-	}
-	return true;
-}
-
-bool cq_sim_all_owned(struct cq_sim_cluster *cluster, void *ctx)
-{
-	uint32_t i;
-
-	(void)ctx;
-	for (i = 0; i < cq_sim_cluster_count(cluster); i++)
-		if (!cq_sim_cluster_owner(
-			    cluster, cq_sim_node_data_centre(
-					     cq_sim_cluster_node(cluster, i))))
-			return false;
-	return true;
-}
--- a/tests/support/sim_faults.h
+++ b/tests/support/sim_faults.h
@@ -30,6 +30,15 @@
 	CQ_SIM_LOSS,	   /* a third of the messages is lost */
 	CQ_SIM_DUPLICATES, /* a third arrives twice, all out of order */
 	CQ_SIM_PLANNED_STOP, /* hand-over and leave; ends with a restart */
+	/* Kills that end with restarts. */
+	CQ_SIM_KILL_HOST, /* all processes on the host of the node */
+	CQ_SIM_KILL_RACK, /* every other host of the data centre */
+	CQ_SIM_KILL_DC,
+	/* The node's data centre. */
+	CQ_SIM_CUT_DC_STORE, /* from the store only */
+	CQ_SIM_CUT_DC_PEERS, /* from the other data centres only */
+	CQ_SIM_DEAF_DC,	     /* half-open: its messages and calls leave it */
+	CQ_SIM_SILENT_LINK,  /* nothing passes between the node and the next */
 	CQ_SIM_FAULT_KINDS,
 };
 
