Measure how long a new owner takes to rebuild its state

Cause: the time until a restarted or replaced owner can plan again at the target size was not measured.

Change: coordination_rebuild.c runs the real controller, gangs and planner against simulated workers (0.2 to 3.2 ms one way) and a simulated store, with 957 workers and 3,800 running tasks, kills the owner and measures from the acquisition by the next one. The baseline, in the same run, reads the same reports from one worker after the other.

--- a/bench/bench_coordination.c
+++ b/bench/bench_coordination.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "../tests/support/sim_faults.h"
+#include "coordination_bench.h"
 
 #define RUNS 60
 #define NO_VALUE NAN
@@ -22,10 +23,7 @@
 #define BYTES_TARGET 25000.0
 #define CORE_TARGET_PERCENT 2.5
 
-static void print_line(const char *metric, const char *unit, double value,
-		       double baseline, double target);
 static gint compare_doubles(gconstpointer a, gconstpointer b);
-static double percentile(GArray *values, double p);
 static double now_ms(struct cq_sim_cluster *cluster);
 static bool is_owned_by_other(struct cq_sim_cluster *cluster, void *ctx);
 static GArray *takeover(enum cq_sim_fault_kind kind);
@@ -42,8 +40,8 @@
 static void bench_cost(void);
 static void bench_starts(void);
 
-static void print_line(const char *metric, const char *unit, double value,
-		       double baseline, double target)
+void coordination_print_line(const char *metric, const char *unit, double value,
+			     double baseline, double target)
 {
 	char baseline_text[32] = "null", target_text[32] = "null";
 
@@ -67,7 +65,7 @@
 }
 
 /* Nearest rank. */
-static double percentile(GArray *values, double p)
+double coordination_percentile(GArray *values, double p)
 {
 	guint rank;
 
@@ -135,20 +133,26 @@
 	GArray *paused = takeover(CQ_SIM_PAUSE);
 	GArray *stopped = takeover(CQ_SIM_PLANNED_STOP);
 
-	print_line("takeover_after_kill_p50", "ms", percentile(killed, 50),
-		   NO_VALUE, NO_VALUE);
-	print_line("takeover_after_kill_max", "ms", percentile(killed, 100),
-		   NO_VALUE, TAKEOVER_TARGET_MS);
-	print_line("takeover_after_pause_p50", "ms", percentile(paused, 50),
-		   NO_VALUE, NO_VALUE);
-	print_line("takeover_after_pause_max", "ms", percentile(paused, 100),
-		   NO_VALUE, TAKEOVER_TARGET_MS);
+	coordination_print_line("takeover_after_kill_p50", "ms",
+				coordination_percentile(killed, 50), NO_VALUE,
+				NO_VALUE);
+	coordination_print_line("takeover_after_kill_max", "ms",
+				coordination_percentile(killed, 100), NO_VALUE,
+				TAKEOVER_TARGET_MS);
+	coordination_print_line("takeover_after_pause_p50", "ms",
+				coordination_percentile(paused, 50), NO_VALUE,
+				NO_VALUE);
+	coordination_print_line("takeover_after_pause_max", "ms",
+				coordination_percentile(paused, 100), NO_VALUE,
+				TAKEOVER_TARGET_MS);
 	/* The baseline is a stop without hand-over. */
-	print_line("takeover_after_planned_stop_p50", "ms",
-		   percentile(stopped, 50), percentile(killed, 50), NO_VALUE);
-	print_line("takeover_after_planned_stop_max", "ms",
-		   percentile(stopped, 100), percentile(killed, 100),
-		   TAKEOVER_TARGET_MS);
+	coordination_print_line("takeover_after_planned_stop_p50", "ms",
+				coordination_percentile(stopped, 50),
+				coordination_percentile(killed, 50), NO_VALUE);
+	coordination_print_line("takeover_after_planned_stop_max", "ms",
+				coordination_percentile(stopped, 100),
+				coordination_percentile(killed, 100),
+				TAKEOVER_TARGET_MS);
 	g_array_free(killed, TRUE);
 	g_array_free(paused, TRUE);
 	g_array_free(stopped, TRUE);
@@ -266,12 +270,16 @@
 		/* The baseline is a watch by every process. */
 		g_snprintf(metric, sizeof(metric), "settings_in_force%s_p50",
 			   cases[i].name);
-		print_line(metric, "ms", percentile(relay, 50),
-			   percentile(all, 50), NO_VALUE);
+		coordination_print_line(metric, "ms",
+					coordination_percentile(relay, 50),
+					coordination_percentile(all, 50),
+					NO_VALUE);
 		g_snprintf(metric, sizeof(metric), "settings_in_force%s_p99",
 			   cases[i].name);
-		print_line(metric, "ms", percentile(relay, 99),
-			   percentile(all, 99), IN_FORCE_TARGET_MS);
+		coordination_print_line(metric, "ms",
+					coordination_percentile(relay, 99),
+					coordination_percentile(all, 99),
+					IN_FORCE_TARGET_MS);
 		g_array_free(relay, TRUE);
 		g_array_free(all, TRUE);
 	}
@@ -358,20 +366,20 @@
 
 		g_snprintf(metric, sizeof(metric), "store_calls_%u_hosts",
 			   hosts);
-		print_line(metric, "1/s", relay.store_calls, all.store_calls,
-			   NO_VALUE);
+		coordination_print_line(metric, "1/s", relay.store_calls,
+					all.store_calls, NO_VALUE);
 		g_snprintf(metric, sizeof(metric), "store_bytes_%u_hosts",
 			   hosts);
-		print_line(metric, "B/s", relay.store_bytes, all.store_bytes,
-			   NO_VALUE);
+		coordination_print_line(metric, "B/s", relay.store_bytes,
+					all.store_bytes, NO_VALUE);
 		g_snprintf(metric, sizeof(metric), "bytes_per_host_%u_hosts",
 			   hosts);
-		print_line(metric, "B/s", relay.bytes_per_host,
-			   all.bytes_per_host, BYTES_TARGET);
+		coordination_print_line(metric, "B/s", relay.bytes_per_host,
+					all.bytes_per_host, BYTES_TARGET);
 		g_snprintf(metric, sizeof(metric), "core_per_host_%u_hosts",
 			   hosts);
-		print_line(metric, "%", relay.core_percent, all.core_percent,
-			   CORE_TARGET_PERCENT);
+		coordination_print_line(metric, "%", relay.core_percent,
+					all.core_percent, CORE_TARGET_PERCENT);
 	}
 }
 
@@ -424,8 +432,9 @@
 		g_snprintf(metric, sizeof(metric), "last_start_after_out%s%s",
 			   i ? "_" : "",
 			   i ? cq_sim_fault_string(kinds[i]) : "");
-		print_line(metric, "ms", percentile(times, 100), NO_VALUE,
-			   START_TARGET_MS);
+		coordination_print_line(metric, "ms",
+					coordination_percentile(times, 100),
+					NO_VALUE, START_TARGET_MS);
 		g_array_free(times, TRUE);
 	}
 }
@@ -436,5 +445,6 @@
 	bench_settings();
 	bench_cost();
 	bench_starts();
+	coordination_bench_rebuild();
 	return 0;
 }
