Read the whole view page by page after a start

Cause: a join of 200 processes through one seed took 77 s until all saw all. News were sent in the order of arrival, each until it had used up its 3 log2(n) transmissions, so that 200 joins waited for each other; and a process that saw fewer members got one page of 32 records a second, again headed by the same news.

Change: of the news, those sent least often go first. A process that started less than 30 s ago, or lacks more than an eighth of its view, asks a member that sees more for one page after the other; the correlation of the probe picks the page, so that nothing is kept about the reader and the messages stay as they were.

--- a/bench/bench_coordination.c
+++ b/bench/bench_coordination.c
@@ -38,6 +38,7 @@
 static struct cost cost_of(const struct cq_settings_sync_strategy *strategy,
 			   uint32_t hosts);
 static void bench_cost(void);
+static void bench_join(void);
 static void bench_starts(void);
 
 void coordination_print_line(const char *metric, const char *unit, double value,
@@ -383,6 +384,42 @@
 	}
 }
 
+/* All processes start at once and know one seed; until each sees all. */
+static void bench_join(void)
+{
+	uint32_t n, k;
+
+	for (n = 25; n <= 200; n *= 2) {
+		struct cq_sim_cluster_options options;
+		struct cq_sim_cluster *cluster;
+		double from_ms, bytes = 0;
+		char metric[96];
+
+		cq_sim_cluster_options_init(&options);
+		options.schedds = n;
+		options.no_ownership = true;
+		options.one_seed = true;
+		cluster = cq_sim_cluster_create(&options);
+		from_ms = now_ms(cluster);
+		if (!cq_sim_cluster_run_until(
+			    cluster, cq_sim_membership_converged, NULL, 300000))
+			g_error("%u processes have not joined", n);
+		for (k = 0; k < n; k++)
+			bytes +=
+				(double)cq_sim_net_sent(
+					cq_sim_cluster_sim(cluster), (int32_t)k)
+					.bytes;
+		g_snprintf(metric, sizeof(metric), "join_%u_processes", n);
+		coordination_print_line(metric, "ms", now_ms(cluster) - from_ms,
+					NO_VALUE, IN_FORCE_TARGET_MS);
+		g_snprintf(metric, sizeof(metric),
+			   "join_bytes_sent_per_process_%u", n);
+		coordination_print_line(metric, "B", bytes / n, NO_VALUE,
+					NO_VALUE);
+		cq_sim_cluster_destroy(cluster);
+	}
+}
+
 /* Time from the store's acceptance of `out` to the last possible start. */
 static void bench_starts(void)
 {
@@ -444,6 +481,7 @@
 	bench_takeover();
 	bench_settings();
 	bench_cost();
+	bench_join();
 	bench_starts();
 	coordination_bench_rebuild();
 	return 0;
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -13,7 +13,14 @@
 #define EXPIRY_INTERVAL_NS (500 * CQ_NS_PER_MS)
 /* Periods between attempts to reach dead members and unknown seeds. */
 #define RECONNECT_EVERY 3
-
+/* A process that started less than this ago reads all that others know. */
+#define JOIN_NS (30 * CQ_NS_PER_S)
+/* Later it does so when it lacks more than this part of the members. */
+#define PULL_GAP_DIVISOR 8
+
+static void send_packed(struct cq_membership *m, const char *address,
+			enum cq_peer_kind kind, uint64_t correlation,
+			Cq__MembershipProbe *probe);
 static void send_probe(struct cq_membership *m, const char *address,
 		       enum cq_peer_kind kind, uint64_t correlation,
 		       const char *target_address, const struct record *about,
@@ -28,6 +35,10 @@
 static void reconnect(struct cq_membership *m);
 static void expire(struct cq_membership *m, int64_t now_ns);
 static void forward_answer(struct cq_membership *m, uint64_t correlation);
+static void send_page(struct cq_membership *m, const char *address,
+		      uint64_t correlation, const struct record *about);
+static void pull(struct cq_membership *m, const char *address,
+		 uint32_t live_members, int64_t now_ns);
 
 void cq_membership_options_init(struct cq_membership_options *options)
 {
@@ -67,6 +78,7 @@
 	g_hash_table_insert(m->by_id, self->member.id, self);
 	m->live = 1;
 	m->last_tick_ns = now_ns;
+	m->created_ns = now_ns;
 	/* Hosts that start together do not probe in step. */
 	m->next_period_ns =
 		now_ns + (int64_t)cq_prng_below(
@@ -95,30 +107,84 @@
 		g_ptr_array_add(m->seeds, g_strdup(addresses[i]));
 }
 
+/* Packs and sends a probe whose updates are filled in. */
+static void send_packed(struct cq_membership *m, const char *address,
+			enum cq_peer_kind kind, uint64_t correlation,
+			Cq__MembershipProbe *probe)
+{
+	Cq__MemberRecord self;
+	uint8_t *payload;
+	size_t len;
+
+	cq_member_encode(&cq_membership_self_record(m)->member, &self);
+	probe->self = &self;
+	probe->live_members = m->live;
+	len = cq__membership_probe__get_packed_size(probe);
+	payload = g_malloc(len);
+	cq__membership_probe__pack(probe, payload);
+	probe->self = NULL;
+	m->ops.send(m->ctx, address, kind, correlation, payload, len);
+	g_free(payload);
+}
+
 static void send_probe(struct cq_membership *m, const char *address,
 		       enum cq_peer_kind kind, uint64_t correlation,
 		       const char *target_address, const struct record *about,
 		       uint32_t max_updates)
 {
 	Cq__MembershipProbe probe = CQ__MEMBERSHIP_PROBE__INIT;
-	Cq__MemberRecord self, updates[JOIN_UPDATES + 1];
+	Cq__MemberRecord updates[JOIN_UPDATES + 1];
 	Cq__MemberRecord *list[JOIN_UPDATES + 1];
-	uint8_t *payload;
-	size_t len;
 
-	cq_member_encode(&cq_membership_self_record(m)->member, &self);
-	probe.self = &self;
 	probe.n_updates = cq_membership_take_updates(m, updates, list, about,
 						     max_updates);
 	probe.updates = list;
 	if (target_address)
 		probe.target_address = (char *)target_address;
-	probe.live_members = m->live;
-	len = cq__membership_probe__get_packed_size(&probe);
-	payload = g_malloc(len);
-	cq__membership_probe__pack(&probe, payload);
-	m->ops.send(m->ctx, address, kind, correlation, payload, len);
-	g_free(payload);
+	send_packed(m, address, kind, correlation, &probe);
+}
+
+/*
+ * Answers a member that knows fewer. The correlations of its pulls follow each
+ * other, so that it reads page after page and nothing is kept about it here.
+ */
+static void send_page(struct cq_membership *m, const char *address,
+		      uint64_t correlation, const struct record *about)
+{
+	Cq__MembershipProbe probe = CQ__MEMBERSHIP_PROBE__INIT;
+	Cq__MemberRecord updates[JOIN_UPDATES + 1];
+	Cq__MemberRecord *list[JOIN_UPDATES + 1];
+
+	probe.n_updates =
+		cq_membership_take_page(m, correlation, updates, list);
+	/* It has to hear of a suspicion about itself. */
+	if (about->member.state != CQ_MEMBER_ALIVE) {
+		list[probe.n_updates] = &updates[probe.n_updates];
+		cq_member_encode(&about->member, list[probe.n_updates++]);
+	}
+	probe.updates = list;
+	send_packed(m, address, CQ_PEER_ACK, correlation, &probe);
+}
+
+/* Asks a member that knows more for the next page, one at a time. */
+static void pull(struct cq_membership *m, const char *address,
+		 uint32_t live_members, int64_t now_ns)
+{
+	uint32_t gap = live_members > m->live ? live_members - m->live : 0;
+
+	/*
+	 * Small gaps are closed by news, at a cost that does not grow. In a
+	 * period all that is known may be read twice, and a page more.
+	 */
+	if (!gap || m->pull_correlation ||
+	    m->pulls >= 2 * (m->records->len / JOIN_UPDATES + 1) ||
+	    (now_ns - m->created_ns >= JOIN_NS &&
+	     gap <= m->live / PULL_GAP_DIVISOR))
+		return;
+	m->pulls++;
+	m->pull_correlation = ++m->correlation;
+	send_probe(m, address, CQ_PEER_PING, m->pull_correlation, NULL, NULL,
+		   m->options.max_updates);
 }
 
 static bool is_probed(const struct cq_membership *m,
@@ -219,6 +285,8 @@
 	}
 	m->periods++;
 	m->probe_correlation = 0;
+	m->pull_correlation = 0;
+	m->pulls = 0;
 	m->probe_target = choose_target(m);
 	if (m->probe_target) {
 		m->probe_correlation = ++m->correlation;
@@ -373,11 +441,13 @@
 			cq_membership_merge(m, &update, false, now_ns);
 	}
 	if (ok && !m->left && message->kind == CQ_PEER_PING) {
-		send_probe(m, message->from_address, CQ_PEER_ACK,
-			   message->correlation, NULL, from,
-			   probe->live_members < m->live
-				   ? JOIN_UPDATES
-				   : m->options.max_updates);
+		if (probe->live_members < m->live)
+			send_page(m, message->from_address,
+				  message->correlation, from);
+		else
+			send_probe(m, message->from_address, CQ_PEER_ACK,
+				   message->correlation, NULL, from,
+				   m->options.max_updates);
 	} else if (ok && !m->left && message->kind == CQ_PEER_PING_REQ) {
 		struct relayed_probe *relayed =
 			&m->relayed[m->relayed_next++ % MAX_RELAYED];
@@ -391,9 +461,13 @@
 	} else if (ok && message->kind == CQ_PEER_ACK) {
 		if (message->correlation == m->probe_correlation)
 			m->probe_correlation = 0;
+		else if (message->correlation == m->pull_correlation)
+			m->pull_correlation = 0;
 		else
 			forward_answer(m, message->correlation);
 	}
+	if (ok && !m->left && message->kind != CQ_PEER_PING_REQ)
+		pull(m, message->from_address, probe->live_members, now_ns);
 	cq__membership_probe__free_unpacked(probe, NULL);
 	return ok;
 }
--- a/src/coordination/membership_private.h
+++ b/src/coordination/membership_private.h
@@ -9,12 +9,13 @@
 #include "protocol/gen/membership.pb-c.h"
 
 #define MAX_RELAYED 32
-/* Records in an answer to a member that knows fewer members. */
+/* Records in an answer to a member that knows fewer members: a page. */
 #define JOIN_UPDATES 32
 
 struct record {
 	struct cq_member member;
 	uint32_t transmits; /* how often it is still to be piggybacked */
+	uint64_t message;   /* number of the last one that carried it as news */
 	int64_t suspect_deadline_ns;
 	bool queued;
 };
@@ -37,6 +38,7 @@
 	GPtrArray *seeds; /* of char * */
 	uint32_t live;
 	uint32_t rotation; /* next record to repeat */
+	uint64_t messages; /* that carried news */
 	uint32_t local_cursor, remote_cursor;
 	uint64_t correlation;
 	uint64_t periods;
@@ -47,6 +49,10 @@
 	uint64_t probe_correlation;
 	struct record *probe_target;
 	int64_t indirect_ns; /* time of the indirect probes; 0: sent */
+	/* The pull of a page from a member that knows more; 0: none. */
+	uint64_t pull_correlation;
+	uint32_t pulls; /* in this period */
+	int64_t created_ns;
 	struct relayed_probe relayed[MAX_RELAYED];
 	uint32_t relayed_next;
 	bool left;
@@ -63,6 +69,13 @@
  */
 void cq_membership_merge(struct cq_membership *m, const struct cq_member *in,
 			 bool direct, int64_t now_ns);
+/*
+ * Fills one page of all records but that of this process; pages are counted
+ * modulo their number. Returns the number of records, at most JOIN_UPDATES.
+ */
+uint32_t cq_membership_take_page(const struct cq_membership *m, uint64_t page,
+				 Cq__MemberRecord *out,
+				 Cq__MemberRecord **list);
 /*
  * Fills the piggybacked records: about unless it is alive, then news, then old
  * ones in turn. out and list hold max + 1 records. Returns their number.
--- a/src/coordination/membership_records.c
+++ b/src/coordination/membership_records.c
@@ -9,6 +9,7 @@
 static void refute(struct cq_membership *m, uint64_t incarnation);
 static void add(struct cq_membership *m, const struct cq_member *in,
 		int64_t now_ns);
+static struct record *next_news(const struct cq_membership *m);
 static void note_revision(struct cq_membership *m, struct record *record,
 			  int64_t revision, int64_t now_ns);
 
@@ -170,6 +171,42 @@
 	}
 }
 
+/*
+ * The news that was sent least often and is not in the present message. In the
+ * order of arrival, many joins at once would wait for each other.
+ */
+static struct record *next_news(const struct cq_membership *m)
+{
+	struct record *best = NULL;
+	guint i;
+
+	for (i = 0; i < m->queue->len; i++) {
+		struct record *record = g_ptr_array_index(m->queue, i);
+
+		if (record->message != m->messages &&
+		    (!best || record->transmits > best->transmits))
+			best = record;
+	}
+	return best;
+}
+
+uint32_t cq_membership_take_page(const struct cq_membership *m, uint64_t page,
+				 Cq__MemberRecord *out, Cq__MemberRecord **list)
+{
+	uint32_t others = m->records->len - 1;
+	uint32_t pages = MAX((others + JOIN_UPDATES - 1) / JOIN_UPDATES, 1);
+	uint32_t i = 1 + (uint32_t)(page % pages) * JOIN_UPDATES;
+	uint32_t n;
+
+	for (n = 0; n < JOIN_UPDATES && i < m->records->len; n++, i++) {
+		const struct record *record = g_ptr_array_index(m->records, i);
+
+		cq_member_encode(&record->member, &out[n]);
+		list[n] = &out[n];
+	}
+	return n;
+}
+
 uint32_t cq_membership_take_updates(struct cq_membership *m,
 				    Cq__MemberRecord *out,
 				    Cq__MemberRecord **list,
@@ -181,18 +218,20 @@
 		cq_member_encode(&about->member, &out[n]);
 		n++;
 	}
+	m->messages++;
 	/* A quarter is left for old records, so that views also converge. */
-	for (i = 0; i < m->queue->len && n < max - max / 4;) {
-		struct record *record = g_ptr_array_index(m->queue, i);
+	while (n < max - max / 4) {
+		struct record *record = next_news(m);
 
+		if (!record)
+			break;
 		cq_member_encode(&record->member, &out[n]);
 		n++;
-		if (--record->transmits > 0) {
-			i++;
+		record->message = m->messages;
+		if (--record->transmits > 0)
 			continue;
-		}
 		record->queued = false;
-		g_ptr_array_remove_index_fast(m->queue, i);
+		g_ptr_array_remove_fast(m->queue, record);
 	}
 	for (tried = 0; n < max && tried < m->records->len; tried++) {
 		struct record *record;
--- a/tests/support/sim_cluster.c
+++ b/tests/support/sim_cluster.c
@@ -383,7 +383,9 @@
 	for (i = 0; i < G_N_ELEMENTS(seeds); i++)
 		seeds[i] = cq_sim_host_address(
 			sim, (int32_t)(i * cluster->count / 3));
-	cq_membership_set_seeds(node->membership, seeds, G_N_ELEMENTS(seeds));
+	cq_membership_set_seeds(
+		node->membership, seeds,
+		cluster->options.one_seed ? 1 : G_N_ELEMENTS(seeds));
 
 	if (!cluster->options.no_relay) {
 		cq_store_relay_options_init(&relay);
--- a/tests/support/sim_cluster.h
+++ b/tests/support/sim_cluster.h
@@ -32,6 +32,7 @@
 	bool uneven_clocks;
 	/* Each way; 0 with uneven clocks: 5000, far above real clocks. */
 	int32_t max_drift_ppm;
+	bool one_seed;	   /* all join through node 0 */
 	bool measure_time; /* processor time of the state machines */
 };
 
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -248,6 +248,56 @@
 		g_assert_cmpfloat(messages[i], <, 2.5);
 }
 
+/* Whether the node sees all processes, and all see it. */
+static bool is_joined(struct cq_sim_cluster *cluster, void *ctx)
+{
+	uint32_t node = *(const uint32_t *)ctx;
+
+	return cq_membership_live(cq_sim_node_membership(cq_sim_cluster_node(
+		       cluster, node))) == cq_sim_cluster_count(cluster) &&
+	       all_see(cluster, node, CQ_MEMBER_ALIVE);
+}
+
+/*
+ * Guards against a join through one seed that takes longer the more join: news
+ * that wait for each other, and views that are read one page a second. The
+ * traffic of a join is that of reading all records a few times.
+ */
+static void test_join(void)
+{
+	static const uint32_t sizes[] = { 25, 50, 100, 200 };
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct cq_sim_cluster_options options;
+		struct cq_sim_cluster *cluster;
+		uint32_t n = sizes[i], k;
+		uint64_t bytes = 0;
+
+		cq_sim_cluster_options_init(&options);
+		options.seed = 20 + i;
+		options.schedds = n;
+		options.no_ownership = true;
+		options.one_seed = true;
+		cluster = cq_sim_cluster_create(&options);
+		g_assert_true(cq_sim_cluster_run_until(
+			cluster, cq_sim_membership_converged, NULL,
+			CONVERGE_MS));
+		for (k = 0; k < n; k++)
+			bytes += cq_sim_net_sent(cq_sim_cluster_sim(cluster),
+						 (int32_t)k)
+					 .bytes;
+		g_assert_cmpuint(bytes / n, <,
+				 CONVERGE_MS / 1000 * BYTES_PER_SECOND);
+		/* One more, into a view that is complete. */
+		k = n - 1;
+		cq_sim_node_restart(cq_sim_cluster_node(cluster, k));
+		g_assert_true(cq_sim_cluster_run_until(cluster, is_joined, &k,
+						       CONVERGE_MS));
+		cq_sim_cluster_destroy(cluster);
+	}
+}
+
 struct capture {
 	GPtrArray *payloads; /* of GBytes */
 	enum cq_peer_kind kind;
@@ -554,6 +604,7 @@
 	g_test_add_func("/membership/one_pair_cut", test_one_pair_cut);
 	g_test_add_func("/membership/leave", test_leave);
 	g_test_add_func("/membership/cost", test_cost);
+	g_test_add_func("/membership/join", test_join);
 	g_test_add_func("/membership/precedence", test_precedence);
 	g_test_add_func("/membership/refutation", test_refutation);
 	g_test_add_func("/membership/own_pause", test_own_pause);
