--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -248,9 +248,60 @@
 		g_assert_cmpfloat(messages[i], <, 2.5);
 }
 
+/* Whether the node sees all processes, and all see it. */
+static bool is_joined(struct cq_sim_cluster *cluster, void *ctx)
+{
+	uint32_t node = *(const uint32_t *)ctx;
+
+	return cq_membership_live(cq_sim_node_membership(cq_sim_cluster_node(
+		       cluster, node))) == cq_sim_cluster_count(cluster) &&
+	       all_see(cluster, node, CQ_MEMBER_ALIVE);
+}
+
+/*
+ * Guards against a join through one seed that takes longer the more join: news
+ * that wait for each other, and views that are read one page a second. The
+ * traffic of a join is that of reading all records a few times.
+ */
+static void test_join(void)
+{
+	static const uint32_t sizes[] = { 25, 50, 100, 200 };
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct cq_sim_cluster_options options;
+		struct cq_sim_cluster *cluster;
+		uint32_t n = sizes[i], k;
+		uint64_t bytes = 0;
+
+		cq_sim_cluster_options_init(&options);
+		options.seed = 20 + i;
+		options.schedds = n;
+		options.no_ownership = true;
+		options.one_seed = true;
+		cluster = cq_sim_cluster_create(&options);
+		g_assert_true(cq_sim_cluster_run_until(
+			cluster, cq_sim_membership_converged, NULL,
+			CONVERGE_MS));
+		for (k = 0; k < n; k++)
+			bytes += cq_sim_net_sent(cq_sim_cluster_sim(cluster),
+						 (int32_t)k)
+					 .bytes;
+		g_assert_cmpuint(bytes / n, <,
+				 CONVERGE_MS / 1000 * BYTES_PER_SECOND);
+		/* One more, into a view that is complete. */
+		k = n - 1;
+		cq_sim_node_restart(cq_sim_cluster_node(cluster, k));
+		g_assert_true(cq_sim_cluster_run_until(cluster, is_joined, &k,
+						       CONVERGE_MS));
+		cq_sim_cluster_destroy(cluster);
+	}
+}
+
 struct capture {
 	GPtrArray *payloads; /* of GBytes */
 	enum cq_peer_kind kind;
+	uint64_t correlation;
 	char address[CQ_PEER_ADDRESS_BYTES];
 };
 
@@ -260,9 +311,9 @@
 {
 	struct capture *capture = ctx;
 
-	(void)correlation;
 	g_ptr_array_add(capture->payloads, g_bytes_new(payload, len));
 	capture->kind = kind;
+	capture->correlation = correlation;
 	g_strlcpy(capture->address, address, sizeof(capture->address));
 }
 
@@ -433,6 +484,55 @@
 	}
 }
 
+/*
+ * Guards against the answer to the probe of an earlier period that is taken
+ * for the answer of the member probed now, whose failure would stay unseen.
+ */
+static void test_late_answer(void)
+{
+	static const struct {
+		uint64_t older;
+		enum cq_member_state then;
+	} cases[] = { { 0, CQ_MEMBER_ALIVE }, { 1, CQ_MEMBER_SUSPECT } };
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct capture capture;
+		struct cq_membership *m = create_one(&capture);
+		Cq__MembershipProbe probe = CQ__MEMBERSHIP_PROBE__INIT;
+		Cq__MemberRecord self = CQ__MEMBER_RECORD__INIT;
+		struct cq_peer_message message = { .from_address = "10.0.0.2:1",
+						   .from_id = "teller",
+						   .kind = CQ_PEER_ACK };
+		uint8_t payload[128];
+		int64_t now_ms = 0, end_ms;
+
+		feed(m, "teller", 1, CQ_MEMBER_ALIVE);
+		while (capture.kind != CQ_PEER_PING) {
+			now_ms += 100;
+			cq_membership_tick(m, now_ms * CQ_NS_PER_MS);
+		}
+		self.id = "teller";
+		self.data_centre = "dc0";
+		self.address = "10.0.0.2:1";
+		self.incarnation = 1;
+		probe.self = &self;
+		message.correlation = capture.correlation - cases[i].older;
+		message.payload = payload;
+		message.payload_len =
+			cq__membership_probe__pack(&probe, payload);
+		g_assert_true(cq_membership_receive(
+			m, &message, now_ms * CQ_NS_PER_MS, NULL));
+		for (end_ms = now_ms + 1000; now_ms < end_ms; now_ms += 100)
+			cq_membership_tick(m, now_ms * CQ_NS_PER_MS);
+		cq_membership_tick(m, now_ms * CQ_NS_PER_MS);
+		g_assert_cmpint(cq_membership_find(m, "teller")->state, ==,
+				cases[i].then);
+		cq_membership_destroy(m);
+		g_ptr_array_free(capture.payloads, TRUE);
+	}
+}
+
 /* Guards against messages whose size grows with the number of hosts. */
 static void test_message_size(void)
 {
@@ -504,9 +604,11 @@
 	g_test_add_func("/membership/one_pair_cut", test_one_pair_cut);
 	g_test_add_func("/membership/leave", test_leave);
 	g_test_add_func("/membership/cost", test_cost);
+	g_test_add_func("/membership/join", test_join);
 	g_test_add_func("/membership/precedence", test_precedence);
 	g_test_add_func("/membership/refutation", test_refutation);
 	g_test_add_func("/membership/own_pause", test_own_pause);
+	g_test_add_func("/membership/late_answer", test_late_answer);
 	g_test_add_func("/membership/message_size", test_message_size);
 	g_test_add_func("/membership/malformed", test_malformed);
 	return g_test_run();
