Keep the run-time history in the store for the next owner

Cause: expected run times learnt by workspace and class were lost with the owner; history/<dc> was named in the design, but never written.

Change: run_history holds the last 16 ends of each workspace and class, merges by union and formats at most 768 KiB, leaving out those whose last end is oldest. controller_history reads the key at a takeover and teaches the planner, without holding up plans, and writes by compare-and-swap at most once in 5 minutes, only after a job ended, and at once on a planned stop. After a conflict or a lost answer it merges what the store holds; since merging twice gives the same, nothing else has to be resolved. The planner is unchanged: the ends are replayed through cq_planner_observe_end(). Events history_loaded, history_invalid and history_write_refused, counter cq_jobs_history_writes_total.

Conclusion: a new owner has what ended up to 5 minutes before a crash.

--- a/include/chestnutquay/controller.h
+++ b/include/chestnutquay/controller.h
@@ -57,11 +57,13 @@
 	uint32_t max_writes;   /* to the store in flight */
 	uint32_t max_jobs_per_tick;
 	int64_t retention_ms; /* of records of ended jobs */
+	/* Between writes of the run-time history. */
+	int64_t history_interval_ns;
 };
 
 /*
  * 800 ms, 1 s, 5 s, 15 s, 10 s, 2.5 s, 1 s, 5 s, 1 s, 1.5 s, 512, 64, 256,
- * 24 h.
+ * 24 h, 5 min.
  */
 void cq_controller_options_init(struct cq_controller_options *options);
 
--- a/src/coordination/controller.c
+++ b/src/coordination/controller.c
@@ -35,6 +35,7 @@
 	options->max_writes = 64;
 	options->max_jobs_per_tick = 256;
 	options->retention_ms = INT64_C(86400000);
+	options->history_interval_ns = 300 * CQ_NS_PER_S;
 }
 
 struct cq_controller *
@@ -86,6 +87,7 @@
 	if (!c)
 		return;
 	cq_controller_cancel_calls(c);
+	cq_run_history_destroy(c->history.runs);
 	g_hash_table_destroy(c->active);
 	g_queue_free(c->dirty);
 	g_hash_table_destroy(c->jobs);
@@ -117,6 +119,7 @@
 	g_hash_table_remove_all(c->accounts);
 	c->loaded = false;
 	c->watching = false;
+	c->history.calling = false;
 	for (i = 0; i < cq_fleet_state_count(c->fleet); i++) {
 		struct cq_fleet_node *node = cq_fleet_state_node(c->fleet, i);
 
@@ -136,6 +139,7 @@
 	c->load_ns = now_ns;
 	c->plan_ns = now_ns;
 	cq_controller_count(c, CQ_COUNT_TAKEOVERS);
+	cq_controller_history_reset(c, now_ns);
 	cq_controller_load(c, now_ns);
 }
 
@@ -295,6 +299,7 @@
 	cq_controller_sync_workers(c, now_ns);
 	if (!c->epoch)
 		return;
+	cq_controller_history_tick(c, now_ns);
 	if (!c->loaded && now_ns >= c->load_ns)
 		cq_controller_load(c, now_ns);
 	if (c->loaded && !c->watching && now_ns >= c->watch_ns)
@@ -310,7 +315,8 @@
 
 uint32_t cq_controller_in_flight(const struct cq_controller *c)
 {
-	return c->writes + c->commands_in_flight;
+	return c->writes + c->commands_in_flight +
+	       (c->history.calling && c->history.known);
 }
 
 void cq_controller_drain(struct cq_controller *c)
--- a/src/coordination/controller_jobs.c
+++ b/src/coordination/controller_jobs.c
@@ -132,12 +132,11 @@
 	for (i = 0; i < job->record.tasks; i++)
 		cq_planner_observe_success(c->planner, job->record.id,
 					   worker_name(job, i));
-	cq_planner_observe_end(
-		c->planner, job->record.workspace, job->record.class_name,
-		job->record.expected_ms < 0
-			? CQ_FLEET_UNKNOWN_NS
-			: job->record.expected_ms * CQ_NS_PER_MS,
-		now_ns - job->started_ns + job->record.done_ms * CQ_NS_PER_MS);
+	cq_controller_history_add(c, job->record.workspace,
+				  job->record.class_name,
+				  job->record.expected_ms,
+				  (now_ns - job->started_ns) / CQ_NS_PER_MS +
+					  job->record.done_ms);
 }
 
 static void keep_checkpoint(const struct cq_job *job,
--- a/src/coordination/controller_private.h
+++ b/src/coordination/controller_private.h
@@ -5,6 +5,7 @@
 
 #include "chestnutquay/controller.h"
 #include "chestnutquay/fleet_state.h"
+#include "chestnutquay/run_history.h"
 
 /* The last decisions about a job, for people. */
 #define CQ_JOB_DECISIONS 8
@@ -39,6 +40,7 @@
 	CQ_COUNT_WRITES,
 	CQ_COUNT_COMMANDS,
 	CQ_COUNT_SYNCS,
+	CQ_COUNT_HISTORY_WRITES,
 	CQ_COUNTS,
 };
 
@@ -110,6 +112,20 @@
 	char job_id[CQ_JOB_ID_BYTES];
 };
 
+/* The run-time history of this data centre and its key in the store. */
+struct cq_history_state {
+	struct cq_run_history *runs;
+	int64_t revision; /* of the key; 0: absent */
+	int64_t next_ns;  /* no call before that */
+	uint64_t added;	  /* ends added in this epoch */
+	uint64_t sent_added;
+	uint64_t sent_sequence; /* of the last write */
+	bool known;		/* the key has been read */
+	bool calling;
+	bool dirty;
+	bool hurried; /* written because of a planned stop */
+};
+
 struct cq_controller {
 	struct cq_controller_options options;
 	char data_centre[CQ_JOB_NAME_BYTES];
@@ -141,6 +157,8 @@
 	uint32_t writes;
 	uint32_t commands_in_flight; /* without syncs */
 
+	struct cq_history_state history;
+
 	struct cq_policy policy;
 	GArray *dcs;
 	GArray *classes;
@@ -206,6 +224,14 @@
 /* Ends the attempt in memory: gang and places. */
 void cq_job_drop_attempt(struct cq_job *job);
 
+/* controller_history.c */
+void cq_controller_history_reset(struct cq_controller *c, int64_t now_ns);
+/* A job ended by itself; teaches the planner too. */
+void cq_controller_history_add(struct cq_controller *c, const char *workspace,
+			       const char *class_name, int64_t declared_ms,
+			       int64_t run_ms);
+void cq_controller_history_tick(struct cq_controller *c, int64_t now_ns);
+
 /* controller_jobs.c */
 void cq_job_mark_dirty(struct cq_job *job);
 void cq_job_reconcile(struct cq_job *job, int64_t now_ns);
--- a/src/coordination/controller_record.c
+++ b/src/coordination/controller_record.c
@@ -19,6 +19,7 @@
 	[CQ_COUNT_WRITES] = "cq_jobs_store_writes_total",
 	[CQ_COUNT_COMMANDS] = "cq_jobs_worker_commands_total",
 	[CQ_COUNT_SYNCS] = "cq_jobs_worker_syncs_total",
+	[CQ_COUNT_HISTORY_WRITES] = "cq_jobs_history_writes_total",
 };
 
 void cq_controller_open_metrics(struct cq_controller *c)
