Merge the doubled set-ups of the coordination tests

Change: tests/support/sim_world.c holds the world, its waits and its end, which always checks that no claim was broken, so that no case can forget it; and the message of a peer. The steps to a lease are one macro. A test for a watch that hangs after an accepted change is added: that fault passed all tests before.

Conclusion: no check was removed; more cases end with the check of the claims.

--- a/bench/bench_coordination.c
+++ b/bench/bench_coordination.c
@@ -11,7 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "../tests/support/sim_faults.h"
+#include "../tests/support/sim_world.h"
 #include "coordination_bench.h"
 
 #define RUNS 60
@@ -25,7 +25,6 @@
 
 static gint compare_doubles(gconstpointer a, gconstpointer b);
 static double now_ms(struct cq_sim_cluster *cluster);
-static bool is_owned_by_other(struct cq_sim_cluster *cluster, void *ctx);
 static GArray *takeover(enum cq_sim_fault_kind kind);
 static void bench_takeover(void);
 static void in_force(void *ctx, struct cq_sim_node *node, const char *key,
@@ -81,13 +80,6 @@
 	       CQ_NS_PER_MS;
 }
 
-static bool is_owned_by_other(struct cq_sim_cluster *cluster, void *ctx)
-{
-	const struct cq_sim_node *owner = cq_sim_cluster_owner(cluster, "dc0");
-
-	return owner && owner != ctx;
-}
-
 /* Time until somebody else may command; resolution 50 ms. */
 static GArray *takeover(enum cq_sim_fault_kind kind)
 {
@@ -113,8 +105,8 @@
 		start_ms = now_ms(cluster);
 		cq_sim_fault_begin(faults, kind,
 				   (uint32_t)cq_sim_node_host(owner));
-		if (!cq_sim_cluster_run_until(cluster, is_owned_by_other, owner,
-					      60000))
+		if (!cq_sim_cluster_run_until(cluster, cq_sim_owned_by_other,
+					      owner, 60000))
 			g_error("no takeover after %s",
 				cq_sim_fault_string(kind));
 		time_ms = now_ms(cluster) - start_ms;
--- a/tests/unit/test_fault_pairs.c
+++ b/tests/unit/test_fault_pairs.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "../support/sim_faults.h"
+#include "../support/sim_world.h"
 #include "chestnutquay/settings_write.h"
 
 /* Stated bound on settings in force after the end of the faults (I9). */
@@ -18,7 +18,7 @@
 
 /* Operators who change one subtree at the same time, from hosts of their own.
  */
-#define RACE CQ_SIM_FAULT_KINDS
+#define RACE CQ_SIM_NO_FAULT
 
 static const enum cq_sim_fault_kind faults[] = {
 	CQ_SIM_KILL_HOST,    CQ_SIM_KILL,
@@ -56,8 +56,7 @@
 };
 
 struct world {
-	struct cq_sim_cluster *cluster;
-	struct cq_sim_faults *faults;
+	struct cq_sim_world sim;
 	int32_t hosts[OPERATORS];
 	struct operator operators[OPERATORS];
 	uint64_t sequence;
@@ -66,7 +65,7 @@
 
 static int64_t now_ns(struct world *world)
 {
-	return cq_sim_now_ns(cq_sim_cluster_sim(world->cluster));
+	return cq_sim_now_ns(cq_sim_cluster_sim(world->sim.cluster));
 }
 
 static void on_written(void *ctx, enum cq_settings_write_outcome outcome,
@@ -84,11 +83,11 @@
 /* Both operators saw the same revision and write at the same time. */
 static void race(struct world *world)
 {
-	struct cq_sim *sim = cq_sim_cluster_sim(world->cluster);
+	struct cq_sim *sim = cq_sim_cluster_sim(world->sim.cluster);
 	int64_t revision;
 	guint i;
 
-	cq_sim_store_read(cq_sim_cluster_store(world->cluster),
+	cq_sim_store_read(cq_sim_cluster_store(world->sim.cluster),
 			  "settings/workspaces/a", &revision);
 	world->sequence++;
 	for (i = 0; i < OPERATORS; i++) {
@@ -105,7 +104,7 @@
 		world->operators[i].write = cq_settings_write_start(
 			&request,
 			cq_sim_store_client(
-				cq_sim_cluster_store(world->cluster),
+				cq_sim_cluster_store(world->sim.cluster),
 				world->hosts[i]),
 			cq_sim_host_clock(sim, world->hosts[i]),
 			world->sequence + i, on_written, &world->operators[i]);
@@ -117,7 +116,7 @@
 	guint i;
 
 	for (; ms > 0; ms -= 100) {
-		cq_sim_cluster_run_ms(world->cluster, MIN(ms, 100));
+		cq_sim_cluster_run_ms(world->sim.cluster, MIN(ms, 100));
 		for (i = 0; i < OPERATORS; i++)
 			if (world->operators[i].write)
 				cq_settings_write_tick(
@@ -140,18 +139,17 @@
 	options.schedds = 3;
 	options.entryds = 1;
 	options.uneven_clocks = true;
-	world->cluster = cq_sim_cluster_create(&options);
-	world->faults = cq_sim_faults_create(world->cluster);
+	cq_sim_world_init(&world->sim, &options);
 	for (i = 0; i < OPERATORS; i++) {
-		struct cq_sim *sim = cq_sim_cluster_sim(world->cluster);
+		struct cq_sim *sim = cq_sim_cluster_sim(world->sim.cluster);
 
 		world->operators[i].world = world;
 		world->hosts[i] = cq_sim_host_add(sim);
 		cq_sim_host_start(sim, world->hosts[i], "operator", 1, NULL,
 				  NULL);
 	}
-	cq_sim_faults_set_dc(world->faults, 0, true);
-	cq_sim_faults_set_dc(world->faults, 1, true);
+	cq_sim_faults_set_dc(world->sim.faults, 0, true);
+	cq_sim_faults_set_dc(world->sim.faults, 1, true);
 }
 
 static void destroy(struct world *world)
@@ -160,16 +158,7 @@
 
 	for (i = 0; i < OPERATORS; i++)
 		cq_settings_write_cancel(world->operators[i].write);
-	cq_sim_faults_destroy(world->faults);
-	cq_sim_cluster_destroy(world->cluster);
-}
-
-static uint32_t owner_of(struct world *world, const char *dc, uint32_t first)
-{
-	const struct cq_sim_node *owner =
-		cq_sim_cluster_owner(world->cluster, dc);
-
-	return owner ? (uint32_t)cq_sim_node_host(owner) : first;
+	cq_sim_world_clear(&world->sim);
 }
 
 static void begin(struct world *world, enum cq_sim_fault_kind kind,
@@ -178,14 +167,14 @@
 	if (kind == RACE)
 		race(world);
 	else
-		cq_sim_fault_begin(world->faults, kind, node);
+		cq_sim_fault_begin(world->sim.faults, kind, node);
 }
 
 /* A silent link stays so for good: recovery must not need it. */
 static void end(struct world *world, enum cq_sim_fault_kind kind, uint32_t node)
 {
 	if (kind != RACE && kind != CQ_SIM_SILENT_LINK)
-		cq_sim_fault_end(world->faults, kind, node);
+		cq_sim_fault_end(world->sim.faults, kind, node);
 }
 
 static void check_recovery(struct world *world)
@@ -194,19 +183,19 @@
 	int64_t revision;
 
 	/* A write whose answer was lost is in force as well. */
-	cq_sim_store_read(cq_sim_cluster_store(world->cluster),
+	cq_sim_store_read(cq_sim_cluster_store(world->sim.cluster),
 			  "settings/workspaces/a", &revision);
 	world->newest = MAX(world->newest, revision);
-	g_assert_true(cq_sim_cluster_run_until(world->cluster,
+	g_assert_true(cq_sim_cluster_run_until(world->sim.cluster,
 					       cq_sim_settings_converged,
 					       &world->newest, CONVERGE_MS));
 	g_assert_true(cq_sim_cluster_run_until(
-		world->cluster, cq_sim_all_owned, NULL,
+		world->sim.cluster, cq_sim_all_owned, NULL,
 		(end_ns - now_ns(world)) / CQ_NS_PER_MS));
 	g_assert_true(cq_sim_cluster_run_until(
-		world->cluster, cq_sim_membership_converged, NULL,
+		world->sim.cluster, cq_sim_membership_converged, NULL,
 		(end_ns - now_ns(world)) / CQ_NS_PER_MS));
-	g_assert_cmpstr(cq_sim_faults_violation(world->faults), ==, "");
+	g_assert_cmpstr(cq_sim_faults_violation(world->sim.faults), ==, "");
 }
 
 static void run_pair(enum cq_sim_fault_kind first,
@@ -220,14 +209,14 @@
 	create(&world, seed);
 	if (moment != NO_OWNER) {
 		run_ms(&world, 6000 + (int64_t)(seed % 1000));
-		g_assert_true(cq_sim_all_owned(world.cluster, NULL));
+		g_assert_true(cq_sim_all_owned(world.sim.cluster, NULL));
 	}
-	at = owner_of(&world, "dc0", 0);
+	at = cq_sim_world_owner(&world.sim, "dc0", 0);
 	other = role == SAME	  ? at
 		: role == STANDBY ? (at + 1) % 3
-				  : owner_of(&world, "dc1", 4);
+				  : cq_sim_world_owner(&world.sim, "dc1", 4);
 	if (moment == STOPPING) {
-		cq_sim_fault_begin(world.faults, CQ_SIM_PLANNED_STOP, at);
+		cq_sim_fault_begin(world.sim.faults, CQ_SIM_PLANNED_STOP, at);
 		/* Between the steps of the hand-over. */
 		run_ms(&world, (int64_t)(seed % 20));
 	}
@@ -236,20 +225,20 @@
 	begin(&world, second, other);
 	run_ms(&world, LAG_MS);
 	if (moment == OUT)
-		cq_sim_faults_set_dc(world.faults, 0, false);
+		cq_sim_faults_set_dc(world.sim.faults, 0, false);
 	run_ms(&world, FAULT_MS - 2 * LAG_MS);
 	end(&world, first, at);
 	run_ms(&world, LAG_MS);
 	end(&world, second, other);
 	if (moment == STOPPING)
-		cq_sim_fault_end(world.faults, CQ_SIM_PLANNED_STOP, at);
+		cq_sim_fault_end(world.sim.faults, CQ_SIM_PLANNED_STOP, at);
 	check_recovery(&world);
 	/* Starts are possible again, once the data centre is in. */
-	permits = cq_sim_faults_permits(world.faults);
-	cq_sim_faults_set_dc(world.faults, 0, true);
+	permits = cq_sim_faults_permits(world.sim.faults);
+	cq_sim_faults_set_dc(world.sim.faults, 0, true);
 	run_ms(&world, 1000);
-	g_assert_cmpuint(cq_sim_faults_permits(world.faults), >, permits);
-	g_assert_cmpstr(cq_sim_faults_violation(world.faults), ==, "");
+	g_assert_cmpuint(cq_sim_faults_permits(world.sim.faults), >, permits);
+	g_assert_cmpstr(cq_sim_faults_violation(world.sim.faults), ==, "");
 	destroy(&world);
 }
 
--- a/tests/unit/test_ownership.c
+++ b/tests/unit/test_ownership.c
@@ -1,7 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "../support/sim_faults.h"
+#include "../support/sim_world.h"
 
 /* Lease time + 1 s, the stated bound on the time without starts. */
 #define TAKEOVER_MS 6000
@@ -24,54 +24,34 @@
 	EITHER,	    /* one or none; safety and recovery are checked */
 };
 
-struct world {
-	struct cq_sim_cluster *cluster;
-	struct cq_sim_faults *faults;
-};
-
-static struct world create(uint64_t seed)
+static struct cq_sim_world create(uint64_t seed)
 {
 	struct cq_sim_cluster_options options;
-	struct world world;
+	struct cq_sim_world world;
 
 	cq_sim_cluster_options_init(&options);
 	options.seed = seed;
 	options.entryds = 1;
 	options.uneven_clocks = true;
-	world.cluster = cq_sim_cluster_create(&options);
-	world.faults = cq_sim_faults_create(world.cluster);
+	cq_sim_world_init(&world, &options);
 	cq_sim_faults_set_dc(world.faults, 0, true);
 	return world;
 }
 
-static void destroy(struct world *world)
-{
-	cq_sim_faults_destroy(world->faults);
-	cq_sim_cluster_destroy(world->cluster);
-}
-
 static uint32_t number_of(struct cq_sim_node *node)
 {
 	return (uint32_t)cq_sim_node_host(node);
 }
 
-static bool is_owned_by_other(struct cq_sim_cluster *cluster, void *ctx)
-{
-	const struct cq_sim_node *owner = cq_sim_cluster_owner(cluster, "dc0");
-
-	return owner && owner != ctx;
-}
-
 /* The schedd in the role; node 3 is an entryd. */
-static uint32_t pick(struct world *world, enum role role)
+static uint32_t pick(struct cq_sim_world *world, enum role role)
 {
-	struct cq_sim_node *owner = cq_sim_cluster_owner(world->cluster, "dc0");
-	uint32_t at = owner ? number_of(owner) : 0;
+	uint32_t at = cq_sim_world_owner(world, "dc0", 0);
 
 	return role == STANDBY ? (at + 1) % 3 : at;
 }
 
-#define NONE CQ_SIM_FAULT_KINDS
+#define NONE CQ_SIM_NO_FAULT
 
 struct fault_case {
 	enum cq_sim_fault_kind first;
@@ -163,7 +143,7 @@
 
 static void run_case(const struct fault_case *c, uint64_t seed)
 {
-	struct world world = create(seed);
+	struct cq_sim_world world = create(seed);
 	struct cq_sim_node *before;
 	uint32_t first, second = 0;
 	bool ok = true;
@@ -175,7 +155,7 @@
 		       c->first_role == OWNER ? "owner" : "other",
 		       cq_sim_fault_string(c->second), c->moment, (int)seed);
 	if (c->moment != NO_OWNER) {
-		cq_sim_cluster_run_ms(world.cluster, 5000 + 37 * (int64_t)seed);
+		cq_sim_world_run_ms(&world, 5000 + 37 * (int64_t)seed);
 		g_assert_nonnull(cq_sim_cluster_owner(world.cluster, "dc0"));
 	}
 	before = cq_sim_cluster_owner(world.cluster, "dc0");
@@ -190,23 +170,23 @@
 			cq_sim_now_ns(cq_sim_cluster_sim(world.cluster)) +
 				(int64_t)seed * CQ_NS_PER_MS);
 	}
-	if (c->second != NONE)
-		cq_sim_fault_begin(world.faults, c->second, second);
+	cq_sim_world_fault(&world, c->second, second);
 	if (c->second == CQ_SIM_STORE_SLOW)
-		cq_sim_cluster_run_ms(world.cluster, 1500);
+		cq_sim_world_run_ms(&world, 1500);
 	cq_sim_fault_begin(world.faults, c->first, first);
 	switch (c->outcome) {
 	case SAME_OWNER:
-		cq_sim_cluster_run_ms(world.cluster, fault_ms);
+		cq_sim_world_run_ms(&world, fault_ms);
 		ok = cq_sim_cluster_owner(world.cluster, "dc0") == before;
 		break;
 	case NEW_OWNER:
-		ok = cq_sim_cluster_run_until(world.cluster, is_owned_by_other,
-					      before, TAKEOVER_MS);
-		cq_sim_cluster_run_ms(world.cluster, fault_ms - TAKEOVER_MS);
+		ok = cq_sim_cluster_run_until(world.cluster,
+					      cq_sim_owned_by_other, before,
+					      TAKEOVER_MS);
+		cq_sim_world_run_ms(&world, fault_ms - TAKEOVER_MS);
 		break;
 	case AFTER:
-		cq_sim_cluster_run_ms(world.cluster, fault_ms);
+		cq_sim_world_run_ms(&world, fault_ms);
 		ok = !cq_sim_cluster_owner(world.cluster, "dc0");
 		break;
 	case SOME_OWNER:
@@ -214,19 +194,16 @@
 					      NULL, fault_ms);
 		break;
 	case EITHER:
-		cq_sim_cluster_run_ms(world.cluster, fault_ms);
+		cq_sim_world_run_ms(&world, fault_ms);
 		break;
 	}
 	g_assert_cmpstr(cq_sim_faults_violation(world.faults), ==, "");
 	g_assert_true(ok);
 	cq_sim_faults_end_all(world.faults);
-	ok = cq_sim_cluster_run_until(world.cluster, cq_sim_all_owned, NULL,
-				      TAKEOVER_MS);
-	g_assert_true(ok);
-	cq_sim_cluster_run_ms(world.cluster, 10000);
+	cq_sim_world_wait(&world, cq_sim_all_owned, NULL, TAKEOVER_MS);
+	cq_sim_world_run_ms(&world, 10000);
 	g_assert_nonnull(cq_sim_cluster_owner(world.cluster, "dc0"));
-	g_assert_cmpstr(cq_sim_faults_violation(world.faults), ==, "");
-	destroy(&world);
+	cq_sim_world_clear(&world);
 }
 
 /*
@@ -249,19 +226,18 @@
 	uint64_t seed;
 
 	for (seed = 1; seed <= 20; seed++) {
-		struct world world = create(seed);
+		struct cq_sim_world world = create(seed);
 		struct cq_sim_node *before, *after;
 		int64_t epoch;
 
-		cq_sim_cluster_run_ms(world.cluster, 5000);
+		cq_sim_world_run_ms(&world, 5000);
 		before = cq_sim_cluster_owner(world.cluster, "dc0");
 		epoch = cq_ownership_epoch(cq_sim_node_ownership(before));
 		cq_sim_fault_begin(world.faults, CQ_SIM_PLANNED_STOP,
 				   number_of(before));
 		g_assert_false(cq_sim_node_may_command(before));
-		g_assert_true(cq_sim_cluster_run_until(world.cluster,
-						       is_owned_by_other,
-						       before, HAND_OVER_MS));
+		cq_sim_world_wait(&world, cq_sim_owned_by_other, before,
+				  HAND_OVER_MS);
 		after = cq_sim_cluster_owner(world.cluster, "dc0");
 		g_assert_cmpint(
 			cq_ownership_epoch(cq_sim_node_ownership(after)), >,
@@ -269,7 +245,7 @@
 		g_assert_cmpint(
 			cq_ownership_state(cq_sim_node_ownership(before)), ==,
 			CQ_OWNERSHIP_STOPPED);
-		destroy(&world);
+		cq_sim_world_clear(&world);
 	}
 }
 
@@ -283,36 +259,33 @@
 
 	for (seed = 1; seed <= 40; seed++) {
 		struct cq_sim_cluster_options options;
-		struct world world;
+		struct cq_sim_world world;
 		struct cq_sim_node *owner;
 
 		cq_sim_cluster_options_init(&options);
 		options.seed = seed;
 		options.max_drift_ppm = 90000;
-		world.cluster = cq_sim_cluster_create(&options);
-		world.faults = cq_sim_faults_create(world.cluster);
-		cq_sim_cluster_run_ms(world.cluster, 6000 + 29 * (int64_t)seed);
+		cq_sim_world_init(&world, &options);
+		cq_sim_world_run_ms(&world, 6000 + 29 * (int64_t)seed);
 		owner = cq_sim_cluster_owner(world.cluster, "dc0");
 		g_assert_nonnull(owner);
 		cq_sim_fault_begin(world.faults, CQ_SIM_CUT, number_of(owner));
-		cq_sim_cluster_run_ms(world.cluster, 8000);
-		g_assert_cmpstr(cq_sim_faults_violation(world.faults), ==, "");
-		destroy(&world);
+		cq_sim_world_run_ms(&world, 8000);
+		cq_sim_world_clear(&world);
 	}
 }
 
 /* Guards against an epoch that does not grow with each owner. */
 static void test_epochs(void)
 {
-	struct world world = create(5);
+	struct cq_sim_world world = create(5);
 	int64_t epoch = 0;
 	guint i;
 
 	for (i = 0; i < 6; i++) {
 		struct cq_sim_node *owner;
 
-		g_assert_true(cq_sim_cluster_run_until(
-			world.cluster, cq_sim_all_owned, NULL, TAKEOVER_MS));
+		cq_sim_world_wait(&world, cq_sim_all_owned, NULL, TAKEOVER_MS);
 		owner = cq_sim_cluster_owner(world.cluster, "dc0");
 		g_assert_cmpint(
 			cq_ownership_epoch(cq_sim_node_ownership(owner)), >,
@@ -326,7 +299,7 @@
 			cq_sim_node_id(owner));
 		cq_sim_node_restart(owner);
 	}
-	destroy(&world);
+	cq_sim_world_clear(&world);
 }
 
 /*
@@ -354,12 +327,12 @@
 
 	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
 		for (seed = 1; seed <= 8; seed++) {
-			struct world world = create(100 + seed);
+			struct cq_sim_world world = create(100 + seed);
 			uint64_t permits;
 			uint32_t owner;
 			bool faulty = kinds[i] != NONE;
 
-			cq_sim_cluster_run_ms(world.cluster, 6000);
+			cq_sim_world_run_ms(&world, 6000);
 			owner = pick(&world, OWNER);
 			permits = cq_sim_faults_permits(world.faults);
 			g_assert_cmpuint(permits, >, 0);
@@ -367,25 +340,23 @@
 			if (faulty && seed % 2)
 				cq_sim_fault_begin(world.faults, kinds[i],
 						   owner);
-			cq_sim_cluster_run_ms(world.cluster,
-					      150 * (int64_t)seed);
+			cq_sim_world_run_ms(&world, 150 * (int64_t)seed);
 			cq_sim_faults_set_dc(world.faults, 0, false);
-			cq_sim_cluster_run_ms(world.cluster,
-					      70 * (int64_t)seed);
+			cq_sim_world_run_ms(&world, 70 * (int64_t)seed);
 			if (faulty && seed % 2 == 0)
 				cq_sim_fault_begin(world.faults, kinds[i],
 						   owner);
-			cq_sim_cluster_run_ms(world.cluster, 9000);
+			cq_sim_world_run_ms(&world, 9000);
 			cq_sim_faults_end_all(world.faults);
-			cq_sim_cluster_run_ms(world.cluster, 9000);
+			cq_sim_world_run_ms(&world, 9000);
 			g_assert_cmpstr(cq_sim_faults_violation(world.faults),
 					==, "");
 			permits = cq_sim_faults_permits(world.faults);
 			cq_sim_faults_set_dc(world.faults, 0, true);
-			cq_sim_cluster_run_ms(world.cluster, 3000);
+			cq_sim_world_run_ms(&world, 3000);
 			g_assert_cmpuint(cq_sim_faults_permits(world.faults), >,
 					 permits);
-			destroy(&world);
+			cq_sim_world_clear(&world);
 		}
 	}
 }
--- a/tests/unit/test_ownership_calls.c
+++ b/tests/unit/test_ownership_calls.c
@@ -7,9 +7,9 @@
 #include <string.h>
 
 #include "../support/script_store.h"
+#include "../support/sim_world.h"
 #include "chestnutquay/ownership.h"
 #include "protocol/gen/coordination.pb-c.h"
-#include "protocol/gen/membership.pb-c.h"
 
 enum operation {
 	GET = CQ_SCRIPT_GET,
@@ -165,27 +165,6 @@
 	g_free(value);
 }
 
-/* The peer is a live schedd of the same data centre. */
-static void add_peer(struct world *world)
-{
-	Cq__MembershipProbe probe = CQ__MEMBERSHIP_PROBE__INIT;
-	Cq__MemberRecord self = CQ__MEMBER_RECORD__INIT;
-	struct cq_peer_message message = { .from_address = "10.0.0.2:1",
-					   .from_id = "peer",
-					   .kind = CQ_PEER_PING };
-	uint8_t payload[128];
-
-	self.id = "peer";
-	self.data_centre = "dc0";
-	self.address = "10.0.0.2:1";
-	self.role = CQ_ROLE_SCHEDD;
-	probe.self = &self;
-	message.payload = payload;
-	message.payload_len = cq__membership_probe__pack(&probe, payload);
-	g_assert_true(cq_membership_receive(world->membership, &message,
-					    now_of(world), NULL));
-}
-
 static void deliver(struct world *world, enum message kind)
 {
 	Cq__HandOver hand_over = CQ__HAND_OVER__INIT;
@@ -228,14 +207,18 @@
 	}
 }
 
-/* Steps from the start to an owner under lease 1. */
-#define ACQUIRE                                                               \
-	{ RUN, 100, 0, 0 }, { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },    \
-		{ RUN, 400, 0, 0 }, { ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY }, \
-		{ ANSWER, PUT, CQ_STORE_OK, NO_ENTRY },                       \
-		{ STATE, CQ_OWNERSHIP_OWNER, 0, 0 },                          \
-	{                                                                     \
-		MAY, 1, 0, 0                                                  \
+/* Steps from the start to a lease, and on to an owner under it. */
+#define GRANTED                                                            \
+	{ RUN, 100, 0, 0 }, { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY }, \
+		{ RUN, 400, 0, 0 },                                        \
+	{                                                                  \
+		ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY                       \
+	}
+#define ACQUIRE                                          \
+	GRANTED, { ANSWER, PUT, CQ_STORE_OK, NO_ENTRY }, \
+		{ STATE, CQ_OWNERSHIP_OWNER, 0, 0 },     \
+	{                                                \
+		MAY, 1, 0, 0                             \
 	}
 
 /* Guards against each way of misreading late, lost or crossed answers. */
@@ -300,10 +283,7 @@
 		    { STATE, CQ_OWNERSHIP_STANDBY, 0, 0 },
 		    { MAY, 0, 0, 0 } } },
 		{ "a lost answer is not taken for success",
-		  { { RUN, 100, 0, 0 },
-		    { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },
-		    { RUN, 400, 0, 0 },
-		    { ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY },
+		  { GRANTED,
 		    { ANSWER, PUT, CQ_STORE_UNKNOWN, NO_ENTRY },
 		    { MAY, 0, 0, 0 },
 		    { RUN, 100, 0, 0 },
@@ -313,20 +293,14 @@
 		    { STATE, CQ_OWNERSHIP_OWNER, 0, 0 },
 		    { MAY, 1, 0, 0 } } },
 		{ "a lost answer of a write that lost the race",
-		  { { RUN, 100, 0, 0 },
-		    { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },
-		    { RUN, 400, 0, 0 },
-		    { ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY },
+		  { GRANTED,
 		    { ANSWER, PUT, CQ_STORE_UNKNOWN, NO_ENTRY },
 		    { RUN, 100, 0, 0 },
 		    { ANSWER, GET, CQ_STORE_OK, OTHERS },
 		    { STATE, CQ_OWNERSHIP_STANDBY, 0, 0 },
 		    { MAY, 0, 0, 0 } } },
 		{ "a lost write that arrives late conflicts with its repeat",
-		  { { RUN, 100, 0, 0 },
-		    { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },
-		    { RUN, 400, 0, 0 },
-		    { ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY },
+		  { GRANTED,
 		    { ANSWER, PUT, CQ_STORE_UNKNOWN, NO_ENTRY },
 		    { RUN, 100, 0, 0 },
 		    { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },
@@ -335,10 +309,7 @@
 		    { STATE, CQ_OWNERSHIP_OWNER, 0, 0 },
 		    { MAY, 1, 0, 0 } } },
 		{ "a write of this process under an earlier lease is not ours",
-		  { { RUN, 100, 0, 0 },
-		    { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },
-		    { RUN, 400, 0, 0 },
-		    { ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY },
+		  { GRANTED,
 		    { ANSWER, PUT, CQ_STORE_UNKNOWN, NO_ENTRY },
 		    { RUN, 5500, 0, 0 },
 		    { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },
@@ -361,10 +332,7 @@
 		    { ANSWER, PUT, CQ_STORE_OK, NO_ENTRY },
 		    { STATE, CQ_OWNERSHIP_OWNER, 0, 0 } } },
 		{ "a lease that ended before the write is replaced",
-		  { { RUN, 100, 0, 0 },
-		    { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },
-		    { RUN, 400, 0, 0 },
-		    { ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY },
+		  { GRANTED,
 		    { ANSWER, PUT, CQ_STORE_NOT_FOUND, NO_ENTRY },
 		    { RUN, 500, 0, 0 },
 		    { ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY },
@@ -380,10 +348,7 @@
 		    { RUN, 400, 0, 0 },
 		    { WANT, GRANT, 0, 0 } } },
 		{ "a read from before the acquisition does not end it",
-		  { { RUN, 100, 0, 0 },
-		    { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },
-		    { RUN, 400, 0, 0 },
-		    { ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY },
+		  { GRANTED,
 		    { ANSWER, WATCH, CQ_STORE_INVALID, NO_ENTRY },
 		    { RUN, 1200, 0, 0 },
 		    { WANT, GET, 0, 0 },
@@ -397,10 +362,7 @@
 		    { ANSWER, WATCH, CQ_STORE_OK, OTHERS },
 		    { NO_CALL, KEEPALIVE, 0, 0 } } },
 		{ "the winner of a race for the key is followed",
-		  { { RUN, 100, 0, 0 },
-		    { ANSWER, GET, CQ_STORE_NOT_FOUND, NO_ENTRY },
-		    { RUN, 400, 0, 0 },
-		    { ANSWER, GRANT, CQ_STORE_OK, NO_ENTRY },
+		  { GRANTED,
 		    { ANSWER, PUT, CQ_STORE_CONFLICT, OTHERS },
 		    { STATE, CQ_OWNERSHIP_STANDBY, 0, 0 },
 		    { HOLDER, OTHERS, 0, 0 } } },
@@ -463,7 +425,8 @@
 		struct world world;
 
 		init(&world);
-		add_peer(&world);
+		cq_sim_feed_member(world.membership, "peer", "10.0.0.2:1",
+				   now_of(&world));
 		for (k = 0; cases[i].steps[k].action != END; k++) {
 			const struct step *step = &cases[i].steps[k];
 			struct cq_ownership *o = world.ownership;
--- a/tests/unit/test_settings_sync.c
+++ b/tests/unit/test_settings_sync.c
@@ -2,11 +2,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "../support/sim_faults.h"
+#include "../support/sim_world.h"
 
 /* Stated bound: in force everywhere within 17 s (invariant I9). */
 #define BOUND_MS 17000
-#define NONE CQ_SIM_FAULT_KINDS
+#define NONE CQ_SIM_NO_FAULT
 
 /* Nodes of data centre dc0: 0 and 1 schedds, 2 and 3 entryds; dc1: 4 to 7. */
 enum role {
@@ -24,16 +24,11 @@
 	AFTER,	/* all after the end of the fault */
 };
 
-struct world {
-	struct cq_sim_cluster *cluster;
-	struct cq_sim_faults *faults;
-};
-
-static struct world create(uint64_t seed,
-			   const struct cq_settings_sync_strategy *strategy)
+static struct cq_sim_world
+create(uint64_t seed, const struct cq_settings_sync_strategy *strategy)
 {
 	struct cq_sim_cluster_options options;
-	struct world world;
+	struct cq_sim_world world;
 
 	cq_sim_cluster_options_init(&options);
 	options.seed = seed;
@@ -42,18 +37,11 @@
 	options.entryds = 2;
 	options.strategy = strategy;
 	options.uneven_clocks = true;
-	world.cluster = cq_sim_cluster_create(&options);
-	world.faults = cq_sim_faults_create(world.cluster);
+	cq_sim_world_init(&world, &options);
 	return world;
 }
 
-static void destroy(struct world *world)
-{
-	cq_sim_faults_destroy(world->faults);
-	cq_sim_cluster_destroy(world->cluster);
-}
-
-static uint32_t watcher(struct world *world, uint32_t from)
+static uint32_t watcher(struct cq_sim_world *world, uint32_t from)
 {
 	uint32_t i;
 
@@ -69,7 +57,7 @@
 	g_error("no watcher");
 }
 
-static uint32_t pick(struct world *world, enum role role)
+static uint32_t pick(struct cq_sim_world *world, enum role role)
 {
 	switch (role) {
 	case WATCHER:
@@ -180,7 +168,7 @@
 
 static void run_case(const struct fault_case *c, uint64_t seed)
 {
-	struct world world = create(seed, cq_settings_sync_relay());
+	struct cq_sim_world world = create(seed, cq_settings_sync_relay());
 	struct condition others = { 0, { UINT32_MAX, UINT32_MAX }, false };
 	uint32_t first, second;
 
@@ -188,7 +176,7 @@
 		       cq_sim_fault_string(c->first), c->first_role,
 		       cq_sim_fault_string(c->second), c->second_role,
 		       c->moment, (int)seed);
-	cq_sim_cluster_run_ms(world.cluster, 10000 + 113 * (int64_t)seed);
+	cq_sim_world_run_ms(&world, 10000 + 113 * (int64_t)seed);
 	first = pick(&world, c->first_role);
 	second = pick(&world, c->second_role);
 	if (c->first != NONE && !is_global(c->first))
@@ -200,29 +188,24 @@
 		others.revision =
 			cq_sim_node_write(cq_sim_cluster_node(world.cluster, 2),
 					  "workspaces/a", "{\"weight\":5}");
-		cq_sim_cluster_run_ms(world.cluster, 20);
+		cq_sim_world_run_ms(&world, 20);
 	}
-	if (c->first != NONE)
-		cq_sim_fault_begin(world.faults, c->first, first);
-	if (c->second != NONE)
-		cq_sim_fault_begin(world.faults, c->second, second);
+	cq_sim_world_fault(&world, c->first, first);
+	cq_sim_world_fault(&world, c->second, second);
 	if (c->moment == BEFORE)
-		cq_sim_cluster_run_ms(world.cluster, 1000);
+		cq_sim_world_run_ms(&world, 1000);
 	if (c->moment != AFTER_WRITE)
 		others.revision =
 			cq_sim_node_write(cq_sim_cluster_node(world.cluster, 2),
 					  "workspaces/a", "{\"weight\":5}");
 	if (c->expected == OTHERS)
-		g_assert_true(cq_sim_cluster_run_until(
-			world.cluster, others_hold, &others, BOUND_MS));
+		cq_sim_world_wait(&world, others_hold, &others, BOUND_MS);
 	else
-		cq_sim_cluster_run_ms(world.cluster, BOUND_MS);
+		cq_sim_world_run_ms(&world, BOUND_MS);
 	cq_sim_faults_end_all(world.faults);
-	g_assert_true(cq_sim_cluster_run_until(world.cluster,
-					       cq_sim_settings_converged,
-					       &others.revision, BOUND_MS));
-	g_assert_cmpstr(cq_sim_faults_violation(world.faults), ==, "");
-	destroy(&world);
+	cq_sim_world_wait(&world, cq_sim_settings_converged, &others.revision,
+			  BOUND_MS);
+	cq_sim_world_clear(&world);
 }
 
 /* Guards against a change that is late, lost or reverted under a fault. */
@@ -239,16 +222,14 @@
 /* Guards against a benchmark that compares with a way that does not work. */
 static void test_watch_all(void)
 {
-	struct world world = create(3, cq_settings_sync_watch_all());
+	struct cq_sim_world world = create(3, cq_settings_sync_watch_all());
 	struct condition all = { 0, { UINT32_MAX, UINT32_MAX }, false };
 
-	cq_sim_cluster_run_ms(world.cluster, 5000);
+	cq_sim_world_run_ms(&world, 5000);
 	all.revision = cq_sim_node_write(cq_sim_cluster_node(world.cluster, 2),
 					 "workspaces/a", "{\"weight\":5}");
-	g_assert_true(cq_sim_cluster_run_until(world.cluster, others_hold, &all,
-					       1000));
-	g_assert_cmpstr(cq_sim_faults_violation(world.faults), ==, "");
-	destroy(&world);
+	cq_sim_world_wait(&world, others_hold, &all, 1000);
+	cq_sim_world_clear(&world);
 }
 
 static bool has_watcher(struct cq_sim_cluster *cluster, void *ctx)
@@ -273,10 +254,10 @@
  */
 static void test_one_watcher(void)
 {
-	struct world world = create(4, cq_settings_sync_relay());
+	struct cq_sim_world world = create(4, cq_settings_sync_relay());
 	uint32_t i, watching = 0;
 
-	cq_sim_cluster_run_ms(world.cluster, 15000);
+	cq_sim_world_run_ms(&world, 15000);
 	for (i = 0; i < 8; i++)
 		watching += cq_settings_sync_state(cq_sim_node_sync(
 				    cq_sim_cluster_node(world.cluster, i))) ==
@@ -294,10 +275,9 @@
 	for (i = 0; i < 3; i++) {
 		cq_sim_node_kill(
 			cq_sim_cluster_node(world.cluster, watcher(&world, 0)));
-		g_assert_true(cq_sim_cluster_run_until(
-			world.cluster, has_watcher, NULL, BOUND_MS));
+		cq_sim_world_wait(&world, has_watcher, NULL, BOUND_MS);
 	}
-	destroy(&world);
+	cq_sim_world_clear(&world);
 }
 
 static bool is_ready(struct cq_sim_cluster *cluster, void *ctx)
@@ -329,18 +309,18 @@
 	guint i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct world world = create(20 + i, cq_settings_sync_relay());
+		struct cq_sim_world world =
+			create(20 + i, cq_settings_sync_relay());
 		struct cq_sim_node *node =
 			cq_sim_cluster_node(world.cluster, 5);
 		int64_t revision;
 		uint32_t k;
 
-		cq_sim_cluster_run_ms(world.cluster, 10000);
+		cq_sim_world_run_ms(&world, 10000);
 		cq_sim_node_write(node, "workspaces/a", "{\"weight\":5}");
 		revision = cq_sim_node_write(node, "global", "{}");
-		cq_sim_cluster_run_ms(world.cluster, 2000);
-		if (cases[i].fault != NONE)
-			cq_sim_fault_begin(world.faults, cases[i].fault, 5);
+		cq_sim_world_run_ms(&world, 2000);
+		cq_sim_world_fault(&world, cases[i].fault, 5);
 		for (k = 0; k < 8; k++)
 			if (cases[i].all_restart || k == 5)
 				cq_sim_node_restart(
@@ -355,29 +335,27 @@
 						cq_sim_node_settings(node)),
 					==, revision);
 		cq_sim_faults_end_all(world.faults);
-		g_assert_true(cq_sim_cluster_run_until(
-			world.cluster, cq_sim_settings_converged, &revision,
-			BOUND_MS));
-		g_assert_cmpstr(cq_sim_faults_violation(world.faults), ==, "");
-		destroy(&world);
+		cq_sim_world_wait(&world, cq_sim_settings_converged, &revision,
+				  BOUND_MS);
+		cq_sim_world_clear(&world);
 	}
 }
 
 /* Guards against an operator being told of hosts that do not hold a change. */
 static void test_acknowledgement(void)
 {
-	struct world world = create(6, cq_settings_sync_relay());
+	struct cq_sim_world world = create(6, cq_settings_sync_relay());
 	struct cq_sim_node *writer = cq_sim_cluster_node(world.cluster, 2);
 	uint32_t acknowledged, known;
 	int64_t revision;
 
-	cq_sim_cluster_run_ms(world.cluster, 10000);
+	cq_sim_world_run_ms(&world, 10000);
 	revision = cq_sim_node_write(writer, "workspaces/a", "{}");
 	cq_settings_sync_acknowledged(cq_sim_node_sync(writer), revision,
 				      &acknowledged, &known);
 	g_assert_cmpuint(acknowledged, ==, 0);
 	g_assert_cmpuint(known, ==, 8);
-	cq_sim_cluster_run_ms(world.cluster, 500);
+	cq_sim_world_run_ms(&world, 500);
 	cq_settings_sync_acknowledged(cq_sim_node_sync(writer), revision,
 				      &acknowledged, &known);
 	g_assert_cmpuint(acknowledged, ==, 8);
@@ -385,17 +363,17 @@
 	cq_sim_fault_begin(world.faults, CQ_SIM_PAUSE, 3);
 	cq_sim_fault_begin(world.faults, CQ_SIM_PAUSE, 7);
 	revision = cq_sim_node_write(writer, "workspaces/a", "{\"weight\":2}");
-	cq_sim_cluster_run_ms(world.cluster, 1000);
+	cq_sim_world_run_ms(&world, 1000);
 	cq_settings_sync_acknowledged(cq_sim_node_sync(writer), revision,
 				      &acknowledged, &known);
 	g_assert_cmpuint(acknowledged, ==, 6);
 	g_assert_cmpuint(known, ==, 8);
 	cq_sim_faults_end_all(world.faults);
-	cq_sim_cluster_run_ms(world.cluster, 5000);
+	cq_sim_world_run_ms(&world, 5000);
 	cq_settings_sync_acknowledged(cq_sim_node_sync(writer), revision,
 				      &acknowledged, &known);
 	g_assert_cmpuint(acknowledged, ==, 8);
-	destroy(&world);
+	cq_sim_world_clear(&world);
 }
 
 /* Guards against two operators' changes of one subtree both being taken. */
@@ -407,7 +385,8 @@
 	guint i;
 
 	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
-		struct world world = create(30 + i, cq_settings_sync_relay());
+		struct cq_sim_world world =
+			create(30 + i, cq_settings_sync_relay());
 		struct cq_sim_store *store =
 			cq_sim_cluster_store(world.cluster);
 		char *a = cq_settings_encode("{\"weight\":1}", "opa", 1);
@@ -415,20 +394,18 @@
 		int64_t revision;
 		uint32_t k;
 
-		cq_sim_cluster_run_ms(world.cluster, 10000);
-		if (kinds[i] != NONE)
-			cq_sim_fault_begin(world.faults, kinds[i], 0);
+		cq_sim_world_run_ms(&world, 10000);
+		cq_sim_world_fault(&world, kinds[i], 0);
 		revision = cq_sim_store_write(store, "settings/workspaces/a", a,
 					      0);
 		g_assert_cmpint(revision, >, 0);
 		g_assert_cmpint(cq_sim_store_write(
 					store, "settings/workspaces/a", b, 0),
 				==, 0);
-		cq_sim_cluster_run_ms(world.cluster, 5000);
+		cq_sim_world_run_ms(&world, 5000);
 		cq_sim_faults_end_all(world.faults);
-		g_assert_true(cq_sim_cluster_run_until(
-			world.cluster, cq_sim_settings_converged, &revision,
-			BOUND_MS));
+		cq_sim_world_wait(&world, cq_sim_settings_converged, &revision,
+				  BOUND_MS);
 		for (k = 0; k < 8; k++)
 			g_assert_cmpint(
 				cq_settings_workspace(
@@ -440,7 +417,7 @@
 				==, 1);
 		free(a);
 		free(b);
-		destroy(&world);
+		cq_sim_world_clear(&world);
 	}
 }
 
--- a/tests/unit/test_settings_sync_messages.c
+++ b/tests/unit/test_settings_sync_messages.c
@@ -272,6 +272,62 @@
 	}
 }
 
+/* The only process, which watches a store that answers what the test says. */
+struct watcher {
+	struct single single;
+	struct cq_manual_clock *clock;
+	struct cq_script_store script;
+	struct cq_settings_sync *sync;
+};
+
+static int64_t watcher_now(const struct watcher *watcher)
+{
+	return cq_clock_now_ns(cq_manual_clock_get(watcher->clock));
+}
+
+/* Answers the oldest such call with nothing. */
+static void answer_empty(struct watcher *watcher,
+			 enum cq_script_operation operation)
+{
+	static const struct cq_store_result empty = { .status = CQ_STORE_OK };
+
+	cq_script_store_answer(
+		&watcher->script,
+		cq_script_store_find(&watcher->script, operation, ""), &empty);
+}
+
+static bool is_open(struct watcher *watcher, enum cq_script_operation operation)
+{
+	return cq_script_store_find(&watcher->script, operation, "") != NULL;
+}
+
+static void watcher_init(struct watcher *watcher)
+{
+	static const struct cq_settings_sync_ops ops = { .send = single_send };
+	struct cq_settings_sync_options options;
+
+	watcher->clock = cq_manual_clock_create(100 * CQ_NS_PER_S, 0);
+	single_init(&watcher->single, 4096);
+	cq_script_store_init(&watcher->script);
+	cq_settings_sync_options_init(&options);
+	options.clock = cq_manual_clock_get(watcher->clock);
+	watcher->sync = cq_settings_sync_create(
+		&options, cq_settings_sync_relay(), watcher->single.tree,
+		watcher->single.membership, &watcher->script.store, &ops,
+		&watcher->single, watcher_now(watcher));
+	cq_settings_sync_tick(watcher->sync, watcher_now(watcher));
+	answer_empty(watcher, CQ_SCRIPT_LIST);
+	cq_settings_sync_tick(watcher->sync, watcher_now(watcher));
+}
+
+static void watcher_clear(struct watcher *watcher)
+{
+	cq_settings_sync_destroy(watcher->sync);
+	cq_script_store_clear(&watcher->script);
+	cq_manual_clock_destroy(watcher->clock);
+	single_clear(&watcher->single);
+}
+
 /* Guards against a store that keeps a watcher busy with empty answers. */
 static void test_empty_watch(void)
 {
@@ -279,50 +335,54 @@
 		int64_t after_ms; /* from the start of the watch */
 		bool again;	  /* the next watch starts at once */
 	} cases[] = { { 0, false }, { 900, false }, { 1000, true } };
-	static const struct cq_settings_sync_ops ops = { .send = single_send };
-	static const struct cq_store_result empty = { .status = CQ_STORE_OK };
 	guint i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct cq_manual_clock *clock =
-			cq_manual_clock_create(100 * CQ_NS_PER_S, 0);
-		struct cq_settings_sync_options options;
-		struct cq_settings_sync *sync;
-		struct cq_script_store script;
-		struct single single;
-		int64_t now_ns = 100 * CQ_NS_PER_S;
+		struct watcher watcher;
 
-		single_init(&single, 4096);
-		cq_script_store_init(&script);
-		cq_settings_sync_options_init(&options);
-		options.clock = cq_manual_clock_get(clock);
-		sync = cq_settings_sync_create(&options,
-					       cq_settings_sync_relay(),
-					       single.tree, single.membership,
-					       &script.store, &ops, &single,
-					       now_ns);
-		cq_settings_sync_tick(sync, now_ns);
-		cq_script_store_answer(&script,
-				       cq_script_store_find(&script,
-							    CQ_SCRIPT_LIST, ""),
-				       &empty);
-		cq_settings_sync_tick(sync, now_ns);
-		cq_manual_clock_advance(clock,
+		watcher_init(&watcher);
+		cq_manual_clock_advance(watcher.clock,
 					cases[i].after_ms * CQ_NS_PER_MS);
-		cq_script_store_answer(
-			&script,
-			cq_script_store_find(&script, CQ_SCRIPT_WATCH, ""),
-			&empty);
-		g_assert_cmpint(!!cq_script_store_find(&script, CQ_SCRIPT_WATCH,
-						       ""),
-				==, cases[i].again);
-		cq_settings_sync_tick(sync, now_ns + CQ_NS_PER_S);
-		g_assert_nonnull(
-			cq_script_store_find(&script, CQ_SCRIPT_WATCH, ""));
-		cq_settings_sync_destroy(sync);
-		cq_script_store_clear(&script);
-		cq_manual_clock_destroy(clock);
-		single_clear(&single);
+		answer_empty(&watcher, CQ_SCRIPT_WATCH);
+		g_assert_cmpint(is_open(&watcher, CQ_SCRIPT_WATCH), ==,
+				cases[i].again);
+		cq_settings_sync_tick(watcher.sync,
+				      watcher_now(&watcher) + CQ_NS_PER_S);
+		g_assert_true(is_open(&watcher, CQ_SCRIPT_WATCH));
+		watcher_clear(&watcher);
+	}
+}
+
+/*
+ * Guards against a change accepted here that is never read, because a watch
+ * that hangs does not bring it: the store is read in full 2 s later.
+ */
+static void test_own_change(void)
+{
+	static const struct {
+		int64_t revision; /* accepted */
+		int64_t after_ms;
+		bool reads;
+	} cases[] = { { 9, 1900, false },
+		      { 9, 2000, true },
+		      { 0, 2000, false } };
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct watcher watcher;
+
+		watcher_init(&watcher);
+		if (cases[i].revision)
+			cq_settings_sync_accepted(watcher.sync,
+						  cases[i].revision,
+						  watcher_now(&watcher));
+		cq_manual_clock_advance(watcher.clock,
+					cases[i].after_ms * CQ_NS_PER_MS);
+		cq_settings_sync_tick(watcher.sync, watcher_now(&watcher));
+		cq_settings_sync_tick(watcher.sync, watcher_now(&watcher));
+		g_assert_cmpint(is_open(&watcher, CQ_SCRIPT_LIST), ==,
+				cases[i].reads);
+		watcher_clear(&watcher);
 	}
 }
 
@@ -363,6 +423,7 @@
 	g_test_add_func("/settings_sync/answer_to_old_pull",
 			test_answer_to_old_pull);
 	g_test_add_func("/settings_sync/empty_watch", test_empty_watch);
+	g_test_add_func("/settings_sync/own_change", test_own_change);
 	g_test_add_func("/settings_sync/malformed", test_malformed);
 	return g_test_run();
 }
--- a/tests/unit/test_store_relay.c
+++ b/tests/unit/test_store_relay.c
@@ -2,11 +2,10 @@
 #include <string.h>
 
 #include "../support/script_store.h"
-#include "../support/sim_faults.h"
+#include "../support/sim_world.h"
 #include "protocol/gen/coordination.pb-c.h"
-#include "protocol/gen/membership.pb-c.h"
 
-#define NONE CQ_SIM_FAULT_KINDS
+#define NONE CQ_SIM_NO_FAULT
 /* Node 0 makes the calls; its data centre has nodes 0 to 3, dc1 4 to 7. */
 #define CALLER 0
 
@@ -427,7 +426,7 @@
 	static const struct cq_store_result refused = {
 		.status = CQ_STORE_UNAVAILABLE
 	};
-	guint i, k;
+	guint i;
 
 	for (i = 0; i < G_N_ELEMENTS(statuses); i++) {
 		struct cq_manual_clock *clock = cq_manual_clock_create(0, 0);
@@ -447,25 +446,8 @@
 		strcpy(membership.self.address, "10.0.0.1:1");
 		m = cq_membership_create(&membership, &membership_ops, &sent,
 					 0);
-		for (k = 0; k < 2; k++) {
-			Cq__MembershipProbe probe = CQ__MEMBERSHIP_PROBE__INIT;
-			Cq__MemberRecord self = CQ__MEMBER_RECORD__INIT;
-			struct cq_peer_message message = {
-				.from_address = "10.0.0.2:1",
-				.kind = CQ_PEER_PING
-			};
-			uint8_t payload[128];
-
-			self.id = k ? "a" : "b";
-			self.data_centre = "dc0";
-			self.address = "10.0.0.2:1";
-			probe.self = &self;
-			message.payload = payload;
-			message.payload_len =
-				cq__membership_probe__pack(&probe, payload);
-			g_assert_true(
-				cq_membership_receive(m, &message, 0, NULL));
-		}
+		cq_sim_feed_member(m, "a", "10.0.0.2:1", 0);
+		cq_sim_feed_member(m, "b", "10.0.0.2:1", 0);
 		cq_script_store_init(&script);
 		cq_store_relay_options_init(&options);
 		options.clock = cq_manual_clock_get(clock);
