--- a/include/chestnutquay/controller.h
+++ b/include/chestnutquay/controller.h
@@ -59,11 +59,13 @@
 	/* Taken from answers of the store; the rest waits for the next tick. */
 	uint32_t max_records_per_tick;
 	int64_t retention_ms; /* of records of ended jobs */
+	/* Between writes of the run-time history. */
+	int64_t history_interval_ns;
 };
 
 /*
  * 800 ms, 1 s, 5 s, 15 s, 10 s, 2.5 s, 1 s, 5 s, 1 s, 1.5 s, 512, 64, 256,
- * 1024, 24 h.
+ * 1024, 24 h, 5 min.
  */
 void cq_controller_options_init(struct cq_controller_options *options);
 
--- a/src/coordination/controller.c
+++ b/src/coordination/controller.c
@@ -37,6 +37,7 @@
 	/* Keeps up with 10,000 changes a second at 10 ticks a second. */
 	options->max_records_per_tick = 1024;
 	options->retention_ms = INT64_C(86400000);
+	options->history_interval_ns = 300 * CQ_NS_PER_S;
 }
 
 struct cq_controller *
@@ -90,6 +91,7 @@
 	if (!c)
 		return;
 	cq_controller_cancel_calls(c);
+	cq_run_history_destroy(c->history.runs);
 	g_hash_table_destroy(c->active);
 	/* The links of the dirty queue are part of the jobs. */
 	g_queue_init(c->dirty);
@@ -127,6 +129,7 @@
 	c->listed = false;
 	c->loaded = false;
 	c->watching = false;
+	c->history.calling = false;
 	for (i = 0; i < cq_fleet_state_count(c->fleet); i++) {
 		struct cq_fleet_node *node = cq_fleet_state_node(c->fleet, i);
 
@@ -146,6 +149,7 @@
 	c->load_ns = now_ns;
 	c->plan_ns = now_ns;
 	cq_controller_count(c, CQ_COUNT_TAKEOVERS);
+	cq_controller_history_reset(c, now_ns);
 	cq_controller_load(c, now_ns);
 }
 
@@ -307,6 +311,7 @@
 	cq_controller_sync_workers(c, now_ns);
 	if (!c->epoch)
 		return;
+	cq_controller_history_tick(c, now_ns);
 	cq_controller_take_records(c);
 	/* Answers that come until the next tick share what is left. */
 	c->records_left = c->options.max_records_per_tick;
@@ -326,7 +331,8 @@
 
 uint32_t cq_controller_in_flight(const struct cq_controller *c)
 {
-	return c->writes + c->commands_in_flight;
+	return c->writes + c->commands_in_flight +
+	       (c->history.calling && c->history.known);
 }
 
 void cq_controller_drain(struct cq_controller *c)
