Move waiting jobs to a data centre that suits them better

Cause: a job that could never run in its data centre failed without trying others, and a submission was refused for the same reason; a waiting job stayed where it was while other data centres had free workers. A request to cancel that reached the record of a moving job after its copy had been created was lost: the record was removed and the copy had no such mark.

Change: owners write offers/<dc> with the numbers of workers by size and by free accelerators. A job that names no data centre and never fits here moves to one where it fits; it fails after four moves or when no offer fits. A job that would wait 60 s or more goes to a data centre with free room, no queue and a fresh offer, at most 4 with a plan. A job that was moved before is not handed over again, which rules out ping-pong. The steps of a move are those of leaving a data centre, so any owner takes them up. A late cancellation is written to the copy before the record is removed.

Conclusion: misfits and long waits leave; queues of different length are not balanced, and several owners may choose the same room at once.

--- a/include/chestnutquay/controller.h
+++ b/include/chestnutquay/controller.h
@@ -58,12 +58,17 @@
 	uint32_t max_jobs_per_tick;
 	/* Taken from answers of the store; the rest waits for the next tick. */
 	uint32_t max_records_per_tick;
+	/*
+	 * A job that is expected to wait, or whose start is not known and that
+	 * has waited, this long goes to a data centre with room for it.
+	 */
+	int64_t hand_over_wait_ns;
 	int64_t retention_ms; /* of records of ended jobs */
 };
 
 /*
  * 800 ms, 1 s, 5 s, 15 s, 10 s, 2.5 s, 1 s, 5 s, 1 s, 1.5 s, 512, 64, 256,
- * 1024, 24 h.
+ * 1024, 60 s, 24 h.
  */
 void cq_controller_options_init(struct cq_controller_options *options);
 
--- a/src/coordination/controller.c
+++ b/src/coordination/controller.c
@@ -1,6 +1,7 @@
 #include "controller_private.h"
 
 #include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "chestnutquay/log.h"
@@ -36,6 +37,7 @@
 	options->max_jobs_per_tick = 256;
 	/* Keeps up with 10,000 changes a second at 10 ticks a second. */
 	options->max_records_per_tick = 1024;
+	options->hand_over_wait_ns = 60 * CQ_NS_PER_S;
 	options->retention_ms = INT64_C(86400000);
 }
 
@@ -69,6 +71,7 @@
 	c->accounts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->retired = g_queue_new();
+	c->offers = g_array_new(FALSE, FALSE, sizeof(struct cq_offer));
 	c->dcs = g_array_new(FALSE, FALSE, sizeof(struct cq_controller_dc));
 	c->classes =
 		g_array_new(FALSE, FALSE, sizeof(struct cq_controller_class));
@@ -102,6 +105,8 @@
 	g_hash_table_destroy(c->probes);
 	g_hash_table_destroy(c->accounts);
 	g_queue_free_full(c->retired, g_free);
+	g_array_free(c->offers, TRUE);
+	free(c->offer_text);
 	g_array_free(c->dcs, TRUE);
 	g_array_free(c->classes, TRUE);
 	g_ptr_array_free(c->shortfalls, TRUE);
@@ -127,6 +132,9 @@
 	c->listed = false;
 	c->loaded = false;
 	c->watching = false;
+	c->offers_known = false;
+	c->offers_ns = 0;
+	c->offer_refresh_ns = 0;
 	for (i = 0; i < cq_fleet_state_count(c->fleet); i++) {
 		struct cq_fleet_node *node = cq_fleet_state_node(c->fleet, i);
 
@@ -317,6 +325,7 @@
 	tick_gangs(c, now_ns);
 	tick_dirty(c, now_ns);
 	tick_retired(c, now_ns);
+	cq_controller_read_offers(c, now_ns);
 	cq_controller_plan(c, now_ns);
 	cq_controller_set_gauges(c);
 }
--- a/src/coordination/controller_move.c
+++ b/src/coordination/controller_move.c
@@ -15,6 +15,8 @@
 #define MAX_MOVES 16
 
 static void create_there(struct cq_job *job, int64_t revision);
+static void write_there(struct cq_job *job, struct cq_job_record *there,
+			int64_t revision);
 static void on_created(struct cq_controller *c, const char *job_id,
 		       const struct cq_store_result *result);
 static void on_removed(struct cq_controller *c, const char *job_id,
@@ -54,36 +56,57 @@
 	       choose_target((struct cq_job *)job);
 }
 
-void cq_job_begin_move(struct cq_job *job, int64_t now_ns)
+bool cq_job_move_to(struct cq_job *job, const char *data_centre,
+		    const char *reason, int64_t now_ns)
 {
-	struct cq_controller *c = job->controller;
 	struct cq_job_record next = job->record;
 
-	g_strlcpy(next.moved_to, choose_target(job), sizeof(next.moved_to));
+	g_strlcpy(next.moved_to, data_centre, sizeof(next.moved_to));
 	next.phase = CQ_PHASE_MOVING;
 	next.moves++;
-	g_snprintf(next.reason, sizeof(next.reason),
-		   "data centre %s is out of service", c->data_centre);
-	if (c->writes >= MAX_MOVES || !cq_job_write(job, &next, now_ns))
+	g_strlcpy(next.reason, reason, sizeof(next.reason));
+	if (job->controller->writes >= MAX_MOVES ||
+	    !cq_job_write(job, &next, now_ns))
+		return false;
+	cq_job_decided(job, "move", reason);
+	cq_log_event(CQ_LOG_INFO, "job_moved", "{s:s,s:s,s:s}", "job", next.id,
+		     "to", data_centre, "reason", reason);
+	return true;
+}
+
+void cq_job_begin_move(struct cq_job *job, int64_t now_ns)
+{
+	char reason[CQ_JOB_REASON_BYTES];
+
+	g_snprintf(reason, sizeof(reason), "data centre %s is out of service",
+		   job->controller->data_centre);
+	if (!cq_job_move_to(job, choose_target(job), reason, now_ns))
 		cq_job_mark_dirty(job);
 }
 
 static void create_there(struct cq_job *job, int64_t revision)
 {
-	struct cq_controller *c = job->controller;
 	struct cq_job_record there = job->record;
-	struct cq_controller_call *call;
-	char key[CQ_JOB_KEY_BYTES];
-	char *text;
 
 	there.phase = there.restore_attempt ? CQ_PHASE_CHECKPOINTED
 					    : CQ_PHASE_QUEUED;
 	there.moved_to[0] = '\0';
-	g_strlcpy(there.writer, c->writer, sizeof(there.writer));
-	there.sequence = ++c->sequence;
-	there.written_unix_ms = cq_clock_unix_ms(c->options.clock);
+	write_there(job, &there, revision);
+}
+
+static void write_there(struct cq_job *job, struct cq_job_record *there,
+			int64_t revision)
+{
+	struct cq_controller *c = job->controller;
+	struct cq_controller_call *call;
+	char key[CQ_JOB_KEY_BYTES];
+	char *text;
+
+	g_strlcpy(there->writer, c->writer, sizeof(there->writer));
+	there->sequence = ++c->sequence;
+	there->written_unix_ms = cq_clock_unix_ms(c->options.clock);
 	cq_job_key(job->record.moved_to, job->record.id, key);
-	text = cq_job_record_format(&there);
+	text = cq_job_record_format(there);
 	call = cq_controller_call_create(c, job->record.id, on_created);
 	call->call = c->store.ops->put(c->store.self, key, text, revision, 0,
 				       c->options.store_timeout_ms,
@@ -107,18 +130,17 @@
 
 /* Whether the record found in the other data centre is that of this move. */
 static bool is_moved(const struct cq_job *job,
-		     const struct cq_store_result *result, bool *older)
+		     const struct cq_store_result *result,
+		     struct cq_job_record *there, bool *older)
 {
-	struct cq_job_record there;
-
 	*older = false;
 	if (!result->entry_count ||
 	    !cq_job_record_parse(result->entries[0].value,
-				 result->entries[0].value_len, &there, NULL))
+				 result->entries[0].value_len, there, NULL))
 		return false;
-	*older = there.phase == CQ_PHASE_MOVING &&
-		 there.moves < job->record.moves;
-	return there.moves >= job->record.moves;
+	*older = there->phase == CQ_PHASE_MOVING &&
+		 there->moves < job->record.moves;
+	return there->moves >= job->record.moves;
 }
 
 static void on_created(struct cq_controller *c, const char *job_id,
@@ -126,13 +148,24 @@
 {
 	struct cq_job *job = g_hash_table_lookup(c->jobs, job_id);
 	int64_t now_ns = cq_clock_now_ns(c->options.clock);
+	struct cq_job_record there;
 	bool older = false;
 
 	if (!job || !job->writing)
 		return;
-	if (result->status == CQ_STORE_OK ||
-	    (result->status == CQ_STORE_CONFLICT &&
-	     is_moved(job, result, &older))) {
+	if (result->status == CQ_STORE_CONFLICT &&
+	    is_moved(job, result, &there, &older)) {
+		/* A request to cancel that came after the creation. */
+		if (job->record.cancel && !there.cancel &&
+		    !cq_job_phase_is_terminal(there.phase)) {
+			there.cancel = true;
+			write_there(job, &there, result->entries[0].revision);
+		} else {
+			cq_job_remove_record(job, now_ns);
+		}
+		return;
+	}
+	if (result->status == CQ_STORE_OK) {
 		cq_job_remove_record(job, now_ns);
 		return;
 	}
--- a/src/coordination/controller_plan.c
+++ b/src/coordination/controller_plan.c
@@ -64,6 +64,9 @@
 	if (job->places ||
 	    (action->reason == CQ_REASON_NEVER_FITS && !s->capacity_known))
 		return;
+	if (action->reason == CQ_REASON_NEVER_FITS &&
+	    cq_job_move_misfit(job, now_ns))
+		return;
 	next.phase = CQ_PHASE_FAILED;
 	next.ended_unix_ms = cq_clock_unix_ms(job->controller->options.clock);
 	g_strlcpy(next.reason, job->why, sizeof(next.reason));
@@ -276,6 +279,8 @@
 		take_accounts(c, &s->snapshot, plan);
 		for (i = 0; i < plan->action_count; i++)
 			act(c, s, &plan->actions[i], now_ns);
+		cq_controller_hand_over(c, s, plan, now_ns);
+		cq_controller_publish_offer(c, &s->snapshot, plan, now_ns);
 	} else {
 		cq_log_event(CQ_LOG_ERROR, "plan_failed", "{s:s}", "error",
 			     err.message);
@@ -296,7 +301,8 @@
 
 	cq_controller_snapshot_job(s, record, &job);
 	ok = !s->capacity_known || !s->workers->len ||
-	     cq_planner_can_ever_run(&s->snapshot, &job, &misfit);
+	     cq_planner_can_ever_run(&s->snapshot, &job, &misfit) ||
+	     cq_controller_fits_elsewhere(c, record);
 	if (!ok)
 		cq_error_set(err, CQ_ERROR_COORDINATION, CQ_ERR_LIMIT,
 			     "%s: %" G_GUINT64_FORMAT
--- a/src/coordination/controller_private.h
+++ b/src/coordination/controller_private.h
@@ -86,6 +86,22 @@
 	uint32_t snapshot_index;
 };
 
+/*
+ * What a data centre offers. Element k of an array counts the workers with at
+ * least k accelerators; those of a rack are the most of any rack.
+ */
+struct cq_offer {
+	char name[CQ_JOB_NAME_BYTES];
+	int64_t written_unix_ms;
+	uint32_t total[CQ_FLEET_MAX_ACCELERATORS + 1];
+	uint32_t rack_total[CQ_FLEET_MAX_ACCELERATORS + 1];
+	uint32_t free[CQ_FLEET_MAX_ACCELERATORS + 1];
+	uint32_t rack_free[CQ_FLEET_MAX_ACCELERATORS + 1];
+	uint64_t millicores; /* of the largest worker */
+	uint64_t memory_bytes;
+	uint32_t waiting; /* jobs */
+};
+
 /* A call to the store under way. */
 struct cq_controller_call {
 	struct cq_controller *controller;
@@ -161,6 +177,12 @@
 	uint32_t probe_number;
 	GQueue *retired; /* ids of ended jobs, oldest first */
 
+	GArray *offers; /* of struct cq_offer, as last read */
+	int64_t offers_ns;
+	char *offer_text; /* last one written, without its time */
+	int64_t offer_write_ns;
+	int64_t offer_refresh_ns;
+
 	bool draining;
 	bool listed; /* the answer with all records has arrived */
 	bool loaded; /* all records have been taken */
@@ -168,6 +190,7 @@
 	bool hosts_known;
 	bool dc_in;
 	bool plan_wanted;
+	bool offers_known;
 };
 
 /* controller_record.c: counters, and decisions kept for people. */
@@ -219,9 +242,31 @@
 /* controller_move.c */
 bool cq_job_should_move(const struct cq_job *job);
 void cq_job_begin_move(struct cq_job *job, int64_t now_ns);
+/* False: not now; the caller tries again later. */
+bool cq_job_move_to(struct cq_job *job, const char *data_centre,
+		    const char *reason, int64_t now_ns);
 void cq_job_continue_move(struct cq_job *job, int64_t now_ns);
 void cq_job_remove_record(struct cq_job *job, int64_t now_ns);
 
+/* controller_offer.c */
+void cq_controller_read_offers(struct cq_controller *c, int64_t now_ns);
+void cq_controller_publish_offer(struct cq_controller *c,
+				 const struct cq_snapshot *snapshot,
+				 const struct cq_plan *plan, int64_t now_ns);
+/* As far as is known; false for a job that names its data centre. */
+bool cq_controller_fits_elsewhere(struct cq_controller *c,
+				  const struct cq_job_record *record);
+/*
+ * A job that can never run here: whether it goes to another data centre, or
+ * that is not known yet.
+ */
+bool cq_job_move_misfit(struct cq_job *job, int64_t now_ns);
+struct cq_controller_snapshot;
+/* Hands jobs that wait long over to data centres with room for them. */
+void cq_controller_hand_over(struct cq_controller *c,
+			     const struct cq_controller_snapshot *s,
+			     const struct cq_plan *plan, int64_t now_ns);
+
 /* controller_workers.c */
 extern const struct cq_gang_ops cq_controller_gang_ops;
 struct cq_controller_command *
