Hand the outcomes of keys over on a planned stop

Cause: the outcome memory of an entry host ended with its process, so that a repeat of a keyed request after a rolling restart got "unknown" (409 key_older_than_home).

Change: after its last answer a stopping home offers its outcomes to a caretaker, another entry host, which offers them to the next holder of the index. Two peer messages are new, OUTCOMES_OFFER and OUTCOMES_TAKEN. Offers hold at most 256 outcomes or 256 KiB and are repeated every 300 ms; the stop waits at most 5 s; a caretaker keeps 4 homes, 50,000 keys and 16 MiB of answers of each. Only finished outcomes travel, and a successor treats a key that it was not given as before, so a loss on the way cannot cause a second run.

Conclusion: a planned stop keeps the outcomes as long as one other entry host stays up until the next process of the index has them.

--- a/include/chestnutquay/outcomes.h
+++ b/include/chestnutquay/outcomes.h
@@ -22,6 +22,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "chestnutquay/peer_outcomes.h"
 #include "chestnutquay/request.h"
 
 #define CQ_OUTCOMES_WINDOW_MS INT64_C(600000)
@@ -96,6 +97,34 @@
 uint32_t cq_outcomes_count(const struct cq_outcomes *outcomes);
 uint64_t cq_outcomes_body_bytes(const struct cq_outcomes *outcomes);
 
+/*
+ * Hand-over to another memory. Only done entries are handed over: whoever does
+ * not find a key there answers as for a key that is older than the memory.
+ */
+
+/*
+ * Collects done entries that were not handed over yet, the newest first, and
+ * returns their number. They point into the memory until the next call on it.
+ * At least one is collected if there is any, whatever max_bytes.
+ */
+uint32_t cq_outcomes_collect(struct cq_outcomes *outcomes,
+			     struct cq_kept_outcome *kept, uint32_t max,
+			     size_t max_bytes);
+/* The entries that were collected last are handed over. */
+void cq_outcomes_collected(struct cq_outcomes *outcomes);
+/* None is handed over any more: the receiver is lost. */
+void cq_outcomes_collect_again(struct cq_outcomes *outcomes);
+/* Done entries that are not handed over. */
+uint32_t cq_outcomes_not_handed_over(const struct cq_outcomes *outcomes);
+/* Entries whose request is under way. */
+uint32_t cq_outcomes_pending(const struct cq_outcomes *outcomes);
+/*
+ * Adds an outcome from another memory unless the key is known here. Returns
+ * false if there is no room.
+ */
+bool cq_outcomes_adopt(struct cq_outcomes *outcomes,
+		       const struct cq_kept_outcome *kept, int64_t unix_ms);
+
 /* A data centre and its planned entry hosts. */
 struct cq_centre {
 	const char *name;
--- a/include/chestnutquay/router.h
+++ b/include/chestnutquay/router.h
@@ -41,6 +41,10 @@
 	void (*return_slots)(void *ctx, const char *address,
 			     uint64_t lender_incarnation,
 			     const uint64_t *loan_ids, uint32_t count);
+	/* Answered with outcomes_taken() of the same correlation. */
+	void (*offer_outcomes)(void *ctx, const char *address,
+			       uint64_t correlation,
+			       const struct cq_outcomes_offer *offer);
 };
 
 #define CQ_ROUTER_MAX_REMOTES 64
@@ -116,6 +120,9 @@
 	uint64_t spilled, homed;
 	uint64_t late_answers; /* whole answers that nobody waited for */
 	uint64_t crossed;
+	uint64_t keys_handed_over; /* taken by another host on a stop */
+	uint64_t keys_taken_over;  /* from another host, own or kept */
+	uint64_t keys_dropped;	   /* offered, but there was no room */
 	uint32_t open, queued, keys;
 	uint32_t lent, borrowed;
 };
@@ -161,6 +168,17 @@
 	void (*tick)(struct cq_router *router);
 	/* Returns idle loans at once and borrows no more. */
 	void (*drain)(struct cq_router *router);
+	/*
+	 * Hands the outcomes of keys over; to be called after the last answer,
+	 * every 100 ms at least, until it returns true, which it does within
+	 * 5 s. From the first call on, this host is no home of keys. *left is
+	 * the number of own outcomes that nobody has taken.
+	 */
+	bool (*hand_over)(struct cq_router *router, uint32_t *left);
+	/* Returns false if the offer is refused, which is not answered. */
+	bool (*outcomes_offered)(struct cq_router *router,
+				 const struct cq_outcomes_offer *offer);
+	void (*outcomes_taken)(struct cq_router *router, uint64_t correlation);
 	void (*load)(const struct cq_router *router, struct cq_peer_load *load);
 	void (*stats)(const struct cq_router *router,
 		      struct cq_router_stats *stats);
--- a/src/coordination/outcomes.c
+++ b/src/coordination/outcomes.c
@@ -18,6 +18,8 @@
 	size_t body_len;
 	GList order; /* link in cq_outcomes.order */
 	void *user;
+	uint64_t collection; /* the last that it was part of; 0: none */
+	bool handed_over;
 };
 
 struct cq_outcomes {
@@ -25,13 +27,17 @@
 	int64_t start_unix_ms;
 	int64_t last_tick_unix_ms;
 	GHashTable *entries; /* name -> struct cq_outcome */
-	GQueue order;	     /* by creation */
+	/* By creation, after those that were handed over. */
+	GQueue order;
 	uint64_t body_bytes;
+	uint64_t collection;
 };
 
 static uint64_t hash_bytes(uint64_t hash, const void *data, size_t len);
 static uint64_t fingerprint(const struct cq_request *request);
 static uint64_t score_of(uint64_t base, const char *name, uint32_t index);
+static struct cq_outcome *outcome_create(struct cq_outcomes *outcomes,
+					 char *name, uint64_t print);
 static void outcome_free(struct cq_outcomes *outcomes, struct cq_outcome *o);
 static void note_time(struct cq_outcomes *outcomes, int64_t unix_ms);
 static void make_room(struct cq_outcomes *outcomes, size_t wanted);
@@ -40,6 +46,9 @@
 static int64_t forget_time(int64_t unix_ms);
 static enum cq_outcomes_verdict begin_refused(struct cq_outcome *o,
 					      int64_t accepted_unix_ms);
+static enum cq_outcomes_verdict unknown_key(const struct cq_outcomes *outcomes,
+					    int64_t minted, int64_t unix_ms);
+static size_t kept_bytes(const struct cq_outcome *o);
 
 static const char *const verdict_strings[] = {
 	[CQ_OUTCOMES_NEW] = "new",	   [CQ_OUTCOMES_PENDING] = "pending",
@@ -142,6 +151,20 @@
 	g_free(outcomes);
 }
 
+/* Takes the name. */
+static struct cq_outcome *outcome_create(struct cq_outcomes *outcomes,
+					 char *name, uint64_t print)
+{
+	struct cq_outcome *o = g_new0(struct cq_outcome, 1);
+
+	o->name = name;
+	o->fingerprint = print;
+	o->order.data = o;
+	g_queue_push_tail_link(&outcomes->order, &o->order);
+	g_hash_table_insert(outcomes->entries, o->name, o);
+	return o;
+}
+
 static void outcome_free(struct cq_outcomes *outcomes, struct cq_outcome *o)
 {
 	g_hash_table_remove(outcomes->entries, o->name);
@@ -179,6 +202,23 @@
 	return CQ_OUTCOMES_NEW;
 }
 
+/* Whether a key that is not in the memory may be taken for new. */
+static enum cq_outcomes_verdict unknown_key(const struct cq_outcomes *outcomes,
+					    int64_t minted, int64_t unix_ms)
+{
+	if (minted > unix_ms + CQ_OUTCOMES_FUTURE_MS)
+		return CQ_OUTCOMES_FUTURE;
+	if (minted < unix_ms - CQ_OUTCOMES_WINDOW_MS)
+		return CQ_OUTCOMES_EXPIRED;
+	if (minted <= outcomes->start_unix_ms + CQ_OUTCOMES_FUTURE_MS +
+			      CQ_OUTCOMES_SKEW_MS)
+		return CQ_OUTCOMES_TOO_OLD;
+	if (g_hash_table_size(outcomes->entries) >=
+	    outcomes->options.max_entries)
+		return CQ_OUTCOMES_FULL;
+	return CQ_OUTCOMES_NEW;
+}
+
 enum cq_outcomes_verdict cq_outcomes_begin(struct cq_outcomes *outcomes,
 					   const struct cq_request *request,
 					   int64_t accepted_unix_ms,
@@ -188,6 +228,7 @@
 	int64_t minted = request->key_unix_ms;
 	char *name = g_strdup_printf("%s/%s", request->workspace, request->key);
 	struct cq_outcome *o = g_hash_table_lookup(outcomes->entries, name);
+	enum cq_outcomes_verdict verdict;
 
 	note_time(outcomes, unix_ms);
 	*outcome = o;
@@ -199,25 +240,14 @@
 			return begin_refused(o, accepted_unix_ms);
 		return o->done ? CQ_OUTCOMES_DONE : CQ_OUTCOMES_PENDING;
 	}
-	g_free(name);
-	if (minted > unix_ms + CQ_OUTCOMES_FUTURE_MS)
-		return CQ_OUTCOMES_FUTURE;
-	if (minted < unix_ms - CQ_OUTCOMES_WINDOW_MS)
-		return CQ_OUTCOMES_EXPIRED;
-	if (minted <= outcomes->start_unix_ms + CQ_OUTCOMES_FUTURE_MS +
-			      CQ_OUTCOMES_SKEW_MS)
-		return CQ_OUTCOMES_TOO_OLD;
-	if (g_hash_table_size(outcomes->entries) >=
-	    outcomes->options.max_entries)
-		return CQ_OUTCOMES_FULL;
-	o = g_new0(struct cq_outcome, 1);
-	o->name = g_strdup_printf("%s/%s", request->workspace, request->key);
-	o->fingerprint = fingerprint(request);
+	verdict = unknown_key(outcomes, minted, unix_ms);
+	if (verdict != CQ_OUTCOMES_NEW) {
+		g_free(name);
+		return verdict;
+	}
+	o = outcome_create(outcomes, name, fingerprint(request));
 	/* After this time, the key is refused as expired. */
 	o->forget_unix_ms = forget_time(MAX(minted, unix_ms));
-	o->order.data = o;
-	g_queue_push_tail_link(&outcomes->order, &o->order);
-	g_hash_table_insert(outcomes->entries, o->name, o);
 	*outcome = o;
 	return CQ_OUTCOMES_NEW;
 }
@@ -342,3 +372,126 @@
 {
 	return outcomes->body_bytes;
 }
+
+static size_t kept_bytes(const struct cq_outcome *o)
+{
+	return sizeof(struct cq_kept_outcome) + strlen(o->name) + o->body_len;
+}
+
+uint32_t cq_outcomes_collect(struct cq_outcomes *outcomes,
+			     struct cq_kept_outcome *kept, uint32_t max,
+			     size_t max_bytes)
+{
+	GList *link = outcomes->order.tail;
+	uint32_t count = 0;
+	size_t bytes = 0;
+
+	outcomes->collection++;
+	for (; link && count < max; link = link->prev) {
+		struct cq_outcome *o = link->data;
+		struct cq_answer answer;
+
+		if (o->handed_over)
+			break;
+		if (!o->done)
+			continue;
+		bytes += kept_bytes(o);
+		if (count && bytes > max_bytes)
+			break;
+		o->collection = outcomes->collection;
+		cq_outcome_answer(o, &answer);
+		kept[count++] = (struct cq_kept_outcome){
+			.name = o->name,
+			.fingerprint = o->fingerprint,
+			.forget_unix_ms = o->forget_unix_ms,
+			.refusal = o->refusal,
+			.status = o->status,
+			.content_type = answer.content_type,
+			.endpoint = answer.endpoint,
+			.body = answer.body,
+			.body_len = answer.body_len,
+			.body_dropped = o->body_dropped,
+		};
+	}
+	return count;
+}
+
+void cq_outcomes_collected(struct cq_outcomes *outcomes)
+{
+	GList *link = outcomes->order.tail;
+
+	while (link) {
+		struct cq_outcome *o = link->data;
+
+		link = link->prev;
+		if (o->handed_over)
+			break;
+		if (o->collection != outcomes->collection)
+			continue;
+		o->handed_over = true;
+		g_queue_unlink(&outcomes->order, &o->order);
+		g_queue_push_head_link(&outcomes->order, &o->order);
+	}
+}
+
+void cq_outcomes_collect_again(struct cq_outcomes *outcomes)
+{
+	GList *link;
+
+	for (link = outcomes->order.head; link; link = link->next)
+		((struct cq_outcome *)link->data)->handed_over = false;
+}
+
+uint32_t cq_outcomes_not_handed_over(const struct cq_outcomes *outcomes)
+{
+	uint32_t count = 0;
+	GList *link;
+
+	for (link = outcomes->order.head; link; link = link->next) {
+		const struct cq_outcome *o = link->data;
+
+		count += o->done && !o->handed_over;
+	}
+	return count;
+}
+
+uint32_t cq_outcomes_pending(const struct cq_outcomes *outcomes)
+{
+	uint32_t count = 0;
+	GList *link;
+
+	for (link = outcomes->order.head; link; link = link->next) {
+		const struct cq_outcome *o = link->data;
+
+		count += !o->done && !o->refused_unix_ms;
+	}
+	return count;
+}
+
+bool cq_outcomes_adopt(struct cq_outcomes *outcomes,
+		       const struct cq_kept_outcome *kept, int64_t unix_ms)
+{
+	struct cq_answer answer = {
+		.refusal = kept->refusal,
+		.status = kept->status,
+		.content_type = kept->content_type,
+		.endpoint = kept->endpoint,
+		.body = kept->body,
+		.body_len = kept->body_len,
+	};
+	/* No key lies further ahead than the future limit by any clock. */
+	int64_t latest = forget_time(unix_ms + CQ_OUTCOMES_FUTURE_MS +
+				     CQ_OUTCOMES_SKEW_MS);
+	struct cq_outcome *o;
+
+	if (g_hash_table_contains(outcomes->entries, kept->name))
+		return true;
+	if (g_hash_table_size(outcomes->entries) >=
+	    outcomes->options.max_entries)
+		return false;
+	o = outcome_create(outcomes, g_strdup(kept->name), kept->fingerprint);
+	o->forget_unix_ms = MIN(kept->forget_unix_ms, latest);
+	cq_outcomes_done(outcomes, o, &answer);
+	o->body_dropped = o->body_dropped || kept->body_dropped;
+	return true;
+}
--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -56,6 +56,9 @@
 	.set_hosts = set_hosts,
 	.tick = tick,
 	.drain = drain,
+	.hand_over = router_hand_over,
+	.outcomes_offered = router_outcomes_offered,
+	.outcomes_taken = router_outcomes_taken,
 	.load = load,
 	.stats = stats,
 };
@@ -113,6 +116,7 @@
 	router->admission = cq_admission_create(&admission_options);
 	router->outcomes = cq_outcomes_create(&outcome_options,
 					      cq_clock_unix_ms(setup->clock));
+	router_hand_over_init(router);
 	router->entries = g_hash_table_new(g_int64_hash, g_int64_equal);
 	router->by_caller = g_hash_table_new(NULL, NULL);
 	router->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -143,6 +147,7 @@
 	g_hash_table_destroy(router->forwards);
 	g_hash_table_destroy(router->load_asks);
 	router_remotes_free(router);
+	router_hand_over_free(router);
 	cq_outcomes_destroy(router->outcomes);
 	cq_admission_destroy(router->admission);
 	cq_endpoint_pool_destroy(router->pool);
@@ -521,6 +526,7 @@
 	}
 	router_dispatch(router);
 	router_peers_tick(router);
+	router_hand_over_tick(router);
 }
 
 static void drain(struct cq_router *router)
--- a/src/coordination/router_internal.h
+++ b/src/coordination/router_internal.h
@@ -1,7 +1,7 @@
 /*
  * Parts of the router: router.c takes requests and ends them, router_calls.c
  * starts and ends attempts at endpoints, router_peers.c talks to other entry
- * hosts.
+ * hosts, router_hand_over.c passes on remembered outcomes.
  */
 #ifndef CQ_COORDINATION_ROUTER_INTERNAL_H
 #define CQ_COORDINATION_ROUTER_INTERNAL_H
@@ -73,6 +73,18 @@
 	bool reachable;
 };
 
+/* Outcomes of one home on their way to another entry host. */
+struct parcel {
+	char *data_centre; /* of the home */
+	uint32_t index;
+	struct cq_outcomes *outcomes;
+	uint64_t correlation; /* of the unanswered offer; 0: none */
+	uint32_t collected;   /* outcomes in that offer */
+	uint32_t tries;
+	uint32_t receiver; /* number in the list of those that are live */
+	int64_t resend_ns;
+};
+
 struct cq_router {
 	struct cq_router_setup setup;
 	char *id;
@@ -92,6 +104,9 @@
 	int64_t last_slow_tick_ns;
 	int64_t queue_empty_since_ns;
 	int64_t asked_slots_ns;
+	struct parcel *own_parcel;     /* borrows the outcomes above */
+	GPtrArray *parcels;	       /* struct parcel, kept for other homes */
+	int64_t hand_over_deadline_ns; /* 0: not begun */
 	bool draining;
 	bool dispatching;
 	struct cq_router_stats stats;
@@ -155,4 +170,13 @@
 void router_forwards_tick(struct cq_router *router, struct entry *entry);
 void router_remotes_free(struct cq_router *router);
 
+/* router_hand_over.c */
+void router_hand_over_init(struct cq_router *router);
+void router_hand_over_free(struct cq_router *router);
+void router_hand_over_tick(struct cq_router *router);
+bool router_hand_over(struct cq_router *router, uint32_t *left);
+bool router_outcomes_offered(struct cq_router *router,
+			     const struct cq_outcomes_offer *offer);
+void router_outcomes_taken(struct cq_router *router, uint64_t correlation);
+
 #endif
--- a/src/coordination/router_keys.c
+++ b/src/coordination/router_keys.c
@@ -52,7 +52,7 @@
 				      "reached; this attempt was not sent");
 		return;
 	}
-	if (!is_home ||
+	if (!is_home || router->hand_over_deadline_ns ||
 	    !router->setup.members->holds_index(router->setup.members_ctx,
 						router_now(router))) {
 		router_refuse(
--- a/src/programs/entryd/requests.c
+++ b/src/programs/entryd/requests.c
@@ -1,6 +1,7 @@
 #include "programs/entryd/requests.h"
 
 #include <assert.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -83,6 +84,7 @@
 static void on_hosts(void *ctx, const struct cq_host *hosts, size_t count);
 static const char *on_ready(void *ctx);
 static bool on_drain(void *ctx);
+static bool hand_over(struct entryd_requests *requests);
 static void update_metrics(struct entryd_requests *requests);
 static void set_gauge(struct entryd_requests *requests, const char *name,
 		      uint64_t value);
@@ -102,6 +104,7 @@
 	.ask_slots = entryd_ask_slots,
 	.lend_slots = entryd_lend_slots,
 	.return_slots = entryd_return_slots,
+	.offer_outcomes = entryd_offer_outcomes,
 };
 
 static int64_t setting(const struct entryd_requests *requests, const char *name)
@@ -327,6 +330,11 @@
 	set_gauge(requests, "cq_requests_late_answers", stats.late_answers);
 	set_gauge(requests, "cq_requests_crossed_answers", stats.crossed);
 	set_gauge(requests, "cq_request_keys", stats.keys);
+	set_gauge(requests, "cq_request_keys_handed_over",
+		  stats.keys_handed_over);
+	set_gauge(requests, "cq_request_keys_taken_over",
+		  stats.keys_taken_over);
+	set_gauge(requests, "cq_request_keys_dropped", stats.keys_dropped);
 	set_gauge(requests, "cq_slots_lent", stats.lent);
 	set_gauge(requests, "cq_slots_borrowed", stats.borrowed);
 	set_gauge(requests, "cq_endpoints_live", pool.live);
@@ -412,10 +420,29 @@
 		cq_log_event(CQ_LOG_INFO, "listener_closed", "{s:i}",
 			     "open_requests", (int)requests->callers);
 	}
-	return !requests->callers && !cq_http_server_open(requests->server) &&
+	if (requests->callers || cq_http_server_open(requests->server))
+		return false;
+	return hand_over(requests) &&
 	       now_ns - requests->last_peer_answer_ns >= PEER_FLUSH_NS;
 }
 
+static bool hand_over(struct entryd_requests *requests)
+{
+	struct cq_router_stats stats;
+	uint32_t left;
+
+	if (requests->handed_over)
+		return true;
+	if (!requests->vtable->hand_over(requests->router, &left))
+		return false;
+	requests->handed_over = true;
+	requests->vtable->stats(requests->router, &stats);
+	cq_log_event(left ? CQ_LOG_WARN : CQ_LOG_INFO, "outcomes_handed_over",
+		     "{s:I,s:I}", "keys", (json_int_t)stats.keys_handed_over,
+		     "left", (json_int_t)left);
+	return true;
+}
+
 static bool open_listener(struct entryd_requests *requests,
 			  struct cq_error *err)
 {
--- a/src/programs/entryd/requests.h
+++ b/src/programs/entryd/requests.h
@@ -34,6 +34,7 @@
 	bool polling;
 	bool drain_begun;
 	bool quiesced;
+	bool handed_over;
 	int64_t drain_begin_ns;
 	int64_t last_peer_answer_ns;
 	int64_t last_metrics_ns;
@@ -56,5 +57,7 @@
 void entryd_return_slots(void *ctx, const char *address,
 			 uint64_t lender_incarnation, const uint64_t *ids,
 			 uint32_t count);
+void entryd_offer_outcomes(void *ctx, const char *address, uint64_t correlation,
+			   const struct cq_outcomes_offer *offer);
 
 #endif
--- a/src/programs/entryd/requests_peers.c
+++ b/src/programs/entryd/requests_peers.c
@@ -7,6 +7,8 @@
 static void on_answer(void *ctx, const struct cq_peer_message *message);
 static void on_slot_lend(void *ctx, const struct cq_peer_message *message);
 static void on_slot_return(void *ctx, const struct cq_peer_message *message);
+static void on_outcomes_offer(void *ctx, const struct cq_peer_message *message);
+static void on_outcomes_taken(void *ctx, const struct cq_peer_message *message);
 static void send_answer(struct entryd_requests *requests, const char *address,
 			uint64_t correlation, const struct cq_answer *answer);
 static uint32_t own_index(const struct entryd_requests *requests);
@@ -21,6 +23,10 @@
 	cq_daemon_on_peer(daemon, CQ_PEER_SLOT_LEND, on_slot_lend, requests);
 	cq_daemon_on_peer(daemon, CQ_PEER_SLOT_RETURN, on_slot_return,
 			  requests);
+	cq_daemon_on_peer(daemon, CQ_PEER_OUTCOMES_OFFER, on_outcomes_offer,
+			  requests);
+	cq_daemon_on_peer(daemon, CQ_PEER_OUTCOMES_TAKEN, on_outcomes_taken,
+			  requests);
 }
 
 static uint32_t own_index(const struct entryd_requests *requests)
@@ -200,3 +206,38 @@
 	requests->vtable->slots_returned(requests->router, back.ids,
 					 back.count);
 }
+
+void entryd_offer_outcomes(void *ctx, const char *address, uint64_t correlation,
+			   const struct cq_outcomes_offer *offer)
+{
+	struct entryd_requests *requests = ctx;
+	size_t len;
+	uint8_t *data = cq_peer_outcomes_pack(offer, &len);
+
+	cq_peer_net_send(cq_daemon_peers(requests->daemon), address,
+			 CQ_PEER_OUTCOMES_OFFER, correlation, data, len);
+	g_free(data);
+}
+
+static void on_outcomes_offer(void *ctx, const struct cq_peer_message *message)
+{
+	struct entryd_requests *requests = ctx;
+	struct cq_peer_outcomes *received =
+		cq_peer_outcomes_unpack(message->payload, message->payload_len);
+
+	if (received &&
+	    requests->vtable->outcomes_offered(requests->router,
+					       cq_peer_outcomes_get(received)))
+		cq_peer_net_send(cq_daemon_peers(requests->daemon),
+				 message->from_address, CQ_PEER_OUTCOMES_TAKEN,
+				 message->correlation, NULL, 0);
+	cq_peer_outcomes_free(received);
+}
+
+static void on_outcomes_taken(void *ctx, const struct cq_peer_message *message)
+{
+	struct entryd_requests *requests = ctx;
+
+	requests->vtable->outcomes_taken(requests->router,
+					 message->correlation);
+}
--- a/src/protocol/gen/requests.pb-c.c
+++ b/src/protocol/gen/requests.pb-c.c
@@ -232,6 +232,96 @@
   assert(message->base.descriptor == &cq__proto__slot_return__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cq__proto__kept_outcome__init
+                     (Cq__Proto__KeptOutcome         *message)
+{
+  static const Cq__Proto__KeptOutcome init_value = CQ__PROTO__KEPT_OUTCOME__INIT;
+  *message = init_value;
+}
+size_t cq__proto__kept_outcome__get_packed_size
+                     (const Cq__Proto__KeptOutcome *message)
+{
+  assert(message->base.descriptor == &cq__proto__kept_outcome__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cq__proto__kept_outcome__pack
+                     (const Cq__Proto__KeptOutcome *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cq__proto__kept_outcome__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cq__proto__kept_outcome__pack_to_buffer
+                     (const Cq__Proto__KeptOutcome *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cq__proto__kept_outcome__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cq__Proto__KeptOutcome *
+       cq__proto__kept_outcome__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cq__Proto__KeptOutcome *)
+     protobuf_c_message_unpack (&cq__proto__kept_outcome__descriptor,
+                                allocator, len, data);
+}
+void   cq__proto__kept_outcome__free_unpacked
+                     (Cq__Proto__KeptOutcome *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cq__proto__kept_outcome__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cq__proto__outcomes_offer__init
+                     (Cq__Proto__OutcomesOffer         *message)
+{
+  static const Cq__Proto__OutcomesOffer init_value = CQ__PROTO__OUTCOMES_OFFER__INIT;
+  *message = init_value;
+}
+size_t cq__proto__outcomes_offer__get_packed_size
+                     (const Cq__Proto__OutcomesOffer *message)
+{
+  assert(message->base.descriptor == &cq__proto__outcomes_offer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cq__proto__outcomes_offer__pack
+                     (const Cq__Proto__OutcomesOffer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cq__proto__outcomes_offer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cq__proto__outcomes_offer__pack_to_buffer
+                     (const Cq__Proto__OutcomesOffer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cq__proto__outcomes_offer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cq__Proto__OutcomesOffer *
+       cq__proto__outcomes_offer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cq__Proto__OutcomesOffer *)
+     protobuf_c_message_unpack (&cq__proto__outcomes_offer__descriptor,
+                                allocator, len, data);
+}
+void   cq__proto__outcomes_offer__free_unpacked
+                     (Cq__Proto__OutcomesOffer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cq__proto__outcomes_offer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor cq__proto__request_forward__field_descriptors[12] =
 {
   {
@@ -786,3 +876,209 @@
   (ProtobufCMessageInit) cq__proto__slot_return__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cq__proto__kept_outcome__field_descriptors[9] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Proto__KeptOutcome, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fingerprint",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Proto__KeptOutcome, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forget_unix_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Proto__KeptOutcome, forget_unix_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusal",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Proto__KeptOutcome, refusal),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Proto__KeptOutcome, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Proto__KeptOutcome, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Proto__KeptOutcome, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Proto__KeptOutcome, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body_dropped",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Proto__KeptOutcome, body_dropped),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cq__proto__kept_outcome__field_indices_by_name[] = {
+  7,   /* field[7] = body */
+  8,   /* field[8] = body_dropped */
+  5,   /* field[5] = content_type */
+  6,   /* field[6] = endpoint */
+  1,   /* field[1] = fingerprint */
+  2,   /* field[2] = forget_unix_ms */
+  0,   /* field[0] = name */
+  3,   /* field[3] = refusal */
+  4,   /* field[4] = status */
+};
+static const ProtobufCIntRange cq__proto__kept_outcome__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor cq__proto__kept_outcome__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cq.proto.KeptOutcome",
+  "KeptOutcome",
+  "Cq__Proto__KeptOutcome",
+  "cq.proto",
+  sizeof(Cq__Proto__KeptOutcome),
+  9,
+  cq__proto__kept_outcome__field_descriptors,
+  cq__proto__kept_outcome__field_indices_by_name,
+  1,  cq__proto__kept_outcome__number_ranges,
+  (ProtobufCMessageInit) cq__proto__kept_outcome__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cq__proto__outcomes_offer__field_descriptors[3] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Proto__OutcomesOffer, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Proto__OutcomesOffer, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcomes",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cq__Proto__OutcomesOffer, n_outcomes),
+    offsetof(Cq__Proto__OutcomesOffer, outcomes),
+    &cq__proto__kept_outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cq__proto__outcomes_offer__field_indices_by_name[] = {
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = index */
+  2,   /* field[2] = outcomes */
+};
+static const ProtobufCIntRange cq__proto__outcomes_offer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cq__proto__outcomes_offer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cq.proto.OutcomesOffer",
+  "OutcomesOffer",
+  "Cq__Proto__OutcomesOffer",
+  "cq.proto",
+  sizeof(Cq__Proto__OutcomesOffer),
+  3,
+  cq__proto__outcomes_offer__field_descriptors,
+  cq__proto__outcomes_offer__field_indices_by_name,
+  1,  cq__proto__outcomes_offer__number_ranges,
+  (ProtobufCMessageInit) cq__proto__outcomes_offer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/protocol/gen/requests.pb-c.h
+++ b/src/protocol/gen/requests.pb-c.h
@@ -20,6 +20,8 @@
 typedef struct Cq__Proto__SlotLoan Cq__Proto__SlotLoan;
 typedef struct Cq__Proto__SlotLend Cq__Proto__SlotLend;
 typedef struct Cq__Proto__SlotReturn Cq__Proto__SlotReturn;
+typedef struct Cq__Proto__KeptOutcome Cq__Proto__KeptOutcome;
+typedef struct Cq__Proto__OutcomesOffer Cq__Proto__OutcomesOffer;
 
 
 /* --- enums --- */
@@ -128,6 +130,46 @@
     , 0, 0,NULL }
 
 
+struct  Cq__Proto__KeptOutcome
+{
+  ProtobufCMessage base;
+  /*
+   * workspace "/" key
+   */
+  char *name;
+  uint64_t fingerprint;
+  int64_t forget_unix_ms;
+  /*
+   * enum cq_refusal
+   */
+  uint32_t refusal;
+  uint32_t status;
+  char *content_type;
+  char *endpoint;
+  ProtobufCBinaryData body;
+  protobuf_c_boolean body_dropped;
+};
+#define CQ__PROTO__KEPT_OUTCOME__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cq__proto__kept_outcome__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+
+
+/*
+ * OUTCOMES_OFFER
+ */
+struct  Cq__Proto__OutcomesOffer
+{
+  ProtobufCMessage base;
+  char *data_centre;
+  uint32_t index;
+  size_t n_outcomes;
+  Cq__Proto__KeptOutcome **outcomes;
+};
+#define CQ__PROTO__OUTCOMES_OFFER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cq__proto__outcomes_offer__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
 /* Cq__Proto__RequestForward methods */
 void   cq__proto__request_forward__init
                      (Cq__Proto__RequestForward         *message);
@@ -223,6 +265,44 @@
 void   cq__proto__slot_return__free_unpacked
                      (Cq__Proto__SlotReturn *message,
                       ProtobufCAllocator *allocator);
+/* Cq__Proto__KeptOutcome methods */
+void   cq__proto__kept_outcome__init
+                     (Cq__Proto__KeptOutcome         *message);
+size_t cq__proto__kept_outcome__get_packed_size
+                     (const Cq__Proto__KeptOutcome   *message);
+size_t cq__proto__kept_outcome__pack
+                     (const Cq__Proto__KeptOutcome   *message,
+                      uint8_t             *out);
+size_t cq__proto__kept_outcome__pack_to_buffer
+                     (const Cq__Proto__KeptOutcome   *message,
+                      ProtobufCBuffer     *buffer);
+Cq__Proto__KeptOutcome *
+       cq__proto__kept_outcome__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cq__proto__kept_outcome__free_unpacked
+                     (Cq__Proto__KeptOutcome *message,
+                      ProtobufCAllocator *allocator);
+/* Cq__Proto__OutcomesOffer methods */
+void   cq__proto__outcomes_offer__init
+                     (Cq__Proto__OutcomesOffer         *message);
+size_t cq__proto__outcomes_offer__get_packed_size
+                     (const Cq__Proto__OutcomesOffer   *message);
+size_t cq__proto__outcomes_offer__pack
+                     (const Cq__Proto__OutcomesOffer   *message,
+                      uint8_t             *out);
+size_t cq__proto__outcomes_offer__pack_to_buffer
+                     (const Cq__Proto__OutcomesOffer   *message,
+                      ProtobufCBuffer     *buffer);
+Cq__Proto__OutcomesOffer *
+       cq__proto__outcomes_offer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cq__proto__outcomes_offer__free_unpacked
+                     (Cq__Proto__OutcomesOffer *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Cq__Proto__RequestForward_Closure)
@@ -240,6 +320,12 @@
 typedef void (*Cq__Proto__SlotReturn_Closure)
                  (const Cq__Proto__SlotReturn *message,
                   void *closure_data);
+typedef void (*Cq__Proto__KeptOutcome_Closure)
+                 (const Cq__Proto__KeptOutcome *message,
+                  void *closure_data);
+typedef void (*Cq__Proto__OutcomesOffer_Closure)
+                 (const Cq__Proto__OutcomesOffer *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -251,6 +337,8 @@
 extern const ProtobufCMessageDescriptor cq__proto__slot_loan__descriptor;
 extern const ProtobufCMessageDescriptor cq__proto__slot_lend__descriptor;
 extern const ProtobufCMessageDescriptor cq__proto__slot_return__descriptor;
+extern const ProtobufCMessageDescriptor cq__proto__kept_outcome__descriptor;
+extern const ProtobufCMessageDescriptor cq__proto__outcomes_offer__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/transport/peer_net.c
+++ b/src/transport/peer_net.c
@@ -112,6 +112,10 @@
 		return "REQUEST_FORWARD";
 	case CQ_PEER_REQUEST_ANSWER:
 		return "REQUEST_ANSWER";
+	case CQ_PEER_OUTCOMES_OFFER:
+		return "OUTCOMES_OFFER";
+	case CQ_PEER_OUTCOMES_TAKEN:
+		return "OUTCOMES_TAKEN";
 	case CQ_PEER_HANDOVER:
 		return "HANDOVER";
 	case CQ_PEER_LINK_PING:
--- a/tests/fuzz/fuzz_peer_request.c
+++ b/tests/fuzz/fuzz_peer_request.c
@@ -1,10 +1,12 @@
 /*
  * Guards against the payload of a forwarded request, its answer, a loan of
- * slots or a return of them crashing the receiver. The first byte chooses.
+ * slots, a return of them or an offer of outcomes crashing the receiver. The
+ * first byte chooses.
  */
 #include <assert.h>
 #include <string.h>
 
+#include "chestnutquay/peer_outcomes.h"
 #include "chestnutquay/peer_request.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
@@ -43,6 +45,23 @@
 	cq_peer_answer_free(answer);
 }
 
+static void check_outcomes(const uint8_t *data, size_t size)
+{
+	struct cq_peer_outcomes *received = cq_peer_outcomes_unpack(data, size);
+	const struct cq_outcomes_offer *offer;
+	uint32_t i;
+
+	if (!received)
+		return;
+	offer = cq_peer_outcomes_get(received);
+	assert(offer->count <= CQ_PEER_OUTCOMES_MAX);
+	for (i = 0; i < offer->count; i++) {
+		assert(strchr(offer->outcomes[i].name, '/'));
+		assert(offer->outcomes[i].refusal < CQ_REFUSAL_COUNT);
+	}
+	cq_peer_outcomes_free(received);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	struct cq_slots_lend lend;
@@ -50,7 +69,7 @@
 
 	if (!size)
 		return 0;
-	switch (data[0] % 4) {
+	switch (data[0] % 5) {
 	case 0:
 		check_forward(data + 1, size - 1);
 		break;
@@ -61,10 +80,13 @@
 		if (cq_slots_lend_unpack(data + 1, size - 1, &lend))
 			assert(lend.count <= CQ_SLOTS_MAX_LOANS);
 		break;
-	default:
+	case 3:
 		if (cq_slots_return_unpack(data + 1, size - 1, &back))
 			assert(back.count <= CQ_SLOTS_MAX_LOANS);
 		break;
+	default:
+		check_outcomes(data + 1, size - 1);
+		break;
 	}
 	return 0;
 }
--- a/tests/property/prop_requests.cc
+++ b/tests/property/prop_requests.cc
@@ -1,8 +1,8 @@
 /*
  * Properties of the request path over generated histories: endpoint faults,
- * deaths, pauses and cuts of entry hosts, late peer messages, repeats of keyed
- * requests through other hosts. The real router runs in virtual time; the
- * endpoints record what they ran.
+ * deaths, planned stops, pauses and cuts of entry hosts, late peer messages,
+ * repeats of keyed requests through other hosts. The real router runs in
+ * virtual time; the endpoints record what they ran.
  */
 #include <rapidcheck.h>
 
@@ -38,6 +38,7 @@
 	CUT,
 	JOIN,
 	DELAY,
+	STOP,
 	KIND_COUNT,
 };
 
@@ -52,7 +53,7 @@
 	static const char *const names[] = {
 		"send",	 "burst", "repeat", "abandon", "endpoint-fault",
 		"clear", "kill",  "start",  "pause",   "replace-paused",
-		"cut",	 "join",  "delay",
+		"cut",	 "join",  "delay",  "stop",
 	};
 
 	return out << names[s.what] << "(" << s.a << "," << s.b << "," << s.c
@@ -69,6 +70,7 @@
 		{ 6, ENDPOINT_FAULT },
 		{ 3, ENDPOINT_CLEAR },
 		{ 2, KILL },
+		{ 3, STOP },
 		{ 4, START },
 		{ 2, PAUSE },
 		{ 2, REPLACE_PAUSED },
@@ -240,6 +242,9 @@
 	case DELAY:
 		world_delay_host(w, host, s.b % 3 ? s.b % 1200 * ms : 0);
 		break;
+	case STOP:
+		world_stop_host(w, host);
+		break;
 	case KIND_COUNT:
 		break;
 	}
--- a/tests/scripts/test_requests.sh
+++ b/tests/scripts/test_requests.sh
@@ -177,6 +177,16 @@
 [ "$before" = "$after" ] && echo "no request more"
 faults '{"endpoints":[1],"leaving":false}'
 
+# keep_keys: the same keys each time, through the host that does not stop.
+kept_at=$(minted)
+keep_keys() {
+	for n in 1 2 3 4 5 6 7 8; do
+		call $b "kept-$n" -H "$W" -H "$C" \
+			-H "Idempotency-Key: $kept_at-kept$n" -d "kept$n"
+	done | sort | uniq -c | awk '{print $1, $2, $3, $4}'
+}
+keep_keys >/dev/null
+
 echo "== a graceful shutdown cuts no request short"
 faults '{"service_ms":60}'
 start=$(stats .executions)
@@ -198,10 +208,23 @@
 wait "$loader"
 sort -u "$tmp/drain"
 
-echo "== a killed host loses only its own open requests"
+echo "== a key has its first outcome after its home was restarted"
 start_entry $a 0
 pid_a=$started
 wait_for ready $a
+handed_over=$(jq -R 'fromjson? | select(.event == "outcomes_handed_over")
+	| .keys' "$tmp/entryd.log")
+taken_over() {
+	[ "$(curl -s "http://$a:7200/metrics" |
+		awk '/^cq_request_keys_taken_over/ {print $2}')" = "$handed_over" ]
+}
+wait_for taken_over
+keep_keys
+curl -s "http://$ip:8999/v1/stats?bodies=1" |
+	jq -c '[.bodies | to_entries[] | select(.key | startswith("/kept"))
+		| .value] | [length, add]'
+
+echo "== a killed host loses only its own open requests"
 start=$(stats .executions)
 load $a kill-a 600 >"$tmp/kill-a" &
 loader_a=$!
--- a/tests/support/request_world.c
+++ b/tests/support/request_world.c
@@ -516,6 +516,47 @@
 	process->router = NULL;
 }
 
+static void on_stop(struct world *world, void *ctx)
+{
+	struct process *process = ctx;
+	uint32_t left;
+
+	/* A later process of the host may have replaced it meanwhile. */
+	if (process->dead || process != process->host->process ||
+	    world_defer_if_paused(process, on_stop, process))
+		return;
+	if (!world->options.vtable->hand_over(process->router, &left)) {
+		world_at(world, world->now_ns + WORLD_TICK_NS, on_stop,
+			 process);
+		return;
+	}
+	world->outcomes_left = left;
+	world_kill_host(world, process->host->number);
+}
+
+void world_stop_host(struct world *world, uint32_t number)
+{
+	struct host *host = world->hosts->pdata[number];
+
+	if (!host->process || world->now_ns < host->process->paused_until_ns)
+		return;
+	world->options.vtable->drain(host->process->router);
+	on_stop(world, host->process);
+}
+
+uint32_t world_outcomes_left(const struct world *world)
+{
+	return world->outcomes_left;
+}
+
+void world_fault_hand_over(struct world *world, uint32_t letter,
+			   enum world_letter_fault fault)
+{
+	world->hand_over_letters = 0;
+	world->faulty_letter = letter;
+	world->letter_fault = fault;
+}
+
 void world_pause_host(struct world *world, uint32_t number, int64_t for_ns)
 {
 	struct host *host = world->hosts->pdata[number];
--- a/tests/support/request_world.h
+++ b/tests/support/request_world.h
@@ -113,6 +113,20 @@
 
 bool world_host_up(const struct world *world, uint32_t host);
 void world_kill_host(struct world *world, uint32_t host);
+/* A planned stop: the process ends once it has handed over its outcomes. */
+void world_stop_host(struct world *world, uint32_t host);
+/* Outcomes that the process which stopped last could not hand over. */
+uint32_t world_outcomes_left(const struct world *world);
+
+enum world_letter_fault {
+	WORLD_LETTER_NONE,
+	WORLD_LETTER_LOST,
+	WORLD_LETTER_RECEIVER_DIES, /* before it reads the letter */
+};
+
+/* Of the hand-over letters from now on, offers and answers, from 1. */
+void world_fault_hand_over(struct world *world, uint32_t letter,
+			   enum world_letter_fault fault);
 /* A new process takes the index, also while the old one is paused. */
 void world_start_host(struct world *world, uint32_t host);
 void world_pause_host(struct world *world, uint32_t host, int64_t for_ns);
--- a/tests/support/request_world_internal.h
+++ b/tests/support/request_world_internal.h
@@ -91,6 +91,10 @@
 	GHashTable *callers; /* set of open struct caller of callers */
 	uint64_t executions;
 	uint32_t connections_exceeded;
+	uint32_t outcomes_left;
+	uint32_t hand_over_letters;
+	uint32_t faulty_letter;
+	enum world_letter_fault letter_fault;
 };
 
 void world_at(struct world *world, int64_t at_ns, world_event_fn *fn,
--- a/tests/support/request_world_net.c
+++ b/tests/support/request_world_net.c
@@ -28,6 +28,8 @@
 		LETTER_ASK,
 		LETTER_LEND,
 		LETTER_RETURN,
+		LETTER_OFFER,
+		LETTER_TAKEN,
 	} kind;
 	uint64_t correlation;
 	uint8_t *data;
@@ -50,12 +52,8 @@
 static void on_return(void *ctx, const char *address,
 		      uint64_t lender_incarnation, const uint64_t *ids,
 		      uint32_t count);
-static const char *member_peer(void *ctx, const char *data_centre,
-			       uint32_t index);
-static bool member_alive(void *ctx, const char *data_centre, uint32_t index);
-static uint32_t member_centres(void *ctx, struct cq_centre *out, uint32_t max);
-static bool member_holds_index(void *ctx, int64_t now_ns);
-static uint32_t member_remotes(void *ctx, const char **addresses, uint32_t max);
+static void on_offer(void *ctx, const char *address, uint64_t correlation,
+		     const struct cq_outcomes_offer *offer);
 
 const struct cq_router_ops world_router_ops = {
 	.call = on_call,
@@ -65,14 +63,7 @@
 	.ask_slots = on_ask,
 	.lend_slots = on_lend,
 	.return_slots = on_return,
-};
-
-const struct cq_router_members_ops world_members_ops = {
-	.peer = member_peer,
-	.alive = member_alive,
-	.centres = member_centres,
-	.holds_index = member_holds_index,
-	.remotes = member_remotes,
+	.offer_outcomes = on_offer,
 };
 
 struct endpoint *world_find_endpoint(struct world *world, const char *address)
@@ -435,6 +426,42 @@
 	post(process, host_at(process->world, address), letter);
 }
 
+static void on_offer(void *ctx, const char *address, uint64_t correlation,
+		     const struct cq_outcomes_offer *offer)
+{
+	struct process *process = ctx;
+	struct letter letter = { .kind = LETTER_OFFER,
+				 .correlation = correlation };
+
+	letter.data = cq_peer_outcomes_pack(offer, &letter.len);
+	post(process, host_at(process->world, address), letter);
+}
+
+static void receive_offer(struct process *process, const struct letter *letter)
+{
+	struct letter taken = { .kind = LETTER_TAKEN,
+				.correlation = letter->correlation };
+	struct cq_peer_outcomes *received =
+		cq_peer_outcomes_unpack(letter->data, letter->len);
+
+	if (process->world->options.vtable->outcomes_offered(
+		    process->router, cq_peer_outcomes_get(received)))
+		post(process, letter->from, taken);
+	cq_peer_outcomes_free(received);
+}
+
+/* Returns false if the letter does not arrive. */
+static bool apply_letter_fault(struct world *world, const struct letter *letter)
+{
+	if (letter->kind != LETTER_OFFER && letter->kind != LETTER_TAKEN)
+		return true;
+	if (++world->hand_over_letters != world->faulty_letter)
+		return true;
+	if (world->letter_fault == WORLD_LETTER_RECEIVER_DIES)
+		world_kill_host(world, letter->to->host->number);
+	return world->letter_fault == WORLD_LETTER_NONE;
+}
+
 static void receive_forward(struct process *process,
 			    const struct letter *letter)
 {
@@ -508,6 +535,12 @@
 			vtable->slots_returned(process->router, back.ids,
 					       back.count);
 		return;
+	case LETTER_OFFER:
+		receive_offer(process, letter);
+		return;
+	case LETTER_TAKEN:
+		vtable->outcomes_taken(process->router, letter->correlation);
+		return;
 	}
 }
 
@@ -515,82 +548,11 @@
 {
 	struct letter *letter = ctx;
 
-	(void)world;
 	if (!letter->to->dead &&
 	    world_defer_if_paused(letter->to, on_letter, letter))
 		return;
-	if (!letter->to->dead)
+	if (!letter->to->dead && apply_letter_fault(world, letter))
 		receive(letter->to, letter);
 	g_free(letter->data);
 	g_free(letter);
 }
-
-static struct host *member(const struct process *process,
-			   const char *data_centre, uint32_t index)
-{
-	struct world *world = process->world;
-	guint number =
-		(guint)(data_centre[2] - '0') * world->options.hosts + index;
-
-	return world->hosts->pdata[number];
-}
-
-static const char *member_peer(void *ctx, const char *data_centre,
-			       uint32_t index)
-{
-	return member(ctx, data_centre, index)->address;
-}
-
-static uint32_t member_centres(void *ctx, struct cq_centre *out, uint32_t max)
-{
-	const struct world *world = ((const struct process *)ctx)->world;
-	uint32_t i;
-
-	for (i = 0; i < world->options.data_centres && i < max; i++) {
-		out[i].name = world_centre_names[i];
-		out[i].index_count = world->options.hosts;
-	}
-	return i;
-}
-
-/* A change shows after the time that membership needs to detect it. */
-static bool seen_alive(const struct process *process, const struct host *host)
-{
-	int64_t now_ns = process->world->now_ns;
-	bool up = host->process && world_link_up(process->host, host);
-
-	if (now_ns - host->changed_ns < WORLD_DETECT_NS ||
-	    now_ns - process->host->changed_ns < WORLD_DETECT_NS)
-		return true;
-	return up;
-}
-
-static bool member_alive(void *ctx, const char *data_centre, uint32_t index)
-{
-	return seen_alive(ctx, member(ctx, data_centre, index));
-}
-
-static bool member_holds_index(void *ctx, int64_t now_ns)
-{
-	const struct process *process = ctx;
-
-	(void)now_ns;
-	return process->host->process == process;
-}
-
-static uint32_t member_remotes(void *ctx, const char **addresses, uint32_t max)
-{
-	const struct process *process = ctx;
-	const struct world *world = process->world;
-	uint32_t count = 0;
-	guint i;
-
-	for (i = 0; i < world->hosts->len && count < max; i++) {
-		const struct host *host = world->hosts->pdata[i];
-
-		if (host->data_centre != process->host->data_centre &&
-		    seen_alive(process, host))
-			addresses[count++] = host->address;
-	}
-	return count;
-}
