Count closed connections until the endpoint has closed them too

Cause: connections that went silent while this host lives were closed here and replaced, but an endpoint may still count them, so that its limit of about 60 held only for as many as the spare half.

Change: the client of the endpoints keeps a socket half open after its close. A connection that the kernel gave up for lack of acknowledgements is held as well. A call that would exceed the share is not sent and goes to another endpoint as after a refusal. libcurl gets three quarters of the share, so that connections being closed do not block new ones.

Before and after: test_http_sockets, limit of 2, the other side keeps both connections open: before, a third was opened at once; now the call is not sent until 200 ms (the hold of that row) after the close. If the other side closes, resets, closes first or refuses, the connection stops counting without the deadline.

Conclusion: the limit holds for connections that went silent under a living host as long as the assumption holds. With 4 and more entry hosts in a data centre a host has fewer than 8 connections to an endpoint.

--- a/include/chestnutquay/http_client.h
+++ b/include/chestnutquay/http_client.h
@@ -28,6 +28,7 @@
 struct cq_http_result {
 	enum cq_http_outcome outcome;
 	bool timed_out;
+	bool full;	 /* not sent: the address has no connection left */
 	uint32_t status; /* 0 unless answered */
 	const char *body;
 	size_t body_len;
@@ -63,6 +64,16 @@
 struct cq_http_client *cq_http_client_create(struct ev_loop *loop,
 					     uint32_t max_per_host,
 					     uint32_t max_idle);
+/*
+ * From now on, connections to one address count until the other side has
+ * closed them too, or for hold_ms after they were closed here: the longest time
+ * for which the other side keeps a connection without traffic. Calls that need
+ * one over the limit are not sent. To be called before the first call.
+ */
+void cq_http_client_limit(struct cq_http_client *client, uint32_t limit,
+			  uint32_t hold_ms);
+/* Connections closed here that still count. */
+uint32_t cq_http_client_held(const struct cq_http_client *client);
 /* Cancels all calls. */
 void cq_http_client_destroy(struct cq_http_client *client);
 
--- a/src/programs/entryd/requests.c
+++ b/src/programs/entryd/requests.c
@@ -17,6 +17,8 @@
 #define METRICS_NS CQ_NS_PER_S
 #define CONNECT_TIMEOUT_MS 500
 #define MAX_IDLE_CONNECTIONS 4096
+/* One of so many connections is left for those that are being closed. */
+#define CLOSING_SHARE 4
 /* After the last answer to a peer, time for the link to send it. */
 #define PEER_FLUSH_NS (200 * CQ_NS_PER_MS)
 /*
@@ -45,6 +47,9 @@
 	  "longest time an endpoint may work on a request, milliseconds" },
 	{ "endpoint-connections", "CQ_ENDPOINT_CONNECTIONS", CQ_SETTING_INTEGER,
 	  "60", 1, 100000, "connections an endpoint takes from all hosts" },
+	{ "endpoint-idle-ms", "CQ_ENDPOINT_IDLE_MS", CQ_SETTING_INTEGER,
+	  "60000", 0, 3600000,
+	  "longest time an endpoint keeps an unused connection, milliseconds" },
 	{ "endpoint-probe-path", "CQ_ENDPOINT_PROBE_PATH", CQ_SETTING_STRING,
 	  "healthz", 1, 200, "path that probes an ejected endpoint" },
 	{ "share-hold-ms", "CQ_SHARE_HOLD_MS", CQ_SETTING_INTEGER, "31000", 0,
@@ -337,6 +342,8 @@
 	set_gauge(requests, "cq_request_keys_dropped", stats.keys_dropped);
 	set_gauge(requests, "cq_slots_lent", stats.lent);
 	set_gauge(requests, "cq_slots_borrowed", stats.borrowed);
+	set_gauge(requests, "cq_endpoint_connections_held",
+		  cq_http_client_held(requests->client));
 	set_gauge(requests, "cq_endpoints_live", pool.live);
 	set_gauge(requests, "cq_endpoints_leaving", pool.leaving);
 	set_gauge(requests, "cq_endpoints_ejected", pool.ejected);
@@ -523,8 +530,13 @@
 	 */
 	share = (uint32_t)(setting(requests, "endpoint-connections") /
 			   (2 * setting(requests, "index-count")));
-	requests->client = cq_http_client_create(requests->loop, MAX(share, 1),
+	share = MAX(share, 1);
+	/* A closed connection counts until the endpoint has closed it too. */
+	requests->client = cq_http_client_create(requests->loop,
+						 share - share / CLOSING_SHARE,
 						 MAX_IDLE_CONNECTIONS);
+	cq_http_client_limit(requests->client, share,
+			     (uint32_t)setting(requests, "endpoint-idle-ms"));
 	endpoint_options = (struct cq_endpoint_http_options){
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.max_answer_bytes =
--- a/src/protocol/endpoint_http.c
+++ b/src/protocol/endpoint_http.c
@@ -157,7 +157,9 @@
 	out->content_type = "";
 	out->body = "";
 	if (result->outcome == CQ_HTTP_NOT_SENT) {
-		out->outcome = CQ_ENDPOINT_NOT_SENT;
+		/* No fault of the endpoint: it has no connection for us. */
+		out->outcome = result->full ? CQ_ENDPOINT_REFUSED
+					    : CQ_ENDPOINT_NOT_SENT;
 		return;
 	}
 	if (result->outcome == CQ_HTTP_UNKNOWN) {
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -5,6 +5,8 @@
 #include <glib.h>
 #include <string.h>
 
+#include "transport/http_sockets.h"
+
 /* Probes of an idle or silent connection by the kernel, in seconds. */
 #define KEEPALIVE_IDLE_S 5L
 #define KEEPALIVE_INTERVAL_S 2L
@@ -18,6 +20,7 @@
 	GHashTable *calls;   /* set of struct cq_http_call */
 	GHashTable *sockets; /* struct socket_watch, owned */
 	GPtrArray *idle_handles;
+	struct http_sockets *held; /* NULL: connections end with their close */
 };
 
 struct cq_http_call {
@@ -28,6 +31,7 @@
 	size_t body_len;
 	GByteArray *answer;
 	uint32_t max_answer_bytes;
+	bool full;
 	cq_http_done_fn *done;
 	void *ctx;
 };
@@ -43,6 +47,9 @@
 	[CQ_HTTP_UNKNOWN] = "unknown",
 };
 
+static curl_socket_t on_open_socket(void *userdata, curlsocktype purpose,
+				    struct curl_sockaddr *address);
+static int on_close_socket(void *userdata, curl_socket_t fd);
 static size_t on_write(char *data, size_t size, size_t n, void *userdata);
 static int on_socket(CURL *easy, curl_socket_t fd, int what, void *userp,
 		     void *socketp);
@@ -116,11 +123,39 @@
 		curl_easy_cleanup(g_ptr_array_index(client->idle_handles, i));
 	g_ptr_array_free(client->idle_handles, TRUE);
 	curl_multi_cleanup(client->multi);
+	http_sockets_destroy(client->held);
 	ev_timer_stop(client->loop, &client->timer);
 	g_hash_table_destroy(client->sockets);
 	g_free(client);
 }
 
+void cq_http_client_limit(struct cq_http_client *client, uint32_t limit,
+			  uint32_t hold_ms)
+{
+	assert(!client->held);
+	client->held = http_sockets_create(client->loop, limit, hold_ms);
+}
+
+uint32_t cq_http_client_held(const struct cq_http_client *client)
+{
+	return client->held ? http_sockets_held(client->held) : 0;
+}
+
+static curl_socket_t on_open_socket(void *userdata, curlsocktype purpose,
+				    struct curl_sockaddr *address)
+{
+	struct cq_http_call *call = userdata;
+
+	(void)purpose;
+	return http_sockets_open(call->client->held, address, &call->full);
+}
+
+static int on_close_socket(void *userdata, curl_socket_t fd)
+{
+	http_sockets_close(userdata, fd);
+	return 0;
+}
+
 static size_t on_write(char *data, size_t size, size_t n, void *userdata)
 {
 	struct cq_http_call *call = userdata;
@@ -233,6 +268,7 @@
 	} else {
 		result.outcome = request_bytes ? CQ_HTTP_UNKNOWN
 					       : CQ_HTTP_NOT_SENT;
+		result.full = call->full && !request_bytes;
 		result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
 		result.error = curl_easy_strerror(code);
 		result.body = "";
@@ -306,6 +342,15 @@
 	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
 			 request->fresh_connection ? 1L : 0L);
 	curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 0L);
+	if (call->client->held) {
+		curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION,
+				 on_open_socket);
+		curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, call);
+		curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION,
+				 on_close_socket);
+		curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA,
+				 call->client->held);
+	}
 	if (call->body_len || !strcmp(request->method, "POST") ||
 	    !strcmp(request->method, "PUT")) {
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
