Measure an owner host for each endpoint against shares

Cause: the owner way was argued, not measured, and the others ran with another number of endpoints than three owners can share evenly.

Change: bench_slot_ways runs the four ways on the same arrivals with 9 endpoints, and goes on after the death of a host. The owner way is the real router with each host as a data centre of its own. Two random choices no longer count calls of a dead host.

--- a/bench/plain_router.c
+++ b/bench/plain_router.c
@@ -83,8 +83,14 @@
 static void destroy(struct cq_router *base)
 {
 	struct plain_router *router = self(base);
+	GHashTableIter iter;
+	gpointer value;
 	guint i;
 
+	/* A dead host reports no calls. */
+	g_hash_table_iter_init(&iter, router->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		all_open[((struct plain_call *)value)->endpoint->place]--;
 	for (i = 0; i < router->endpoints->len; i++) {
 		struct plain_endpoint *e = router->endpoints->pdata[i];
 
--- a/bench/slot_ways.c
+++ b/bench/slot_ways.c
@@ -11,12 +11,13 @@
 
 #define MS CQ_NS_PER_MS
 #define HOSTS 3
-#define ENDPOINTS 10
+#define ENDPOINTS 9 /* a whole number for each owner host */
 #define SLOTS 8
 #define SERVICE_MS 40
 #define CAPACITY (ENDPOINTS * SLOTS * 1000.0 / SERVICE_MS)
 #define BEGIN_MS 4000
 #define END_MS 12000
+#define DEATH_MS 6000 /* observed after the death of a host */
 
 static void no_slots_asked(struct cq_router *router, uint32_t borrower,
 			   uint64_t borrower_incarnation, uint32_t wanted,
@@ -29,37 +30,77 @@
 	(void)asked_ns;
 }
 
-static struct world *run(const struct cq_router_vtable *vtable)
+/* Requests until a time, 70 % of them through host 0. */
+static void offer(struct world *world, GRand *random, uint32_t hosts,
+		  int64_t until_ns)
+{
+	while (world_now(world) < until_ns) {
+		struct world_request request = { .timeout_ms = 4000 };
+		double rate = 0.8 * CAPACITY;
+		double gap_ns = -log(1 - g_rand_double(random)) / rate * 1e9;
+		uint32_t host = 0;
+
+		if (g_rand_double(random) >= 0.7)
+			host = (uint32_t)g_rand_int_range(random, 1,
+							  (gint32)hosts);
+		world_run_until(world, world_now(world) + (int64_t)gap_ns);
+		world_send(world, world_logical(world, &request), host);
+	}
+}
+
+/* Requests answered after the death of the last host, through the others. */
+static double answered_after_death(struct world *world, GRand *random)
+{
+	uint32_t first = world_results(world);
+	uint32_t answered = 0;
+	uint32_t i;
+
+	world_kill_host(world, HOSTS - 1);
+	offer(world, random, HOSTS - 1, (END_MS + DEATH_MS) * MS);
+	world_run_until(world, world_now(world) + 6000 * MS);
+	for (i = first; i < world_results(world); i++)
+		answered += world_result(world, i)->state == WORLD_ANSWERED;
+	return (double)answered / (world_results(world) - first);
+}
+
+/*
+ * With owners, each host is a data centre of its own whose endpoints nobody
+ * else calls, as near as its peers, and passes on what it has no room for.
+ */
+static struct world *run(const struct cq_router_vtable *vtable, bool owners,
+			 double *after_death)
 {
 	struct world_options options;
 	struct world *world;
 	GRand *random = g_rand_new_with_seed(11);
 
 	world_options_init(&options);
-	options.hosts = HOSTS;
-	options.endpoints = ENDPOINTS;
+	options.hosts = owners ? 1 : HOSTS;
+	options.data_centres = owners ? HOSTS : 1;
+	options.endpoints = ENDPOINTS / options.data_centres;
+	options.wan_ns = options.link_ns;
 	options.slots = SLOTS;
 	options.service_ns = SERVICE_MS * MS;
 	options.call_max_ms = 10000;
 	options.vtable = vtable;
 	world = world_create(&options);
-	while (world_now(world) < END_MS * MS) {
-		struct world_request request = { .timeout_ms = 4000 };
-		double rate = 0.8 * CAPACITY;
-		double gap_ns = -log(1 - g_rand_double(random)) / rate * 1e9;
-		uint32_t host = g_rand_double(random) < 0.7
-					? 0
-					: g_rand_int_range(random, 1, HOSTS);
-
-		world_run_until(world, world_now(world) + (int64_t)gap_ns);
-		world_send(world, world_logical(world, &request), host);
-	}
-	world_run_until(world, world_now(world) + 6000 * MS);
+	offer(world, random, HOSTS, END_MS * MS);
+	*after_death = answered_after_death(world, random);
 	g_rand_free(random);
 	return world;
 }
 
-static double p99_ms(const struct world *world)
+static struct cq_router *create_owner(const struct cq_router_setup *setup)
+{
+	struct cq_router_setup owner = *setup;
+
+	/* A hop to another owner is the normal case. */
+	owner.options.spill_margin_ms = 0;
+	return cq_router_vtable()->create(&owner);
+}
+
+static double p99_ms(const struct world *world, int64_t begin_ms,
+		     int64_t end_ms)
 {
 	GArray *times = g_array_new(FALSE, FALSE, sizeof(double));
 	double result;
@@ -69,8 +110,8 @@
 		const struct world_outcome *r = world_result(world, i);
 		double took = (double)(r->done_ns - r->submitted_ns) / MS;
 
-		if (r->submitted_ns >= BEGIN_MS * MS &&
-		    r->state == WORLD_ANSWERED)
+		if (r->submitted_ns >= begin_ms * MS &&
+		    r->submitted_ns < end_ms * MS && r->state == WORLD_ANSWERED)
 			g_array_append_val(times, took);
 	}
 	result = bench_percentile(times, 99);
@@ -78,25 +119,56 @@
 	return result;
 }
 
+static double not_answered(const struct world *world)
+{
+	uint32_t count = 0;
+	uint32_t bad = 0;
+	uint32_t i;
+
+	for (i = 0; i < world_results(world); i++) {
+		const struct world_outcome *r = world_result(world, i);
+
+		if (r->submitted_ns < BEGIN_MS * MS ||
+		    r->submitted_ns >= END_MS * MS)
+			continue;
+		count++;
+		bad += r->state != WORLD_ANSWERED;
+	}
+	return (double)bad / count;
+}
+
+static void report(const char *way, const struct cq_router_vtable *vtable,
+		   bool owners)
+{
+	double after_death;
+	struct world *world = run(vtable, owners, &after_death);
+	char name[64];
+
+	g_snprintf(name, sizeof(name), "slots_exceeded_%s", way);
+	bench_report(name, "slots", world_slots_exceeded(world), NAN, 0,
+		     "lower");
+	g_snprintf(name, sizeof(name), "uneven_load_p99_%s", way);
+	bench_report(name, "ms", p99_ms(world, BEGIN_MS, END_MS), NAN, NAN,
+		     "lower");
+	g_snprintf(name, sizeof(name), "uneven_load_not_answered_%s", way);
+	bench_report(name, "ratio", not_answered(world), NAN, NAN, "lower");
+	g_snprintf(name, sizeof(name), "answered_after_host_death_%s", way);
+	bench_report(name, "ratio", after_death, NAN, NAN, "higher");
+	g_snprintf(name, sizeof(name), "p99_after_host_death_%s", way);
+	bench_report(name, "ms", p99_ms(world, END_MS, INT32_MAX), NAN, NAN,
+		     "lower");
+	world_destroy(world);
+}
+
 void bench_slot_ways(void)
 {
 	struct cq_router_vtable fixed = *cq_router_vtable();
-	struct world *choices;
-	struct world *lending;
-	struct world *shares;
+	struct cq_router_vtable owner = *cq_router_vtable();
 
 	fixed.slots_asked = no_slots_asked;
-	choices = run(two_choices_vtable());
-	lending = run(cq_router_vtable());
-	shares = run(&fixed);
-	bench_report("slots_exceeded_shares_lending", "slots",
-		     world_slots_exceeded(lending),
-		     world_slots_exceeded(choices), 0, "lower");
-	bench_report("uneven_load_p99_shares_lending", "ms", p99_ms(lending),
-		     p99_ms(choices), NAN, "lower");
-	bench_report("uneven_load_p99_shares_only", "ms", p99_ms(shares),
-		     p99_ms(choices), NAN, "lower");
-	world_destroy(choices);
-	world_destroy(lending);
-	world_destroy(shares);
+	owner.create = create_owner;
+	report("two_choices", two_choices_vtable(), false);
+	report("shares_only", &fixed, false);
+	report("shares_lending", cq_router_vtable(), false);
+	report("owner_hosts", &owner, true);
 }
