--- a/src/programs/entryd/requests.c
+++ b/src/programs/entryd/requests.c
@@ -1,6 +1,7 @@
 #include "programs/entryd/requests.h"
 
 #include <assert.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +17,8 @@
 #define METRICS_NS CQ_NS_PER_S
 #define CONNECT_TIMEOUT_MS 500
 #define MAX_IDLE_CONNECTIONS 4096
+/* One of so many connections is left for those that are being closed. */
+#define CLOSING_SHARE 4
 /* After the last answer to a peer, time for the link to send it. */
 #define PEER_FLUSH_NS (200 * CQ_NS_PER_MS)
 /*
@@ -44,6 +47,9 @@
 	  "longest time an endpoint may work on a request, milliseconds" },
 	{ "endpoint-connections", "CQ_ENDPOINT_CONNECTIONS", CQ_SETTING_INTEGER,
 	  "60", 1, 100000, "connections an endpoint takes from all hosts" },
+	{ "endpoint-idle-ms", "CQ_ENDPOINT_IDLE_MS", CQ_SETTING_INTEGER,
+	  "60000", 0, 3600000,
+	  "longest time an endpoint keeps an unused connection, milliseconds" },
 	{ "endpoint-probe-path", "CQ_ENDPOINT_PROBE_PATH", CQ_SETTING_STRING,
 	  "healthz", 1, 200, "path that probes an ejected endpoint" },
 	{ "share-hold-ms", "CQ_SHARE_HOLD_MS", CQ_SETTING_INTEGER, "31000", 0,
@@ -83,6 +89,7 @@
 static void on_hosts(void *ctx, const struct cq_host *hosts, size_t count);
 static const char *on_ready(void *ctx);
 static bool on_drain(void *ctx);
+static bool hand_over(struct entryd_requests *requests);
 static void update_metrics(struct entryd_requests *requests);
 static void set_gauge(struct entryd_requests *requests, const char *name,
 		      uint64_t value);
@@ -102,6 +109,7 @@
 	.ask_slots = entryd_ask_slots,
 	.lend_slots = entryd_lend_slots,
 	.return_slots = entryd_return_slots,
+	.offer_outcomes = entryd_offer_outcomes,
 };
 
 static int64_t setting(const struct entryd_requests *requests, const char *name)
@@ -327,8 +335,15 @@
 	set_gauge(requests, "cq_requests_late_answers", stats.late_answers);
 	set_gauge(requests, "cq_requests_crossed_answers", stats.crossed);
 	set_gauge(requests, "cq_request_keys", stats.keys);
+	set_gauge(requests, "cq_request_keys_handed_over",
+		  stats.keys_handed_over);
+	set_gauge(requests, "cq_request_keys_taken_over",
+		  stats.keys_taken_over);
+	set_gauge(requests, "cq_request_keys_dropped", stats.keys_dropped);
 	set_gauge(requests, "cq_slots_lent", stats.lent);
 	set_gauge(requests, "cq_slots_borrowed", stats.borrowed);
+	set_gauge(requests, "cq_endpoint_connections_held",
+		  cq_http_client_held(requests->client));
 	set_gauge(requests, "cq_endpoints_live", pool.live);
 	set_gauge(requests, "cq_endpoints_leaving", pool.leaving);
 	set_gauge(requests, "cq_endpoints_ejected", pool.ejected);
@@ -412,10 +427,29 @@
 		cq_log_event(CQ_LOG_INFO, "listener_closed", "{s:i}",
 			     "open_requests", (int)requests->callers);
 	}
-	return !requests->callers && !cq_http_server_open(requests->server) &&
+	if (requests->callers || cq_http_server_open(requests->server))
+		return false;
+	return hand_over(requests) &&
 	       now_ns - requests->last_peer_answer_ns >= PEER_FLUSH_NS;
 }
 
+static bool hand_over(struct entryd_requests *requests)
+{
+	struct cq_router_stats stats;
+	uint32_t left;
+
+	if (requests->handed_over)
+		return true;
+	if (!requests->vtable->hand_over(requests->router, &left))
+		return false;
+	requests->handed_over = true;
+	requests->vtable->stats(requests->router, &stats);
+	cq_log_event(left ? CQ_LOG_WARN : CQ_LOG_INFO, "outcomes_handed_over",
+		     "{s:I,s:I}", "keys", (json_int_t)stats.keys_handed_over,
+		     "left", (json_int_t)left);
+	return true;
+}
+
 static bool open_listener(struct entryd_requests *requests,
 			  struct cq_error *err)
 {
@@ -496,8 +530,13 @@
 	 */
 	share = (uint32_t)(setting(requests, "endpoint-connections") /
 			   (2 * setting(requests, "index-count")));
-	requests->client = cq_http_client_create(requests->loop, MAX(share, 1),
+	share = MAX(share, 1);
+	/* A closed connection counts until the endpoint has closed it too. */
+	requests->client = cq_http_client_create(requests->loop,
+						 share - share / CLOSING_SHARE,
 						 MAX_IDLE_CONNECTIONS);
+	cq_http_client_limit(requests->client, share,
+			     (uint32_t)setting(requests, "endpoint-idle-ms"));
 	endpoint_options = (struct cq_endpoint_http_options){
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.max_answer_bytes =
