--- a/src/coordination/controller_jobs.c
+++ b/src/coordination/controller_jobs.c
@@ -255,7 +255,12 @@
 		job->failures++;
 		job->not_before_ns = now_ns + MIN(delay_ns, BACKOFF_MAX_NS);
 	}
-	if (cq_job_phase_is_terminal(next.phase))
+	/*
+	 * The failures of a job that finished elsewhere lie with the workers;
+	 * forgetting them would keep a worker that fails short jobs in use.
+	 */
+	if (cq_job_phase_is_terminal(next.phase) &&
+	    next.phase != CQ_PHASE_FINISHED)
 		cq_planner_forget_job(c->planner, next.id);
 }
 
--- a/tests/scripts/test_burn_live.sh
+++ b/tests/scripts/test_burn_live.sh
@@ -5,7 +5,7 @@
 start_store
 start_daemon a surat 15
 a=$started
-wait_for readiness answers $net.15:7102/readyz
+wait_for 20 readiness answers $net.15:7102/readyz
 export CQ_SERVER=$net.15:7102
 hosts=$net.15:7102,$net.16:7102
 set_weight() {
@@ -42,7 +42,7 @@
 kill -TERM "$a"
 wait "$a"
 start_daemon a surat 15
-wait_for readiness answers $net.15:7102/readyz
+wait_for 20 readiness answers $net.15:7102/readyz
 set_weight 4
 record
 figures
--- a/tests/scripts/test_cqctl.sh
+++ b/tests/scripts/test_cqctl.sh
@@ -4,7 +4,7 @@
 unset CQ_SERVER
 start_store
 start_daemon a surat 11 --schedd
-wait_for readiness answers $net.11:7102/readyz
+wait_for 20 readiness answers $net.11:7102/readyz
 
 echo "# usage"
 run
--- a/tests/scripts/test_cqctl_faults.sh
+++ b/tests/scripts/test_cqctl_faults.sh
@@ -6,30 +6,24 @@
 . tests/scripts/cqctl_common.sh
 
 faults() {
-	curl -sf -X PUT -d "$1" "http://$store/v1/faults" >/dev/null
+	put "$store/v1/faults" "$1"
 }
 revision_of() {
-	[ "$(curl -sf -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
-		"http://$1/v1/members" |
-		jq '.tree_revision')" = "$2" ]
+	[ "$(operator "$1" GET /v1/members | jq '.tree_revision')" = "$2" ]
 }
 state_of() {
-	[ "$(curl -sf -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
-		"http://$1/v1/members" |
-		jq -r ".members[] | select(.id == \"$2\") | .state")" = "$3" ]
+	[ "$(operator "$1" GET /v1/members | jq -r ".members[] | select(.id == \"$2\") | .state")" = "$3" ]
 }
 weight_is() {
 	[ "$("$bin/cqctl" settings get "$1" --output json |
 		jq '.settings.weight')" = "$2" ]
 }
 in_force() {
-	[ "$(curl -sf -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
-		"http://$1/v1/data-centres" | jq ".data_centres[] |
+	[ "$(operator "$1" GET /v1/data-centres | jq ".data_centres[] |
 			select(.name == \"$2\") | .members_in_force")" = "$3" ]
 }
 direct() {
-	[ "$(curl -sf -H "Authorization: Bearer $CQ_OPERATOR_TOKEN" \
-		"http://$1/v1/status" | jq '.store_direct')" = "$2" ]
+	[ "$(operator "$1" GET /v1/status | jq '.store_direct')" = "$2" ]
 }
 
 start_store
@@ -40,8 +34,8 @@
 start_daemon c rajkot 13 --partial
 c=$started
 for octet in 11 12 13; do
-	wait_for "members at $octet" member_count $net.$octet:7102 3
-	wait_for "readiness of $octet" answers $net.$octet:7102/readyz
+	wait_for 20 "members at $octet" member_count $net.$octet:7102 3
+	wait_for 20 "readiness of $octet" answers $net.$octet:7102/readyz
 done
 export CQ_SERVER=$net.11:7102
 
@@ -61,13 +55,13 @@
 run settings set workspaces/red weight=3
 run settings get data-centres/rajkot
 faults '{"down":false}'
-wait_for "direct store calls" direct $net.11:7102 true
+wait_for 20 "direct store calls" direct $net.11:7102 true
 
 echo "# the client goes away before the store has answered: the change goes on"
 faults '{"delay_ms":700}'
 run settings set workspaces/green weight=1 --timeout-ms 300
 faults '{"delay_ms":0}'
-wait_for "the change to be in force" weight_is workspaces/green 1
+wait_for 20 "the change to be in force" weight_is workspaces/green 1
 run settings get workspaces/green
 "$bin/cqctl" settings set workspaces/green --remove >/dev/null
 
@@ -75,7 +69,7 @@
 faults '{"silent":true}'
 run settings set workspaces/red weight=4
 faults '{"silent":false}'
-wait_for "direct store calls" direct $net.11:7102 true
+wait_for 20 "direct store calls" direct $net.11:7102 true
 
 echo "# two writers with the same revision: one wins, the other is told"
 run_masked settings set workspaces/blue weight=1
@@ -101,19 +95,19 @@
 kill -STOP "$b"
 run members --server $net.12:7102 --timeout-ms 300
 run_masked settings set workspaces/blue weight=9 --timeout-ms 2500
-wait_for "b to count as dead" state_of $net.11:7102 b/fake-daemon dead
+wait_for 20 "b to count as dead" state_of $net.11:7102 b/fake-daemon dead
 run_masked data-centre out surat
 run_masked data-centre list
 run status
 kill -CONT "$b"
-wait_for "b to return" state_of $net.11:7102 b/fake-daemon alive
-wait_for "the newest settings at b" revision_of $net.12:7102 10
-wait_for "b to hear of them from a" in_force $net.12:7102 surat 2
+wait_for 20 "b to return" state_of $net.11:7102 b/fake-daemon alive
+wait_for 20 "the newest settings at b" revision_of $net.12:7102 10
+wait_for 20 "b to hear of them from a" in_force $net.12:7102 surat 2
 run_masked data-centre list --server $net.12:7102
 
 echo "# a planned stop"
 kill -TERM "$c"
 wait "$c"
 echo "exit $?"
-wait_for "c to leave" state_of $net.11:7102 c/fake-daemon left
+wait_for 20 "c to leave" state_of $net.11:7102 c/fake-daemon left
 run_masked data-centre in surat
