--- a/src/programs/common/daemon.c
+++ b/src/programs/common/daemon.c
@@ -2,15 +2,14 @@
 
 #include <assert.h>
 #include <glib.h>
-#include <jansson.h>
 #include <signal.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "chestnutquay/log.h"
 #include "chestnutquay/store_http.h"
+#include "programs/common/daemon_private.h"
 
 #define TICK_S 0.1
 #define DRAIN_POLL_S 0.05
@@ -18,57 +17,6 @@
 /* Connections to one address and idle ones kept, for platform calls. */
 #define MAX_CONNECTIONS_PER_HOST 8
 #define MAX_IDLE_CONNECTIONS 512
-#define PEER_KINDS 64
-
-struct route {
-	const char *method;
-	char *prefix;
-	cq_daemon_route_fn *fn;
-	void *ctx;
-};
-
-struct hook {
-	union {
-		cq_daemon_ready_fn *ready;
-		cq_daemon_drain_fn *drain;
-		cq_daemon_tick_fn *tick;
-		cq_daemon_route_fn *abort;
-	} fn;
-	void *ctx;
-	bool done; /* drain hooks */
-};
-
-struct peer_handler {
-	cq_peer_message_fn *fn;
-	void *ctx;
-};
-
-struct cq_daemon {
-	struct ev_loop *loop;
-	struct cq_setting *settings;
-	struct cq_config *config;
-	struct cq_metrics *metrics;
-	struct cq_http_client *client;
-	struct cq_store_http *store;
-	struct cq_host_list_http *host_list;
-	struct cq_peer_net *peers;
-	struct cq_http_server *operators;
-	struct peer_handler peer_handlers[PEER_KINDS];
-	GArray *routes;
-	GArray *ready_checks;
-	GArray *drains;
-	GArray *ticks;
-	GArray *aborts;
-	char *id;
-	char *token;
-	uint64_t incarnation;
-	int64_t drain_deadline_ns;
-	bool draining;
-	ev_signal term;
-	ev_signal interrupt;
-	ev_timer tick;
-	ev_timer drain_timer;
-};
 
 static const struct cq_setting common_settings[] = {
 	{ "deployment", "CQ_DEPLOYMENT", CQ_SETTING_STRING, NULL, 1, 64,
@@ -101,18 +49,8 @@
 			   struct cq_error *err);
 static bool open_parts(struct cq_daemon *daemon, const char *program,
 		       struct cq_error *err);
-static bool open_operators(struct cq_daemon *daemon, struct cq_error *err);
 static bool open_peers(struct cq_daemon *daemon, struct cq_error *err);
-static void on_operator_request(void *ctx, struct cq_http_exchange *exchange);
-static void on_operator_abort(void *ctx, struct cq_http_exchange *exchange);
 static void on_peer_message(void *ctx, const struct cq_peer_message *message);
-static bool serve_health(struct cq_daemon *daemon,
-			 struct cq_http_exchange *exchange, const char *path);
-static const char *not_ready_reason(const struct cq_daemon *daemon);
-static bool token_matches(const struct cq_daemon *daemon,
-			  const struct cq_http_exchange *exchange);
-static const struct route *find_route(const struct cq_daemon *daemon,
-				      const char *method, const char *path);
 static void on_signal(struct ev_loop *loop, ev_signal *watcher, int events);
 static void on_tick(struct ev_loop *loop, ev_timer *watcher, int events);
 static void on_drain_poll(struct ev_loop *loop, ev_timer *watcher, int events);
@@ -151,22 +89,6 @@
 	return true;
 }
 
-static bool open_operators(struct cq_daemon *daemon, struct cq_error *err)
-{
-	struct cq_http_server_handler handler = { on_operator_request,
-						  on_operator_abort };
-	struct cq_http_server_options options;
-	char ip[16];
-	uint16_t port;
-
-	cq_address_parse(cq_config_string(daemon->config, "operator-address"),
-			 ip, &port, NULL);
-	cq_http_server_options_init(&options, ip, port);
-	daemon->operators = cq_http_server_create(daemon->loop, &options,
-						  &handler, daemon, err);
-	return daemon->operators != NULL;
-}
-
 static bool open_peers(struct cq_daemon *daemon, struct cq_error *err)
 {
 	struct cq_peer_net_options options;
@@ -204,7 +126,7 @@
 		daemon->loop, MAX_CONNECTIONS_PER_HOST, MAX_IDLE_CONNECTIONS);
 	daemon->store = cq_store_http_create(daemon->client, store);
 	daemon->host_list = cq_host_list_http_create(daemon->client, store);
-	return open_operators(daemon, err) && open_peers(daemon, err);
+	return cq_daemon_open_operators(daemon, err) && open_peers(daemon, err);
 }
 
 struct cq_daemon *cq_daemon_create(const char *program, const char *summary,
@@ -252,7 +174,7 @@
 
 	if (!daemon)
 		return;
-	cq_http_server_destroy(daemon->operators);
+	cq_operator_http_destroy(daemon->operators);
 	cq_peer_net_destroy(daemon->peers);
 	cq_host_list_http_destroy(daemon->host_list);
 	cq_store_http_destroy(daemon->store);
@@ -350,162 +272,6 @@
 		handler->fn(handler->ctx, message);
 }
 
-static const char *not_ready_reason(const struct cq_daemon *daemon)
-{
-	const char *reason = daemon->draining ? "draining" : NULL;
-	guint i;
-
-	for (i = 0; !reason && i < daemon->ready_checks->len; i++) {
-		const struct hook *hook =
-			&g_array_index(daemon->ready_checks, struct hook, i);
-
-		reason = hook->fn.ready(hook->ctx);
-	}
-	return reason;
-}
-
-static bool serve_health(struct cq_daemon *daemon,
-			 struct cq_http_exchange *exchange, const char *path)
-{
-	static const struct cq_http_header text[] = {
-		{ "Content-Type", "text/plain; version=0.0.4" },
-		{ NULL, NULL },
-	};
-	const char *reason;
-	char *metrics;
-
-	if (!strcmp(path, "/healthz")) {
-		cq_http_exchange_respond(exchange, 200, text, "ok\n", 3);
-	} else if (!strcmp(path, "/readyz")) {
-		reason = not_ready_reason(daemon);
-		if (reason)
-			cq_daemon_respond_error(exchange, 503, "not_ready",
-						"%s", reason);
-		else
-			cq_http_exchange_respond(exchange, 200, text, "ready\n",
-						 6);
-	} else if (!strcmp(path, "/metrics")) {
-		metrics = cq_metrics_format(daemon->metrics);
-		cq_http_exchange_respond(exchange, 200, text, metrics,
-					 strlen(metrics));
-		free(metrics);
-	} else {
-		return false;
-	}
-	return true;
-}
-
-/* Compares in constant time, so that the answer's timing tells nothing. */
-static bool token_matches(const struct cq_daemon *daemon,
-			  const struct cq_http_exchange *exchange)
-{
-	const char *given = cq_http_exchange_header(exchange, "Authorization");
-	size_t len = strlen(daemon->token);
-	unsigned char difference = 0;
-	size_t i;
-
-	if (!given || !g_str_has_prefix(given, "Bearer "))
-		return false;
-	given += strlen("Bearer ");
-	if (strlen(given) != len)
-		return false;
-	for (i = 0; i < len; i++)
-		difference |= (unsigned char)(given[i] ^ daemon->token[i]);
-	return !difference;
-}
-
-static const struct route *find_route(const struct cq_daemon *daemon,
-				      const char *method, const char *path)
-{
-	const struct route *best = NULL;
-	guint i;
-
-	for (i = 0; i < daemon->routes->len; i++) {
-		const struct route *route =
-			&g_array_index(daemon->routes, struct route, i);
-
-		if (strcmp(route->method, method) != 0 ||
-		    !g_str_has_prefix(path, route->prefix))
-			continue;
-		if (!best || strlen(route->prefix) > strlen(best->prefix))
-			best = route;
-	}
-	return best;
-}
-
-static void on_operator_request(void *ctx, struct cq_http_exchange *exchange)
-{
-	struct cq_daemon *daemon = ctx;
-	const char *path = cq_http_exchange_path(exchange);
-	const struct route *route;
-
-	if (serve_health(daemon, exchange, path))
-		return;
-	if (!token_matches(daemon, exchange)) {
-		cq_daemon_respond_error(exchange, 401, "unauthorized",
-					"a valid operator token is required "
-					"(Authorization: Bearer TOKEN)");
-		return;
-	}
-	route = find_route(daemon, cq_http_exchange_method(exchange), path);
-	if (!route) {
-		cq_daemon_respond_error(exchange, 404, "not_found",
-					"no call %s %s",
-					cq_http_exchange_method(exchange),
-					path);
-		return;
-	}
-	route->fn(route->ctx, exchange);
-}
-
-static void on_operator_abort(void *ctx, struct cq_http_exchange *exchange)
-{
-	struct cq_daemon *daemon = ctx;
-	guint i;
-
-	for (i = 0; i < daemon->aborts->len; i++) {
-		struct hook hook =
-			g_array_index(daemon->aborts, struct hook, i);
-
-		hook.fn.abort(hook.ctx, exchange);
-	}
-}
-
-void cq_daemon_add_abort(struct cq_daemon *daemon, cq_daemon_route_fn *fn,
-			 void *ctx)
-{
-	add_hook(daemon->aborts, (struct hook){ .fn.abort = fn, .ctx = ctx });
-}
-
-void cq_daemon_respond_error(struct cq_http_exchange *exchange, uint32_t status,
-			     const char *code, const char *fmt, ...)
-{
-	va_list args;
-	char *message;
-	json_t *body;
-	char *text;
-
-	va_start(args, fmt);
-	message = g_strdup_vprintf(fmt, args);
-	va_end(args);
-	body = json_pack("{s:{s:s,s:s}}", "error", "code", code, "message",
-			 message);
-	text = json_dumps(body, JSON_COMPACT);
-	cq_http_exchange_respond_json(exchange, status,
-				      text ? text : "{\"error\":{}}");
-	free(text);
-	json_decref(body);
-	g_free(message);
-}
-
-void cq_daemon_add_route(struct cq_daemon *daemon, const char *method,
-			 const char *prefix, cq_daemon_route_fn *fn, void *ctx)
-{
-	struct route route = { method, g_strdup(prefix), fn, ctx };
-
-	g_array_append_val(daemon->routes, route);
-}
-
 void cq_daemon_on_peer(struct cq_daemon *daemon, enum cq_peer_kind kind,
 		       cq_peer_message_fn *fn, void *ctx)
 {
--- a/src/programs/common/daemon.h
+++ b/src/programs/common/daemon.h
@@ -14,8 +14,8 @@
 #include "chestnutquay/config.h"
 #include "chestnutquay/host_list.h"
 #include "chestnutquay/http_client.h"
-#include "chestnutquay/http_server.h"
 #include "chestnutquay/metrics.h"
+#include "chestnutquay/operator.h"
 #include "chestnutquay/peer_net.h"
 #include "chestnutquay/store.h"
 
@@ -58,7 +58,8 @@
  * wins. The token has been checked. /metrics, /healthz and /readyz exist
  * already and need no token.
  */
-typedef void cq_daemon_route_fn(void *ctx, struct cq_http_exchange *exchange);
+typedef void cq_daemon_route_fn(void *ctx,
+				struct cq_operator_exchange *exchange);
 void cq_daemon_add_route(struct cq_daemon *daemon, const char *method,
 			 const char *prefix, cq_daemon_route_fn *fn, void *ctx);
 
@@ -97,8 +98,8 @@
 			void *ctx);
 
 /* Answers {"error":{"code","message"}}. */
-void cq_daemon_respond_error(struct cq_http_exchange *exchange, uint32_t status,
-			     const char *code, const char *fmt, ...)
-	__attribute__((format(printf, 4, 5)));
+void cq_daemon_respond_error(struct cq_operator_exchange *exchange,
+			     uint32_t status, const char *code, const char *fmt,
+			     ...) __attribute__((format(printf, 4, 5)));
 
 #endif
--- a/src/programs/common/job_calls.c
+++ b/src/programs/common/job_calls.c
@@ -105,7 +105,7 @@
 	char *text = json_dumps(body, JSON_COMPACT);
 
 	json_decref(body);
-	cq_http_exchange_respond_json(call->exchange, status, text);
+	cq_operator_exchange_respond_json(call->exchange, status, text);
 	free(text);
 	call_free(call);
 }
@@ -131,8 +131,8 @@
 				    json_integer(2000));
 	body = json_pack("{s:o}", "error", error);
 	text = json_dumps(body, JSON_COMPACT);
-	cq_http_exchange_respond(call->exchange, status, headers, text,
-				 strlen(text));
+	cq_operator_exchange_respond(call->exchange, status, headers, text,
+				     strlen(text));
 	free(text);
 	json_decref(body);
 	call_free(call);
@@ -414,7 +414,7 @@
 }
 
 void cq_job_calls_aborted(struct cq_job_calls *calls,
-			  struct cq_http_exchange *exchange)
+			  struct cq_operator_exchange *exchange)
 {
 	GHashTableIter iter;
 	gpointer key;
@@ -434,7 +434,7 @@
 {
 	const struct cq_job_calls_options *options = &call->calls->options;
 	const char *text =
-		cq_http_exchange_header(call->exchange, "Cq-Timeout-Ms");
+		cq_operator_exchange_header(call->exchange, "Cq-Timeout-Ms");
 	int64_t timeout_ms = options->timeout_ms;
 
 	if (text)
@@ -498,7 +498,7 @@
 }
 
 struct job_call *cq_job_call_create(struct cq_job_calls *calls,
-				    struct cq_http_exchange *exchange)
+				    struct cq_operator_exchange *exchange)
 {
 	struct job_call *call = g_new0(struct job_call, 1);
 
@@ -512,9 +512,9 @@
 }
 
 void cq_job_calls_handle(struct cq_job_calls *calls,
-			 struct cq_http_exchange *exchange)
+			 struct cq_operator_exchange *exchange)
 {
-	const char *path = cq_http_exchange_path(exchange);
+	const char *path = cq_operator_exchange_path(exchange);
 	struct job_call *call = cq_job_call_create(calls, exchange);
 
 	if (cq_job_calls_open(calls) > calls->options.max_open) {
@@ -523,6 +523,6 @@
 		return;
 	}
 	path += strlen("/v1/jobs");
-	route(call, cq_http_exchange_method(exchange),
+	route(call, cq_operator_exchange_method(exchange),
 	      *path == '/' ? path + 1 : path);
 }
--- a/src/programs/common/job_calls.h
+++ b/src/programs/common/job_calls.h
@@ -18,7 +18,7 @@
 #include <stdint.h>
 
 #include "chestnutquay/clock.h"
-#include "chestnutquay/http_server.h"
+#include "chestnutquay/operator.h"
 #include "chestnutquay/membership.h"
 #include "chestnutquay/peer_net.h"
 #include "chestnutquay/settings.h"
@@ -62,16 +62,16 @@
 
 /* Serves an exchange whose path is /v1/jobs or below. */
 void cq_job_calls_handle(struct cq_job_calls *calls,
-			 struct cq_http_exchange *exchange);
+			 struct cq_operator_exchange *exchange);
 /*
  * Serves GET /v1/workers and GET /v1/workspaces for operators: what the owners
  * of all data centres answer; "missing" names the data centres without one.
  */
 void cq_job_calls_handle_fleet(struct cq_job_calls *calls,
-			       struct cq_http_exchange *exchange);
+			       struct cq_operator_exchange *exchange);
 /* The client went away; other exchanges are ignored. */
 void cq_job_calls_aborted(struct cq_job_calls *calls,
-			  struct cq_http_exchange *exchange);
+			  struct cq_operator_exchange *exchange);
 /* JOB_ANSWER. */
 void cq_job_calls_receive(struct cq_job_calls *calls,
 			  const struct cq_peer_message *message);
--- a/src/programs/common/job_calls_fleet.c
+++ b/src/programs/common/job_calls_fleet.c
@@ -120,9 +120,10 @@
 }
 
 void cq_job_calls_handle_fleet(struct cq_job_calls *calls,
-			       struct cq_http_exchange *exchange)
+			       struct cq_operator_exchange *exchange)
 {
-	bool workers = !strcmp(cq_http_exchange_path(exchange), "/v1/workers");
+	bool workers =
+		!strcmp(cq_operator_exchange_path(exchange), "/v1/workers");
 	struct job_call *call = cq_job_call_create(calls, exchange);
 
 	call->kind = JOB_CALL_FLEET;
--- a/src/programs/common/job_calls_private.h
+++ b/src/programs/common/job_calls_private.h
@@ -40,7 +40,7 @@
 
 struct job_call {
 	struct cq_job_calls *calls;
-	struct cq_http_exchange *exchange;
+	struct cq_operator_exchange *exchange;
 	enum job_call_kind kind;
 	int64_t deadline_ns;
 	int64_t retry_ns; /* next attempt after a failed one; 0: none */
@@ -75,7 +75,7 @@
 
 /* job_calls.c */
 struct job_call *cq_job_call_create(struct cq_job_calls *calls,
-				    struct cq_http_exchange *exchange);
+				    struct cq_operator_exchange *exchange);
 void cq_job_call_end(struct job_call *call, uint32_t status, json_t *body);
 void cq_job_call_refuse(struct job_call *call, uint32_t status,
 			const char *code, const char *message, const char *run);
--- a/src/programs/common/job_calls_read.c
+++ b/src/programs/common/job_calls_read.c
@@ -100,7 +100,7 @@
 
 static const char *query_text(const struct job_call *call, const char *name)
 {
-	const char *text = cq_http_exchange_query(call->exchange, name);
+	const char *text = cq_operator_exchange_query(call->exchange, name);
 
 	return text ? text : "";
 }
--- a/src/programs/common/job_calls_write.c
+++ b/src/programs/common/job_calls_write.c
@@ -282,10 +282,10 @@
 void cq_job_call_submit(struct job_call *call)
 {
 	const char *header_key =
-		cq_http_exchange_header(call->exchange, "Idempotency-Key");
+		cq_operator_exchange_header(call->exchange, "Idempotency-Key");
 	struct cq_error err = CQ_ERROR_INIT;
 	size_t len;
-	const char *text = cq_http_exchange_body(call->exchange, &len);
+	const char *text = cq_operator_exchange_body(call->exchange, &len);
 	char *body = g_strndup(text ? text : "", len);
 	char *body_key = take_body_key(&body, &len);
 	bool ok = cq_job_submission_parse(body, len, &call->record, &err) &&
--- a/src/programs/common/operator_calls.c
+++ b/src/programs/common/operator_calls.c
@@ -9,7 +9,7 @@
 			const char *fault);
 static void change_free(gpointer data);
 static void on_tick(void *ctx, int64_t now_ns);
-static void on_abort(void *ctx, struct cq_http_exchange *exchange);
+static void on_abort(void *ctx, struct cq_operator_exchange *exchange);
 static void append_name(json_t *list, const struct cq_member *member);
 
 static void change_free(gpointer data)
@@ -54,7 +54,7 @@
 	cq_operator_writes_tick(ctx, now_ns);
 }
 
-static void on_abort(void *ctx, struct cq_http_exchange *exchange)
+static void on_abort(void *ctx, struct cq_operator_exchange *exchange)
 {
 	cq_operator_writes_aborted(ctx, exchange);
 }
@@ -131,10 +131,10 @@
 	return calls->capacity ? calls->capacity(calls->capacity_ctx) : NULL;
 }
 
-const char *cq_operator_path_rest(struct cq_http_exchange *exchange,
+const char *cq_operator_path_rest(struct cq_operator_exchange *exchange,
 				  const char *prefix)
 {
-	const char *path = cq_http_exchange_path(exchange);
+	const char *path = cq_operator_exchange_path(exchange);
 	size_t len = strlen(prefix);
 
 	if (strncmp(path, prefix, len) != 0)
@@ -144,12 +144,12 @@
 	return path[len] == '/' ? path + len + 1 : NULL;
 }
 
-void cq_operator_respond(struct cq_http_exchange *exchange, uint32_t status,
+void cq_operator_respond(struct cq_operator_exchange *exchange, uint32_t status,
 			 json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
 
-	cq_http_exchange_respond_json(exchange, status, text ? text : "{}");
+	cq_operator_exchange_respond_json(exchange, status, text ? text : "{}");
 	free(text);
 	json_decref(body);
 }
@@ -210,10 +210,10 @@
 			 missing, "out_of_reach", lost);
 }
 
-void cq_operator_get_in_force(void *ctx, struct cq_http_exchange *exchange)
+void cq_operator_get_in_force(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct cq_operator_calls *calls = ctx;
-	const char *text = cq_http_exchange_query(exchange, "revision");
+	const char *text = cq_operator_exchange_query(exchange, "revision");
 	char *end = NULL;
 	int64_t revision = text ? strtoll(text, &end, 10) : -1;
 	json_t *body;
--- a/src/programs/common/operator_calls_check.c
+++ b/src/programs/common/operator_calls_check.c
@@ -174,15 +174,16 @@
 				       : "are missing for all guarantees");
 }
 
-void cq_operator_check_settings(void *ctx, struct cq_http_exchange *exchange)
+void cq_operator_check_settings(void *ctx,
+				struct cq_operator_exchange *exchange)
 {
 	struct cq_operator_calls *calls = ctx;
 	const struct cq_settings *settings =
 		cq_cluster_settings(calls->cluster);
 	const char *key = cq_operator_path_rest(exchange, "/v1/settings-check");
-	bool removes = cq_http_exchange_query(exchange, "remove") != NULL;
+	bool removes = cq_operator_exchange_query(exchange, "remove") != NULL;
 	const char *json = removes ? NULL
-				   : cq_http_exchange_body(exchange, NULL);
+				   : cq_operator_exchange_body(exchange, NULL);
 	struct cq_error err = CQ_ERROR_INIT;
 	char *held;
 	json_t *before;
@@ -243,10 +244,10 @@
 	return json;
 }
 
-void cq_operator_get_history(void *ctx, struct cq_http_exchange *exchange)
+void cq_operator_get_history(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct cq_operator_calls *calls = ctx;
-	const char *key = cq_http_exchange_query(exchange, "key");
+	const char *key = cq_operator_exchange_query(exchange, "key");
 	json_t *entries = json_array();
 	const GList *item;
 	json_t *body;
--- a/src/programs/common/operator_calls_private.h
+++ b/src/programs/common/operator_calls_private.h
@@ -38,10 +38,10 @@
 };
 
 /* The text after prefix + "/", or NULL when the path is something else. */
-const char *cq_operator_path_rest(struct cq_http_exchange *exchange,
+const char *cq_operator_path_rest(struct cq_operator_exchange *exchange,
 				  const char *prefix);
 /* Answers 200 and releases the object. */
-void cq_operator_respond(struct cq_http_exchange *exchange, uint32_t status,
+void cq_operator_respond(struct cq_operator_exchange *exchange, uint32_t status,
 			 json_t *body);
 /* Adds "revision", "settings_state" and, when behind, "stale", "age_ms". */
 void cq_operator_add_freshness(const struct cq_operator_calls *calls,
@@ -54,20 +54,23 @@
 json_t *cq_operator_data_centres(const struct cq_operator_calls *calls);
 
 /* Routes; ctx is the struct cq_operator_calls. */
-void cq_operator_get_settings(void *ctx, struct cq_http_exchange *exchange);
-void cq_operator_write_settings(void *ctx, struct cq_http_exchange *exchange);
-void cq_operator_check_settings(void *ctx, struct cq_http_exchange *exchange);
-void cq_operator_get_history(void *ctx, struct cq_http_exchange *exchange);
-void cq_operator_get_in_force(void *ctx, struct cq_http_exchange *exchange);
-void cq_operator_get_data_centres(void *ctx, struct cq_http_exchange *exchange);
-void cq_operator_get_members(void *ctx, struct cq_http_exchange *exchange);
-void cq_operator_get_status(void *ctx, struct cq_http_exchange *exchange);
+void cq_operator_get_settings(void *ctx, struct cq_operator_exchange *exchange);
+void cq_operator_write_settings(void *ctx,
+				struct cq_operator_exchange *exchange);
+void cq_operator_check_settings(void *ctx,
+				struct cq_operator_exchange *exchange);
+void cq_operator_get_history(void *ctx, struct cq_operator_exchange *exchange);
+void cq_operator_get_in_force(void *ctx, struct cq_operator_exchange *exchange);
+void cq_operator_get_data_centres(void *ctx,
+				  struct cq_operator_exchange *exchange);
+void cq_operator_get_members(void *ctx, struct cq_operator_exchange *exchange);
+void cq_operator_get_status(void *ctx, struct cq_operator_exchange *exchange);
 
 /* Retries and ends open writes. */
 void cq_operator_writes_tick(struct cq_operator_calls *calls, int64_t now_ns);
 /* The client of an exchange went away. */
 void cq_operator_writes_aborted(struct cq_operator_calls *calls,
-				const struct cq_http_exchange *exchange);
+				const struct cq_operator_exchange *exchange);
 void cq_operator_writes_destroy(struct cq_operator_calls *calls);
 
 #endif
--- a/src/programs/common/operator_calls_settings.c
+++ b/src/programs/common/operator_calls_settings.c
@@ -25,7 +25,7 @@
 
 struct cq_operator_write {
 	struct cq_operator_calls *calls;
-	struct cq_http_exchange *exchange; /* NULL: nobody waits */
+	struct cq_operator_exchange *exchange; /* NULL: nobody waits */
 	enum write_state state;
 	char *key;
 	char *document;
@@ -46,10 +46,10 @@
 			   int64_t revision);
 static bool is_deleted(const char *document);
 static bool read_expected(struct cq_operator_calls *calls,
-			  struct cq_http_exchange *exchange, const char *key,
-			  int64_t *expected);
+			  struct cq_operator_exchange *exchange,
+			  const char *key, int64_t *expected);
 static void start_write(struct cq_operator_calls *calls,
-			struct cq_http_exchange *exchange, const char *key,
+			struct cq_operator_exchange *exchange, const char *key,
 			const char *json, int64_t expected);
 static void put(struct cq_operator_write *write);
 static void read_back(struct cq_operator_write *write);
@@ -114,7 +114,7 @@
 	return true;
 }
 
-void cq_operator_get_settings(void *ctx, struct cq_http_exchange *exchange)
+void cq_operator_get_settings(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct cq_operator_calls *calls = ctx;
 	const struct cq_settings *settings =
@@ -153,10 +153,10 @@
  * replaces.
  */
 static bool read_expected(struct cq_operator_calls *calls,
-			  struct cq_http_exchange *exchange, const char *key,
-			  int64_t *expected)
+			  struct cq_operator_exchange *exchange,
+			  const char *key, int64_t *expected)
 {
-	const char *text = cq_http_exchange_query(exchange, "revision");
+	const char *text = cq_operator_exchange_query(exchange, "revision");
 	int64_t held = 0;
 	const char *document = cq_settings_document(
 		cq_cluster_settings(calls->cluster), key, &held);
@@ -179,13 +179,14 @@
 	return true;
 }
 
-void cq_operator_write_settings(void *ctx, struct cq_http_exchange *exchange)
+void cq_operator_write_settings(void *ctx,
+				struct cq_operator_exchange *exchange)
 {
 	struct cq_operator_calls *calls = ctx;
-	bool removes = !strcmp(cq_http_exchange_method(exchange), "DELETE");
+	bool removes = !strcmp(cq_operator_exchange_method(exchange), "DELETE");
 	const char *key = cq_operator_path_rest(exchange, "/v1/settings");
 	const char *json = removes ? NULL
-				   : cq_http_exchange_body(exchange, NULL);
+				   : cq_operator_exchange_body(exchange, NULL);
 	struct cq_error err = CQ_ERROR_INIT;
 	int64_t expected;
 
@@ -218,7 +219,7 @@
 }
 
 static void start_write(struct cq_operator_calls *calls,
-			struct cq_http_exchange *exchange, const char *key,
+			struct cq_operator_exchange *exchange, const char *key,
 			const char *json, int64_t expected)
 {
 	struct cq_operator_write *write = g_new0(struct cq_operator_write, 1);
@@ -416,7 +417,7 @@
 }
 
 void cq_operator_writes_aborted(struct cq_operator_calls *calls,
-				const struct cq_http_exchange *exchange)
+				const struct cq_operator_exchange *exchange)
 {
 	guint i;
 
--- a/src/programs/common/operator_calls_status.c
+++ b/src/programs/common/operator_calls_status.c
@@ -72,7 +72,7 @@
 		(json_int_t)((now_ns - member->since_ns) / CQ_NS_PER_MS));
 }
 
-void cq_operator_get_members(void *ctx, struct cq_http_exchange *exchange)
+void cq_operator_get_members(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct cq_operator_calls *calls = ctx;
 	struct cq_membership *membership =
@@ -198,7 +198,8 @@
 	return out;
 }
 
-void cq_operator_get_data_centres(void *ctx, struct cq_http_exchange *exchange)
+void cq_operator_get_data_centres(void *ctx,
+				  struct cq_operator_exchange *exchange)
 {
 	struct cq_operator_calls *calls = ctx;
 	json_t *body = json_pack("{s:o}", "data_centres",
@@ -328,7 +329,7 @@
 	g_array_free(list, TRUE);
 }
 
-void cq_operator_get_status(void *ctx, struct cq_http_exchange *exchange)
+void cq_operator_get_status(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct cq_operator_calls *calls = ctx;
 	struct cq_membership *membership =
--- a/src/programs/entryd/jobs.c
+++ b/src/programs/entryd/jobs.c
@@ -12,9 +12,9 @@
 static bool send_message(void *ctx, const char *address, enum cq_peer_kind kind,
 			 uint64_t correlation, const uint8_t *payload,
 			 size_t len);
-static void on_call(void *ctx, struct cq_http_exchange *exchange);
-static void on_fleet_call(void *ctx, struct cq_http_exchange *exchange);
-static void on_abort(void *ctx, struct cq_http_exchange *exchange);
+static void on_call(void *ctx, struct cq_operator_exchange *exchange);
+static void on_fleet_call(void *ctx, struct cq_operator_exchange *exchange);
+static void on_abort(void *ctx, struct cq_operator_exchange *exchange);
 static void on_answer(void *ctx, const struct cq_peer_message *message);
 static void on_tick(void *ctx, int64_t now_ns);
 static bool drained(void *ctx);
@@ -29,21 +29,21 @@
 				correlation, payload, len);
 }
 
-static void on_call(void *ctx, struct cq_http_exchange *exchange)
+static void on_call(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct entryd_jobs *jobs = ctx;
 
 	cq_job_calls_handle(jobs->calls, exchange);
 }
 
-static void on_fleet_call(void *ctx, struct cq_http_exchange *exchange)
+static void on_fleet_call(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct entryd_jobs *jobs = ctx;
 
 	cq_job_calls_handle_fleet(jobs->calls, exchange);
 }
 
-static void on_abort(void *ctx, struct cq_http_exchange *exchange)
+static void on_abort(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct entryd_jobs *jobs = ctx;
 
--- a/src/programs/entryd/requests.c
+++ b/src/programs/entryd/requests.c
@@ -69,15 +69,12 @@
 static void on_call_done(void *ctx, const struct cq_endpoint_result *result);
 static void on_router_answer(void *ctx, void *caller,
 			     const struct cq_answer *answer);
-static void on_request(void *ctx, struct cq_http_exchange *exchange);
-static void on_aborted(void *ctx, struct cq_http_exchange *exchange);
-static const char *exchange_header(void *ctx, const char *name);
-static void answer_exchange(struct entryd_requests *requests,
-			    struct cq_http_exchange *exchange,
-			    const struct cq_answer *answer);
-static void refuse_input(struct entryd_requests *requests,
-			 struct cq_http_exchange *exchange,
-			 const struct cq_error *err);
+static void on_request(void *ctx, struct cq_caller_call *call,
+		       const struct cq_request *request);
+static void on_aborted(void *ctx, struct cq_caller_call *call);
+static void on_job_call(void *ctx, struct cq_operator_exchange *exchange);
+static void on_job_call_aborted(void *ctx,
+				struct cq_operator_exchange *exchange);
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int events);
 static void on_poll(struct ev_loop *loop, ev_timer *timer, int events);
 static void on_hosts(void *ctx, const struct cq_host *hosts, size_t count);
@@ -112,6 +109,8 @@
 void entryd_caller_free(struct caller *caller)
 {
 	caller->requests->callers--;
+	if (caller->call)
+		g_hash_table_remove(caller->requests->by_call, caller->call);
 	cq_peer_forward_free(caller->forward);
 	g_free(caller->peer_address);
 	g_free(caller->class_name);
@@ -177,126 +176,56 @@
 	struct entryd_requests *requests = ctx;
 	struct caller *caller = caller_ctx;
 
-	if (caller->exchange) {
+	if (caller->call) {
 		/* Names that no setting knows must not grow the metrics. */
 		if (answer->refusal != CQ_REFUSAL_UNKNOWN_CLASS &&
 		    answer->refusal != CQ_REFUSAL_UNKNOWN_WORKSPACE)
 			observe(requests, caller, answer);
-		cq_http_exchange_set_user(caller->exchange, NULL);
-		answer_exchange(requests, caller->exchange, answer);
+		requests->caller_api->ops->answer(requests->caller_api->self,
+						  caller->call, answer);
 	} else {
 		entryd_answer_peer(caller, answer);
 	}
 	entryd_caller_free(caller);
 }
 
-static void answer_exchange(struct entryd_requests *requests,
-			    struct cq_http_exchange *exchange,
-			    const struct cq_answer *answer)
+static void on_request(void *ctx, struct cq_caller_call *call,
+		       const struct cq_request *request)
 {
-	struct cq_http_header headers[6] = { { NULL, NULL } };
-	char wait[16];
-	char retry[16];
-	char *json = NULL;
-	int n = 0;
-
-	snprintf(wait, sizeof(wait), "%u", answer->expected_wait_ms);
-	headers[n++] = (struct cq_http_header){ "Cq-Expected-Wait-Ms", wait };
-	if (cq_daemon_draining(requests->daemon))
-		headers[n++] = (struct cq_http_header){ "Connection", "close" };
-	if (!answer->refusal) {
-		if (*answer->content_type)
-			headers[n++] =
-				(struct cq_http_header){ "Content-Type",
-							 answer->content_type };
-		headers[n++] = (struct cq_http_header){ "Cq-Endpoint",
-							answer->endpoint };
-		cq_http_exchange_respond(exchange, answer->status, headers,
-					 answer->body, answer->body_len);
-		return;
-	}
-	headers[n++] =
-		(struct cq_http_header){ "Content-Type", "application/json" };
-	headers[n++] =
-		(struct cq_http_header){ "Cq-Run", cq_run_string(answer->run) };
-	if (answer->status == 503) {
-		snprintf(retry, sizeof(retry), "%u",
-			 answer->expected_wait_ms / 1000 + 1);
-		headers[n++] = (struct cq_http_header){ "Retry-After", retry };
-	}
-	headers[n] = (struct cq_http_header){ NULL, NULL };
-	json = cq_caller_format_refusal(answer);
-	cq_http_exchange_respond(exchange, answer->status, headers, json,
-				 strlen(json));
-	free(json);
-}
+	struct entryd_requests *requests = ctx;
+	struct caller *caller = g_new0(struct caller, 1);
 
-static const char *exchange_header(void *ctx, const char *name)
-{
-	return cq_http_exchange_header(ctx, name);
+	caller->requests = requests;
+	caller->call = call;
+	caller->class_name = g_strdup(request->class_name);
+	caller->arrival_ns = cq_clock_now_ns(cq_daemon_clock(requests->daemon));
+	g_hash_table_insert(requests->by_call, call, caller);
+	requests->callers++;
+	requests->vtable->submit(requests->router, request, NULL, caller);
 }
 
-/* A key may belong to an earlier request that ran. */
-static void refuse_input(struct entryd_requests *requests,
-			 struct cq_http_exchange *exchange,
-			 const struct cq_error *err)
+static void on_aborted(void *ctx, struct cq_caller_call *call)
 {
-	struct cq_answer answer = {
-		.refusal = CQ_REFUSAL_INVALID,
-		.run = cq_http_exchange_header(exchange, "Idempotency-Key")
-			       ? CQ_RUN_UNKNOWN
-			       : CQ_RUN_NO,
-		.status = cq_refusal_status(CQ_REFUSAL_INVALID),
-		.message = err->message,
-	};
+	struct entryd_requests *requests = ctx;
+	struct caller *caller = g_hash_table_lookup(requests->by_call, call);
 
-	answer_exchange(requests, exchange, &answer);
+	requests->vtable->abandon(requests->router, caller);
+	entryd_caller_free(caller);
 }
 
-static void on_request(void *ctx, struct cq_http_exchange *exchange)
+static void on_job_call(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct entryd_requests *requests = ctx;
-	struct cq_caller_input input = {
-		.method = cq_http_exchange_method(exchange),
-		.path = cq_http_exchange_path(exchange),
-		.header = exchange_header,
-		.ctx = exchange,
-	};
-	struct cq_error err = CQ_ERROR_INIT;
-	struct cq_request request;
-	struct caller *caller;
 
-	if (g_str_has_prefix(input.path, "/v1/jobs")) {
-		cq_job_calls_handle(requests->job_calls, exchange);
-		return;
-	}
-	input.body = cq_http_exchange_body(exchange, &input.body_len);
-	if (!cq_caller_parse(&input, requests->max_timeout_ms, &request,
-			     &err)) {
-		refuse_input(requests, exchange, &err);
-		return;
-	}
-	caller = g_new0(struct caller, 1);
-	caller->requests = requests;
-	caller->exchange = exchange;
-	caller->class_name = g_strdup(request.class_name);
-	caller->arrival_ns = cq_clock_now_ns(cq_daemon_clock(requests->daemon));
-	cq_http_exchange_set_user(exchange, caller);
-	requests->callers++;
-	requests->vtable->submit(requests->router, &request, NULL, caller);
+	cq_job_calls_handle(requests->job_calls, exchange);
 }
 
-static void on_aborted(void *ctx, struct cq_http_exchange *exchange)
+static void on_job_call_aborted(void *ctx,
+				struct cq_operator_exchange *exchange)
 {
 	struct entryd_requests *requests = ctx;
-	struct caller *caller = cq_http_exchange_user(exchange);
 
-	if (!caller) {
-		cq_job_calls_aborted(requests->job_calls, exchange);
-		return;
-	}
-	requests->vtable->abandon(requests->router, caller);
-	entryd_caller_free(caller);
+	cq_job_calls_aborted(requests->job_calls, exchange);
 }
 
 static void set_gauge(struct entryd_requests *requests, const char *name,
@@ -400,6 +329,7 @@
 
 	if (!requests->drain_begun) {
 		requests->drain_begun = true;
+		requests->caller_api->ops->drain(requests->caller_api->self);
 		requests->drain_begin_ns = now_ns;
 	}
 	requests->vtable->drain(requests->router);
@@ -407,35 +337,46 @@
 	    setting(requests, "accept-after-term-ms") * CQ_NS_PER_MS)
 		return false;
 	if (!requests->quiesced) {
-		cq_http_server_quiesce(requests->server);
+		requests->caller_api->ops->quiesce(requests->caller_api->self);
 		requests->quiesced = true;
 		cq_log_event(CQ_LOG_INFO, "listener_closed", "{s:i}",
 			     "open_requests", (int)requests->callers);
 	}
-	return !requests->callers && !cq_http_server_open(requests->server) &&
+	return !requests->callers &&
+	       !requests->caller_api->ops->open_count(
+		       requests->caller_api->self) &&
 	       now_ns - requests->last_peer_answer_ns >= PEER_FLUSH_NS;
 }
 
 static bool open_listener(struct entryd_requests *requests,
 			  struct cq_error *err)
 {
-	struct cq_http_server_handler handler = { on_request, on_aborted };
-	struct cq_http_server_options options;
+	static const struct cq_caller_handler handler = { on_request,
+							  on_aborted };
+	struct cq_caller_http_options options = {
+		.max_timeout_ms = requests->max_timeout_ms,
+		.jobs = { on_job_call, on_job_call_aborted },
+		.jobs_ctx = requests,
+	};
 	char ip[16];
 	uint16_t port;
 
 	cq_address_parse(cq_config_string(cq_daemon_config(requests->daemon),
 					  "caller-address"),
 			 ip, &port, NULL);
-	cq_http_server_options_init(&options, ip, port);
-	options.max_connections =
+	cq_http_server_options_init(&options.server, ip, port);
+	options.server.max_connections =
 		(uint32_t)setting(requests, "max-connections");
-	options.max_body_bytes = (uint32_t)setting(requests, "max-body-bytes");
-	options.max_total_body_bytes =
+	options.server.max_body_bytes =
+		(uint32_t)setting(requests, "max-body-bytes");
+	options.server.max_total_body_bytes =
 		(uint64_t)setting(requests, "max-held-bytes");
-	requests->server = cq_http_server_create(requests->loop, &options,
-						 &handler, requests, err);
-	return requests->server != NULL;
+	requests->caller_http = cq_caller_http_create(requests->loop, &options,
+						      &handler, requests, err);
+	if (!requests->caller_http)
+		return false;
+	requests->caller_api = cq_caller_http_get(requests->caller_http);
+	return true;
 }
 
 static void open_router(struct entryd_requests *requests,
@@ -487,6 +428,7 @@
 	requests->daemon = daemon;
 	requests->job_calls = job_calls;
 	requests->loop = cq_daemon_loop(daemon);
+	requests->by_call = g_hash_table_new(NULL, NULL);
 	requests->max_timeout_ms =
 		(uint32_t)setting(requests, "endpoint-run-max-ms");
 	/*
@@ -530,7 +472,8 @@
 		return;
 	ev_timer_stop(requests->loop, &requests->tick);
 	ev_timer_stop(requests->loop, &requests->poll);
-	cq_http_server_destroy(requests->server);
+	cq_caller_http_destroy(requests->caller_http);
+	g_hash_table_destroy(requests->by_call);
 	cq_endpoint_http_destroy(requests->endpoint);
 	cq_http_client_destroy(requests->client);
 	requests->vtable->destroy(requests->router);
--- a/src/programs/entryd/requests.h
+++ b/src/programs/entryd/requests.h
@@ -6,10 +6,10 @@
 
 #include "programs/entryd/entryd.h"
 
-/* Who waits for an answer: an HTTP exchange or a peer. */
+/* Who waits for an answer: a caller or a peer. */
 struct caller {
 	struct entryd_requests *requests;
-	struct cq_http_exchange *exchange; /* NULL: a peer */
+	struct cq_caller_call *call; /* NULL: a peer */
 	struct cq_peer_forward *forward;
 	char *peer_address;
 	uint64_t correlation;
@@ -23,7 +23,9 @@
 	struct ev_loop *loop;
 	struct cq_http_client *client;
 	struct cq_endpoint_http *endpoint;
-	struct cq_http_server *server;
+	struct cq_caller_http *caller_http;
+	const struct cq_caller *caller_api;
+	GHashTable *by_call; /* struct cq_caller_call to struct caller */
 	const struct cq_router_vtable *vtable;
 	struct cq_router *router;
 	ev_timer tick;
--- a/src/programs/schedd/jobs.c
+++ b/src/programs/schedd/jobs.c
@@ -222,14 +222,14 @@
 				correlation, payload, len);
 }
 
-static void on_jobs_call(void *ctx, struct cq_http_exchange *exchange)
+static void on_jobs_call(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct schedd *s = ctx;
 
 	cq_job_calls_handle(s->job_calls, exchange);
 }
 
-static void on_fleet_call(void *ctx, struct cq_http_exchange *exchange)
+static void on_fleet_call(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct schedd *s = ctx;
 
@@ -251,7 +251,7 @@
 			"%s", cq_controller_shortfall(s->controller, i));
 }
 
-static void on_abort(void *ctx, struct cq_http_exchange *exchange)
+static void on_abort(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct schedd *s = ctx;
 
--- a/src/programs/schedd/status.c
+++ b/src/programs/schedd/status.c
@@ -4,7 +4,7 @@
 
 #include "programs/schedd/schedd.h"
 
-static void on_status(void *ctx, struct cq_http_exchange *exchange)
+static void on_status(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct schedd *s = ctx;
 	json_t *body = json_pack(
@@ -20,7 +20,7 @@
 		(int)cq_cluster_store_direct(s->cluster));
 	char *text = json_dumps(body, JSON_COMPACT);
 
-	cq_http_exchange_respond_json(exchange, 200, text);
+	cq_operator_exchange_respond_json(exchange, 200, text);
 	free(text);
 	json_decref(body);
 }
--- a/src/protocol/caller_http.c
+++ b/src/protocol/caller_http.c
@@ -1,12 +1,28 @@
 #include "chestnutquay/caller.h"
 
 #include <errno.h>
+#include <glib.h>
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define KEY_DIGITS 13
 
+struct cq_caller_http {
+	struct cq_caller caller;
+	struct cq_http_server *server;
+	struct cq_caller_http_options options;
+	struct cq_caller_handler handler;
+	void *ctx;
+	bool draining;
+};
+
+/* Lives as long as the exchange, of which it is the user pointer. */
+struct cq_caller_call {
+	struct cq_http_exchange *exchange;
+};
+
 static bool refuse(struct cq_error *err, const char *text);
 static bool is_name(const char *text);
 static bool is_path(const char *text);
@@ -18,6 +34,27 @@
 		       const char *content_type, struct cq_error *err);
 static const char *header(const struct cq_caller_input *input,
 			  const char *name);
+static const char *exchange_header(void *ctx, const char *name);
+static void respond(const struct cq_caller_http *http,
+		    struct cq_http_exchange *exchange,
+		    const struct cq_answer *answer);
+static void refuse_input(const struct cq_caller_http *http,
+			 struct cq_http_exchange *exchange,
+			 const struct cq_error *err);
+static void on_request(void *ctx, struct cq_http_exchange *exchange);
+static void on_aborted(void *ctx, struct cq_http_exchange *exchange);
+static void http_answer(void *self, struct cq_caller_call *call,
+			const struct cq_answer *answer);
+static void http_drain(void *self);
+static void http_quiesce(void *self);
+static uint32_t http_open_count(const void *self);
+
+static const struct cq_caller_ops caller_ops = {
+	.answer = http_answer,
+	.drain = http_drain,
+	.quiesce = http_quiesce,
+	.open_count = http_open_count,
+};
 
 static bool refuse(struct cq_error *err, const char *text)
 {
@@ -184,3 +221,196 @@
 	/* A message with invalid UTF-8 must not cost the caller the reason. */
 	return text ? text : strdup("{\"error\":{\"run\":\"unknown\"}}");
 }
+
+static const char *exchange_header(void *ctx, const char *name)
+{
+	return cq_http_exchange_header(ctx, name);
+}
+
+static void respond(const struct cq_caller_http *http,
+		    struct cq_http_exchange *exchange,
+		    const struct cq_answer *answer)
+{
+	struct cq_http_header headers[6] = { { NULL, NULL } };
+	char wait[16];
+	char retry[16];
+	char *json = NULL;
+	int n = 0;
+
+	snprintf(wait, sizeof(wait), "%u", answer->expected_wait_ms);
+	headers[n++] = (struct cq_http_header){ "Cq-Expected-Wait-Ms", wait };
+	if (http->draining)
+		headers[n++] = (struct cq_http_header){ "Connection", "close" };
+	if (!answer->refusal) {
+		if (*answer->content_type)
+			headers[n++] =
+				(struct cq_http_header){ "Content-Type",
+							 answer->content_type };
+		headers[n++] = (struct cq_http_header){ "Cq-Endpoint",
+							answer->endpoint };
+		cq_http_exchange_respond(exchange, answer->status, headers,
+					 answer->body, answer->body_len);
+		return;
+	}
+	headers[n++] =
+		(struct cq_http_header){ "Content-Type", "application/json" };
+	headers[n++] =
+		(struct cq_http_header){ "Cq-Run", cq_run_string(answer->run) };
+	if (answer->status == 503) {
+		snprintf(retry, sizeof(retry), "%u",
+			 answer->expected_wait_ms / 1000 + 1);
+		headers[n++] = (struct cq_http_header){ "Retry-After", retry };
+	}
+	headers[n] = (struct cq_http_header){ NULL, NULL };
+	json = cq_caller_format_refusal(answer);
+	cq_http_exchange_respond(exchange, answer->status, headers, json,
+				 strlen(json));
+	free(json);
+}
+
+/* A key may belong to an earlier request that ran. */
+static void refuse_input(const struct cq_caller_http *http,
+			 struct cq_http_exchange *exchange,
+			 const struct cq_error *err)
+{
+	struct cq_answer answer = {
+		.refusal = CQ_REFUSAL_INVALID,
+		.run = cq_http_exchange_header(exchange, "Idempotency-Key")
+			       ? CQ_RUN_UNKNOWN
+			       : CQ_RUN_NO,
+		.status = cq_refusal_status(CQ_REFUSAL_INVALID),
+		.message = err->message,
+	};
+
+	respond(http, exchange, &answer);
+}
+
+static bool is_job_call(const struct cq_caller_http *http,
+			const struct cq_http_exchange *exchange)
+{
+	return http->options.jobs.request &&
+	       g_str_has_prefix(cq_http_exchange_path(exchange),
+				CQ_CALLER_JOBS_PREFIX);
+}
+
+static void on_request(void *ctx, struct cq_http_exchange *exchange)
+{
+	struct cq_caller_http *http = ctx;
+	struct cq_caller_input input = {
+		.method = cq_http_exchange_method(exchange),
+		.path = cq_http_exchange_path(exchange),
+		.header = exchange_header,
+		.ctx = exchange,
+	};
+	struct cq_error err = CQ_ERROR_INIT;
+	struct cq_request request;
+	struct cq_caller_call *call;
+
+	if (is_job_call(http, exchange)) {
+		cq_operator_http_pass(&http->options.jobs,
+				      http->options.jobs_ctx, exchange);
+		return;
+	}
+	input.body = cq_http_exchange_body(exchange, &input.body_len);
+	if (!cq_caller_parse(&input, http->options.max_timeout_ms, &request,
+			     &err)) {
+		refuse_input(http, exchange, &err);
+		return;
+	}
+	call = g_new0(struct cq_caller_call, 1);
+	call->exchange = exchange;
+	cq_http_exchange_set_user(exchange, call);
+	http->handler.request(http->ctx, call, &request);
+}
+
+static void on_aborted(void *ctx, struct cq_http_exchange *exchange)
+{
+	struct cq_caller_http *http = ctx;
+	struct cq_caller_call *call;
+
+	if (is_job_call(http, exchange)) {
+		cq_operator_http_pass_aborted(&http->options.jobs,
+					      http->options.jobs_ctx, exchange);
+		return;
+	}
+	call = cq_http_exchange_user(exchange);
+	/* An exchange whose answer is being written has no call. */
+	if (!call)
+		return;
+	http->handler.aborted(http->ctx, call);
+	g_free(call);
+}
+
+static void http_answer(void *self, struct cq_caller_call *call,
+			const struct cq_answer *answer)
+{
+	struct cq_http_exchange *exchange = call->exchange;
+
+	cq_http_exchange_set_user(exchange, NULL);
+	g_free(call);
+	respond(self, exchange, answer);
+}
+
+static void http_drain(void *self)
+{
+	struct cq_caller_http *http = self;
+
+	http->draining = true;
+}
+
+static void http_quiesce(void *self)
+{
+	const struct cq_caller_http *http = self;
+
+	cq_http_server_quiesce(http->server);
+}
+
+static uint32_t http_open_count(const void *self)
+{
+	const struct cq_caller_http *http = self;
+
+	return cq_http_server_open(http->server);
+}
+
+struct cq_caller_http *
+cq_caller_http_create(struct ev_loop *loop,
+		      const struct cq_caller_http_options *options,
+		      const struct cq_caller_handler *handler, void *ctx,
+		      struct cq_error *err)
+{
+	static const struct cq_http_server_handler server_handler = {
+		on_request, on_aborted
+	};
+	struct cq_caller_http *http = g_new0(struct cq_caller_http, 1);
+
+	http->caller.ops = &caller_ops;
+	http->caller.self = http;
+	http->options = *options;
+	http->handler = *handler;
+	http->ctx = ctx;
+	http->server = cq_http_server_create(loop, &options->server,
+					     &server_handler, http, err);
+	if (!http->server) {
+		g_free(http);
+		return NULL;
+	}
+	return http;
+}
+
+void cq_caller_http_destroy(struct cq_caller_http *http)
+{
+	if (!http)
+		return;
+	cq_http_server_destroy(http->server);
+	g_free(http);
+}
+
+const struct cq_caller *cq_caller_http_get(struct cq_caller_http *http)
+{
+	return &http->caller;
+}
+
+uint16_t cq_caller_http_port(const struct cq_caller_http *http)
+{
+	return cq_http_server_port(http->server);
+}
--- a/tests/standins/fake-daemon/main.c
+++ b/tests/standins/fake-daemon/main.c
@@ -62,17 +62,17 @@
 	bool partial;
 };
 
-static void answer_fixed(void *ctx, struct cq_http_exchange *exchange)
+static void answer_fixed(void *ctx, struct cq_operator_exchange *exchange)
 {
-	const char *method = cq_http_exchange_method(exchange);
-	const char *path = cq_http_exchange_path(exchange);
+	const char *method = cq_operator_exchange_method(exchange);
+	const char *path = cq_operator_exchange_path(exchange);
 	size_t i;
 
 	(void)ctx;
 	for (i = 0; i < sizeof(answers) / sizeof(*answers); i++)
 		if (!strcmp(answers[i].method, method) &&
 		    !strcmp(answers[i].path, path)) {
-			cq_http_exchange_respond_json(
+			cq_operator_exchange_respond_json(
 				exchange, answers[i].status, answers[i].body);
 			return;
 		}
@@ -80,38 +80,40 @@
 				"there is no job of this id");
 }
 
-static void list_jobs(void *ctx, struct cq_http_exchange *exchange)
+static void list_jobs(void *ctx, struct cq_operator_exchange *exchange)
 {
 	const struct fake_daemon *fake = ctx;
-	const char *state = cq_http_exchange_query(exchange, "state");
+	const char *state = cq_operator_exchange_query(exchange, "state");
 
-	if (strcmp(cq_http_exchange_path(exchange), "/v1/jobs") != 0)
+	if (strcmp(cq_operator_exchange_path(exchange), "/v1/jobs") != 0)
 		answer_fixed(ctx, exchange);
 	else if (state && strcmp(state, "waiting") != 0)
-		cq_http_exchange_respond_json(exchange, 200, "{\"jobs\":[]}");
+		cq_operator_exchange_respond_json(exchange, 200,
+						  "{\"jobs\":[]}");
 	else if (fake->partial && state)
 		/* The owner of one data centre did not answer. */
-		cq_http_exchange_respond_json(
+		cq_operator_exchange_respond_json(
 			exchange, 200,
 			"{\"jobs\":[" JOB "}," JOB
 			",\"stale\":true,\"age_ms\":90000}],"
 			"\"stale\":true,\"missing\":[]}");
 	else if (fake->partial)
-		cq_http_exchange_respond_json(
+		cq_operator_exchange_respond_json(
 			exchange, 200,
 			"{\"jobs\":[" JOB
 			"}],\"missing\":[\"rajkot\",\"vadodara\"]}");
 	else
-		cq_http_exchange_respond_json(exchange, 200,
-					      "{\"jobs\":[" JOB "}],"
-					      "\"total\":2}");
+		cq_operator_exchange_respond_json(exchange, 200,
+						  "{\"jobs\":[" JOB "}],"
+						  "\"total\":2}");
 }
 
-static void submit_job(void *ctx, struct cq_http_exchange *exchange)
+static void submit_job(void *ctx, struct cq_operator_exchange *exchange)
 {
-	const char *key = cq_http_exchange_header(exchange, "Idempotency-Key");
+	const char *key =
+		cq_operator_exchange_header(exchange, "Idempotency-Key");
 	json_t *job =
-		json_loads(cq_http_exchange_body(exchange, NULL), 0, NULL);
+		json_loads(cq_operator_exchange_body(exchange, NULL), 0, NULL);
 	bool ok = json_is_integer(json_object_get(job, "accelerators")) &&
 		  json_object_get(job, "workspace");
 	char *text;
@@ -127,7 +129,7 @@
 	}
 	body = json_pack("{s:s,s:s}", "id", key, "state", "waiting");
 	text = json_dumps(body, 0);
-	cq_http_exchange_respond_json(exchange, 202, text);
+	cq_operator_exchange_respond_json(exchange, 202, text);
 	free(text);
 	json_decref(body);
 }
--- a/tests/unit/test_caller.c
+++ b/tests/unit/test_caller.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "chestnutquay/caller.h"
+#include "chestnutquay/http_client.h"
 
 struct input {
 	const char *method, *path;
@@ -208,6 +209,244 @@
 	}
 }
 
+/* Longest wait for a condition; a test that needs it has failed. */
+#define GIVE_UP_S 10.0
+
+/* An application behind the caller interface, and a client before it. */
+struct contract {
+	struct ev_loop *loop;
+	struct cq_caller_http *http;
+	struct cq_http_client *client;
+	struct cq_caller_call *call; /* held back */
+	const struct cq_answer *answer;
+	uint32_t requests, aborted, done;
+	char path[64];
+	uint32_t status;
+	char *headers; /* "NAME=VALUE;" of those that a case looks at */
+	char *body;
+};
+
+static void on_give_up(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)timer;
+	(void)events;
+	g_error("gave up waiting");
+}
+
+static void run_until(struct contract *c, const uint32_t *value, uint32_t least)
+{
+	ev_timer give_up;
+
+	ev_timer_init(&give_up, on_give_up, GIVE_UP_S, 0.);
+	ev_timer_start(c->loop, &give_up);
+	while (*value < least)
+		ev_run(c->loop, EVRUN_ONCE);
+	ev_timer_stop(c->loop, &give_up);
+}
+
+static void on_request(void *ctx, struct cq_caller_call *call,
+		       const struct cq_request *request)
+{
+	struct contract *c = ctx;
+	const struct cq_caller *caller = cq_caller_http_get(c->http);
+
+	c->requests++;
+	g_strlcpy(c->path, request->path, sizeof(c->path));
+	if (c->answer)
+		caller->ops->answer(caller->self, call, c->answer);
+	else
+		c->call = call;
+}
+
+static void on_aborted(void *ctx, struct cq_caller_call *call)
+{
+	struct contract *c = ctx;
+
+	g_assert_true(call == c->call);
+	c->call = NULL;
+	c->aborted++;
+}
+
+static void on_done(void *ctx, const struct cq_http_result *result)
+{
+	static const char *const names[] = { "Cq-Run", "Cq-Endpoint",
+					     "Retry-After", "Content-Type",
+					     "Connection" };
+	struct contract *c = ctx;
+	GString *headers = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		const char *value = cq_http_result_header(result, names[i]);
+
+		if (value)
+			g_string_append_printf(headers, "%s=%s;", names[i],
+					       value);
+	}
+	g_assert_cmpint(result->outcome, ==, CQ_HTTP_ANSWERED);
+	g_assert_nonnull(cq_http_result_header(result, "Cq-Expected-Wait-Ms"));
+	c->status = result->status;
+	c->headers = g_string_free(headers, FALSE);
+	c->body = g_strndup(result->body, result->body_len);
+	c->done++;
+}
+
+static struct cq_http_call *send_request(struct contract *c, const char *key,
+					 const char *class_name)
+{
+	const struct cq_http_header headers[] = {
+		{ "Cq-Workspace", "red" },
+		{ "Cq-Class", class_name },
+		{ key ? "Idempotency-Key" : "Cq-Idempotent", key ? key : "no" },
+		{ NULL, NULL },
+	};
+	char *url = g_strdup_printf("http://127.0.0.1:%u/v1/requests/pair",
+				    cq_caller_http_port(c->http));
+	struct cq_http_request request = {
+		.method = "POST",
+		.url = url,
+		.headers = headers,
+		.body = "x",
+		.body_len = 1,
+		.connect_timeout_ms = 1000,
+		.timeout_ms = 9000,
+		.max_answer_bytes = 10000,
+	};
+	struct cq_http_call *call;
+
+	c->done = 0;
+	call = cq_http_client_send(c->client, &request, on_done, c);
+	g_free(url);
+	return call;
+}
+
+static void contract_open(struct contract *c)
+{
+	static const struct cq_caller_handler handler = { on_request,
+							  on_aborted };
+	struct cq_caller_http_options options = { .max_timeout_ms = 30000 };
+	struct cq_error err = CQ_ERROR_INIT;
+
+	memset(c, 0, sizeof(*c));
+	c->loop = ev_loop_new(EVFLAG_AUTO);
+	cq_http_server_options_init(&options.server, "127.0.0.1", 0);
+	c->http = cq_caller_http_create(c->loop, &options, &handler, c, &err);
+	g_assert_nonnull(c->http);
+	c->client = cq_http_client_create(c->loop, 4, 4);
+}
+
+static void contract_close(struct contract *c)
+{
+	cq_http_client_destroy(c->client);
+	cq_caller_http_destroy(c->http);
+	ev_loop_destroy(c->loop);
+}
+
+/*
+ * Guards against an answer that loses its status, body, endpoint or word on
+ * the run on its way to the caller, and against "not run" for malformed input
+ * whose key may have run before.
+ */
+static void test_contract(void)
+{
+	static const struct cq_answer whole = {
+		.status = 404,
+		.content_type = "text/plain",
+		.endpoint = "e1",
+		.body = "none",
+		.body_len = 4,
+	};
+	static const struct cq_answer busy = {
+		.refusal = CQ_REFUSAL_OVERLOADED,
+		.run = CQ_RUN_NO,
+		.status = 503,
+		.message = "full",
+		.expected_wait_ms = 2500,
+	};
+	static const struct cq_answer lost = {
+		.refusal = CQ_REFUSAL_ENDPOINT_FAILED,
+		.run = CQ_RUN_UNKNOWN,
+		.status = 502,
+		.message = "cut short",
+	};
+	static const struct {
+		const struct cq_answer *answer;
+		const char *class_name, *key;
+		bool drain;
+		uint32_t status;
+		const char *headers;
+		const char *body; /* part of it */
+		bool reaches;
+	} cases[] = {
+		{ &whole, "top", NULL, false, 404,
+		  "Cq-Endpoint=e1;Content-Type=text/plain;", "none", true },
+		{ &busy, "top", NULL, false, 503,
+		  "Cq-Run=no;Retry-After=3;Content-Type=application/json;",
+		  "\"code\":\"overloaded\"", true },
+		{ &lost, "top", "1764840000000-a", false, 502,
+		  "Cq-Run=unknown;Content-Type=application/json;",
+		  "\"run\":\"unknown\"", true },
+		{ &whole, "to p", NULL, false, 400,
+		  "Cq-Run=no;Content-Type=application/json;", "Cq-Class",
+		  false },
+		{ &whole, "to p", "1764840000000-a", false, 400,
+		  "Cq-Run=unknown;Content-Type=application/json;", "Cq-Class",
+		  false },
+		{ &whole, "top", NULL, true, 404,
+		  "Cq-Endpoint=e1;Content-Type=text/plain;Connection=close;",
+		  "none", true },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct cq_caller *caller;
+		struct contract c;
+
+		contract_open(&c);
+		caller = cq_caller_http_get(c.http);
+		c.answer = cases[i].answer;
+		if (cases[i].drain)
+			caller->ops->drain(caller->self);
+		send_request(&c, cases[i].key, cases[i].class_name);
+		run_until(&c, &c.done, 1);
+		g_assert_cmpuint(c.status, ==, cases[i].status);
+		g_assert_cmpstr(c.headers, ==, cases[i].headers);
+		g_assert_nonnull(strstr(c.body, cases[i].body));
+		g_assert_cmpuint(c.requests, ==, cases[i].reaches);
+		if (cases[i].reaches)
+			g_assert_cmpstr(c.path, ==, "pair");
+		g_assert_cmpuint(c.aborted, ==, 0);
+		g_free(c.headers);
+		g_free(c.body);
+		contract_close(&c);
+	}
+}
+
+/*
+ * Guards against a call that ends twice or never: its caller goes away, or
+ * the adapter is destroyed while it is open.
+ */
+static void test_contract_aborted(void)
+{
+	const struct cq_caller *caller;
+	struct cq_http_call *sent;
+	struct contract c;
+
+	contract_open(&c);
+	caller = cq_caller_http_get(c.http);
+	sent = send_request(&c, NULL, "top");
+	run_until(&c, &c.requests, 1);
+	g_assert_cmpuint(caller->ops->open_count(caller->self), ==, 1);
+	cq_http_call_cancel(sent);
+	run_until(&c, &c.aborted, 1);
+	g_assert_cmpuint(caller->ops->open_count(caller->self), ==, 0);
+	send_request(&c, NULL, "top");
+	run_until(&c, &c.requests, 2);
+	contract_close(&c);
+	g_assert_cmpuint(c.aborted, ==, 2);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -216,5 +455,7 @@
 	g_test_add_func("/caller/bad-table", test_bad_table);
 	g_test_add_func("/caller/deep-json", test_deep_json);
 	g_test_add_func("/caller/refusal-format", test_refusal_format);
+	g_test_add_func("/caller/contract/answers", test_contract);
+	g_test_add_func("/caller/contract/aborted", test_contract_aborted);
 	return g_test_run();
 }
--- a/tests/unit/test_job_calls.c
+++ b/tests/unit/test_job_calls.c
@@ -41,7 +41,7 @@
 
 struct fixture {
 	struct ev_loop *loop;
-	struct cq_http_server *server;
+	struct cq_operator_http *server;
 	struct cq_http_client *client;
 	struct cq_settings *settings;
 	struct cq_membership *membership;
@@ -223,14 +223,14 @@
 	return f->local && !strcmp(data_centre, "a") ? strdup(f->local) : NULL;
 }
 
-static void on_request(void *ctx, struct cq_http_exchange *exchange)
+static void on_request(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct fixture *f = ctx;
 
 	cq_job_calls_handle(f->calls, exchange);
 }
 
-static void on_aborted(void *ctx, struct cq_http_exchange *exchange)
+static void on_aborted(void *ctx, struct cq_operator_exchange *exchange)
 {
 	struct fixture *f = ctx;
 
@@ -262,7 +262,7 @@
 		.send = member_send
 	};
 	static const struct cq_job_calls_ops ops = { send_nothing, local };
-	struct cq_http_server_handler handler = { on_request, on_aborted };
+	struct cq_operator_handler handler = { on_request, on_aborted };
 	struct cq_http_server_options server;
 	struct cq_membership_options member;
 	struct cq_job_calls_options options;
@@ -295,7 +295,8 @@
 	f->calls = cq_job_calls_create(&options, &ops, f, &f->store,
 				       f->settings, f->membership);
 	cq_http_server_options_init(&server, "127.0.0.1", 0);
-	f->server = cq_http_server_create(f->loop, &server, &handler, f, &err);
+	f->server =
+		cq_operator_http_create(f->loop, &server, &handler, f, &err);
 	g_assert_nonnull(f->server);
 	f->client = cq_http_client_create(f->loop, 4, 4);
 	ev_timer_init(&f->tick, on_tick, 0.01, 0.01);
@@ -309,7 +310,7 @@
 	ev_timer_stop(f->loop, &f->tick);
 	cq_http_client_destroy(f->client);
 	cq_job_calls_destroy(f->calls);
-	cq_http_server_destroy(f->server);
+	cq_operator_http_destroy(f->server);
 	cq_membership_destroy(f->membership);
 	cq_settings_destroy(f->settings);
 	g_assert_cmpuint(f->pending->len, ==, 0);
@@ -348,7 +349,7 @@
 {
 	struct cq_http_header headers[3] = { { NULL, NULL } };
 	char *url = g_strdup_printf("http://127.0.0.1:%u/v1/jobs%s",
-				    cq_http_server_port(f->server), path);
+				    cq_operator_http_port(f->server), path);
 	struct cq_http_request request = { .method = method,
 					   .url = url,
 					   .headers = headers,
