Set up the HTTP calls of all adapters in one place

Cause: the adapters of endpoints, store, workers and host list each held the same set of open calls, set-up of URL, limits and connection time, completion and cancelling.

Change: src/protocol/http_calls.c does this for all four. The mapping of outcomes stays with each adapter, because each interface has its own.

Conclusion: the unit tests of the four adapters pass unchanged.

--- a/src/protocol/endpoint_http.c
+++ b/src/protocol/endpoint_http.c
@@ -3,19 +3,16 @@
 #include <glib.h>
 #include <string.h>
 
-#include "chestnutquay/http_client.h"
+#include "protocol/http_calls.h"
 
 struct cq_endpoint_http {
 	struct cq_endpoint endpoint;
-	struct cq_http_client *client;
-	struct cq_endpoint_http_options options;
+	struct cq_http_calls *calls;
 	char *probe_path;
-	GHashTable *calls; /* set of struct call */
 };
 
 struct call {
-	struct cq_endpoint_http *http;
-	struct cq_http_call *http_call;
+	struct cq_http_calls_entry entry;
 	char *request_id;
 	cq_endpoint_done_fn *done;
 	void *ctx;
@@ -25,10 +22,11 @@
 		 cq_endpoint_done_fn *done, void *ctx);
 static void probe(void *self, const char *address, const char *request_id,
 		  uint32_t timeout_ms, cq_endpoint_done_fn *done, void *ctx);
-static void on_done(void *ctx, const struct cq_http_result *result);
+static void on_done(struct cq_http_calls_entry *entry,
+		    const struct cq_http_result *result);
 static void classify(const struct call *c, const struct cq_http_result *result,
 		     struct cq_endpoint_result *out);
-static void call_free(struct call *c);
+static void call_free(gpointer data);
 
 static const char *const outcome_strings[] = {
 	[CQ_ENDPOINT_ANSWERED] = "answered", [CQ_ENDPOINT_REFUSED] = "refused",
@@ -47,32 +45,26 @@
 cq_endpoint_http_create(struct cq_http_client *client,
 			const struct cq_endpoint_http_options *options)
 {
+	const struct cq_http_calls_options calls = {
+		.connect_timeout_ms = options->connect_timeout_ms,
+		.max_answer_bytes = options->max_answer_bytes,
+		.done = on_done,
+		.free_entry = call_free,
+	};
 	struct cq_endpoint_http *http = g_new0(struct cq_endpoint_http, 1);
 
 	http->endpoint.ops = &endpoint_ops;
 	http->endpoint.self = http;
-	http->client = client;
-	http->options = *options;
 	http->probe_path = g_strdup(options->probe_path);
-	http->calls = g_hash_table_new(NULL, NULL);
+	http->calls = cq_http_calls_create(client, &calls);
 	return http;
 }
 
 void cq_endpoint_http_destroy(struct cq_endpoint_http *http)
 {
-	GHashTableIter iter;
-	gpointer key;
-
 	if (!http)
 		return;
-	g_hash_table_iter_init(&iter, http->calls);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		struct call *c = key;
-
-		cq_http_call_cancel(c->http_call);
-		call_free(c);
-	}
-	g_hash_table_destroy(http->calls);
+	cq_http_calls_destroy(http->calls);
 	g_free(http->probe_path);
 	g_free(http);
 }
@@ -82,8 +74,10 @@
 	return &http->endpoint;
 }
 
-static void call_free(struct call *c)
+static void call_free(gpointer data)
 {
+	struct call *c = data;
+
 	g_free(c->request_id);
 	g_free(c);
 }
@@ -93,8 +87,7 @@
 {
 	struct cq_endpoint_http *http = self;
 	struct call *c = g_new0(struct call, 1);
-	char *url = g_strdup_printf("http://%s/%s", request->address,
-				    request->path);
+	char *path = g_strdup_printf("/%s", request->path);
 	const char *type = request->content_type;
 	const struct cq_http_header headers[] = {
 		{ "Request-Id", request->request_id },
@@ -106,24 +99,19 @@
 	};
 	struct cq_http_request http_request = {
 		.method = "POST",
-		.url = url,
 		.headers = headers,
 		.body = request->body,
 		.body_len = request->body_len,
-		.connect_timeout_ms = http->options.connect_timeout_ms,
 		.timeout_ms = request->timeout_ms,
-		.max_answer_bytes = http->options.max_answer_bytes,
 		.fresh_connection = request->fresh_connection,
 	};
 
-	c->http = http;
 	c->request_id = g_strdup(request->request_id);
 	c->done = done;
 	c->ctx = ctx;
-	g_hash_table_add(http->calls, c);
-	c->http_call =
-		cq_http_client_send(http->client, &http_request, on_done, c);
-	g_free(url);
+	cq_http_calls_send(http->calls, request->address, path, &http_request,
+			   &c->entry);
+	g_free(path);
 }
 
 static void probe(void *self, const char *address, const char *request_id,
@@ -192,13 +180,12 @@
 	out->body_len = result->body_len;
 }
 
-static void on_done(void *ctx, const struct cq_http_result *result)
+static void on_done(struct cq_http_calls_entry *entry,
+		    const struct cq_http_result *result)
 {
-	struct call *c = ctx;
+	const struct call *c = (struct call *)entry;
 	struct cq_endpoint_result out = { 0 };
 
 	classify(c, result, &out);
-	g_hash_table_remove(c->http->calls, c);
 	c->done(c->ctx, &out);
-	call_free(c);
 }
--- a/src/protocol/host_list_http.c
+++ b/src/protocol/host_list_http.c
@@ -3,27 +3,27 @@
 #include <string.h>
 
 #include "chestnutquay/host_list.h"
-#include "chestnutquay/http_client.h"
+#include "protocol/http_calls.h"
 
 #define CONNECT_TIMEOUT_MS 500
+#define MAX_ANSWER_BYTES (16U << 20)
 
 struct cq_host_list_http {
 	struct cq_host_list list;
-	struct cq_http_client *client;
-	char *url;
-	GPtrArray *fetches;
+	struct cq_http_calls *calls;
+	char *address;
 };
 
 struct fetch {
-	struct cq_host_list_http *http;
-	struct cq_http_call *call;
+	struct cq_http_calls_entry entry;
 	cq_host_list_done_fn *done;
 	void *ctx;
 };
 
 static void fetch(void *self, uint32_t timeout_ms, cq_host_list_done_fn *done,
 		  void *ctx);
-static void on_done(void *ctx, const struct cq_http_result *result);
+static void on_done(struct cq_http_calls_entry *entry,
+		    const struct cq_http_result *result);
 static bool parse_host(const json_t *item, struct cq_host *host);
 static const char *text_of(const json_t *item, const char *name);
 static bool parse_name(const char *text, const char *const *names, size_t count,
@@ -55,29 +55,27 @@
 struct cq_host_list_http *
 cq_host_list_http_create(struct cq_http_client *client, const char *address)
 {
+	static const struct cq_http_calls_options calls = {
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.max_answer_bytes = MAX_ANSWER_BYTES,
+		.done = on_done,
+		.free_entry = g_free,
+	};
 	struct cq_host_list_http *http = g_new0(struct cq_host_list_http, 1);
 
 	http->list.ops = &list_ops;
 	http->list.self = http;
-	http->client = client;
-	http->url = g_strdup_printf("http://%s/v1/hosts", address);
-	http->fetches = g_ptr_array_new_with_free_func(g_free);
+	http->calls = cq_http_calls_create(client, &calls);
+	http->address = g_strdup(address);
 	return http;
 }
 
 void cq_host_list_http_destroy(struct cq_host_list_http *http)
 {
-	guint i;
-
 	if (!http)
 		return;
-	for (i = 0; i < http->fetches->len; i++) {
-		struct fetch *f = g_ptr_array_index(http->fetches, i);
-
-		cq_http_call_cancel(f->call);
-	}
-	g_ptr_array_free(http->fetches, TRUE);
-	g_free(http->url);
+	cq_http_calls_destroy(http->calls);
+	g_free(http->address);
 	g_free(http);
 }
 
@@ -93,17 +91,13 @@
 	struct fetch *f = g_new0(struct fetch, 1);
 	struct cq_http_request request = {
 		.method = "GET",
-		.url = http->url,
-		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.timeout_ms = timeout_ms,
-		.max_answer_bytes = 16U << 20,
 	};
 
-	f->http = http;
 	f->done = done;
 	f->ctx = ctx;
-	g_ptr_array_add(http->fetches, f);
-	f->call = cq_http_client_send(http->client, &request, on_done, f);
+	cq_http_calls_send(http->calls, http->address, "/v1/hosts", &request,
+			   &f->entry);
 }
 
 static const char *text_of(const json_t *item, const char *name)
@@ -150,12 +144,10 @@
 	return *host->id && *host->address;
 }
 
-static void on_done(void *ctx, const struct cq_http_result *result)
+static void on_done(struct cq_http_calls_entry *entry,
+		    const struct cq_http_result *result)
 {
-	struct fetch *f = ctx;
-	struct cq_host_list_http *http = f->http;
-	cq_host_list_done_fn *done = f->done;
-	void *done_ctx = f->ctx;
+	const struct fetch *f = (struct fetch *)entry;
 	struct cq_host *hosts = NULL;
 	json_t *root = NULL;
 	json_t *list = NULL;
@@ -173,8 +165,7 @@
 				   item) if (parse_host(item, &hosts[count]))
 			count++;
 	}
-	g_ptr_array_remove_fast(http->fetches, f);
-	done(done_ctx, hosts, count);
+	f->done(f->ctx, hosts, count);
 	g_free(hosts);
 	json_decref(root);
 }
--- a/src/protocol/store_http.c
+++ b/src/protocol/store_http.c
@@ -5,6 +5,8 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "protocol/http_calls.h"
+
 #define CONNECT_TIMEOUT_MS 500
 /* Time for the answer of a watch beyond the time the store may wait. */
 #define WATCH_GRACE_MS 2000
@@ -12,15 +14,13 @@
 
 struct cq_store_http {
 	struct cq_store store;
-	struct cq_http_client *client;
+	struct cq_http_calls *calls;
 	char *address;
-	GHashTable *calls; /* set of struct cq_store_call */
 	uint64_t sent;
 };
 
 struct cq_store_call {
-	struct cq_store_http *http;
-	struct cq_http_call *call;
+	struct cq_http_calls_entry entry;
 	cq_store_done_fn *done;
 	void *ctx;
 	bool reads; /* a read without an answer had no effect */
@@ -60,7 +60,8 @@
 				   const char *method, char *path,
 				   const char *body, uint32_t timeout_ms,
 				   cq_store_done_fn *done, void *ctx);
-static void on_done(void *ctx, const struct cq_http_result *result);
+static void on_done(struct cq_http_calls_entry *entry,
+		    const struct cq_http_result *http_result);
 static enum cq_store_status status_of(const struct cq_store_call *call,
 				      const struct cq_http_result *result);
 static bool parse_body(const struct cq_http_result *http_result, json_t **root,
@@ -82,31 +83,26 @@
 struct cq_store_http *cq_store_http_create(struct cq_http_client *client,
 					   const char *address)
 {
+	static const struct cq_http_calls_options calls = {
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.max_answer_bytes = MAX_ANSWER_BYTES,
+		.done = on_done,
+		.free_entry = g_free,
+	};
 	struct cq_store_http *http = g_new0(struct cq_store_http, 1);
 
 	http->store.ops = &store_ops;
 	http->store.self = http;
-	http->client = client;
 	http->address = g_strdup(address);
-	http->calls = g_hash_table_new(NULL, NULL);
+	http->calls = cq_http_calls_create(client, &calls);
 	return http;
 }
 
 void cq_store_http_destroy(struct cq_store_http *http)
 {
-	GHashTableIter iter;
-	gpointer key;
-
 	if (!http)
 		return;
-	g_hash_table_iter_init(&iter, http->calls);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		struct cq_store_call *call = key;
-
-		cq_http_call_cancel(call->call);
-		g_free(call);
-	}
-	g_hash_table_destroy(http->calls);
+	cq_http_calls_destroy(http->calls);
 	g_free(http->address);
 	g_free(http);
 }
@@ -127,18 +123,13 @@
 				   cq_store_done_fn *done, void *ctx)
 {
 	struct cq_store_call *call = g_new0(struct cq_store_call, 1);
-	char *url = g_strdup_printf("http://%s%s", http->address, path);
 	struct cq_http_request request = {
 		.method = method,
-		.url = url,
 		.body = body,
 		.body_len = body ? strlen(body) : 0,
-		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.timeout_ms = timeout_ms,
-		.max_answer_bytes = MAX_ANSWER_BYTES,
 	};
 
-	call->http = http;
 	call->done = done;
 	call->ctx = ctx;
 	call->reads = !strcmp(method, "GET");
@@ -148,10 +139,9 @@
 	 */
 	request.fresh_connection = !call->reads &&
 				   !g_str_has_suffix(path, "/keepalive");
-	g_hash_table_add(http->calls, call);
 	http->sent++;
-	call->call = cq_http_client_send(http->client, &request, on_done, call);
-	g_free(url);
+	cq_http_calls_send(http->calls, http->address, path, &request,
+			   &call->entry);
 	g_free(path);
 	return call;
 }
@@ -215,9 +205,10 @@
 	return true;
 }
 
-static void on_done(void *ctx, const struct cq_http_result *http_result)
+static void on_done(struct cq_http_calls_entry *entry,
+		    const struct cq_http_result *http_result)
 {
-	struct cq_store_call *call = ctx;
+	const struct cq_store_call *call = (struct cq_store_call *)entry;
 	struct cq_store_result result = { .message = http_result->error };
 	struct cq_store_entry *entries = NULL;
 	json_t *root = NULL;
@@ -231,19 +222,15 @@
 		result.message = "the store's answer is malformed";
 		result.entry_count = 0;
 	}
-	g_hash_table_remove(call->http->calls, call);
 	call->done(call->ctx, &result);
 	g_free(entries);
 	json_decref(root);
-	g_free(call);
 }
 
 static void store_cancel(void *self, struct cq_store_call *call)
 {
 	(void)self;
-	cq_http_call_cancel(call->call);
-	g_hash_table_remove(call->http->calls, call);
-	g_free(call);
+	cq_http_calls_cancel(&call->entry);
 }
 
 static struct cq_store_call *store_get(void *self, const char *key,
--- a/src/protocol/worker_http.c
+++ b/src/protocol/worker_http.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "chestnutquay/http_client.h"
 #include "chestnutquay/worker.h"
+#include "protocol/http_calls.h"
 
 #define CONNECT_TIMEOUT_MS 500
 /* A full report of 1,000 tasks is about 400 KB. */
@@ -12,13 +12,11 @@
 
 struct cq_worker_http {
 	struct cq_worker worker;
-	struct cq_http_client *client;
-	GHashTable *calls; /* set of struct call */
+	struct cq_http_calls *calls;
 };
 
 struct call {
-	struct cq_worker_http *http;
-	struct cq_http_call *call;
+	struct cq_http_calls_entry entry;
 	cq_worker_done_fn *done;
 	cq_worker_sync_done_fn *sync_done;
 	void *ctx;
@@ -31,7 +29,8 @@
 			 const char *verb, json_t *body, uint32_t timeout_ms,
 			 cq_worker_done_fn *done, void *ctx);
 static enum cq_worker_answer answer_of(const struct cq_http_result *result);
-static void on_done(void *ctx, const struct cq_http_result *result);
+static void on_done(struct cq_http_calls_entry *entry,
+		    const struct cq_http_result *result);
 static bool parse_report(const json_t *root, struct cq_worker_report *report,
 			 struct cq_worker_task **tasks);
 static bool parse_task(const json_t *item, struct cq_worker_task *task);
@@ -39,13 +38,11 @@
 static uint64_t count_of(const json_t *item, const char *name);
 static uint64_t bits_of(const json_t *item, const char *name);
 
-static struct call *call_create(struct cq_worker_http *http, void *ctx)
+static struct call *call_create(void *ctx)
 {
 	struct call *call = g_new0(struct call, 1);
 
-	call->http = http;
 	call->ctx = ctx;
-	g_hash_table_add(http->calls, call);
 	return call;
 }
 
@@ -53,7 +50,6 @@
 		      const char *path, json_t *body, uint32_t timeout_ms,
 		      struct call *call)
 {
-	char *url = g_strdup_printf("http://%s%s", address, path);
 	char *text = json_dumps(body, JSON_COMPACT);
 	static const struct cq_http_header headers[] = {
 		{ "Content-Type", "application/json" },
@@ -61,26 +57,22 @@
 	};
 	struct cq_http_request request = {
 		.method = "POST",
-		.url = url,
 		.headers = headers,
 		.body = text,
 		.body_len = strlen(text),
-		.connect_timeout_ms = MIN(CONNECT_TIMEOUT_MS, timeout_ms),
 		.timeout_ms = timeout_ms,
-		.max_answer_bytes = MAX_ANSWER_BYTES,
 	};
 
-	call->call = cq_http_client_send(http->client, &request, on_done, call);
+	cq_http_calls_send(http->calls, address, path, &request, &call->entry);
 	json_decref(body);
 	free(text);
-	g_free(url);
 }
 
 static void start(void *self, const char *address,
 		  const struct cq_worker_start *s, uint32_t timeout_ms,
 		  cq_worker_done_fn *done, void *ctx)
 {
-	struct call *call = call_create(self, ctx);
+	struct call *call = call_create(ctx);
 	json_t *body =
 		json_pack("{s:s,s:s,s:I,s:I,s:I,s:s,s:s,s:I,s:I,s:I,s:I,s:I}",
 			  "task_id", s->task_id, "job_id", s->job_id, "attempt",
@@ -109,7 +101,7 @@
 		      const struct cq_worker_sync *sync, uint32_t timeout_ms,
 		      cq_worker_sync_done_fn *done, void *ctx)
 {
-	struct call *call = call_create(self, ctx);
+	struct call *call = call_create(ctx);
 	json_t *renew = json_array();
 	uint32_t i;
 
@@ -128,7 +120,7 @@
 			 const char *verb, json_t *body, uint32_t timeout_ms,
 			 cq_worker_done_fn *done, void *ctx)
 {
-	struct call *call = call_create(self, ctx);
+	struct call *call = call_create(ctx);
 	char *path = g_strdup_printf("/v1/tasks/%s/%s", task_id, verb);
 
 	call->done = done;
@@ -261,15 +253,15 @@
 	return true;
 }
 
-static void on_done(void *ctx, const struct cq_http_result *result)
+static void on_done(struct cq_http_calls_entry *entry,
+		    const struct cq_http_result *result)
 {
-	struct call *call = ctx;
+	const struct call *call = (struct call *)entry;
 	enum cq_worker_answer answer = answer_of(result);
 	struct cq_worker_report report = { 0 };
 	struct cq_worker_task *tasks = NULL;
 	json_t *root = NULL;
 
-	g_hash_table_remove(call->http->calls, call);
 	if (result->outcome == CQ_HTTP_ANSWERED)
 		root = json_loadb(result->body, result->body_len, 0, NULL);
 	if (call->sync_done) {
@@ -288,35 +280,29 @@
 	}
 	g_free(tasks);
 	json_decref(root);
-	g_free(call);
 }
 
 struct cq_worker_http *cq_worker_http_create(struct cq_http_client *client)
 {
+	static const struct cq_http_calls_options calls = {
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.max_answer_bytes = MAX_ANSWER_BYTES,
+		.done = on_done,
+		.free_entry = g_free,
+	};
 	struct cq_worker_http *http = g_new0(struct cq_worker_http, 1);
 
 	http->worker.ops = &http_ops;
 	http->worker.self = http;
-	http->client = client;
-	http->calls = g_hash_table_new(NULL, NULL);
+	http->calls = cq_http_calls_create(client, &calls);
 	return http;
 }
 
 void cq_worker_http_destroy(struct cq_worker_http *http)
 {
-	GHashTableIter iter;
-	gpointer key;
-
 	if (!http)
 		return;
-	g_hash_table_iter_init(&iter, http->calls);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		struct call *call = key;
-
-		cq_http_call_cancel(call->call);
-		g_free(call);
-	}
-	g_hash_table_destroy(http->calls);
+	cq_http_calls_destroy(http->calls);
 	g_free(http);
 }
 
