Make the picture of cq-burn readable

Cause: rendered to PNG, the picture showed long host names over the chart and over the text next to them, a curve cut off at twice the fast limit, no unit and no time axis, a full budget bar for a class without events, and missing hosts only at the bottom.

Change: a line in the colour of the verdict names the worst class and counts missing hosts; classes are titles; burn carries its unit and window; all charts have one scale up to the highest burn, a time axis and labels that keep their distance; long names lose their middle. Control characters and invalid UTF-8 in names, which XML cannot hold, are replaced.

--- a/src/programs/burn/svg.c
+++ b/src/programs/burn/svg.c
@@ -1,54 +1,101 @@
-/* One picture: a card for each objective and a strip of hosts below. */
+/* One picture: a summary, a card for each objective, the missing hosts. */
 #include <math.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "programs/burn/burn.h"
 
 #define WIDTH 960
 #define MARGIN 24
-#define HEADER 92
-#define CARD_HEIGHT 132
-#define CARD_GAP 16
+#define HEADER 136
+#define CARD_HEIGHT 148
+#define CARD_GAP 14
 #define HOST_HEIGHT 26
-#define CHART_X 440
-#define CHART_WIDTH 470
-#define CHART_HEIGHT 74
+#define CHART_X 480
+#define CHART_WIDTH 340
+#define CHART_HEIGHT 84
+#define BAR_WIDTH 400
+
+/* Characters that fit at the size of the text, in a wide font. */
+#define CLASS_CHARS 30
+#define OBJECTIVE_CHARS 56
+#define HOST_CHARS 42
+#define BANNER_CHARS 88
+
+#define DARK "#22262b"
+#define GREY "#5c636d"
 
 static const char *colour_of(enum burn_verdict verdict);
-static void print_escaped(const char *text);
+static char *clean(const char *text);
+static char *fit(const char *text, glong most);
+static char *times(double burn);
 static void print_text(int x, int y, const char *style, const char *text);
 static void print_header(const struct burn_report *report, int height);
+static void print_banner(const struct burn_report *report);
 static void print_budget(const struct burn_result *result, int x, int y);
-static void print_chart(const struct burn_result *result,
-			const struct burn_options *options, int x, int y);
-static void print_card(const struct burn_result *result,
-		       const struct burn_options *options, int y);
+static double scale_top(const struct burn_report *report);
+static void print_scale(const struct burn_report *report, double top, int x,
+			int y);
+static void print_curve(const struct burn_result *result, double top, int x,
+			int y);
+static void print_card(const struct burn_report *report,
+		       const struct burn_result *result, double top, int y);
 static void print_host(const struct burn_host *host, int y);
 
 static const char *colour_of(enum burn_verdict verdict)
 {
 	static const char *const colours[] = {
 		[BURN_GOOD] = "#2e7d5b",   [BURN_SPENT] = "#a3541f",
-		[BURN_SLOW] = "#c98a1b",   [BURN_FAST] = "#c0392b",
-		[BURN_SILENT] = "#8a8f98",
+		[BURN_SLOW] = "#b47710",   [BURN_FAST] = "#c0392b",
+		[BURN_SILENT] = "#7a808a",
 	};
 
 	return colours[verdict];
 }
 
-static void print_escaped(const char *text)
+/* Text that XML can hold: valid UTF-8 without control characters. */
+static char *clean(const char *text)
 {
-	char *escaped = g_markup_escape_text(text, -1);
+	char *valid = g_utf8_make_valid(text, -1);
+	char *at;
 
-	fputs(escaped, stdout);
-	g_free(escaped);
+	for (at = valid; *at; at++)
+		if ((unsigned char)*at < ' ' || *at == 0x7f)
+			*at = '?';
+	return valid;
+}
+
+/* Leaves out the middle of a text that has more characters. */
+static char *fit(const char *text, glong most)
+{
+	char *valid = clean(text);
+	glong len = g_utf8_strlen(valid, -1);
+	glong kept = (most - 1) / 2;
+	char *head;
+	char *fitted;
+
+	if (len <= most)
+		return valid;
+	head = g_utf8_substring(valid, 0, most - 1 - kept);
+	fitted = g_strconcat(head, "\xe2\x80\xa6",
+			     g_utf8_offset_to_pointer(valid, len - kept), NULL);
+	g_free(head);
+	g_free(valid);
+	return fitted;
+}
+
+static char *times(double burn)
+{
+	return g_strdup_printf(burn < 10 ? "%.2f\xc3\x97" : "%.1f\xc3\x97",
+			       burn);
 }
 
 static void print_text(int x, int y, const char *style, const char *text)
 {
-	printf("<text x=\"%d\" y=\"%d\" %s>", x, y, style);
-	print_escaped(text);
-	puts("</text>");
+	char *escaped = g_markup_escape_text(text, -1);
+
+	printf("<text x=\"%d\" y=\"%d\" %s>%s</text>\n", x, y, style, escaped);
+	g_free(escaped);
 }
 
 static void print_header(const struct burn_report *report, int height)
@@ -56,8 +103,10 @@
 	GDateTime *end = g_date_time_new_from_unix_utc(report->last_ms / 1000);
 	char *when = g_date_time_format(end, "%Y-%m-%d %H:%M:%S UTC");
 	char *span = burn_duration((report->last_ms - report->first_ms) / 1000);
-	char *line = g_strdup_printf("hosts: %u, observed for %s until %s",
-				     report->hosts->len, span, when);
+	char *line = g_strdup_printf(
+		"hosts: %u, observed for %s until %s; 1\xc3\x97 is the rate at "
+		"which a budget lasts exactly its window",
+		report->hosts->len, span, when);
 
 	printf("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" "
 	       "height=\"%d\" viewBox=\"0 0 %d %d\" "
@@ -65,137 +114,266 @@
 	       WIDTH, height, WIDTH, height);
 	printf("<rect width=\"%d\" height=\"%d\" fill=\"#f4f2ee\"/>\n", WIDTH,
 	       height);
-	print_text(MARGIN, 44,
-		   "font-size=\"24\" font-weight=\"600\" fill=\"#22262b\"",
+	print_text(MARGIN, 42,
+		   "font-size=\"24\" font-weight=\"600\" fill=\"" DARK "\"",
 		   "Service-level burn");
-	print_text(MARGIN, 68, "font-size=\"13\" fill=\"#5c636d\"", line);
+	print_text(MARGIN, 66, "font-size=\"13\" fill=\"" GREY "\"", line);
+	print_banner(report);
 	g_free(line);
 	g_free(span);
 	g_free(when);
 	g_date_time_unref(end);
 }
 
-/* A bar of the budget; the part used up is drawn in the verdict's colour. */
+/* The worst objective and the number of missing hosts, at a glance. */
+static void print_banner(const struct burn_report *report)
+{
+	const struct burn_result *worst =
+		&g_array_index(report->results, struct burn_result, 0);
+	const char *colour = colour_of(worst->verdict);
+	uint32_t missing = 0;
+	char *burn;
+	char *worst_text;
+	char *text;
+	char *fitted;
+	guint i;
+
+	for (i = 0; i < report->hosts->len; i++)
+		missing += g_array_index(report->hosts, struct burn_host, i)
+				   .missing_s > 0;
+	burn = times(worst->fast[1].burn);
+	worst_text =
+		worst->fast[1].burn < 0
+			? g_strdup("No events")
+			: g_strdup_printf("%s: %s, %s, %s %s",
+					  worst->verdict == BURN_GOOD
+						  ? "All good, highest"
+						  : "Worst",
+					  worst->objective.class_name,
+					  worst->objective.name, burn,
+					  burn_verdict_string(worst->verdict));
+	text = missing ? g_strdup_printf("%s. Hosts missing: %u of %u",
+					 worst_text, missing,
+					 report->hosts->len)
+		       : g_strdup(worst_text);
+	fitted = fit(text, BANNER_CHARS);
+	printf("<rect x=\"%d\" y=\"82\" width=\"%d\" height=\"38\" rx=\"8\" "
+	       "fill=\"%s\"/>\n",
+	       MARGIN, WIDTH - 2 * MARGIN, colour);
+	print_text(MARGIN + 16, 107,
+		   "font-size=\"16\" font-weight=\"600\" fill=\"#ffffff\"",
+		   fitted);
+	g_free(fitted);
+	g_free(text);
+	g_free(worst_text);
+	g_free(burn);
+}
+
+/* A bar of the budget: the coloured part is left. */
 static void print_budget(const struct burn_result *result, int x, int y)
 {
 	double left = fmax(fmin(result->remaining, 1), 0);
 	char *window = burn_duration(result->objective.window_s);
-	char *text = g_strdup_printf("%.1f %% of the budget of %s left",
-				     result->remaining * 100, window);
+	char *used = times(1 - result->remaining);
+	char *text;
 
-	printf("<rect x=\"%d\" y=\"%d\" width=\"360\" height=\"8\" rx=\"4\" "
+	if (result->whole.burn < 0)
+		text = g_strdup_printf("budget of %s: no events", window);
+	else if (result->remaining < 0)
+		text = g_strdup_printf("budget of %s overspent: %s used so far",
+				       window, used);
+	else
+		text = g_strdup_printf("%.1f %% of the budget of %s left",
+				       result->remaining * 100, window);
+	printf("<rect x=\"%d\" y=\"%d\" width=\"%d\" height=\"8\" rx=\"4\" "
 	       "fill=\"#e3e0da\"/>\n",
-	       x, y);
-	printf("<rect x=\"%d\" y=\"%d\" width=\"%.1f\" height=\"8\" rx=\"4\" "
-	       "fill=\"%s\"/>\n",
-	       x, y, 360 * left, colour_of(result->verdict));
-	print_text(x, y + 26, "font-size=\"12\" fill=\"#5c636d\"", text);
+	       x, y, BAR_WIDTH);
+	if (result->whole.burn >= 0 && left > 0)
+		printf("<rect x=\"%d\" y=\"%d\" width=\"%.1f\" height=\"8\" "
+		       "rx=\"4\" fill=\"%s\"/>\n",
+		       x, y, BAR_WIDTH * left, colour_of(result->verdict));
+	print_text(x, y + 25, "font-size=\"12\" fill=\"" GREY "\"", text);
 	g_free(text);
+	g_free(used);
 	g_free(window);
 }
 
+/* All cards have one scale, so that their curves can be compared. */
+static double scale_top(const struct burn_report *report)
+{
+	double top = report->options.fast_limit * 2;
+	guint i;
+	int k;
+
+	for (i = 0; i < report->results->len; i++)
+		for (k = 0; k < BURN_POINTS; k++)
+			top = fmax(top, g_array_index(report->results,
+						      struct burn_result, i)
+						.points[k]);
+	return top;
+}
+
 /*
- * Burn over time, on a logarithmic scale so that 1 (the budget lasts exactly)
- * and the limit of the fast pair are both readable.
+ * A logarithmic scale, so that 1 (the budget lasts exactly) and the limit of
+ * the fast pair are both readable.
  */
-static void print_chart(const struct burn_result *result,
-			const struct burn_options *options, int x, int y)
+static int height_at(double burn, double top, int y)
 {
-	double top = log1p(options->fast_limit * 2);
-	const double lines[] = { 1, options->fast_limit };
-	bool open = false;
+	return (int)lrint(y + CHART_HEIGHT -
+			  CHART_HEIGHT * log1p(fmax(burn, 0)) / log1p(top));
+}
+
+static void print_scale(const struct burn_report *report, double top, int x,
+			int y)
+{
+	const double fast = report->options.fast_limit;
+	const double lines[] = { 0, 1, fast, top };
+	char *span = burn_duration((report->last_ms - report->first_ms) / 1000);
+	char *start = g_strdup_printf("%s ago", span);
+	int last = WIDTH * 10;
 	size_t k;
-	int i;
 
 	for (k = 0; k < G_N_ELEMENTS(lines); k++) {
-		double at =
-			y + CHART_HEIGHT - CHART_HEIGHT * log1p(lines[k]) / top;
-
-		printf("<line x1=\"%d\" y1=\"%.1f\" x2=\"%d\" y2=\"%.1f\" "
-		       "stroke=\"#d3cfc7\" stroke-dasharray=\"3 4\"/>\n",
-		       x, at, x + CHART_WIDTH - 34, at);
-		printf("<text x=\"%d\" y=\"%.1f\" font-size=\"11\" "
-		       "fill=\"#8a8f98\">%.3g</text>\n",
-		       x + CHART_WIDTH - 28, at + 4, lines[k]);
+		int at = height_at(lines[k], top, y);
+		char *label =
+			g_strdup_printf("%.3g\xc3\x97%s", lines[k],
+					lines[k] == fast ? " fast limit" : "");
+
+		/* Labels need the height of a line. */
+		if (last - at >= 12) {
+			printf("<line x1=\"%d\" y1=\"%d\" x2=\"%d\" "
+			       "y2=\"%d\" stroke=\"%s\"%s/>\n",
+			       x, at, x + CHART_WIDTH, at,
+			       lines[k] == fast ? "#c0392b" : "#c9c4ba",
+			       k ? " stroke-dasharray=\"3 4\"" : "");
+			print_text(x + CHART_WIDTH + 6, at + 4,
+				   "font-size=\"11\" fill=\"" GREY "\"", label);
+			last = at;
+		}
+		g_free(label);
 	}
+	print_text(x, y + CHART_HEIGHT + 16,
+		   "font-size=\"11\" fill=\"" GREY "\"", start);
+	print_text(x + CHART_WIDTH, y + CHART_HEIGHT + 16,
+		   "font-size=\"11\" text-anchor=\"end\" fill=\"" GREY "\"",
+		   "now");
+	g_free(start);
+	g_free(span);
+}
+
+static void print_curve(const struct burn_result *result, double top, int x,
+			int y)
+{
+	bool open = false;
+	bool any = false;
+	int i;
+
 	printf("<path fill=\"none\" stroke=\"%s\" stroke-width=\"2\" "
-	       "stroke-linejoin=\"round\" d=\"",
+	       "stroke-linejoin=\"round\" stroke-linecap=\"round\" d=\"",
 	       colour_of(result->verdict));
 	for (i = 0; i < BURN_POINTS; i++) {
 		double burn = result->points[i];
-		double at = y + CHART_HEIGHT -
-			    CHART_HEIGHT * fmin(log1p(fmax(burn, 0)) / top, 1);
 
 		/* A time without events leaves a gap. */
 		if (burn >= 0)
-			printf("%c%.1f %.1f ", open ? 'L' : 'M',
-			       x + (CHART_WIDTH - 40.0) * i / (BURN_POINTS - 1),
-			       at);
+			printf("%c%.1f %d ", open ? 'L' : 'M',
+			       x + CHART_WIDTH * (double)i / (BURN_POINTS - 1),
+			       height_at(burn, top, y));
 		open = burn >= 0;
+		any = any || open;
 	}
 	puts("\"/>");
+	if (!any)
+		print_text(
+			x + CHART_WIDTH / 2, y + CHART_HEIGHT / 2 + 4,
+			"font-size=\"13\" text-anchor=\"middle\" fill=\"" GREY
+			"\"",
+			"no events");
 }
 
-static void print_card(const struct burn_result *result,
-		       const struct burn_options *options, int y)
+static void print_card(const struct burn_report *report,
+		       const struct burn_result *result, double top, int y)
 {
 	const struct burn_objective *objective = &result->objective;
+	const struct burn_rate *rate = &result->fast[1];
 	const char *colour = colour_of(result->verdict);
-	char *title = g_strdup_printf("%s \xc2\xb7 %s", objective->name,
-				      objective->class_name);
-	char *burn =
-		result->fast[1].burn < 0
-			? g_strdup("no events")
-			: g_strdup_printf("burn %.2f", result->fast[1].burn);
+	const char *verdict = burn_verdict_string(result->verdict);
+	char *title = fit(objective->class_name, CLASS_CHARS);
+	char *window = burn_duration(report->options.fast_s[1]);
+	char *burn = rate->burn < 0 ? g_strdup("-") : times(rate->burn);
+	char *over = g_strdup_printf("burn over the last %s", window);
 	char *style = g_strdup_printf(
-		"font-size=\"20\" font-weight=\"600\" fill=\"%s\"", colour);
-	char *host = result->worst_host
-			     ? g_strdup_printf("worst host %s, burn %.2f",
-					       result->worst_host,
-					       result->worst_burn)
-			     : g_strdup("no host burns");
+		"font-size=\"22\" font-weight=\"600\" fill=\"%s\"", colour);
+	char *name = fit(objective->name, OBJECTIVE_CHARS);
+	char *host;
+	int pill = 24 + 8 * (int)strlen(verdict);
+
+	if (result->worst_host) {
+		char *short_host = fit(result->worst_host, HOST_CHARS);
+		char *worst = times(result->worst_burn);
 
+		host = g_strdup_printf("worst host %s, %s", short_host, worst);
+		g_free(worst);
+		g_free(short_host);
+	} else {
+		host = g_strdup("no host burns");
+	}
 	printf("<rect x=\"%d\" y=\"%d\" width=\"%d\" height=\"%d\" rx=\"10\" "
 	       "fill=\"#ffffff\" stroke=\"#e3e0da\"/>\n",
 	       MARGIN, y, WIDTH - 2 * MARGIN, CARD_HEIGHT);
 	printf("<rect x=\"%d\" y=\"%d\" width=\"6\" height=\"%d\" rx=\"3\" "
 	       "fill=\"%s\"/>\n",
 	       MARGIN, y, CARD_HEIGHT, colour);
-	print_text(MARGIN + 24, y + 30,
-		   "font-size=\"15\" font-weight=\"600\" fill=\"#22262b\"",
+	print_text(MARGIN + 24, y + 28,
+		   "font-size=\"16\" font-weight=\"600\" fill=\"" DARK "\"",
 		   title);
-	print_text(MARGIN + 24, y + 58, style, burn);
-	print_text(MARGIN + 190, y + 58, "font-size=\"12\" fill=\"#5c636d\"",
-		   burn_verdict_string(result->verdict));
-	print_budget(result, MARGIN + 24, y + 72);
-	print_text(MARGIN + 24, y + 117, "font-size=\"12\" fill=\"#5c636d\"",
+	print_text(MARGIN + 24, y + 46, "font-size=\"12\" fill=\"" GREY "\"",
+		   name);
+	printf("<rect x=\"%d\" y=\"%d\" width=\"%d\" height=\"22\" rx=\"11\" "
+	       "fill=\"%s\"/>\n",
+	       MARGIN + 24 + BAR_WIDTH - pill, y + 12, pill, colour);
+	print_text(MARGIN + 24 + BAR_WIDTH - pill / 2, y + 27,
+		   "font-size=\"12\" font-weight=\"600\" fill=\"#ffffff\" "
+		   "text-anchor=\"middle\"",
+		   verdict);
+	print_text(MARGIN + 24, y + 76, style, burn);
+	print_text(MARGIN + 134, y + 76, "font-size=\"12\" fill=\"" GREY "\"",
+		   over);
+	print_budget(result, MARGIN + 24, y + 88);
+	print_text(MARGIN + 24, y + 133, "font-size=\"12\" fill=\"" GREY "\"",
 		   host);
-	print_chart(result, options, CHART_X, y + 30);
+	print_scale(report, top, CHART_X, y + 28);
+	print_curve(result, top, CHART_X, y + 28);
 	g_free(host);
+	g_free(name);
 	g_free(style);
+	g_free(over);
 	g_free(burn);
+	g_free(window);
 	g_free(title);
 }
 
 static void print_host(const struct burn_host *host, int y)
 {
 	char *missing = burn_duration(host->missing_s);
+	char *name = fit(host->host, HOST_CHARS);
 	char *text = g_strdup_printf(
-		"nothing known for %s, %u restart%s; its events there are not "
-		"in the figures",
+		"nothing known for %s, %u restart%s; not in "
+		"the figures for that time",
 		missing, host->restarts, host->restarts == 1 ? "" : "s");
 
 	printf("<circle cx=\"%d\" cy=\"%d\" r=\"5\" fill=\"#c0392b\"/>\n",
 	       MARGIN + 8, y - 4);
-	print_text(MARGIN + 24, y, "font-size=\"13\" fill=\"#22262b\"",
-		   host->host);
-	print_text(MARGIN + 190, y, "font-size=\"13\" fill=\"#5c636d\"", text);
+	print_text(MARGIN + 24, y, "font-size=\"13\" fill=\"" DARK "\"", name);
+	print_text(MARGIN + 400, y, "font-size=\"13\" fill=\"" GREY "\"", text);
 	g_free(text);
+	g_free(name);
 	g_free(missing);
 }
 
 void burn_print_svg(const struct burn_report *report)
 {
+	double top = scale_top(report);
 	int y = HEADER;
 	int height = HEADER + MARGIN;
 	guint i;
@@ -206,9 +384,10 @@
 			height += HOST_HEIGHT;
 	print_header(report, height);
 	for (i = 0; i < report->results->len; i++) {
-		print_card(&g_array_index(report->results, struct burn_result,
+		print_card(report,
+			   &g_array_index(report->results, struct burn_result,
 					  i),
-			   &report->options, y);
+			   top, y);
 		y += CARD_HEIGHT + CARD_GAP;
 	}
 	for (i = 0; i < report->hosts->len; i++) {
--- a/tests/scripts/test_burn.sh
+++ b/tests/scripts/test_burn.sh
@@ -121,6 +121,24 @@
 if grep -q -e nan -e inf\" "$work/picture.svg"; then
 	echo "not a number in the picture"
 fi
+grep -o -e '>Worst.*<' "$work/picture.svg"
+
+# A burn of 100, names that XML must escape, and a class without events.
+long=a-host-with-a-name-that-does-not-fit-into-the-picture.example:7102
+for second in 0 600; do
+	echo "# scrape $long $((base + second * 1000))"
+	echo "cq_request_seconds_bucket{class=\"a<b>&\",result=\"overloaded\",le=\"+Inf\"} $second"
+	echo "# scrape <h> $((base + second * 1000)) failed"
+done >"$work/names"
+echo '{"objectives":[
+	{"name":"request_success","class":"a<b>&","percentile":99,
+	 "target_ms":1,"window_s":3600},
+	{"name":"request_success","class":"idle","percentile":99,
+	 "target_ms":1,"window_s":3600}]}' >"$work/odd"
+echo "# the picture escapes names and shortens long ones"
+"$bin/cq-burn" --scrapes="$work/names" --objectives="$work/odd" $windows \
+	--output=svg | grep -o -e '>Worst.*<' -e '>a.*<' -e '>idle<' \
+	-e '>worst host.*<' -e '>&lt;h.*<' -e '>100.*<' -e '>no events<'
 
 # Without a start time, a counter that falls shows the restart:
 # 5 of 25 refused since then, burn 20.
