State what the completion weight does

Cause: the header said that lower values of completion_weight_permille keep whole workers intact for longer. Only the order of the queue uses the weight.

Change: the header gives the key of the order and says that placement does not depend on the weight.

Figures: none; no code changes.

Conclusion: the header matches the code.

--- a/include/chestnutquay/fleet.h
+++ b/include/chestnutquay/fleet.h
@@ -132,8 +132,10 @@
 /* Settings that steer the decisions; see cq_policy_init for the defaults. */
 struct cq_policy {
 	/*
-	 * 1000 orders jobs within a class by completion time alone, 0 by
-	 * arrival, and lower values keep whole workers intact for longer.
+	 * Changes only the order of the waiting jobs within a class, which is
+	 * ascending in predicted work ^ (weight / 1000) / (age + 30 s); work
+	 * is accelerators x run time. 1000 serves short and small jobs first,
+	 * 0 serves in the order of arrival. Placement does not depend on it.
 	 */
 	uint32_t completion_weight_permille;
 	uint32_t max_starts_per_plan;
