--- a/tests/unit/test_planner_reclaim.c
+++ b/tests/unit/test_planner_reclaim.c
@@ -175,22 +175,70 @@
 	g_assert_cmpint(wait_reason(world, other), ==, CQ_REASON_WAIT_RECLAIM);
 }
 
-#define ADD(path, function) \
-	g_test_add(path, struct world, NULL, set_up, function, tear_down)
+/* A job of 2 accelerators keeps one of 8 waiting that has no guarantee. */
+static const struct move_case {
+	const char *name;
+	int64_t ran_s;
+	uint32_t evictions;
+	bool can_checkpoint;
+	bool moves;
+} move_cases[] = {
+	{ "moves", 100, 0, true, true },
+	{ "has just started", 30, 0, true, false },
+	{ "was stopped too often", 100, 3, true, false },
+	{ "would lose more than is gained", 50000, 0, false, false },
+};
 
-int main(int argc, char **argv)
+/* Guards against large jobs starved by small ones, and costly moves. */
+static void test_move(struct world *world, gconstpointer data)
 {
-	size_t n;
-
-	g_test_init(&argc, &argv, NULL);
-	for (n = 0; n < G_N_ELEMENTS(shape_cases); n++) {
-		char *name = g_strconcat("/planner/reclaim/shape/",
-					 shape_cases[n].name, NULL);
+	const struct move_case *entry = data;
+	uint32_t small;
+	uint32_t large;
+	uint32_t i;
 
-		g_test_add(name, struct world, &shape_cases[n], set_up,
-			   test_shape, tear_down);
-		g_free(name);
+	world->fleet->now_ns = 100000 * CQ_NS_PER_S;
+	for (i = 1; i < 4; i++)
+		fill(world, world->b, world->batch, i, 0, 8, 0);
+	small = fleet_add_job(world->fleet, world->b, world->batch, 1, 2);
+	fleet_run_task(world->fleet, small, 0, 0x3, 0);
+	large = fleet_add_job(world->fleet, world->a, world->batch, 1, 8);
+	fleet_job(world->fleet, large)->submitted_ns -= 400 * CQ_NS_PER_S;
+	for (i = 0; i < large; i++) {
+		struct cq_fleet_job *job = fleet_job(world->fleet, i);
+
+		job->declared_run_ns = 60000 * CQ_NS_PER_S;
+		job->started_ns -= entry->ran_s * CQ_NS_PER_S;
+		job->evictions = entry->evictions;
+		job->checkpoint_cost_ns = 10 * CQ_NS_PER_S;
+		job->can_checkpoint = entry->can_checkpoint;
 	}
-	ADD("/planner/reclaim/hold", test_hold);
+	plan(world);
+	g_assert_cmpuint(world->plan->action_count, ==, entry->moves);
+	if (!entry->moves)
+		return;
+	g_assert_cmpuint(world->plan->actions[0].job, ==, small);
+	g_assert_cmpint(world->plan->actions[0].reason, ==, CQ_REASON_MOVED);
+	g_assert_cmpuint(world->plan->actions[0].for_job, ==, large);
+}
+
+#define ADD_CASES(path, cases, function)                                       \
+	do {                                                                   \
+		size_t n;                                                      \
+		for (n = 0; n < G_N_ELEMENTS(cases); n++) {                    \
+			char *name = g_strconcat(path, (cases)[n].name, NULL); \
+			g_test_add(name, struct world, &(cases)[n], set_up,    \
+				   function, tear_down);                       \
+			g_free(name);                                          \
+		}                                                              \
+	} while (0)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD_CASES("/planner/reclaim/shape/", shape_cases, test_shape);
+	ADD_CASES("/planner/reclaim/move/", move_cases, test_move);
+	g_test_add("/planner/reclaim/hold", struct world, NULL, set_up,
+		   test_hold, tear_down);
 	return g_test_run();
 }
