--- a/include/chestnutquay/settings.h
+++ b/include/chestnutquay/settings.h
@@ -61,7 +61,11 @@
 	int32_t class_count; /* in order of rank */
 	struct cq_settings_objective objectives[CQ_SETTINGS_MAX_OBJECTIVES];
 	int32_t objective_count;
-	/* 0: only completion time counts, 1: only fragmentation. */
+	/*
+	 * Order of the waiting jobs within a class: 0 serves short and small
+	 * jobs first, 1 in the order of arrival; see
+	 * completion_weight_permille of struct cq_policy.
+	 */
 	double fragmentation_weight;
 };
 
