--- a/src/programs/common/job_calls_read.c
+++ b/src/programs/common/job_calls_read.c
@@ -156,13 +156,23 @@
 	list_next(call);
 }
 
+/* Of a job that was read from the store; -1: not known or from an owner. */
+static json_int_t age_of(const json_t *job)
+{
+	const json_t *age = json_object_get(job, "age_ms");
+
+	return age ? json_integer_value(age) : -1;
+}
+
 static void end_list(struct job_call *call)
 {
 	json_t *jobs = json_array();
 	json_t *missing = json_array();
 	uint32_t limit = query_limit(call);
 	json_int_t total = 0;
+	json_int_t age_ms = -1;
 	bool stale = false;
+	json_t *body;
 	size_t k;
 	uint32_t i;
 
@@ -179,15 +189,19 @@
 		}
 		stale |= json_is_true(json_object_get(answer, "stale"));
 		total += json_integer_value(json_object_get(answer, "total"));
-		for (k = 0; k < json_array_size(list); k++)
+		for (k = 0; k < json_array_size(list); k++) {
+			json_t *job = json_array_get(list, k);
+
+			age_ms = MAX(age_ms, age_of(job));
 			if (json_array_size(jobs) < limit)
-				json_array_append(jobs,
-						  json_array_get(list, k));
+				json_array_append(jobs, job);
+		}
 	}
-	cq_job_call_end(call, 200,
-			json_pack("{s:o,s:I,s:b,s:o}", "jobs", jobs, "total",
-				  total, "stale", (int)stale, "missing",
-				  missing));
+	body = json_pack("{s:o,s:I,s:b,s:o}", "jobs", jobs, "total", total,
+			 "stale", (int)stale, "missing", missing);
+	if (stale)
+		json_object_set_new(body, "age_ms", json_integer(age_ms));
+	cq_job_call_end(call, 200, body);
 }
 
 static void list_next(struct job_call *call)
--- a/src/programs/common/operator_calls.c
+++ b/src/programs/common/operator_calls.c
@@ -162,7 +162,8 @@
 	int64_t now_ns = cq_clock_now_ns(cq_daemon_clock(calls->daemon));
 	int64_t behind_ns =
 		cq_cluster_settings_behind_ns(calls->cluster, now_ns);
-	bool stale = behind_ns > 0 || !cq_settings_sync_ready(sync);
+	bool starting = !cq_settings_sync_ready(sync);
+	bool stale = behind_ns > 0 || starting;
 
 	json_object_set_new(body, "tree_revision",
 			    json_integer(cq_settings_revision(
@@ -171,9 +172,12 @@
 			    json_string(cq_settings_sync_state_string(
 				    cq_settings_sync_state(sync))));
 	json_object_set_new(body, "stale", json_boolean(stale));
+	/* A daemon that has read no settings yet does not know what it lacks.
+	 */
 	if (stale)
-		json_object_set_new(body, "age_ms",
-				    json_integer(behind_ns / CQ_NS_PER_MS));
+		json_object_set_new(
+			body, "age_ms",
+			json_integer(starting ? -1 : behind_ns / CQ_NS_PER_MS));
 }
 
 static void append_name(json_t *list, const struct cq_member *member)
--- a/tests/scripts/test_cqctl_faults.sh
+++ b/tests/scripts/test_cqctl_faults.sh
@@ -27,8 +27,16 @@
 }
 
 start_store
+echo "# a daemon that has read no settings yet says so"
+faults '{"down":true}'
 start_daemon a surat 11
 a=$started
+run settings get --server $net.11:7102
+operator $net.11:7102 GET /v1/settings | jq -c '[.settings_state, .stale,
+	.age_ms]'
+faults '{"down":false}'
+wait_for 20 "readiness of a" answers $net.11:7102/readyz
+operator $net.11:7102 GET /v1/settings | jq -c '[.stale, .age_ms]'
 start_daemon b surat 12
 b=$started
 start_daemon c rajkot 13 --partial
--- a/tests/standins/fake-daemon/main.c
+++ b/tests/standins/fake-daemon/main.c
@@ -48,7 +48,8 @@
 	  "\"borrowed_accelerators\":4,\"reclaimable_accelerators\":8,"
 	  "\"running_jobs\":3,\"waiting_jobs\":1}]}" },
 	{ "GET", "/v1/workers", 200,
-	  "{\"workers\":[{\"id\":\"w1\",\"address\":\"127.0.23.31:1\","
+	  "{\"workers\":[{\"id\":\"w1\",\"data_centre\":\"surat\","
+	  "\"address\":\"127.0.23.31:1\","
 	  "\"state\":\"up\",\"rack\":3,\"accelerators\":8,\"live_tasks\":2,"
 	  "\"silent_ms\":1200}]}" },
 	{ "GET", "/v1/endpoints", 200,
--- a/tests/unit/test_job_calls.c
+++ b/tests/unit/test_job_calls.c
@@ -150,9 +150,17 @@
 					cq_store_done_fn *done, void *ctx)
 {
 	struct fixture *f = self;
+	const char *found = prefix;
+	GHashTableIter iter;
+	gpointer key;
 
 	(void)timeout_ms;
-	return finish(f, prefix,
+	/* No test has two jobs of one data centre and lists them. */
+	g_hash_table_iter_init(&iter, f->values);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		if (g_str_has_prefix(key, prefix))
+			found = key;
+	return finish(f, found,
 		      f->gets != WELL ? CQ_STORE_UNAVAILABLE : CQ_STORE_OK,
 		      done, ctx);
 }
@@ -507,6 +515,59 @@
 	g_free(path);
 }
 
+#define OWNER_LIST                                                         \
+	"{\"status\":200,\"body\":{\"total\":2,\"jobs\":[{\"id\":\"j1\"}," \
+	"{\"id\":\"j2\"}]}}"
+
+/*
+ * Guards against a list that hides that a data centre has no owner, or that
+ * calls an owner's answer stale. One job is in the store, in a; b has no jobs
+ * and never an owner.
+ */
+static void test_list(struct fixture *f, gconstpointer data)
+{
+	static const struct {
+		const char *target;
+		char *local; /* answer of the owner of a */
+		enum fate gets;
+		bool stale, age;
+		uint32_t jobs, missing;
+	} cases[] = {
+		{ "?data_centre=a", NULL, WELL, true, true, 1, 0 },
+		{ "?data_centre=a", OWNER_LIST, WELL, false, false, 2, 0 },
+		{ "", NULL, WELL, true, true, 1, 0 },
+		/* What b has is from the store, and it has nothing. */
+		{ "", OWNER_LIST, WELL, true, false, 2, 0 },
+		{ "", OWNER_LIST, DOWN, false, false, 2, 1 },
+		{ "", NULL, DOWN, false, false, 0, 2 },
+	};
+	size_t i;
+
+	(void)data;
+	call(f, "POST", "", "k", NULL, JOB "}");
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const json_t *age;
+
+		f->local = cases[i].local;
+		f->gets = cases[i].gets;
+		call(f, "GET", cases[i].target, NULL, NULL, NULL);
+		g_assert_cmpuint(f->status, ==, 200);
+		g_assert_cmpint(json_is_true(json_object_get(f->body, "stale")),
+				==, cases[i].stale);
+		age = json_object_get(f->body, "age_ms");
+		g_assert_cmpint(age != NULL, ==, cases[i].stale);
+		g_assert_cmpint(age && json_integer_value(age) >= 0, ==,
+				cases[i].age);
+		g_assert_cmpuint(
+			json_array_size(json_object_get(f->body, "jobs")), ==,
+			cases[i].jobs);
+		g_assert_cmpuint(
+			json_array_size(json_object_get(f->body, "missing")),
+			==, cases[i].missing);
+	}
+	f->local = NULL;
+}
+
 /* Guards against a job that the owner says can never run being accepted. */
 static void test_never_fits(struct fixture *f, gconstpointer data)
 {
@@ -582,6 +643,7 @@
 	CALL_TEST("submit_table", test_submit_table);
 	CALL_TEST("keys", test_keys);
 	CALL_TEST("show", test_show);
+	CALL_TEST("list", test_list);
 	CALL_TEST("never_fits", test_never_fits);
 	CALL_TEST("cancel", test_cancel);
 	return g_test_run();
