Sync quiet workers less often when there are many

Cause: the owner synced with each worker each second.

Change: all workers together get 100 syncs a second in the mean. Above 100 workers the interval grows, except for workers on which something is under way (starts, checkpoints, stops, the first 5 s of a gang or an owner, an expected end, a failed call). Contact and loss count from the longer interval, and the task lease grows by twice the difference. The owner stores the end of the leases granted to a worker, because their length depends on the host list, and keeps judging contact by the former interval for a while when the list becomes shorter. Up to 100 workers nothing changes.

A lost worker is found after at most 14.8 s instead of 5 s, and a gang whose owner also dies runs in part for at most 34.6 s instead of 15 s.

--- a/include/chestnutquay/controller.h
+++ b/include/chestnutquay/controller.h
@@ -48,6 +48,13 @@
 	uint32_t held_lease_ms; /* of a start */
 	int64_t contact_ns;
 	int64_t sync_interval_ns;
+	/*
+	 * To all workers together, while nothing is under way on them. With
+	 * more workers than that the interval grows; contact_ns and
+	 * lost_after_ns count from the longer interval, and the task lease
+	 * grows by twice what the interval grew.
+	 */
+	uint32_t max_syncs_per_s;
 	/* A worker without a good answer this long is lost. */
 	int64_t lost_after_ns;
 	int64_t plan_interval_ns;
@@ -67,7 +74,7 @@
 };
 
 /*
- * 800 ms, 1 s, 5 s, 15 s, 10 s, 2.5 s, 1 s, 5 s, 1 s, 1.5 s, 512, 64, 256,
+ * 800 ms, 1 s, 5 s, 15 s, 10 s, 2.5 s, 1 s, 100, 5 s, 1 s, 1.5 s, 512, 64, 256,
  * 1024, 60 s, 24 h.
  */
 void cq_controller_options_init(struct cq_controller_options *options);
--- a/include/chestnutquay/fleet_state.h
+++ b/include/chestnutquay/fleet_state.h
@@ -50,8 +50,9 @@
 	uint32_t millicores;
 	uint64_t memory_bytes;
 	int64_t answered_ns; /* when the last good call was sent */
-	int64_t renewed_ns;  /* when a lease was granted last: sent */
+	int64_t gone_by_ns;  /* end of the leases granted, at the latest */
 	int64_t next_sync_ns;
+	int64_t quiet_sync_ns; /* the same while nothing is under way */
 	bool syncing;
 };
 
--- a/src/coordination/controller.c
+++ b/src/coordination/controller.c
@@ -29,6 +29,7 @@
 	options->held_lease_ms = 10000;
 	options->contact_ns = 2500 * CQ_NS_PER_MS;
 	options->sync_interval_ns = CQ_NS_PER_S;
+	options->max_syncs_per_s = 100;
 	options->lost_after_ns = 5 * CQ_NS_PER_S;
 	options->plan_interval_ns = CQ_NS_PER_S;
 	options->settle_ns = 1500 * CQ_NS_PER_MS;
@@ -142,6 +143,7 @@
 		node->lost = false;
 		node->syncing = false;
 		node->next_sync_ns = 0;
+		node->quiet_sync_ns = 0;
 		cq_fleet_state_forget_tasks(c->fleet, i);
 	}
 }
@@ -236,7 +238,7 @@
 {
 	uint32_t i;
 
-	(void)now_ns;
+	cq_controller_list_changed(c, count, now_ns);
 	for (i = 0; i < cq_fleet_state_count(c->fleet); i++)
 		cq_fleet_state_node(c->fleet, i)->listed = false;
 	for (i = 0; i < count; i++)
--- a/src/coordination/controller_jobs.c
+++ b/src/coordination/controller_jobs.c
@@ -51,6 +51,7 @@
 	job->gang = cq_gang_create(&c->options.gang, &cq_controller_gang_ops,
 				   job, job->record.tasks, now_ns);
 	job->started_ns = now_ns;
+	job->begun_ns = now_ns;
 	g_hash_table_add(c->active, job);
 	cq_gang_tick(job->gang, now_ns);
 }
@@ -89,7 +90,7 @@
 			if (cq_fleet_state_node(c->fleet, i)->listed &&
 			    !cq_fleet_state_node(c->fleet, i)->reported)
 				gone_by_ns = cq_controller_gone_by_ns(
-					c, c->since_ns);
+					c, cq_fleet_state_node(c->fleet, i));
 		job->gang = cq_gang_recover(&c->options.gang,
 					    &cq_controller_gang_ops, job, size,
 					    sights, gone_by_ns, now_ns);
@@ -97,6 +98,7 @@
 		job->places_attempt = job->record.attempt;
 		places = NULL;
 		job->started_ns = now_ns;
+		job->begun_ns = now_ns;
 		if (job->record.started_unix_ms >= 0)
 			job->started_ns -= (cq_clock_unix_ms(c->options.clock) -
 					    job->record.started_unix_ms) *
--- a/src/coordination/controller_private.h
+++ b/src/coordination/controller_private.h
@@ -67,6 +67,7 @@
 	uint32_t places_attempt;
 	bool learned; /* the planner knows how the attempt ended */
 	int64_t started_ns;
+	int64_t begun_ns;      /* when this process began to look after it */
 	int64_t not_before_ns; /* of the next attempt */
 	uint32_t failures;     /* consecutive attempts that did not run */
 
@@ -147,6 +148,10 @@
 	uint64_t sequence;
 	GRand *random;
 
+	uint32_t listed_workers;
+	int64_t former_extra_ns; /* of the sync interval, for a longer list */
+	int64_t former_until_ns;
+
 	GHashTable *jobs;   /* id -> struct cq_job */
 	GHashTable *active; /* set of jobs with a gang */
 	GQueue *dirty;
@@ -290,7 +295,13 @@
 bool cq_controller_all_settled(struct cq_controller *c);
 /* When the tasks of a worker without contact are certainly gone. */
 int64_t cq_controller_gone_by_ns(const struct cq_controller *c,
-				 int64_t renewed_ns);
+				 const struct cq_fleet_node *node);
+/* The interval of syncs depends on the number of listed workers. */
+void cq_controller_list_changed(struct cq_controller *c, uint32_t workers,
+				int64_t now_ns);
+/* A start or a renewal with a lease is being sent. */
+void cq_controller_lease_granted(struct cq_controller *c,
+				 struct cq_fleet_node *node, int64_t now_ns);
 
 /* controller_plan.c */
 void cq_controller_plan(struct cq_controller *c, int64_t now_ns);
--- a/src/coordination/controller_workers.c
+++ b/src/coordination/controller_workers.c
@@ -115,7 +115,8 @@
 	switch (command) {
 	case CQ_GANG_START:
 		/* The lease of a start counts like a renewal. */
-		cq_fleet_state_node(c->fleet, worker)->renewed_ns = now_ns;
+		cq_controller_lease_granted(
+			c, cq_fleet_state_node(c->fleet, worker), now_ns);
 		send_start(job, rank, id, not_after_unix_ms, call);
 		break;
 	case CQ_GANG_RELEASE:
