Measure the second party of a benchmark without a child process

Cause: bench/capacity_support.c started the second party of a call (peer, store, worker) with fork(), although no process of the project starts another.

Change: the second party runs in the same process by turns with the first one, neither of which waits, and only the turns of the first are counted: processor time with clock_gettime(CLOCK_PROCESS_CPUTIME_ID) and the heap by the difference over each turn.

The recorded run of docs/CAPACITY.md is still that of the child process.

--- a/bench/capacity.h
+++ b/bench/capacity.h
@@ -2,12 +2,14 @@
  * Parts of bench_capacity: slopes (memory of one object, bytes of one message,
  * processor time of one call) from which docs/CAPACITY.md is computed.
  *
- * Processor time is that of this process only: where a call needs a second
- * party, that one runs in a child process.
+ * Where a call needs a second party, that one runs in the same process by
+ * turns, and only the turns of the first party are counted.
  */
 #ifndef CQ_BENCH_CAPACITY_H
 #define CQ_BENCH_CAPACITY_H
 
+#include <ev.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 void capacity_line(const char *metric, const char *unit, double value);
@@ -24,13 +26,20 @@
 void capacity_jobs(void);
 void capacity_workers(void);
 
+/* What the first party used in its turns. */
+struct capacity_cost {
+	double cpu_us;
+	double heap_bytes;
+};
+
 /*
- * Runs server(port_fd) in a child process; the server writes its port, two
- * bytes, to port_fd and ends with the pipe that this process holds. Returns
- * the port.
+ * Runs the loop of the first party and the step of the second one, which must
+ * not wait, by turns until done.
  */
-uint16_t capacity_child_start(void (*server)(int port_fd, int life_fd));
-void capacity_child_stop(void);
+void capacity_run(struct ev_loop *loop, void (*step)(void *ctx), void *ctx,
+		  const bool *done, struct capacity_cost *cost);
+/* A step of a second party that has a loop of its own, given as ctx. */
+void capacity_loop_step(void *ctx);
 
 /* Bytes that an envelope and its frame add to a payload. */
 extern double capacity_envelope_bytes;
--- a/bench/capacity_jobs.c
+++ b/bench/capacity_jobs.c
@@ -28,15 +28,24 @@
 #define SYNCS 5000
 #define MAX_REQUEST_BYTES 8192
 
+/* The other party: one connection, one request at a time. */
+struct worker {
+	int listener;
+	int fd; /* -1: not connected yet */
+	size_t len;
+	char buffer[MAX_REQUEST_BYTES];
+};
+
 struct sync_run {
 	struct ev_loop *loop;
 	const struct cq_worker *worker;
 	char address[32];
 	uint32_t done;
 	uint64_t request_bytes;
+	bool over;
 };
 
-/* Tasks in the answer of the child: those that changed since the last sync. */
+/* Tasks in the answer of the worker: those that changed since the last sync. */
 static int changed_tasks;
 
 static void fill_record(struct cq_job_record *record, int i);
@@ -46,8 +55,8 @@
 		       char ids[][CQ_JOB_TASK_ID_BYTES],
 		       char jobs[][CQ_JOB_ID_BYTES], int worker);
 static char *report_text(uint64_t version);
-static size_t read_request(int fd, char *buffer);
-static void serve_worker(int port_fd, int life_fd);
+static size_t request_bytes(const struct worker *worker);
+static void step_worker(void *ctx);
 static void send_sync(struct sync_run *run);
 static void on_sync(void *ctx, enum cq_worker_answer answer,
 		    const struct cq_worker_report *report);
@@ -164,64 +173,67 @@
 	return g_string_free(out, FALSE);
 }
 
-/* Returns the bytes of one request, 0 at the end of the connection. */
-static size_t read_request(int fd, char *buffer)
+/* Of the request in the buffer; 0 if it is not complete. */
+static size_t request_bytes(const struct worker *worker)
 {
-	size_t len = 0;
-
-	for (;;) {
-		ssize_t n = read(fd, buffer + len, MAX_REQUEST_BYTES - len - 1);
-		const char *end;
-		const char *length;
-
-		if (n <= 0)
-			return 0;
-		len += (size_t)n;
-		buffer[len] = 0;
-		end = strstr(buffer, "\r\n\r\n");
-		length = strstr(buffer, "Content-Length: ");
-		if (end && length &&
-		    len >= (size_t)(end + 4 - buffer) +
-				    strtoul(length + 16, NULL, 10))
-			return len;
-	}
+	const char *end = strstr(worker->buffer, "\r\n\r\n");
+	const char *length = strstr(worker->buffer, "Content-Length: ");
+	size_t bytes;
+
+	if (!end || !length)
+		return 0;
+	bytes = (size_t)(end + 4 - worker->buffer) +
+		strtoul(length + 16, NULL, 10);
+	return worker->len >= bytes ? bytes : 0;
 }
 
-/* One connection, one request at a time; version is the request's size. */
-static void serve_worker(int port_fd, int life_fd)
+/* Takes what has arrived; the version of the answer is the request's size. */
+static void step_worker(void *ctx)
+{
+	struct worker *worker = ctx;
+	char *body;
+	char *answer;
+	ssize_t n;
+
+	if (worker->fd < 0)
+		worker->fd = accept(worker->listener, NULL, NULL);
+	if (worker->fd < 0)
+		return;
+	n = recv(worker->fd, worker->buffer + worker->len,
+		 sizeof(worker->buffer) - worker->len - 1, MSG_DONTWAIT);
+	if (n <= 0)
+		return;
+	worker->len += (size_t)n;
+	worker->buffer[worker->len] = '\0';
+	if (!request_bytes(worker))
+		return;
+	body = report_text(worker->len);
+	answer = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nDate: Fri, 04 Dec 2026 10:00:00 "
+		"GMT\r\nContent-Type: application/json\r\n"
+		"Content-Length: %zu\r\n\r\n%s",
+		strlen(body), body);
+	worker->len = 0;
+	if (write(worker->fd, answer, strlen(answer)) < 0)
+		g_error("the answer of the worker was not sent");
+	g_free(answer);
+	g_free(body);
+}
+
+static uint16_t open_worker(struct worker *worker)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	socklen_t len = sizeof(address);
-	static char buffer[MAX_REQUEST_BYTES];
-	int listener = socket(AF_INET, SOCK_STREAM, 0);
-	uint16_t port;
-	size_t request;
-	int fd;
 
-	(void)life_fd;
+	worker->fd = -1;
+	worker->len = 0;
+	worker->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 	inet_pton(AF_INET, "127.0.23.53", &address.sin_addr);
-	if (bind(listener, (struct sockaddr *)&address, len) ||
-	    listen(listener, 4))
-		_exit(1);
-	getsockname(listener, (struct sockaddr *)&address, &len);
-	port = ntohs(address.sin_port);
-	if (write(port_fd, &port, sizeof(port)) != sizeof(port))
-		_exit(1);
-	fd = accept(listener, NULL, NULL);
-	while ((request = read_request(fd, buffer))) {
-		char *body = report_text(request);
-		char *answer = g_strdup_printf(
-			"HTTP/1.1 200 OK\r\nDate: Fri, 04 Dec 2026 10:00:00 "
-			"GMT\r\nContent-Type: application/json\r\n"
-			"Content-Length: %zu\r\n\r\n%s",
-			strlen(body), body);
-
-		if (write(fd, answer, strlen(answer)) < 0)
-			_exit(1);
-		g_free(answer);
-		g_free(body);
-	}
-	close(fd);
+	if (bind(worker->listener, (struct sockaddr *)&address, len) ||
+	    listen(worker->listener, 4))
+		g_error("127.0.23.53 is in use");
+	getsockname(worker->listener, (struct sockaddr *)&address, &len);
+	return ntohs(address.sin_port);
 }
 
 static void send_sync(struct sync_run *run)
@@ -251,9 +263,8 @@
 	    report->task_count != (uint32_t)changed_tasks)
 		g_error("worker sync failed");
 	run->request_bytes += report->version;
-	if (++run->done == SYNCS)
-		ev_break(run->loop, EVBREAK_ALL);
-	else
+	run->over = ++run->done == SYNCS;
+	if (!run->over)
 		send_sync(run);
 }
 
@@ -262,19 +273,19 @@
 	struct sync_run run = { 0 };
 	struct cq_http_client *client;
 	struct cq_worker_http *http;
-	uint16_t port = capacity_child_start(serve_worker);
+	static struct worker worker;
+	uint16_t port = open_worker(&worker);
 	char *body = report_text(100);
-	double cpu;
+	struct capacity_cost cost;
 
 	run.loop = ev_loop_new(0);
 	snprintf(run.address, sizeof(run.address), "127.0.23.53:%u", port);
 	client = cq_http_client_create(run.loop, 8, 8);
 	http = cq_worker_http_create(client);
 	run.worker = cq_worker_http_get(http);
-	cpu = capacity_cpu_us();
 	send_sync(&run);
-	ev_run(run.loop, 0);
-	capacity_line(cpu_metric, "us", (capacity_cpu_us() - cpu) / SYNCS);
+	capacity_run(run.loop, step_worker, &worker, &run.over, &cost);
+	capacity_line(cpu_metric, "us", cost.cpu_us / SYNCS);
 	/* Request and answer; headers of the answer as the bench sends them. */
 	capacity_line(bytes_metric, "bytes",
 		      (double)run.request_bytes / SYNCS + (double)strlen(body) +
@@ -283,7 +294,8 @@
 	cq_worker_http_destroy(http);
 	cq_http_client_destroy(client);
 	ev_loop_destroy(run.loop);
-	capacity_child_stop();
+	close(worker.fd);
+	close(worker.listener);
 }
 
 static void measure_fleet(void)
--- a/bench/capacity_net.c
+++ b/bench/capacity_net.c
@@ -1,10 +1,8 @@
-/* Peer messages and HTTP calls; the other party runs in a child process. */
+/* Peer messages and HTTP calls; see capacity.h for the other party. */
 #include <ev.h>
 #include <glib.h>
-#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
-#include <unistd.h>
 
 #include "capacity.h"
 #include "chestnutquay/clock.h"
@@ -35,6 +33,7 @@
 	struct cq_peer_net *net;
 	uint32_t sent;
 	uint32_t answered;
+	bool over;
 	uint8_t payload[PAYLOAD_BYTES];
 };
 
@@ -45,46 +44,19 @@
 	uint32_t sent;
 	uint32_t done;
 	uint32_t failed;
+	bool over;
 };
 
-static void stop_loop(struct ev_loop *loop, ev_io *watcher, int events);
-static void run_until_closed(struct ev_loop *loop, int life_fd);
-static void report_port(int port_fd, uint16_t port);
 static struct cq_peer_net *open_net(struct ev_loop *loop, const char *address,
 				    cq_peer_message_fn *fn, void *ctx);
 static void on_echo(void *ctx, const struct cq_peer_message *message);
-static void serve_peer(int port_fd, int life_fd);
 static void send_next(struct peer_run *run);
 static void on_answer(void *ctx, const struct cq_peer_message *message);
 static void measure_envelope(void);
 static void handle(void *ctx, struct cq_http_exchange *exchange);
-static void serve_http(int port_fd, int life_fd);
 static void call_store(struct store_run *run);
 static void on_store_done(void *ctx, const struct cq_store_result *result);
-static void measure_store(uint16_t port, bool writes);
-
-static void stop_loop(struct ev_loop *loop, ev_io *watcher, int events)
-{
-	(void)watcher;
-	(void)events;
-	ev_break(loop, EVBREAK_ALL);
-}
-
-static void run_until_closed(struct ev_loop *loop, int life_fd)
-{
-	ev_io life;
-
-	ev_io_init(&life, stop_loop, life_fd, EV_READ);
-	ev_io_start(loop, &life);
-	ev_run(loop, 0);
-}
-
-static void report_port(int port_fd, uint16_t port)
-{
-	if (write(port_fd, &port, sizeof(port)) != sizeof(port))
-		_exit(1);
-	close(port_fd);
-}
+static void measure_store(struct ev_loop *server, uint16_t port, bool writes);
 
 static struct cq_peer_net *open_net(struct ev_loop *loop, const char *address,
 				    cq_peer_message_fn *fn, void *ctx)
@@ -113,16 +85,6 @@
 			 message->payload_len);
 }
 
-static void serve_peer(int port_fd, int life_fd)
-{
-	struct ev_loop *loop = ev_loop_new(0);
-	struct echo echo;
-
-	echo.net = open_net(loop, PEER_OTHER, on_echo, &echo);
-	report_port(port_fd, 7151);
-	run_until_closed(loop, life_fd);
-}
-
 static void send_next(struct peer_run *run)
 {
 	if (run->sent >= PEER_MESSAGES)
@@ -139,8 +101,7 @@
 
 	(void)message;
 	run->answered++;
-	if (run->answered == PEER_MESSAGES)
-		ev_break(run->loop, EVBREAK_ALL);
+	run->over = run->answered == PEER_MESSAGES;
 	send_next(run);
 }
 
@@ -176,34 +137,38 @@
 
 void capacity_peers(void)
 {
+	struct ev_loop *other_loop = ev_loop_new(0);
 	struct peer_run run = { 0 };
+	struct capacity_cost cost;
+	struct echo echo;
 	double heap;
-	double cpu;
 	int i;
 
 	measure_envelope();
-	capacity_child_start(serve_peer);
+	echo.net = open_net(other_loop, PEER_OTHER, on_echo, &echo);
 	run.loop = ev_loop_new(0);
 	run.net = open_net(run.loop, PEER_SELF, on_answer, &run);
 	heap = capacity_heap_bytes();
-	cpu = capacity_cpu_us();
 	for (i = 0; i < PEER_IN_FLIGHT; i++)
 		send_next(&run);
-	ev_run(run.loop, 0);
-	cpu = capacity_cpu_us() - cpu;
+	heap = capacity_heap_bytes() - heap;
+	capacity_run(run.loop, capacity_loop_step, other_loop, &run.over,
+		     &cost);
 	capacity_envelope_bytes =
 		(double)cq_peer_net_bytes_sent(run.net) / PEER_MESSAGES -
 		PAYLOAD_BYTES;
 	capacity_line("peer_message_overhead", "bytes",
 		      capacity_envelope_bytes);
 	/* One sent and one received message. */
-	capacity_line("peer_message_cpu", "us", cpu / PEER_MESSAGES / 2);
+	capacity_line("peer_message_cpu", "us",
+		      cost.cpu_us / PEER_MESSAGES / 2);
 	/* One link that this side opened and one that the peer opened. */
 	capacity_line("peer_link_memory", "bytes",
-		      (capacity_heap_bytes() - heap) / 2);
+		      (heap + cost.heap_bytes) / 2);
 	cq_peer_net_destroy(run.net);
 	ev_loop_destroy(run.loop);
-	capacity_child_stop();
+	cq_peer_net_destroy(echo.net);
+	ev_loop_destroy(other_loop);
 }
 
 static void handle(void *ctx, struct cq_http_exchange *exchange)
@@ -216,22 +181,6 @@
 		"\\\":1780000000000}\",\"revision\":123450,\"lease\":17}]}");
 }
 
-static void serve_http(int port_fd, int life_fd)
-{
-	struct cq_http_server_handler handler = { handle, NULL };
-	struct ev_loop *loop = ev_loop_new(0);
-	struct cq_http_server_options options;
-	struct cq_error err = CQ_ERROR_INIT;
-	struct cq_http_server *server;
-
-	cq_http_server_options_init(&options, "127.0.23.52", 0);
-	server = cq_http_server_create(loop, &options, &handler, NULL, &err);
-	if (!server)
-		_exit(1);
-	report_port(port_fd, cq_http_server_port(server));
-	run_until_closed(loop, life_fd);
-}
-
 static void call_store(struct store_run *run)
 {
 	if (run->sent >= HTTP_CALLS)
@@ -251,19 +200,18 @@
 
 	run->done++;
 	run->failed += result->status != CQ_STORE_OK;
-	if (run->done == HTTP_CALLS)
-		ev_break(run->loop, EVBREAK_ALL);
+	run->over = run->done == HTTP_CALLS;
 	call_store(run);
 }
 
-static void measure_store(uint16_t port, bool writes)
+static void measure_store(struct ev_loop *server, uint16_t port, bool writes)
 {
 	struct store_run run = { .writes = writes };
 	struct cq_http_client *client;
 	struct cq_store_http *http;
 	char address[32];
+	struct capacity_cost cost;
 	double heap;
-	double cpu;
 	int i;
 
 	run.loop = ev_loop_new(0);
@@ -272,18 +220,17 @@
 	heap = capacity_heap_bytes();
 	http = cq_store_http_create(client, address);
 	run.store = cq_store_http_get(http);
-	cpu = capacity_cpu_us();
 	for (i = 0; i < HTTP_IN_FLIGHT; i++)
 		call_store(&run);
-	ev_run(run.loop, 0);
-	cpu = capacity_cpu_us() - cpu;
+	heap = capacity_heap_bytes() - heap;
+	capacity_run(run.loop, capacity_loop_step, server, &run.over, &cost);
 	if (run.failed)
 		g_error("%u store calls failed", run.failed);
 	capacity_line(writes ? "store_write_cpu" : "store_read_cpu", "us",
-		      cpu / HTTP_CALLS);
+		      cost.cpu_us / HTTP_CALLS);
 	if (!writes)
 		capacity_line("http_connection_memory", "bytes",
-			      (capacity_heap_bytes() - heap) / HTTP_IN_FLIGHT);
+			      (heap + cost.heap_bytes) / HTTP_IN_FLIGHT);
 	cq_store_http_destroy(http);
 	cq_http_client_destroy(client);
 	ev_loop_destroy(run.loop);
@@ -291,9 +238,18 @@
 
 void capacity_http(void)
 {
-	uint16_t port = capacity_child_start(serve_http);
+	struct cq_http_server_handler handler = { handle, NULL };
+	struct ev_loop *loop = ev_loop_new(0);
+	struct cq_http_server_options options;
+	struct cq_error err = CQ_ERROR_INIT;
+	struct cq_http_server *server;
 
-	measure_store(port, false);
-	measure_store(port, true);
-	capacity_child_stop();
+	cq_http_server_options_init(&options, "127.0.23.52", 0);
+	server = cq_http_server_create(loop, &options, &handler, NULL, &err);
+	if (!server)
+		g_error("%s", err.message);
+	measure_store(loop, cq_http_server_port(server), false);
+	measure_store(loop, cq_http_server_port(server), true);
+	cq_http_server_destroy(server);
+	ev_loop_destroy(loop);
 }
--- a/bench/capacity_support.c
+++ b/bench/capacity_support.c
@@ -1,16 +1,8 @@
 #include "capacity.h"
 
-#include <assert.h>
 #include <malloc.h>
 #include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-#include <sys/resource.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
-static pid_t child;
-static int life_fd = -1;
+#include <time.h>
 
 void capacity_line(const char *metric, const char *unit, double value)
 {
@@ -30,41 +22,30 @@
 
 double capacity_cpu_us(void)
 {
-	struct rusage usage;
+	struct timespec now;
 
-	getrusage(RUSAGE_SELF, &usage);
-	return (double)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * 1e6 +
-	       (double)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+	return (double)now.tv_sec * 1e6 + (double)now.tv_nsec / 1e3;
 }
 
-uint16_t capacity_child_start(void (*server)(int port_fd, int life_fd))
+void capacity_loop_step(void *ctx)
 {
-	int port_pipe[2];
-	int life_pipe[2];
-	uint16_t port = 0;
-	ssize_t n;
-
-	if (pipe(port_pipe) || pipe(life_pipe))
-		abort();
-	child = fork();
-	if (!child) {
-		close(port_pipe[0]);
-		close(life_pipe[1]);
-		server(port_pipe[1], life_pipe[0]);
-		_exit(0);
-	}
-	close(port_pipe[1]);
-	close(life_pipe[0]);
-	life_fd = life_pipe[1];
-	n = read(port_pipe[0], &port, sizeof(port));
-	close(port_pipe[0]);
-	if (n != sizeof(port))
-		abort();
-	return port;
+	ev_run(ctx, EVRUN_NOWAIT);
 }
 
-void capacity_child_stop(void)
+void capacity_run(struct ev_loop *loop, void (*step)(void *ctx), void *ctx,
+		  const bool *done, struct capacity_cost *cost)
 {
-	close(life_fd);
-	waitpid(child, NULL, 0);
+	double heap = capacity_heap_bytes();
+	double cpu;
+
+	*cost = (struct capacity_cost){ 0 };
+	while (!*done) {
+		cpu = capacity_cpu_us();
+		ev_run(loop, EVRUN_NOWAIT);
+		cost->cpu_us += capacity_cpu_us() - cpu;
+		cost->heap_bytes += capacity_heap_bytes() - heap;
+		step(ctx);
+		heap = capacity_heap_bytes();
+	}
 }
