--- a/tests/support/sim_jobs.c
+++ b/tests/support/sim_jobs.c
@@ -47,6 +47,10 @@
 static void tick_world(void *ctx);
 static void tick_node(void *ctx);
 
+const struct cq_sim_job cq_sim_gang_of_four = {
+	"j1", 4, 8, 20000, true, false
+};
+
 void cq_sim_jobs_options_init(struct cq_sim_jobs_options *options)
 {
 	memset(options, 0, sizeof(*options));
@@ -177,6 +181,28 @@
 	return jobs;
 }
 
+struct cq_sim_jobs *cq_sim_jobs_create_sized(uint32_t hosts, uint32_t workers)
+{
+	struct cq_sim_jobs_options options;
+
+	cq_sim_jobs_options_init(&options);
+	options.hosts = hosts;
+	options.workers.count = workers;
+	return cq_sim_jobs_create(&options);
+}
+
+void cq_sim_jobs_check(struct cq_sim_jobs *jobs, int64_t extra_ms)
+{
+	const struct cq_sim_workers_record *record = cq_sim_jobs_record(jobs);
+	int64_t lease_ms = jobs->options.controller.task_lease_ms;
+
+	g_assert_cmpint(record->longest_part_ns, <=,
+			(lease_ms + 2 * extra_ms + CQ_SIM_JOBS_STEP_MS) *
+				CQ_NS_PER_MS);
+	g_assert_cmpuint(record->double_attempts, ==, 0);
+	g_assert_cmpuint(record->double_starts, ==, 0);
+}
+
 void cq_sim_jobs_destroy(struct cq_sim_jobs *jobs)
 {
 	uint32_t i;
@@ -309,6 +335,11 @@
 	return jobs->workers;
 }
 
+const struct cq_sim_workers_record *cq_sim_jobs_record(struct cq_sim_jobs *jobs)
+{
+	return cq_sim_workers_record(jobs->workers);
+}
+
 void cq_sim_jobs_run_ms(struct cq_sim_jobs *jobs, int64_t ms)
 {
 	cq_sim_run_until(jobs->sim,
--- a/tests/support/sim_jobs.h
+++ b/tests/support/sim_jobs.h
@@ -19,6 +19,8 @@
 #define CQ_SIM_JOBS_DC "dc0"
 #define CQ_SIM_JOBS_OTHER_DC "dc1"
 #define CQ_SIM_JOBS_MAX_HOSTS 4
+/* Workers look at their tasks this often. */
+#define CQ_SIM_JOBS_STEP_MS 20
 
 struct cq_sim_jobs;
 
@@ -40,14 +42,27 @@
 	bool pinned; /* to this data centre */
 };
 
+/* "j1" of four whole workers, 20 s, with checkpoints. */
+extern const struct cq_sim_job cq_sim_gang_of_four;
+
 void cq_sim_jobs_options_init(struct cq_sim_jobs_options *options);
 struct cq_sim_jobs *
 cq_sim_jobs_create(const struct cq_sim_jobs_options *options);
+/* With default options for the rest. */
+struct cq_sim_jobs *cq_sim_jobs_create_sized(uint32_t hosts, uint32_t workers);
 void cq_sim_jobs_destroy(struct cq_sim_jobs *jobs);
+/*
+ * Asserts what must hold in every run, whatever went wrong: no gang ran in part
+ * for longer than its task lease, no two attempts of a job at once, no second
+ * start of a task. extra_ms is what the sync interval grew.
+ */
+void cq_sim_jobs_check(struct cq_sim_jobs *jobs, int64_t extra_ms);
 
 struct cq_sim *cq_sim_jobs_sim(struct cq_sim_jobs *jobs);
 struct cq_sim_store *cq_sim_jobs_store(struct cq_sim_jobs *jobs);
 struct cq_sim_workers *cq_sim_jobs_workers(struct cq_sim_jobs *jobs);
+const struct cq_sim_workers_record *
+cq_sim_jobs_record(struct cq_sim_jobs *jobs);
 void cq_sim_jobs_run_ms(struct cq_sim_jobs *jobs, int64_t ms);
 /* Runs until the job has the phase; false after limit_ms. */
 bool cq_sim_jobs_wait(struct cq_sim_jobs *jobs, const char *id,
--- a/tests/support/sim_workers.c
+++ b/tests/support/sim_workers.c
@@ -206,6 +206,7 @@
 		end_task(workers, worker, task, CQ_TASK_STOPPED);
 	} else if (call->verb == VERB_THROTTLE) {
 		task->throttle_pct = call->percent;
+		workers->record.last_throttle_pct = call->percent;
 		if (task->state == CQ_TASK_HELD && call->percent) {
 			task->state = CQ_TASK_RUNNING;
 			workers->record.releases++;
@@ -226,6 +227,7 @@
 {
 	struct sim_task *copy = g_new(struct sim_task, 1);
 	bool usage = cq_sim_now_ns(workers->sim) >= from->usage_ns;
+	uint32_t use_pct = workers->workers[call->worker].faults.use_pct;
 	struct cq_worker_task task;
 
 	*copy = *from;
@@ -244,7 +246,11 @@
 		.cell = copy->cell,
 		.cpu_millicores = copy->cpu_millicores,
 		.memory_bytes = copy->memory_bytes,
-		.observed_millicores = usage ? copy->cpu_millicores : 0,
+		.observed_millicores =
+			usage ? copy->cpu_millicores *
+					(use_pct ? use_pct : 100) / 100 *
+					copy->throttle_pct / 100
+			      : 0,
 		.observed_memory_bytes = usage ? copy->memory_bytes : 0,
 		.throttle_pct = copy->throttle_pct,
 		.run_ms = copy->run_ns / CQ_NS_PER_MS,
@@ -395,7 +401,15 @@
 void cq_sim_worker_set_faults(struct cq_sim_workers *workers, uint32_t worker,
 			      const struct cq_sim_worker_faults *faults)
 {
-	workers->workers[worker].faults = *faults;
+	struct sim_worker *entry = &workers->workers[worker];
+	GHashTableIter iter;
+	gpointer value;
+
+	entry->faults = *faults;
+	/* Usage is reported again. */
+	g_hash_table_iter_init(&iter, entry->tasks);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct sim_task *)value)->version = ++entry->version;
 }
 
 void cq_sim_workers_lose_answers(struct cq_sim_workers *workers,
--- a/tests/support/sim_workers.h
+++ b/tests/support/sim_workers.h
@@ -37,17 +37,19 @@
 	uint32_t releases;
 	uint32_t finished;
 	uint32_t refused_stale;
-	uint32_t commands; /* without syncs */
+	uint32_t last_throttle_pct; /* of the last throttle or release */
+	uint32_t commands;	    /* without syncs */
 	uint32_t most_commands_per_100ms;
 	int64_t last_start_ns;
 };
 
 struct cq_sim_worker_faults {
-	bool down;	 /* connections are refused; tasks run on */
-	bool silent;	 /* calls are executed, answers get lost */
-	bool deaf;	 /* calls are lost, tasks run on */
-	bool fail_tasks; /* tasks fail as soon as they run */
-	bool fail_calls; /* calls are refused */
+	bool down;	  /* connections are refused; tasks run on */
+	bool silent;	  /* calls are executed, answers get lost */
+	bool deaf;	  /* calls are lost, tasks run on */
+	bool fail_tasks;  /* tasks fail as soon as they run */
+	bool fail_calls;  /* calls are refused */
+	uint32_t use_pct; /* of the declared cores; 0: 100 */
 };
 
 void cq_sim_workers_options_init(struct cq_sim_workers_options *options);
--- a/tests/unit/test_controller.c
+++ b/tests/unit/test_controller.c
@@ -6,57 +6,23 @@
 #include "chestnutquay/log.h"
 #include "../support/sim_jobs.h"
 
-#define TASK_LEASE_MS 15000
-/* Workers look at their tasks this often. */
-#define STEP_MS 20
-
-static const struct cq_sim_job gang_of_four = {
-	"j1", 4, 8, 20000, true, false
-};
-
-static struct cq_sim_jobs *create(uint32_t hosts, uint32_t workers)
-{
-	struct cq_sim_jobs_options options;
-
-	cq_sim_jobs_options_init(&options);
-	options.hosts = hosts;
-	options.workers.count = workers;
-	return cq_sim_jobs_create(&options);
-}
-
-static const struct cq_sim_workers_record *record_of(struct cq_sim_jobs *jobs)
-{
-	return cq_sim_workers_record(cq_sim_jobs_workers(jobs));
-}
-
-/* What must hold in every run, whatever went wrong. */
-static void check_invariants(struct cq_sim_jobs *jobs)
-{
-	const struct cq_sim_workers_record *record = record_of(jobs);
-
-	g_assert_cmpint(record->longest_part_ns, <=,
-			(TASK_LEASE_MS + STEP_MS) * CQ_NS_PER_MS);
-	g_assert_cmpuint(record->double_attempts, ==, 0);
-	g_assert_cmpuint(record->double_starts, ==, 0);
-}
-
 /* Guards against tasks that are started again after a takeover. */
 static void test_adoption(void)
 {
-	struct cq_sim_jobs *jobs = create(2, 4);
+	struct cq_sim_jobs *jobs = cq_sim_jobs_create_sized(2, 4);
 	struct cq_job_record record;
 	int32_t owner;
 
-	cq_sim_jobs_submit(jobs, &gang_of_four);
+	cq_sim_jobs_submit(jobs, &cq_sim_gang_of_four);
 	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_RUNNING, 10000));
 	owner = cq_sim_jobs_owner(jobs);
 	cq_sim_jobs_kill(jobs, owner);
 	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_FINISHED, 60000));
 	g_assert_cmpint(cq_sim_jobs_owner(jobs), !=, owner);
-	g_assert_cmpuint(record_of(jobs)->starts, ==, 4);
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->starts, ==, 4);
 	cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j1", &record);
 	g_assert_cmpuint(record.attempt, ==, 1);
-	check_invariants(jobs);
+	cq_sim_jobs_check(jobs, 0);
 	cq_sim_jobs_destroy(jobs);
 }
 
@@ -70,7 +36,7 @@
 						    1200000, true, false };
 	static const struct cq_sim_job next_job = { "j2", 1,	8,
 						    1000, true, false };
-	struct cq_sim_jobs *jobs = create(2, 5);
+	struct cq_sim_jobs *jobs = cq_sim_jobs_create_sized(2, 5);
 	struct cq_job_record record;
 
 	cq_sim_jobs_submit(jobs, &long_job);
@@ -80,13 +46,13 @@
 	cq_sim_jobs_run_ms(jobs, 900000);
 	g_assert_cmpuint(
 		cq_sim_workers_running(cq_sim_jobs_workers(jobs), "j1"), ==, 4);
-	g_assert_cmpuint(record_of(jobs)->starts, ==, 4);
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->starts, ==, 4);
 	cq_sim_jobs_store_down(jobs, false);
 	g_assert_true(cq_sim_jobs_wait(jobs, "j2", CQ_PHASE_FINISHED, 30000));
 	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_FINISHED, 600000));
 	cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j1", &record);
 	g_assert_cmpuint(record.attempt, ==, 1);
-	check_invariants(jobs);
+	cq_sim_jobs_check(jobs, 0);
 	cq_sim_jobs_destroy(jobs);
 }
 
@@ -101,7 +67,7 @@
 	static const struct cq_sim_job waiting = {
 		"j2", 1, 8, 1000, true, false
 	};
-	struct cq_sim_jobs *jobs = create(2, 5);
+	struct cq_sim_jobs *jobs = cq_sim_jobs_create_sized(2, 5);
 	int32_t owner;
 	int32_t other;
 
@@ -118,11 +84,11 @@
 	cq_sim_jobs_run_ms(jobs, 300000);
 	g_assert_cmpuint(
 		cq_sim_workers_running(cq_sim_jobs_workers(jobs), "j1"), ==, 4);
-	g_assert_cmpuint(record_of(jobs)->starts, ==, 4);
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->starts, ==, 4);
 	cq_sim_jobs_store_down(jobs, false);
 	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_FINISHED, 600000));
-	g_assert_cmpuint(record_of(jobs)->starts, ==, 5);
-	check_invariants(jobs);
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->starts, ==, 5);
+	cq_sim_jobs_check(jobs, 0);
 	cq_sim_jobs_destroy(jobs);
 }
 
@@ -135,11 +101,11 @@
 	static const struct cq_sim_job waiting = {
 		"j2", 4, 8, 5000, true, false
 	};
-	struct cq_sim_jobs *jobs = create(2, 4);
+	struct cq_sim_jobs *jobs = cq_sim_jobs_create_sized(2, 4);
 	struct cq_job_record record;
 	int64_t out_ns;
 
-	cq_sim_jobs_submit(jobs, &gang_of_four);
+	cq_sim_jobs_submit(jobs, &cq_sim_gang_of_four);
 	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_RUNNING, 10000));
 	cq_sim_jobs_submit(jobs, &waiting);
 	cq_sim_jobs_run_ms(jobs, 3000);
@@ -148,7 +114,7 @@
 	cq_sim_jobs_run_ms(jobs, 6000);
 	g_assert_cmpuint(cq_sim_workers_live(cq_sim_jobs_workers(jobs)), ==, 0);
 	cq_sim_jobs_run_ms(jobs, 20000);
-	g_assert_cmpint(record_of(jobs)->last_start_ns - out_ns, <=,
+	g_assert_cmpint(cq_sim_jobs_record(jobs)->last_start_ns - out_ns, <=,
 			3 * CQ_NS_PER_S);
 	g_assert_false(cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j1", &record));
 	g_assert_true(
@@ -160,7 +126,7 @@
 	g_assert_true(
 		cq_sim_jobs_read(jobs, CQ_SIM_JOBS_OTHER_DC, "j2", &record));
 	g_assert_cmpint(record.phase, ==, CQ_PHASE_QUEUED);
-	check_invariants(jobs);
+	cq_sim_jobs_check(jobs, 0);
 	cq_sim_jobs_destroy(jobs);
 }
 
@@ -190,10 +156,10 @@
 		cq_sim_jobs_run_ms(jobs, 500);
 	}
 	cq_sim_jobs_run_ms(jobs, 60000);
-	g_assert_cmpint(record_of(jobs)->last_start_ns -
+	g_assert_cmpint(cq_sim_jobs_record(jobs)->last_start_ns -
 				cq_sim_jobs_out_ns(jobs),
 			<=, 3 * CQ_NS_PER_S);
-	g_assert_cmpuint(record_of(jobs)->starts, <, 20);
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->starts, <, 20);
 	cq_sim_jobs_destroy(jobs);
 }
 
@@ -201,7 +167,7 @@
 static void test_late_start(void)
 {
 	static const struct cq_sim_job job = { "j1", 4, 8, 1000, true, false };
-	struct cq_sim_jobs *jobs = create(1, 4);
+	struct cq_sim_jobs *jobs = cq_sim_jobs_create_sized(1, 4);
 	uint32_t i;
 
 	cq_sim_jobs_run_ms(jobs, 3000);
@@ -214,8 +180,8 @@
 	for (i = 0; i < 4; i++)
 		cq_sim_worker_resume(cq_sim_jobs_workers(jobs), i);
 	cq_sim_jobs_run_ms(jobs, 10000);
-	g_assert_cmpuint(record_of(jobs)->refused_stale, >=, 4);
-	g_assert_cmpuint(record_of(jobs)->starts, ==, 0);
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->refused_stale, >=, 4);
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->starts, ==, 0);
 	cq_sim_jobs_destroy(jobs);
 }
 
@@ -247,26 +213,26 @@
 	jobs = cq_sim_jobs_create(&options);
 	cq_sim_workers_on_command(cq_sim_jobs_workers(jobs), pause_at_release,
 				  jobs);
-	cq_sim_jobs_submit(jobs, &gang_of_four);
+	cq_sim_jobs_submit(jobs, &cq_sim_gang_of_four);
 	cq_sim_jobs_run_ms(jobs, 10000);
-	commands = record_of(jobs)->commands;
-	g_assert_cmpuint(record_of(jobs)->releases, ==, 1);
+	commands = cq_sim_jobs_record(jobs)->commands;
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->releases, ==, 1);
 	cq_sim_workers_on_command(cq_sim_jobs_workers(jobs), NULL, NULL);
 	cq_sim_jobs_resume(jobs, 0);
 	cq_sim_jobs_run_ms(jobs, 50);
-	g_assert_cmpuint(record_of(jobs)->commands, ==, commands);
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->commands, ==, commands);
 	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_FINISHED, 120000));
-	check_invariants(jobs);
+	cq_sim_jobs_check(jobs, 0);
 	cq_sim_jobs_destroy(jobs);
 }
 
 /* Guards against tasks that hold accelerators for a job that is gone. */
 static void test_strays(void)
 {
-	struct cq_sim_jobs *jobs = create(1, 4);
+	struct cq_sim_jobs *jobs = cq_sim_jobs_create_sized(1, 4);
 	char key[CQ_JOB_KEY_BYTES];
 
-	cq_sim_jobs_submit(jobs, &gang_of_four);
+	cq_sim_jobs_submit(jobs, &cq_sim_gang_of_four);
 	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_RUNNING, 10000));
 	cq_job_key(CQ_SIM_JOBS_DC, "j1", key);
 	cq_sim_store_write(cq_sim_jobs_store(jobs), key, NULL,
@@ -281,7 +247,7 @@
 static void test_refill(void)
 {
 	enum { JOBS = 200, MAX_REFILL_STARTS = 16 };
-	struct cq_sim_jobs *jobs = create(1, 25);
+	struct cq_sim_jobs *jobs = cq_sim_jobs_create_sized(1, 25);
 	struct cq_sim_job job = { NULL, 1, 1, 600000, true, false };
 	uint32_t i;
 
@@ -297,13 +263,13 @@
 		g_free(id);
 	}
 	cq_sim_jobs_run_ms(jobs, 5000);
-	g_assert_cmpuint(record_of(jobs)->starts, ==, 0);
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->starts, ==, 0);
 	cq_sim_jobs_set_in(jobs, true);
 	cq_sim_jobs_run_ms(jobs, 60000);
 	g_assert_cmpuint(cq_sim_workers_running(cq_sim_jobs_workers(jobs), ""),
 			 ==, JOBS);
 	/* Starts and releases of at most two plans fall into 100 ms. */
-	g_assert_cmpuint(record_of(jobs)->most_commands_per_100ms, <=,
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->most_commands_per_100ms, <=,
 			 4 * MAX_REFILL_STARTS);
 	cq_sim_jobs_destroy(jobs);
 }
@@ -334,7 +300,7 @@
 	int64_t delay_ms;
 
 	for (delay_ms = 0; delay_ms <= 200; delay_ms++) {
-		struct cq_sim_jobs *jobs = create(2, 4);
+		struct cq_sim_jobs *jobs = cq_sim_jobs_create_sized(2, 4);
 		struct cq_job_record here;
 		struct cq_job_record there;
 		static const struct cq_sim_job job = { "j1", 4,	   8,
@@ -362,7 +328,7 @@
 	static const struct cq_sim_worker_faults failing = { .fail_tasks =
 								     true };
 	static const struct cq_sim_worker_faults none;
-	struct cq_sim_jobs *jobs = create(1, 10);
+	struct cq_sim_jobs *jobs = cq_sim_jobs_create_sized(1, 10);
 	struct cq_sim_job job = { NULL, 1, 8, 1000, true, false };
 	struct cq_job_record record;
 	char *workers;
@@ -407,7 +373,7 @@
 	static const struct cq_sim_worker_faults failing = { .fail_tasks =
 								     true };
 	static const struct cq_sim_job job = { "j1", 1, 8, 1000, true, false };
-	struct cq_sim_jobs *jobs = create(2, 8);
+	struct cq_sim_jobs *jobs = cq_sim_jobs_create_sized(2, 8);
 	struct cq_job_record record;
 	uint32_t i;
 
@@ -429,21 +395,21 @@
 static void test_never_fits(void)
 {
 	static const struct cq_sim_job job = { "j1", 5, 8, 1000, true, false };
-	struct cq_sim_jobs *jobs = create(1, 4);
+	struct cq_sim_jobs *jobs = cq_sim_jobs_create_sized(1, 4);
 	struct cq_job_record record;
 
 	cq_sim_jobs_submit(jobs, &job);
 	g_assert_true(cq_sim_jobs_wait(jobs, "j1", CQ_PHASE_FAILED, 10000));
 	cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j1", &record);
 	g_assert_cmpstr(record.reason, !=, "");
-	g_assert_cmpuint(record_of(jobs)->starts, ==, 0);
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->starts, ==, 0);
 	cq_sim_jobs_destroy(jobs);
 }
 
 /* Guards against tasks on accelerators that another task already holds. */
 static void test_no_overlap_after_takeover(void)
 {
-	struct cq_sim_jobs *jobs = create(2, 4);
+	struct cq_sim_jobs *jobs = cq_sim_jobs_create_sized(2, 4);
 	static const struct cq_sim_job first = {
 		"j1", 2, 8, 30000, true, false
 	};
@@ -461,7 +427,7 @@
 	cq_sim_jobs_read(jobs, CQ_SIM_JOBS_DC, "j2", &record);
 	g_assert_cmpint(record.phase, ==, CQ_PHASE_QUEUED);
 	g_assert_true(cq_sim_jobs_wait(jobs, "j2", CQ_PHASE_FINISHED, 60000));
-	check_invariants(jobs);
+	cq_sim_jobs_check(jobs, 0);
 	cq_sim_jobs_destroy(jobs);
 }
 
--- a/tests/unit/test_controller_faults.c
+++ b/tests/unit/test_controller_faults.c
@@ -9,15 +9,8 @@
 #include "chestnutquay/log.h"
 #include "../support/sim_jobs.h"
 
-#define TASK_LEASE_MS 15000
-/* Workers look at their tasks this often. */
-#define STEP_MS 20
 #define FINISH_LIMIT_MS 300000
 
-static const struct cq_sim_job gang_of_four = {
-	"j1", 4, 8, 20000, true, false
-};
-
 #define WORKERS 6
 /* With one sync a second the interval of WORKERS grows by this. */
 #define EXTRA_MS ((WORKERS - 1) * 1000 * 8 / 7 + 1)
@@ -38,23 +31,6 @@
 	return cq_sim_jobs_create(&options);
 }
 
-static const struct cq_sim_workers_record *record_of(struct cq_sim_jobs *jobs)
-{
-	return cq_sim_workers_record(cq_sim_jobs_workers(jobs));
-}
-
-/* What must hold in every run, whatever went wrong. */
-static void check_invariants(struct cq_sim_jobs *jobs, int64_t extra_ms)
-{
-	const struct cq_sim_workers_record *record = record_of(jobs);
-
-	g_assert_cmpint(record->longest_part_ns, <=,
-			(TASK_LEASE_MS + 2 * extra_ms + STEP_MS) *
-				CQ_NS_PER_MS);
-	g_assert_cmpuint(record->double_attempts, ==, 0);
-	g_assert_cmpuint(record->double_starts, ==, 0);
-}
-
 enum fault {
 	OWNER_DIES,
 	OWNER_DIES_FOR_GOOD,
@@ -317,7 +293,7 @@
 	g_test_message("%s after %s %u, %u syncs/s", fault_names[fault],
 		       moment.verb, moment.number, max_syncs_per_s);
 	cq_sim_workers_on_command(cq_sim_jobs_workers(s.jobs), on_command, &s);
-	cq_sim_jobs_submit(s.jobs, &gang_of_four);
+	cq_sim_jobs_submit(s.jobs, &cq_sim_gang_of_four);
 	if (moment.verb[0] == 'c' || !strcmp(moment.verb, "stop")) {
 		cq_sim_jobs_wait(s.jobs, "j1", CQ_PHASE_RUNNING, 10000);
 		cq_sim_jobs_run_ms(s.jobs, 3000);
@@ -339,7 +315,7 @@
 	g_assert_true(s.struck);
 	/* Its events refer to the scenario. */
 	cq_sim_run_until(cq_sim_jobs_sim(s.jobs), s.last_ns);
-	check_invariants(s.jobs, extra_ms);
+	cq_sim_jobs_check(s.jobs, extra_ms);
 	cq_sim_jobs_destroy(s.jobs);
 }
 
@@ -380,16 +356,16 @@
 	jobs = cq_sim_jobs_create(&options);
 	s.jobs = jobs;
 	cq_sim_workers_on_command(cq_sim_jobs_workers(jobs), on_command, &s);
-	cq_sim_jobs_submit(jobs, &gang_of_four);
+	cq_sim_jobs_submit(jobs, &cq_sim_gang_of_four);
 	while (!s.struck)
-		cq_sim_jobs_run_ms(jobs, STEP_MS);
-	cq_sim_jobs_run_ms(jobs, STEP_MS);
-	g_assert_cmpuint(record_of(jobs)->releases, ==, 2);
+		cq_sim_jobs_run_ms(jobs, CQ_SIM_JOBS_STEP_MS);
+	cq_sim_jobs_run_ms(jobs, CQ_SIM_JOBS_STEP_MS);
+	g_assert_cmpuint(cq_sim_jobs_record(jobs)->releases, ==, 2);
 	cq_sim_jobs_store_down(jobs, true);
 	cq_controller_set_caretaker(cq_sim_jobs_controller(jobs, 1 - s.owner),
 				    1, cq_sim_now_ns(cq_sim_jobs_sim(jobs)));
 	cq_sim_jobs_run_ms(jobs, 60000);
-	check_invariants(jobs, 0);
+	cq_sim_jobs_check(jobs, 0);
 	cq_sim_jobs_destroy(jobs);
 }
 
--- a/tests/unit/test_controller_waves.c
+++ b/tests/unit/test_controller_waves.c
@@ -7,8 +7,6 @@
 
 #define WAVE 10000
 #define WORKERS 40
-/* Workers look at their tasks this often. */
-#define STEP_MS 20
 #define END_LIMIT_MS 900000
 
 enum fault {
@@ -56,8 +54,6 @@
 static void check(struct cq_sim_jobs *jobs, struct cq_sim_wave *wave,
 		  const struct cq_controller_options *options)
 {
-	const struct cq_sim_workers_record *ran =
-		cq_sim_workers_record(cq_sim_jobs_workers(jobs));
 	const struct cq_sim_wave_record *record = cq_sim_wave_record(wave);
 
 	/* Each job has its record, which ended once. */
@@ -69,10 +65,7 @@
 	g_assert_cmpuint(record->removed, ==, 0);
 	g_assert_cmpuint(record->changed_after, ==, 0);
 	g_assert_cmpuint(cq_sim_workers_live(cq_sim_jobs_workers(jobs)), ==, 0);
-	g_assert_cmpint(ran->longest_part_ns, <=,
-			(options->task_lease_ms + STEP_MS) * CQ_NS_PER_MS);
-	g_assert_cmpuint(ran->double_attempts, ==, 0);
-	g_assert_cmpuint(ran->double_starts, ==, 0);
+	cq_sim_jobs_check(jobs, 0);
 	/*
 	 * On top of the writes of records: a watch or list of records, and the
 	 * list and the write of offers.
