Add make install for programs, library and headers

Cause: the install page had no way to put the programs in place but copying them by hand. Conclusion: checked with DESTDIR and PREFIX=/usr: four programs, the archive and 38 headers; the installed cqctl runs.

--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,13 @@
 #   make lint       clang-format, clang-tidy, cppcheck
 #   make bench      every figure, one JSON object a line
 #   make demo       the whole system on loopback
+#   make install    programs, library and headers to $(DESTDIR)$(PREFIX)
 #   make generate   regenerates src/protocol/gen (needs protobuf-c-compiler)
 #
 # V=1 prints each command. SAN=1 builds with address and undefined-behaviour sanitizers in build-san.
 
 Q := $(if $(V),,@)
+PREFIX ?= /usr/local
 CC ?= cc
 CXX ?= c++
 PKGS := glib-2.0 jansson libcurl libmicrohttpd libprotobuf-c
@@ -67,8 +69,8 @@
 	$(wildcard tests/fuzz/fuzz_*.c))
 FUZZ_BIN := $(FUZZ_SRC:tests/fuzz/%.c=build-fuzz/%)
 
-.PHONY: all check lint format bench demo deps generate clean tests fuzz \
-	compile-commands
+.PHONY: all check lint format bench demo deps generate install clean tests \
+	fuzz
 .SECONDARY:
 all: $(LIB) $(PROGRAMS) $(STANDINS)
 
@@ -161,6 +163,14 @@
 		--suppress=missingIncludeSystem --suppress=unknownMacro \
 		-Iinclude -Isrc -isrc/protocol/gen src
 
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib \
+		$(DESTDIR)$(PREFIX)/include/chestnutquay
+	install -m 755 $(PROGRAMS) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	install -m 644 include/chestnutquay/*.h \
+		$(DESTDIR)$(PREFIX)/include/chestnutquay
+
 generate:
 	protoc-c --proto_path=src/protocol/proto --c_out=src/protocol/gen \
 		src/protocol/proto/*.proto
