Use the usual terms for messages, reports and faults

Cause: names read as figures of speech: a peer message in the simulation of the request path was a letter, what a worker says of a gang member a sight, the fault of a store call a fate, the last messages of a daemon a farewell.

Change: message, report, fault and flush. Names and comments only.

Conclusion: no behaviour changed.

--- a/include/chestnutquay/gang.h
+++ b/include/chestnutquay/gang.h
@@ -71,7 +71,7 @@
 void cq_gang_options_init(struct cq_gang_options *options);
 
 /* A report about one member. */
-struct cq_gang_sight {
+struct cq_gang_report {
 	bool present; /* false: the worker does not have the task */
 	enum cq_task_state state;
 	int64_t checkpoint_ms; /* -1: none */
@@ -82,13 +82,13 @@
 			       const struct cq_gang_ops *ops, void *ctx,
 			       uint32_t size, int64_t now_ns);
 /*
- * Takes over a gang from what the workers report, one sight per rank; a rank
+ * Takes over a gang from what the workers report, one report a rank; a rank
  * that is not present counts as lost, its task being gone by gone_by_ns.
  */
 struct cq_gang *cq_gang_recover(const struct cq_gang_options *options,
 				const struct cq_gang_ops *ops, void *ctx,
 				uint32_t size,
-				const struct cq_gang_sight *sights,
+				const struct cq_gang_report *reports,
 				int64_t gone_by_ns, int64_t now_ns);
 void cq_gang_destroy(struct cq_gang *gang);
 
@@ -100,7 +100,7 @@
  * for the rank was answered says nothing about that command; sent_ns tells.
  */
 void cq_gang_observed(struct cq_gang *gang, uint32_t rank,
-		      const struct cq_gang_sight *sight, int64_t sent_ns,
+		      const struct cq_gang_report *report, int64_t sent_ns,
 		      int64_t now_ns);
 /* The worker is lost; its task is certainly gone by gone_by_ns. */
 void cq_gang_member_lost(struct cq_gang *gang, uint32_t rank,
--- a/src/coordination/controller_jobs.c
+++ b/src/coordination/controller_jobs.c
@@ -61,7 +61,7 @@
 {
 	struct cq_controller *c = job->controller;
 	uint32_t size = job->record.tasks;
-	struct cq_gang_sight *sights = g_new0(struct cq_gang_sight, size);
+	struct cq_gang_report *reports = g_new0(struct cq_gang_report, size);
 	struct cq_job_place *places = g_new0(struct cq_job_place, size);
 	char id[CQ_JOB_TASK_ID_BYTES];
 	uint32_t present = 0;
@@ -76,9 +76,9 @@
 		if (!task)
 			continue;
 		present++;
-		sights[i].present = true;
-		sights[i].state = task->state;
-		sights[i].checkpoint_ms = task->checkpoint_ms;
+		reports[i].present = true;
+		reports[i].state = task->state;
+		reports[i].checkpoint_ms = task->checkpoint_ms;
 		places[i].worker = task->worker;
 		places[i].accelerator_mask = task->accelerator_mask;
 		places[i].cell = task->cell;
@@ -93,7 +93,7 @@
 					c, cq_fleet_state_node(c->fleet, i));
 		job->gang = cq_gang_recover(&c->options.gang,
 					    &cq_controller_gang_ops, job, size,
-					    sights, gone_by_ns, now_ns);
+					    reports, gone_by_ns, now_ns);
 		job->places = places;
 		job->places_attempt = job->record.attempt;
 		places = NULL;
@@ -112,7 +112,7 @@
 		cq_gang_tick(job->gang, now_ns);
 	}
 	g_free(places);
-	g_free(sights);
+	g_free(reports);
 }
 
 static const char *worker_name(const struct cq_job *job, uint32_t rank)
--- a/src/coordination/controller_sync.c
+++ b/src/coordination/controller_sync.c
@@ -113,7 +113,7 @@
 static void tell_gangs(struct cq_controller *c, uint32_t worker, bool lost,
 		       int64_t sent_ns, int64_t now_ns)
 {
-	static const struct cq_gang_sight absent = { .checkpoint_ms = -1 };
+	static const struct cq_gang_report absent = { .checkpoint_ms = -1 };
 	struct cq_fleet_node *node = cq_fleet_state_node(c->fleet, worker);
 	char id[CQ_JOB_TASK_ID_BYTES];
 	GHashTableIter iter;
--- a/src/coordination/controller_workers.c
+++ b/src/coordination/controller_workers.c
@@ -297,8 +297,8 @@
 {
 	struct cq_controller *c = ctx;
 	struct cq_job *job = g_hash_table_lookup(c->jobs, task->job_id);
-	struct cq_gang_sight sight = { present, task->state,
-				       task->checkpoint_ms };
+	struct cq_gang_report report = { present, task->state,
+					 task->checkpoint_ms };
 
 	if (!c->epoch)
 		return;
@@ -310,7 +310,7 @@
 		return;
 	if (job->gang && job->places_attempt == task->attempt &&
 	    task->rank < cq_gang_size(job->gang)) {
-		cq_gang_observed(job->gang, task->rank, &sight, sent_ns,
+		cq_gang_observed(job->gang, task->rank, &report, sent_ns,
 				 cq_clock_now_ns(c->options.clock));
 		cq_job_mark_dirty(job);
 	}
--- a/src/coordination/gang.c
+++ b/src/coordination/gang.c
@@ -130,7 +130,7 @@
 struct cq_gang *cq_gang_recover(const struct cq_gang_options *options,
 				const struct cq_gang_ops *ops, void *ctx,
 				uint32_t size,
-				const struct cq_gang_sight *sights,
+				const struct cq_gang_report *reports,
 				int64_t gone_by_ns, int64_t now_ns)
 {
 	struct cq_gang *gang = cq_gang_create(options, ops, ctx, size, now_ns);
@@ -150,10 +150,10 @@
 		struct member *member = &gang->members[i];
 
 		member->gone_by_ns = gone_by_ns;
-		member->state = sights[i].present ? states[sights[i].state]
-						  : MEMBER_LOST;
-		if (sights[i].present)
-			member->checkpoint_ms = sights[i].checkpoint_ms;
+		member->state = reports[i].present ? states[reports[i].state]
+						   : MEMBER_LOST;
+		if (reports[i].present)
+			member->checkpoint_ms = reports[i].checkpoint_ms;
 		if (member->state == MEMBER_LOST ||
 		    member->state == MEMBER_GONE)
 			missing = MIN(missing, i);
@@ -350,9 +350,9 @@
 }
 
 static void observe_live(struct cq_gang *gang, struct member *member,
-			 const struct cq_gang_sight *sight)
+			 const struct cq_gang_report *report)
 {
-	bool released = sight->state != CQ_TASK_HELD;
+	bool released = report->state != CQ_TASK_HELD;
 
 	if (member->state == MEMBER_STARTING && !member->in_flight)
 		member->state = MEMBER_HELD;
@@ -360,18 +360,18 @@
 	    (member->state == MEMBER_HELD || member->state == MEMBER_STARTING))
 		member->state = MEMBER_RELEASED;
 	gang->released |= released;
-	if (sight->state == CQ_TASK_CHECKPOINTING)
+	if (report->state == CQ_TASK_CHECKPOINTING)
 		member->checkpoint_seen = true;
-	else if (sight->checkpoint_ms >= 0 && member->checkpoint_sent &&
+	else if (report->checkpoint_ms >= 0 && member->checkpoint_sent &&
 		 (member->checkpoint_seen ||
-		  sight->checkpoint_ms != member->checkpoint_ms))
+		  report->checkpoint_ms != member->checkpoint_ms))
 		member->checkpoint_done = true;
-	if (sight->checkpoint_ms >= 0)
-		member->checkpoint_ms = sight->checkpoint_ms;
+	if (report->checkpoint_ms >= 0)
+		member->checkpoint_ms = report->checkpoint_ms;
 }
 
 void cq_gang_observed(struct cq_gang *gang, uint32_t rank,
-		      const struct cq_gang_sight *sight, int64_t sent_ns,
+		      const struct cq_gang_report *report, int64_t sent_ns,
 		      int64_t now_ns)
 {
 	struct member *member = &gang->members[rank];
@@ -379,18 +379,18 @@
 	assert(rank < gang->size);
 	if (member_is_over(member) || member->state == MEMBER_UNSENT)
 		return;
-	if (!sight->present) {
+	if (!report->present) {
 		/* The call may have overtaken a command. */
 		if (member->in_flight || sent_ns <= member->answered_ns ||
 		    member->state == MEMBER_STARTING)
 			return;
 		lose(gang, rank, now_ns, now_ns);
-	} else if (cq_task_state_is_live(sight->state)) {
-		observe_live(gang, member, sight);
-	} else if (sight->state == CQ_TASK_FINISHED) {
+	} else if (cq_task_state_is_live(report->state)) {
+		observe_live(gang, member, report);
+	} else if (report->state == CQ_TASK_FINISHED) {
 		gang->released = true;
 		member->state = MEMBER_FINISHED;
-	} else if (sight->state == CQ_TASK_FAILED) {
+	} else if (report->state == CQ_TASK_FAILED) {
 		gang->released = true;
 		if (gang->state < CQ_GANG_STOPPING)
 			fail(gang, rank);
--- a/src/programs/common/daemon.c
+++ b/src/programs/common/daemon.c
@@ -18,7 +18,7 @@
 #define MAX_CONNECTIONS_PER_HOST 8
 #define MAX_IDLE_CONNECTIONS 512
 /* Loop rounds that write out the last answers and messages. */
-#define FAREWELL_ROUNDS 8
+#define FLUSH_ROUNDS 8
 
 static const struct cq_setting common_settings[] = {
 	{ "deployment", "CQ_DEPLOYMENT", CQ_SETTING_STRING, NULL, 1, 64,
@@ -225,7 +225,7 @@
 
 		hook->fn.stop(hook->ctx);
 	}
-	for (i = 0; i < FAREWELL_ROUNDS; i++)
+	for (i = 0; i < FLUSH_ROUNDS; i++)
 		ev_run(daemon->loop, EVRUN_NOWAIT);
 	cq_operator_http_destroy(daemon->operators);
 	daemon->operators = NULL;
--- a/src/programs/common/daemon.h
+++ b/src/programs/common/daemon.h
@@ -94,7 +94,7 @@
 
 /*
  * Called once by cq_daemon_run() after the drain. The hook answers or refuses
- * what is still open and sends its farewell; later calls are refused. All
+ * what is still open and announces the stop; later calls are refused. All
  * parts still exist: cq_daemon_run() writes out what the hooks sent and closes
  * the operators' listener before it returns.
  */
--- a/src/state/planner_queue.c
+++ b/src/state/planner_queue.c
@@ -124,7 +124,7 @@
 		       ctx->policy->job_failure_workers * FAILURE_FACTOR;
 }
 
-/* Removes jobs from the queue whose fate is settled. */
+/* Removes jobs that are decided from the queue. */
 static bool settle(struct cq_plan_context *ctx, uint32_t job)
 {
 	const struct cq_fleet_job *entry = &ctx->snapshot->jobs[job];
--- a/tests/support/job_calls_world.c
+++ b/tests/support/job_calls_world.c
@@ -131,24 +131,24 @@
 	struct job_calls_world *f = self;
 	const struct job_calls_value *value =
 		g_hash_table_lookup(f->values, key);
-	enum job_calls_fate fate = f->put_count++ < f->bad_puts ? f->puts
-								: CALLS_WELL;
+	enum job_calls_fault fault = f->put_count++ < f->bad_puts ? f->puts
+								  : CALLS_WELL;
 
 	(void)lease_id;
 	(void)timeout_ms;
-	if (fate == CALLS_DOWN)
+	if (fault == CALLS_DOWN)
 		return finish(f, key, CQ_STORE_UNAVAILABLE, done, ctx);
-	if (fate == CALLS_HANG)
+	if (fault == CALLS_HANG)
 		return finish(f, key, CQ_STORE_UNKNOWN, done, ctx);
 	if (revision != (value ? value->revision : 0))
 		return finish(f, key,
-			      fate == CALLS_LOST ? CQ_STORE_UNKNOWN
-						 : CQ_STORE_CONFLICT,
+			      fault == CALLS_LOST ? CQ_STORE_UNKNOWN
+						  : CQ_STORE_CONFLICT,
 			      done, ctx);
 	job_calls_store_value(f, key, text);
 	return finish(f, key,
-		      fate == CALLS_LOST ? CQ_STORE_UNKNOWN : CQ_STORE_OK, done,
-		      ctx);
+		      fault == CALLS_LOST ? CQ_STORE_UNKNOWN : CQ_STORE_OK,
+		      done, ctx);
 }
 
 static void store_cancel(void *self, struct cq_store_call *call)
--- a/tests/support/job_calls_world.h
+++ b/tests/support/job_calls_world.h
@@ -19,7 +19,7 @@
 	"\"cpu_millicores\":1000,\"memory_bytes\":1000"
 
 /* What happens to the calls of a kind. */
-enum job_calls_fate {
+enum job_calls_fault {
 	CALLS_WELL,
 	CALLS_DOWN, /* refused */
 	CALLS_LOST, /* executed, without an answer */
@@ -42,8 +42,8 @@
 	GHashTable *values; /* key -> struct job_calls_value */
 	GPtrArray *pending;
 	int64_t revision;
-	enum job_calls_fate puts, gets;
-	uint32_t bad_puts; /* this many have the fate, then all go well */
+	enum job_calls_fault puts, gets;
+	uint32_t bad_puts; /* this many have the fault, then all go well */
 	uint32_t put_count;
 	char *local; /* answer of an owner in this process */
 	ev_timer tick;
--- a/tests/support/request_world.c
+++ b/tests/support/request_world.c
@@ -549,12 +549,12 @@
 	return world->outcomes_left;
 }
 
-void world_fault_hand_over(struct world *world, uint32_t letter,
-			   enum world_letter_fault fault)
+void world_fault_hand_over(struct world *world, uint32_t message,
+			   enum world_message_fault fault)
 {
-	world->hand_over_letters = 0;
-	world->faulty_letter = letter;
-	world->letter_fault = fault;
+	world->hand_over_messages = 0;
+	world->faulty_message = message;
+	world->message_fault = fault;
 }
 
 void world_pause_host(struct world *world, uint32_t number, int64_t for_ns)
--- a/tests/support/request_world.h
+++ b/tests/support/request_world.h
@@ -125,15 +125,15 @@
 /* Outcomes that the process which stopped last could not hand over. */
 uint32_t world_outcomes_left(const struct world *world);
 
-enum world_letter_fault {
-	WORLD_LETTER_NONE,
-	WORLD_LETTER_LOST,
-	WORLD_LETTER_RECEIVER_DIES, /* before it reads the letter */
+enum world_message_fault {
+	WORLD_MESSAGE_NONE,
+	WORLD_MESSAGE_LOST,
+	WORLD_MESSAGE_RECEIVER_DIES, /* before it reads the message */
 };
 
-/* Of the hand-over letters from now on, offers and answers, from 1. */
-void world_fault_hand_over(struct world *world, uint32_t letter,
-			   enum world_letter_fault fault);
+/* Of the hand-over messages from now on, offers and answers, from 1. */
+void world_fault_hand_over(struct world *world, uint32_t message,
+			   enum world_message_fault fault);
 /* A new process takes the index, also while the old one is paused. */
 void world_start_host(struct world *world, uint32_t host);
 void world_pause_host(struct world *world, uint32_t host, int64_t for_ns);
--- a/tests/support/request_world_internal.h
+++ b/tests/support/request_world_internal.h
@@ -76,7 +76,7 @@
 	struct cq_request request; /* own copies, peers only */
 };
 
-struct letter;
+struct message;
 
 struct world {
 	struct world_options options;
@@ -94,10 +94,10 @@
 	uint64_t executions;
 	uint32_t connections_exceeded;
 	uint32_t outcomes_left;
-	uint32_t hand_over_letters;
-	uint32_t faulty_letter;
-	enum world_letter_fault letter_fault;
-	const struct letter *peer_answer; /* being delivered */
+	uint32_t hand_over_messages;
+	uint32_t faulty_message;
+	enum world_message_fault message_fault;
+	const struct message *peer_answer; /* being delivered */
 };
 
 void world_at(struct world *world, int64_t at_ns, world_event_fn *fn,
--- a/tests/support/request_world_net.c
+++ b/tests/support/request_world_net.c
@@ -18,23 +18,23 @@
 	uint32_t references;
 };
 
-struct letter {
+struct message {
 	struct process *to;
 	struct host *from;
 	uint64_t from_incarnation;
-	enum letter_kind {
-		LETTER_FORWARD,
-		LETTER_ANSWER,
-		LETTER_ASK,
-		LETTER_LEND,
-		LETTER_RETURN,
-		LETTER_OFFER,
-		LETTER_TAKEN,
+	enum message_kind {
+		MESSAGE_FORWARD,
+		MESSAGE_ANSWER,
+		MESSAGE_ASK,
+		MESSAGE_LEND,
+		MESSAGE_RETURN,
+		MESSAGE_OFFER,
+		MESSAGE_TAKEN,
 	} kind;
 	uint64_t correlation;
 	uint8_t *data;
 	size_t len;
-	/* LETTER_ANSWER: when it was decided, and the executions by then. */
+	/* MESSAGE_ANSWER: when it was decided, and the executions by then. */
 	int64_t decided_ns;
 	uint32_t ran_before_decision;
 };
@@ -291,27 +291,27 @@
 	return !a->cut && !b->cut;
 }
 
-static void on_letter(struct world *world, void *ctx);
+static void on_message(struct world *world, void *ctx);
 
-static void post(struct process *from, struct host *to, struct letter letter)
+static void post(struct process *from, struct host *to, struct message message)
 {
 	struct world *world = from->world;
-	struct letter *copy;
+	struct message *copy;
 	int64_t way = from->host->data_centre == to->data_centre
 			      ? world->options.link_ns
 			      : world->options.wan_ns;
 
 	if (!to->process || !world_link_up(from->host, to)) {
-		g_free(letter.data);
+		g_free(message.data);
 		return;
 	}
-	copy = g_memdup2(&letter, sizeof(letter));
+	copy = g_memdup2(&message, sizeof(message));
 	copy->to = to->process;
 	copy->from = from->host;
 	copy->from_incarnation = from->incarnation;
 	world_at(world,
 		 world->now_ns + way + from->host->delay_ns + to->delay_ns,
-		 on_letter, copy);
+		 on_message, copy);
 }
 
 static struct host *host_at(struct world *world, const char *address)
@@ -330,18 +330,18 @@
 static void answer_peer(struct process *process, const struct caller *caller,
 			const struct cq_answer *answer)
 {
-	struct letter letter = { .kind = LETTER_ANSWER,
-				 .correlation = caller->correlation };
+	struct message message = { .kind = MESSAGE_ANSWER,
+				   .correlation = caller->correlation };
 	struct cq_peer_load load;
 
 	process->world->options.vtable->load(process->router, &load);
-	letter.data = cq_peer_answer_pack(answer, &load, &letter.len);
-	letter.decided_ns = process->world->now_ns;
+	message.data = cq_peer_answer_pack(answer, &load, &message.len);
+	message.decided_ns = process->world->now_ns;
 	if (caller->request.body)
-		letter.ran_before_decision =
+		message.ran_before_decision =
 			logical_of(process->world, caller->request.body)
 				->executions;
-	post(process, caller->peer, letter);
+	post(process, caller->peer, message);
 }
 
 static void on_answer(void *ctx, void *caller_ctx,
@@ -385,11 +385,11 @@
 		       const struct cq_forward *forward)
 {
 	struct process *process = ctx;
-	struct letter letter = { .kind = LETTER_FORWARD,
-				 .correlation = correlation };
+	struct message message = { .kind = MESSAGE_FORWARD,
+				   .correlation = correlation };
 
-	letter.data = cq_peer_forward_pack(forward, &letter.len);
-	post(process, host_at(process->world, address), letter);
+	message.data = cq_peer_forward_pack(forward, &message.len);
+	post(process, host_at(process->world, address), message);
 	return true;
 }
 
@@ -404,10 +404,10 @@
 		.asked_ns = asked_ns,
 		.borrower_incarnation = process->incarnation,
 	};
-	struct letter letter = { .kind = LETTER_ASK };
+	struct message message = { .kind = MESSAGE_ASK };
 
-	letter.data = cq_slots_lend_pack(&lend, &letter.len);
-	post(process, host_at(process->world, address), letter);
+	message.data = cq_slots_lend_pack(&lend, &message.len);
+	post(process, host_at(process->world, address), message);
 }
 
 static void on_lend(void *ctx, const char *address, int64_t asked_ns,
@@ -421,11 +421,11 @@
 		.borrower_incarnation = borrower_incarnation,
 		.count = count,
 	};
-	struct letter letter = { .kind = LETTER_LEND };
+	struct message message = { .kind = MESSAGE_LEND };
 
 	memcpy(lend.loans, loans, count * sizeof(*loans));
-	letter.data = cq_slots_lend_pack(&lend, &letter.len);
-	post(process, host_at(process->world, address), letter);
+	message.data = cq_slots_lend_pack(&lend, &message.len);
+	post(process, host_at(process->world, address), message);
 }
 
 static void on_return(void *ctx, const char *address,
@@ -437,64 +437,66 @@
 		.lender_incarnation = lender_incarnation,
 		.count = count,
 	};
-	struct letter letter = { .kind = LETTER_RETURN };
+	struct message message = { .kind = MESSAGE_RETURN };
 
 	memcpy(back.ids, ids, count * sizeof(*ids));
-	letter.data = cq_slots_return_pack(&back, &letter.len);
-	post(process, host_at(process->world, address), letter);
+	message.data = cq_slots_return_pack(&back, &message.len);
+	post(process, host_at(process->world, address), message);
 }
 
 static void on_offer(void *ctx, const char *address, uint64_t correlation,
 		     const struct cq_outcomes_offer *offer)
 {
 	struct process *process = ctx;
-	struct letter letter = { .kind = LETTER_OFFER,
-				 .correlation = correlation };
+	struct message message = { .kind = MESSAGE_OFFER,
+				   .correlation = correlation };
 
-	letter.data = cq_peer_outcomes_pack(offer, &letter.len);
-	post(process, host_at(process->world, address), letter);
+	message.data = cq_peer_outcomes_pack(offer, &message.len);
+	post(process, host_at(process->world, address), message);
 }
 
-static void receive_offer(struct process *process, const struct letter *letter)
+static void receive_offer(struct process *process,
+			  const struct message *message)
 {
-	struct letter taken = { .kind = LETTER_TAKEN,
-				.correlation = letter->correlation };
+	struct message taken = { .kind = MESSAGE_TAKEN,
+				 .correlation = message->correlation };
 	struct cq_peer_outcomes *received =
-		cq_peer_outcomes_unpack(letter->data, letter->len);
+		cq_peer_outcomes_unpack(message->data, message->len);
 
 	if (process->world->options.vtable->outcomes_offered(
 		    process->router, cq_peer_outcomes_get(received)))
-		post(process, letter->from, taken);
+		post(process, message->from, taken);
 	cq_peer_outcomes_free(received);
 }
 
-/* Returns false if the letter does not arrive. */
-static bool apply_letter_fault(struct world *world, const struct letter *letter)
+/* Returns false if the message does not arrive. */
+static bool apply_message_fault(struct world *world,
+				const struct message *message)
 {
-	if (letter->kind != LETTER_OFFER && letter->kind != LETTER_TAKEN)
+	if (message->kind != MESSAGE_OFFER && message->kind != MESSAGE_TAKEN)
 		return true;
-	if (++world->hand_over_letters != world->faulty_letter)
+	if (++world->hand_over_messages != world->faulty_message)
 		return true;
-	if (world->letter_fault == WORLD_LETTER_RECEIVER_DIES)
-		world_kill_host(world, letter->to->host->number);
-	return world->letter_fault == WORLD_LETTER_NONE;
+	if (world->message_fault == WORLD_MESSAGE_RECEIVER_DIES)
+		world_kill_host(world, message->to->host->number);
+	return world->message_fault == WORLD_MESSAGE_NONE;
 }
 
 static void receive_forward(struct process *process,
-			    const struct letter *letter)
+			    const struct message *message)
 {
 	struct world *world = process->world;
 	struct cq_peer_forward *received =
-		cq_peer_forward_unpack(letter->data, letter->len);
+		cq_peer_forward_unpack(message->data, message->len);
 	const struct cq_forward *forward = cq_peer_forward_get(received);
 	struct caller *caller = g_new0(struct caller, 1);
-	struct caller question = { .peer = letter->from,
-				   .correlation = letter->correlation };
+	struct caller question = { .peer = message->from,
+				   .correlation = message->correlation };
 
 	caller->process = process;
 	caller->result = UINT32_MAX;
-	caller->peer = letter->from;
-	caller->correlation = letter->correlation;
+	caller->peer = message->from;
+	caller->correlation = message->correlation;
 	if (!forward->request) {
 		answer_peer(process, &question, NULL);
 		g_free(caller);
@@ -515,64 +517,64 @@
 	cq_peer_forward_free(received);
 }
 
-static void receive(struct process *process, const struct letter *letter)
+static void receive(struct process *process, const struct message *message)
 {
 	const struct cq_router_vtable *vtable = process->world->options.vtable;
 	struct cq_peer_answer *answer;
 	struct cq_slots_lend lend;
 	struct cq_slots_return back;
 
-	switch (letter->kind) {
-	case LETTER_FORWARD:
-		receive_forward(process, letter);
+	switch (message->kind) {
+	case MESSAGE_FORWARD:
+		receive_forward(process, message);
 		return;
-	case LETTER_ANSWER:
-		answer = cq_peer_answer_unpack(letter->data, letter->len);
-		process->world->peer_answer = letter;
-		vtable->forward_done(process->router, letter->correlation,
+	case MESSAGE_ANSWER:
+		answer = cq_peer_answer_unpack(message->data, message->len);
+		process->world->peer_answer = message;
+		vtable->forward_done(process->router, message->correlation,
 				     cq_peer_answer_get(answer),
 				     cq_peer_answer_load(answer));
 		process->world->peer_answer = NULL;
 		cq_peer_answer_free(answer);
 		return;
-	case LETTER_ASK:
-		cq_slots_lend_unpack(letter->data, letter->len, &lend);
+	case MESSAGE_ASK:
+		cq_slots_lend_unpack(message->data, message->len, &lend);
 		vtable->slots_asked(process->router, lend.index,
 				    lend.borrower_incarnation, lend.wanted,
 				    lend.asked_ns);
 		return;
-	case LETTER_LEND:
-		cq_slots_lend_unpack(letter->data, letter->len, &lend);
+	case MESSAGE_LEND:
+		cq_slots_lend_unpack(message->data, message->len, &lend);
 		if (lend.borrower_incarnation == process->incarnation)
 			vtable->slots_lent(process->router, lend.index,
-					   letter->from_incarnation,
+					   message->from_incarnation,
 					   lend.asked_ns, lend.loans,
 					   lend.count);
 		return;
-	case LETTER_RETURN:
-		cq_slots_return_unpack(letter->data, letter->len, &back);
+	case MESSAGE_RETURN:
+		cq_slots_return_unpack(message->data, message->len, &back);
 		if (back.lender_incarnation == process->incarnation)
 			vtable->slots_returned(process->router, back.ids,
 					       back.count);
 		return;
-	case LETTER_OFFER:
-		receive_offer(process, letter);
+	case MESSAGE_OFFER:
+		receive_offer(process, message);
 		return;
-	case LETTER_TAKEN:
-		vtable->outcomes_taken(process->router, letter->correlation);
+	case MESSAGE_TAKEN:
+		vtable->outcomes_taken(process->router, message->correlation);
 		return;
 	}
 }
 
-static void on_letter(struct world *world, void *ctx)
+static void on_message(struct world *world, void *ctx)
 {
-	struct letter *letter = ctx;
+	struct message *message = ctx;
 
-	if (!letter->to->dead &&
-	    world_defer_if_paused(letter->to, on_letter, letter))
+	if (!message->to->dead &&
+	    world_defer_if_paused(message->to, on_message, message))
 		return;
-	if (!letter->to->dead && apply_letter_fault(world, letter))
-		receive(letter->to, letter);
-	g_free(letter->data);
-	g_free(letter);
+	if (!message->to->dead && apply_message_fault(world, message))
+		receive(message->to, message);
+	g_free(message->data);
+	g_free(message);
 }
--- a/tests/unit/test_gang.c
+++ b/tests/unit/test_gang.c
@@ -63,9 +63,9 @@
 static void observe(struct fixture *f, uint32_t rank, enum cq_task_state state,
 		    int64_t checkpoint_ms)
 {
-	struct cq_gang_sight sight = { true, state, checkpoint_ms };
+	struct cq_gang_report report = { true, state, checkpoint_ms };
 
-	cq_gang_observed(f->gang, rank, &sight, f->now_ns, f->now_ns);
+	cq_gang_observed(f->gang, rank, &report, f->now_ns, f->now_ns);
 }
 
 static void run_to_running(struct fixture *f)
@@ -203,7 +203,7 @@
 /* Guards against an old report that undoes what a later answer said. */
 static void test_old_reports(void)
 {
-	static const struct cq_gang_sight absent = { .checkpoint_ms = -1 };
+	static const struct cq_gang_report absent = { .checkpoint_ms = -1 };
 	struct fixture f;
 	int64_t sent_ns;
 
@@ -371,7 +371,7 @@
 	}
 	static const struct {
 		const char *name;
-		struct cq_gang_sight sights[SIZE];
+		struct cq_gang_report reports[SIZE];
 		enum cq_gang_state state;
 		enum cq_gang_end end;
 	} cases[] = {
@@ -431,7 +431,7 @@
 
 		g_test_message("%s", cases[i].name);
 		f.gang = cq_gang_recover(&options, &ops, &f, SIZE,
-					 cases[i].sights, f.now_ns, f.now_ns);
+					 cases[i].reports, f.now_ns, f.now_ns);
 		g_assert_cmpint(cq_gang_state(f.gang), ==, cases[i].state);
 		g_assert_cmpint(cq_gang_end(f.gang), ==, cases[i].end);
 		advance(&f, 10);
--- a/tests/unit/test_hand_over.c
+++ b/tests/unit/test_hand_over.c
@@ -66,31 +66,32 @@
 		const char *name;
 		bool home_dies; /* instead of stopping */
 		bool running;	/* a request of the home, at its stop */
-		uint32_t stop_letter, start_letter;
-		enum world_letter_fault fault;
+		uint32_t stop_message, start_message;
+		enum world_message_fault fault;
 		enum other_host caretaker;
 		bool kept;
 	} cases[] = {
 		{ "nothing fails", .kept = true },
 		{ "a request still runs", .running = true, .kept = true },
-		{ "the offer is lost", .stop_letter = 1,
-		  .fault = WORLD_LETTER_LOST, .kept = true },
-		{ "the caretaker's answer is lost", .stop_letter = 2,
-		  .fault = WORLD_LETTER_LOST, .kept = true },
-		{ "the caretaker dies before it takes", .stop_letter = 1,
-		  .fault = WORLD_LETTER_RECEIVER_DIES, .kept = true },
-		{ "the home dies before it is answered", .stop_letter = 2,
-		  .fault = WORLD_LETTER_RECEIVER_DIES, .kept = true },
+		{ "the offer is lost", .stop_message = 1,
+		  .fault = WORLD_MESSAGE_LOST, .kept = true },
+		{ "the caretaker's answer is lost", .stop_message = 2,
+		  .fault = WORLD_MESSAGE_LOST, .kept = true },
+		{ "the caretaker dies before it takes", .stop_message = 1,
+		  .fault = WORLD_MESSAGE_RECEIVER_DIES, .kept = true },
+		{ "the home dies before it is answered", .stop_message = 2,
+		  .fault = WORLD_MESSAGE_RECEIVER_DIES, .kept = true },
 		{ "the caretaker is paused", .caretaker = PAUSED,
 		  .kept = true },
-		{ "the offer to the successor is lost", .start_letter = 1,
-		  .fault = WORLD_LETTER_LOST, .kept = true },
-		{ "the successor's answer is lost", .start_letter = 2,
-		  .fault = WORLD_LETTER_LOST, .kept = true },
-		{ "the successor dies before it takes", .start_letter = 1,
-		  .fault = WORLD_LETTER_RECEIVER_DIES, .kept = true },
-		{ "the caretaker dies before it is answered", .start_letter = 2,
-		  .fault = WORLD_LETTER_RECEIVER_DIES, .kept = true },
+		{ "the offer to the successor is lost", .start_message = 1,
+		  .fault = WORLD_MESSAGE_LOST, .kept = true },
+		{ "the successor's answer is lost", .start_message = 2,
+		  .fault = WORLD_MESSAGE_LOST, .kept = true },
+		{ "the successor dies before it takes", .start_message = 1,
+		  .fault = WORLD_MESSAGE_RECEIVER_DIES, .kept = true },
+		{ "the caretaker dies before it is answered",
+		  .start_message = 2, .fault = WORLD_MESSAGE_RECEIVER_DIES,
+		  .kept = true },
 		{ "the caretaker stops too", .caretaker = STOPS, .kept = true },
 		{ "the caretaker dies", .caretaker = DIES },
 		{ "the home dies", .home_dies = true },
@@ -110,7 +111,7 @@
 		world = world_create(&options);
 		run_for(world, 4000);
 		send_keys(world, logicals, cases[i].running);
-		world_fault_hand_over(world, cases[i].stop_letter,
+		world_fault_hand_over(world, cases[i].stop_message,
 				      cases[i].fault);
 		if (cases[i].caretaker == PAUSED)
 			world_pause_host(world, CARETAKER, 10000 * MS);
@@ -127,7 +128,7 @@
 			world_stop_host(world, CARETAKER);
 		run_for(world, 6000);
 		world_start_host(world, HOME);
-		world_fault_hand_over(world, cases[i].start_letter,
+		world_fault_hand_over(world, cases[i].start_message,
 				      cases[i].fault);
 		run_for(world, 5000);
 		if (!world_host_up(world, HOME))
--- a/tests/unit/test_job_calls.c
+++ b/tests/unit/test_job_calls.c
@@ -11,7 +11,7 @@
 	static const struct {
 		const char *name;
 		const char *body;
-		enum job_calls_fate puts, gets;
+		enum job_calls_fault puts, gets;
 		uint32_t bad_puts;
 		uint32_t status;
 		const char *run; /* NULL: no refusal */
@@ -135,7 +135,7 @@
 	static const struct {
 		const char *target;
 		char *local; /* answer of the owner of a */
-		enum job_calls_fate gets;
+		enum job_calls_fault gets;
 		bool stale, age;
 		uint32_t jobs, missing;
 	} cases[] = {
@@ -192,7 +192,7 @@
 	static const struct {
 		const char *name;
 		enum cq_job_phase phase;
-		enum job_calls_fate puts;
+		enum job_calls_fault puts;
 		uint32_t bad_puts;
 		uint32_t status;
 		enum cq_job_phase after;
