Share the set-up of the planner's unit tests

Cause: test_planner.c and test_planner_reclaim.c held the same forty lines of set-up, planning and look-up.

No test or check changed.

Conclusion: the set-up stands once.

--- a/tests/unit/test_planner.c
+++ b/tests/unit/test_planner.c
@@ -1,75 +1,25 @@
 #include <glib.h>
 
-#include "../support/fleet_builder.h"
+#include "../support/planner_world.h"
 #include "chestnutquay/clock.h"
 
 #define GB (UINT64_C(1) << 30)
 
 /* Two data centres of 4 workers with 8 accelerators, racks of 2. */
-struct world {
-	struct fleet_builder *fleet;
-	struct cq_planner *planner;
-	struct cq_plan *plan;
-	uint32_t urgent, batch; /* classes */
-	uint32_t a, b;		/* workspaces */
-};
-
-static void set_up(struct world *world, gconstpointer data)
+static void set_up(struct planner_world *world, gconstpointer data)
 {
 	(void)data;
-	world->fleet = fleet_builder_create(2, 8, 2, 8, 64000, 256 * GB);
-	world->fleet->now_ns = 1000 * CQ_NS_PER_S;
-	world->planner = cq_planner_create();
-	world->plan = NULL;
-	world->urgent = fleet_add_class(world->fleet, "urgent", true);
-	world->batch = fleet_add_class(world->fleet, "batch", false);
-	world->a = fleet_add_workspace(world->fleet, "a");
-	world->b = fleet_add_workspace(world->fleet, "b");
+	planner_world_open(world, 2, 8);
 }
 
-static void tear_down(struct world *world, gconstpointer data)
+static void tear_down(struct planner_world *world, gconstpointer data)
 {
 	(void)data;
-	cq_plan_destroy(world->plan);
-	cq_planner_destroy(world->planner);
-	fleet_builder_destroy(world->fleet);
-}
-
-static void plan(struct world *world)
-{
-	struct cq_snapshot snapshot = fleet_snapshot(world->fleet);
-	struct cq_error err = CQ_ERROR_INIT;
-
-	cq_plan_destroy(world->plan);
-	world->plan = cq_planner_plan(world->planner, &snapshot, &err);
-	g_assert_cmpstr(err.message, ==, "");
-	g_assert_nonnull(world->plan);
-}
-
-static const struct cq_action *find(const struct world *world,
-				    enum cq_action_kind kind, uint32_t job)
-{
-	uint32_t i;
-
-	for (i = 0; i < world->plan->action_count; i++)
-		if (world->plan->actions[i].kind == kind &&
-		    world->plan->actions[i].job == job)
-			return &world->plan->actions[i];
-	return NULL;
-}
-
-static enum cq_reason wait_reason(const struct world *world, uint32_t job)
-{
-	uint32_t i;
-
-	for (i = 0; i < world->plan->wait_count; i++)
-		if (world->plan->waits[i].job == job)
-			return world->plan->waits[i].reason;
-	return CQ_REASON_NONE;
+	planner_world_close(world);
 }
 
 /* Fills workers [from, to) with borrowers of one worker each. */
-static void fill(struct world *world, uint32_t workspace, uint32_t from,
+static void fill(struct planner_world *world, uint32_t workspace, uint32_t from,
 		 uint32_t to)
 {
 	uint32_t i;
@@ -82,7 +32,7 @@
 }
 
 /* Guards against a gang spread over two data centres, or started in part. */
-static void test_gang_in_one_dc(struct world *world, gconstpointer data)
+static void test_gang_in_one_dc(struct planner_world *world, gconstpointer data)
 {
 	uint32_t fits =
 		fleet_add_job(world->fleet, world->a, world->batch, 4, 8);
@@ -93,10 +43,10 @@
 
 	(void)data;
 	fill(world, world->b, 4, 5);
-	plan(world);
-	start = find(world, CQ_ACTION_START, fits);
+	planner_world_plan(world);
+	start = planner_world_find(world, CQ_ACTION_START, fits);
 	if (!start)
-		start = find(world, CQ_ACTION_START, waits);
+		start = planner_world_find(world, CQ_ACTION_START, waits);
 	g_assert_nonnull(start);
 	g_assert_cmpuint(world->plan->action_count, ==, 1);
 	g_assert_cmpuint(start->placement_count, ==, 4);
@@ -105,7 +55,7 @@
 }
 
 /* Guards against a guaranteed job waiting behind borrowers. */
-static void test_reclaim(struct world *world, gconstpointer data)
+static void test_reclaim(struct planner_world *world, gconstpointer data)
 {
 	uint32_t job;
 
@@ -113,14 +63,15 @@
 	fleet_add_guarantee(world->fleet, world->a, 2, 8, CQ_ADJACENT_WORKER);
 	fill(world, world->b, 0, 8);
 	job = fleet_add_job(world->fleet, world->a, world->batch, 2, 8);
-	plan(world);
+	planner_world_plan(world);
 	g_assert_cmpuint(world->plan->shortfall_count, ==, 0);
-	g_assert_cmpint(wait_reason(world, job), ==, CQ_REASON_WAIT_RECLAIM);
+	g_assert_cmpint(planner_world_wait_reason(world, job), ==,
+			CQ_REASON_WAIT_RECLAIM);
 	fleet_apply(world->fleet, world->plan);
-	plan(world);
-	g_assert_nonnull(find(world, CQ_ACTION_START, job));
-	g_assert_cmpint(find(world, CQ_ACTION_START, job)->reason, ==,
-			CQ_REASON_GUARANTEED);
+	planner_world_plan(world);
+	g_assert_nonnull(planner_world_find(world, CQ_ACTION_START, job));
+	g_assert_cmpint(planner_world_find(world, CQ_ACTION_START, job)->reason,
+			==, CQ_REASON_GUARANTEED);
 }
 
 /* What the fleet loses, and which guarantee is then short by how much. */
@@ -138,7 +89,7 @@
 };
 
 /* Guards against a shortfall that is not reported, or in the wrong order. */
-static void test_shortfall(struct world *world, gconstpointer data)
+static void test_shortfall(struct planner_world *world, gconstpointer data)
 {
 	const struct shortfall_case *entry = data;
 	uint32_t expected[2] = { entry->short_a, entry->short_b };
@@ -149,7 +100,7 @@
 	fleet_add_guarantee(world->fleet, world->b, 8, 2, CQ_ADJACENT_WORKER);
 	for (i = 0; i < entry->lost_workers; i++)
 		fleet_worker(world->fleet, i)->state = CQ_WORKER_LOST;
-	plan(world);
+	planner_world_plan(world);
 	for (i = 0; i < world->plan->shortfall_count; i++)
 		found[world->plan->shortfalls[i].guarantee] =
 			world->plan->shortfalls[i].shapes;
@@ -184,7 +135,7 @@
 };
 
 /* Guards against accepting a job that would wait for ever. */
-static void test_misfit(struct world *world, gconstpointer data)
+static void test_misfit(struct planner_world *world, gconstpointer data)
 {
 	const struct misfit_case *entry = data;
 	uint32_t index = fleet_add_job(world->fleet, world->a, world->batch,
@@ -202,9 +153,10 @@
 			fits);
 	g_assert_cmpint(misfit.resource, ==, entry->resource);
 	g_assert_cmpuint(misfit.largest, ==, entry->largest);
-	plan(world);
-	g_assert_cmpint(find(world, CQ_ACTION_REJECT, index) != NULL, ==,
-			!fits);
+	planner_world_plan(world);
+	g_assert_cmpint(planner_world_find(world, CQ_ACTION_REJECT, index) !=
+				NULL,
+			==, !fits);
 }
 
 /* Failures of jobs 0..5 on workers 0..5, and what follows from them. */
@@ -232,7 +184,7 @@
 };
 
 /* Guards against blaming a worker for a bad job, or the reverse. */
-static void test_failures(struct world *world, gconstpointer data)
+static void test_failures(struct planner_world *world, gconstpointer data)
 {
 	const struct failure_case *entry = data;
 	uint32_t i;
@@ -245,15 +197,15 @@
 			fleet_job(world->fleet, entry->failures[i][0])->id,
 			fleet_worker(world->fleet, entry->failures[i][1])
 				->name);
-	plan(world);
+	planner_world_plan(world);
 	g_assert_cmpint(cq_planner_is_quarantined(world->planner, "w0"), ==,
 			entry->quarantined);
-	g_assert_cmpint(find(world, CQ_ACTION_REJECT, 0) != NULL, ==,
-			entry->rejected);
+	g_assert_cmpint(planner_world_find(world, CQ_ACTION_REJECT, 0) != NULL,
+			==, entry->rejected);
 }
 
 /* Guards against quarantining so much that nothing is left to run on. */
-static void test_quarantine_cap(struct world *world, gconstpointer data)
+static void test_quarantine_cap(struct planner_world *world, gconstpointer data)
 {
 	char job[8];
 	char worker[8];
@@ -269,7 +221,7 @@
 			g_snprintf(worker, sizeof(worker), "w%u", i);
 			cq_planner_observe_failure(world->planner, job, worker);
 		}
-	plan(world);
+	planner_world_plan(world);
 	for (i = 0; i < 8; i++)
 		quarantined += cq_planner_is_quarantined(
 			world->planner, fleet_worker(world->fleet, i)->name);
@@ -295,7 +247,7 @@
 };
 
 /* Guards against a worker that is exhausted by a task it was told less of. */
-static void test_usage(struct world *world, gconstpointer data)
+static void test_usage(struct planner_world *world, gconstpointer data)
 {
 	const struct usage_case *entry = data;
 	uint32_t jobs[2];
@@ -317,11 +269,11 @@
 			.observed_memory_bytes = i ? 60 * GB
 						   : entry->memory_bytes;
 	}
-	plan(world);
+	planner_world_plan(world);
 	g_assert_cmpuint(world->plan->action_count, ==, entry->acts);
 	if (!entry->acts)
 		return;
-	g_assert_nonnull(find(world, entry->kind, jobs[0]));
+	g_assert_nonnull(planner_world_find(world, entry->kind, jobs[0]));
 	g_assert_cmpuint(world->plan->actions[0].percent, ==, entry->percent);
 }
 
@@ -346,7 +298,7 @@
 };
 
 /* Guards against work lost with a data centre, and starts in it. */
-static void test_leave(struct world *world, gconstpointer data)
+static void test_leave(struct planner_world *world, gconstpointer data)
 {
 	const struct leave_case *entry = data;
 	uint32_t running =
@@ -369,19 +321,20 @@
 	dc->state = CQ_DC_OUT;
 	dc->notice_deadline_ns =
 		world->fleet->now_ns + entry->notice_s * CQ_NS_PER_S;
-	plan(world);
-	g_assert_cmpint(wait_reason(world, waiting), ==, CQ_REASON_WAIT_DC_OUT);
+	planner_world_plan(world);
+	g_assert_cmpint(planner_world_wait_reason(world, waiting), ==,
+			CQ_REASON_WAIT_DC_OUT);
 	for (i = 0; i < world->plan->action_count; i++)
 		g_assert_cmpuint(world->plan->actions[i].job, ==, running);
-	g_assert_cmpint(find(world, entry->kind, running) != NULL, ==,
-			entry->acts);
+	g_assert_cmpint(planner_world_find(world, entry->kind, running) != NULL,
+			==, entry->acts);
 	if (entry->acts)
 		g_assert_cmpint(world->plan->actions[0].reason, ==,
 				CQ_REASON_DC_OUT);
 }
 
 /* Guards against a stampede into a data centre that has just returned. */
-static void test_refill(struct world *world, gconstpointer data)
+static void test_refill(struct planner_world *world, gconstpointer data)
 {
 	uint32_t i;
 
@@ -395,12 +348,12 @@
 
 		fleet_job(world->fleet, job)->dc = 0;
 	}
-	plan(world);
+	planner_world_plan(world);
 	g_assert_cmpuint(world->plan->action_count, ==, 3);
 }
 
 /* Guards against a gang that goes on without one of its members. */
-static void test_lost_member(struct world *world, gconstpointer data)
+static void test_lost_member(struct planner_world *world, gconstpointer data)
 {
 	uint32_t job =
 		fleet_add_job(world->fleet, world->a, world->batch, 2, 8);
@@ -408,20 +361,21 @@
 	(void)data;
 	fleet_run_task(world->fleet, job, 0, 0xff, 0);
 	fleet_run_task(world->fleet, job, 1, 0xff, 0);
-	plan(world);
-	g_assert_null(find(world, CQ_ACTION_STOP, job));
+	planner_world_plan(world);
+	g_assert_null(planner_world_find(world, CQ_ACTION_STOP, job));
 	fleet_worker(world->fleet, 1)->state = CQ_WORKER_LOST;
-	plan(world);
-	g_assert_nonnull(find(world, CQ_ACTION_STOP, job));
-	g_assert_cmpint(find(world, CQ_ACTION_STOP, job)->reason, ==,
-			CQ_REASON_GANG_MEMBER_LOST);
+	planner_world_plan(world);
+	g_assert_nonnull(planner_world_find(world, CQ_ACTION_STOP, job));
+	g_assert_cmpint(planner_world_find(world, CQ_ACTION_STOP, job)->reason,
+			==, CQ_REASON_GANG_MEMBER_LOST);
 }
 
 /*
  * Guards against cells that stand elsewhere for a new owner than for the old
  * one, which would make tasks within a guarantee borrowers.
  */
-static void test_rebuild_from_labels(struct world *world, gconstpointer data)
+static void test_rebuild_from_labels(struct planner_world *world,
+				     gconstpointer data)
 {
 	uint32_t job;
 	uint32_t i;
@@ -431,20 +385,20 @@
 	fleet_add_guarantee(world->fleet, world->b, 3, 8, CQ_ADJACENT_WORKER);
 	job = fleet_add_job(world->fleet, world->a, world->batch, 2, 8);
 	fleet_add_job(world->fleet, world->b, world->batch, 1, 8);
-	plan(world);
-	g_assert_cmpint(find(world, CQ_ACTION_START, job)->reason, ==,
-			CQ_REASON_GUARANTEED);
+	planner_world_plan(world);
+	g_assert_cmpint(planner_world_find(world, CQ_ACTION_START, job)->reason,
+			==, CQ_REASON_GUARANTEED);
 	fleet_apply(world->fleet, world->plan);
 	cq_planner_destroy(world->planner);
 	world->planner = cq_planner_create();
-	plan(world);
+	planner_world_plan(world);
 	g_assert_cmpuint(world->plan->shortfall_count, ==, 0);
 	for (i = 0; i < 2; i++)
 		g_assert_cmpint(world->plan->tiers[i], ==, CQ_TIER_GUARANTEED);
 }
 
 /* Guards against declared run times being trusted when history says other. */
-static void test_history(struct world *world, gconstpointer data)
+static void test_history(struct planner_world *world, gconstpointer data)
 {
 	uint32_t index =
 		fleet_add_job(world->fleet, world->a, world->batch, 1, 1);
@@ -463,7 +417,7 @@
 }
 
 /* Guards against small jobs taking what a large job waits for. */
-static void test_reservation(struct world *world, gconstpointer data)
+static void test_reservation(struct planner_world *world, gconstpointer data)
 {
 	uint32_t large;
 	uint32_t small;
@@ -481,15 +435,15 @@
 	quick = fleet_add_job(world->fleet, world->a, world->batch, 1, 1);
 	fleet_job(world->fleet, quick)->declared_run_ns = CQ_NS_PER_S;
 	world->fleet->policy.completion_weight_permille = 0;
-	plan(world);
-	g_assert_null(find(world, CQ_ACTION_START, small));
-	g_assert_cmpint(wait_reason(world, small), ==,
+	planner_world_plan(world);
+	g_assert_null(planner_world_find(world, CQ_ACTION_START, small));
+	g_assert_cmpint(planner_world_wait_reason(world, small), ==,
 			CQ_REASON_WAIT_RESERVATION);
-	g_assert_nonnull(find(world, CQ_ACTION_START, quick));
+	g_assert_nonnull(planner_world_find(world, CQ_ACTION_START, quick));
 }
 
 /* Guards against a plan from a snapshot that refers to what is not there. */
-static void test_invalid(struct world *world, gconstpointer data)
+static void test_invalid(struct planner_world *world, gconstpointer data)
 {
 	uint32_t job =
 		fleet_add_job(world->fleet, world->a, world->batch, 1, 1);
@@ -504,15 +458,16 @@
 	g_assert_cmpstr(err.message, ==, "snapshot: task 0 is out of range");
 }
 
-#define ADD(path, function) \
-	g_test_add(path, struct world, NULL, set_up, function, tear_down)
+#define ADD(path, function)                                            \
+	g_test_add(path, struct planner_world, NULL, set_up, function, \
+		   tear_down)
 #define ADD_CASES(path, cases, function)                                       \
 	do {                                                                   \
 		size_t n;                                                      \
 		for (n = 0; n < G_N_ELEMENTS(cases); n++) {                    \
 			char *name = g_strconcat(path, (cases)[n].name, NULL); \
-			g_test_add(name, struct world, &(cases)[n], set_up,    \
-				   function, tear_down);                       \
+			g_test_add(name, struct planner_world, &(cases)[n],    \
+				   set_up, function, tear_down);               \
 			g_free(name);                                          \
 		}                                                              \
 	} while (0)
--- a/tests/unit/test_planner_reclaim.c
+++ b/tests/unit/test_planner_reclaim.c
@@ -1,63 +1,27 @@
 #include <glib.h>
 
-#include "../support/fleet_builder.h"
+#include "../support/planner_world.h"
 #include "chestnutquay/clock.h"
 
 #define GB (UINT64_C(1) << 30)
 
 /* One data centre of 4 workers with 8 accelerators. */
-struct world {
-	struct fleet_builder *fleet;
-	struct cq_planner *planner;
-	struct cq_plan *plan;
-	uint32_t urgent, batch; /* classes */
-	uint32_t a, b;		/* workspaces */
-};
-
-static void set_up(struct world *world, gconstpointer data)
+static void set_up(struct planner_world *world, gconstpointer data)
 {
 	(void)data;
-	world->fleet = fleet_builder_create(1, 4, 2, 8, 64000, 256 * GB);
-	world->fleet->now_ns = 1000 * CQ_NS_PER_S;
-	world->planner = cq_planner_create();
-	world->plan = NULL;
-	world->urgent = fleet_add_class(world->fleet, "urgent", true);
-	world->batch = fleet_add_class(world->fleet, "batch", false);
-	world->a = fleet_add_workspace(world->fleet, "a");
-	world->b = fleet_add_workspace(world->fleet, "b");
+	planner_world_open(world, 1, 4);
 }
 
-static void tear_down(struct world *world, gconstpointer data)
+static void tear_down(struct planner_world *world, gconstpointer data)
 {
 	(void)data;
-	cq_plan_destroy(world->plan);
-	cq_planner_destroy(world->planner);
-	fleet_builder_destroy(world->fleet);
-}
-
-static void plan(struct world *world)
-{
-	struct cq_snapshot snapshot = fleet_snapshot(world->fleet);
-	struct cq_error err = CQ_ERROR_INIT;
-
-	cq_plan_destroy(world->plan);
-	world->plan = cq_planner_plan(world->planner, &snapshot, &err);
-	g_assert_cmpstr(err.message, ==, "");
-}
-
-static enum cq_reason wait_reason(const struct world *world, uint32_t job)
-{
-	uint32_t i;
-
-	for (i = 0; i < world->plan->wait_count; i++)
-		if (world->plan->waits[i].job == job)
-			return world->plan->waits[i].reason;
-	return CQ_REASON_NONE;
+	planner_world_close(world);
 }
 
 /* Runs jobs of the given size on the worker until it is full. */
-static void fill(struct world *world, uint32_t workspace, uint32_t class_index,
-		 uint32_t worker, uint32_t from, uint32_t size, uint64_t cell)
+static void fill(struct planner_world *world, uint32_t workspace,
+		 uint32_t class_index, uint32_t worker, uint32_t from,
+		 uint32_t size, uint64_t cell)
 {
 	for (; from + size <= 8; from += size) {
 		uint32_t job = fleet_add_job(world->fleet, workspace,
@@ -96,7 +60,7 @@
  * Guards against a guaranteed shape that waits for small jobs of its own
  * workspace, borrowed ones or such that use its shapes in part.
  */
-static void test_shape(struct world *world, gconstpointer data)
+static void test_shape(struct planner_world *world, gconstpointer data)
 {
 	const struct shape_case *entry = data;
 	uint32_t class_index = entry->urgent_in_cell ? world->urgent
@@ -125,8 +89,9 @@
 		     entry->elsewhere ? entry->elsewhere : 8, 0);
 	}
 	job = fleet_add_job(world->fleet, world->a, world->batch, 1, 8);
-	plan(world);
-	g_assert_cmpint(wait_reason(world, job), ==, entry->expected);
+	planner_world_plan(world);
+	g_assert_cmpint(planner_world_wait_reason(world, job), ==,
+			entry->expected);
 	g_assert_cmpint(world->plan->action_count > 0, ==,
 			entry->expected == CQ_REASON_WAIT_RECLAIM);
 	if (entry->expected != CQ_REASON_WAIT_RECLAIM)
@@ -135,14 +100,14 @@
 	for (i = 0; i < 3; i++) {
 		fleet_apply(world->fleet, world->plan);
 		world->fleet->now_ns += 31 * CQ_NS_PER_S;
-		plan(world);
+		planner_world_plan(world);
 	}
 	g_assert_cmpint(fleet_job(world->fleet, job)->state, ==,
 			CQ_JOB_RUNNING);
 }
 
 /* Guards against urgent jobs that take what a reclaim has freed in part. */
-static void test_hold(struct world *world, gconstpointer data)
+static void test_hold(struct planner_world *world, gconstpointer data)
 {
 	uint32_t borrower = fleet_add_workspace(world->fleet, "c");
 	uint32_t shape;
@@ -155,8 +120,9 @@
 	for (i = 0; i < 4; i++)
 		fill(world, borrower, world->batch, i, 0, 4, 0);
 	shape = fleet_add_job(world->fleet, world->a, world->batch, 1, 8);
-	plan(world);
-	g_assert_cmpint(wait_reason(world, shape), ==, CQ_REASON_WAIT_RECLAIM);
+	planner_world_plan(world);
+	g_assert_cmpint(planner_world_wait_reason(world, shape), ==,
+			CQ_REASON_WAIT_RECLAIM);
 	g_assert_cmpuint(world->plan->action_count, ==, 2);
 	g_assert_cmpint(world->plan->actions[0].kind, ==, CQ_ACTION_CHECKPOINT);
 	fleet_apply(world->fleet, world->plan);
@@ -170,9 +136,11 @@
 	fleet_job(world->fleet, world->plan->actions[0].job)
 		->stop_requested_ns = 0;
 	other = fleet_add_job(world->fleet, world->b, world->urgent, 1, 4);
-	plan(world);
-	g_assert_cmpint(wait_reason(world, shape), ==, CQ_REASON_WAIT_RECLAIM);
-	g_assert_cmpint(wait_reason(world, other), ==, CQ_REASON_WAIT_RECLAIM);
+	planner_world_plan(world);
+	g_assert_cmpint(planner_world_wait_reason(world, shape), ==,
+			CQ_REASON_WAIT_RECLAIM);
+	g_assert_cmpint(planner_world_wait_reason(world, other), ==,
+			CQ_REASON_WAIT_RECLAIM);
 }
 
 /* A job of 2 accelerators keeps one of 8 waiting that has no guarantee. */
@@ -190,7 +158,7 @@
 };
 
 /* Guards against large jobs starved by small ones, and costly moves. */
-static void test_move(struct world *world, gconstpointer data)
+static void test_move(struct planner_world *world, gconstpointer data)
 {
 	const struct move_case *entry = data;
 	uint32_t small;
@@ -213,7 +181,7 @@
 		job->checkpoint_cost_ns = 10 * CQ_NS_PER_S;
 		job->can_checkpoint = entry->can_checkpoint;
 	}
-	plan(world);
+	planner_world_plan(world);
 	g_assert_cmpuint(world->plan->action_count, ==, entry->moves);
 	if (!entry->moves)
 		return;
@@ -227,8 +195,8 @@
 		size_t n;                                                      \
 		for (n = 0; n < G_N_ELEMENTS(cases); n++) {                    \
 			char *name = g_strconcat(path, (cases)[n].name, NULL); \
-			g_test_add(name, struct world, &(cases)[n], set_up,    \
-				   function, tear_down);                       \
+			g_test_add(name, struct planner_world, &(cases)[n],    \
+				   set_up, function, tear_down);               \
 			g_free(name);                                          \
 		}                                                              \
 	} while (0)
@@ -238,7 +206,7 @@
 	g_test_init(&argc, &argv, NULL);
 	ADD_CASES("/planner/reclaim/shape/", shape_cases, test_shape);
 	ADD_CASES("/planner/reclaim/move/", move_cases, test_move);
-	g_test_add("/planner/reclaim/hold", struct world, NULL, set_up,
+	g_test_add("/planner/reclaim/hold", struct planner_world, NULL, set_up,
 		   test_hold, tear_down);
 	return g_test_run();
 }
