Fuzz the store adapter together with its set of calls

The target includes store_http.c with the HTTP client replaced; since the set-up of calls moved to http_calls.c, the call reached the real client, which the target does not create. The adapter itself is not at fault.

Change: the target includes http_calls.c as well. The completion function there is called on_answer, because both files are one unit in the target.

Conclusion: the assertions of the target are unchanged and are reached again.

--- a/src/protocol/http_calls.c
+++ b/src/protocol/http_calls.c
@@ -34,7 +34,7 @@
 	g_free(calls);
 }
 
-static void on_done(void *ctx, const struct cq_http_result *result)
+static void on_answer(void *ctx, const struct cq_http_result *result)
 {
 	struct cq_http_calls_entry *entry = ctx;
 	GDestroyNotify free_entry = entry->calls->options.free_entry;
@@ -59,7 +59,7 @@
 	entry->calls = calls;
 	g_hash_table_add(calls->open, entry);
 	entry->http =
-		cq_http_client_send(calls->client, &whole, on_done, entry);
+		cq_http_client_send(calls->client, &whole, on_answer, entry);
 	g_free(url);
 }
 
--- a/tests/fuzz/fuzz_store_answer.c
+++ b/tests/fuzz/fuzz_store_answer.c
@@ -1,8 +1,8 @@
 /*
  * Guards against a malformed answer of the store crashing its adapter, being
  * taken for success, or a written call being reported as not executed. The
- * adapter is included with its public names changed and gets its answers from
- * the input.
+ * adapter and its set of calls are included with their public names changed and
+ * get their answers from the input.
  */
 #include "chestnutquay/http_client.h"
 
@@ -10,6 +10,10 @@
 #define cq_store_http_destroy fuzz_store_http_destroy
 #define cq_store_http_get fuzz_store_http_get
 #define cq_store_http_calls fuzz_store_http_calls
+#define cq_http_calls_create fuzz_http_calls_create
+#define cq_http_calls_destroy fuzz_http_calls_destroy
+#define cq_http_calls_send fuzz_http_calls_send
+#define cq_http_calls_cancel fuzz_http_calls_cancel
 #define cq_http_client_send fuzz_http_client_send
 #define cq_http_call_cancel fuzz_http_call_cancel
 
@@ -19,6 +23,7 @@
 		      cq_http_done_fn *done, void *ctx);
 void fuzz_http_call_cancel(struct cq_http_call *call);
 
+#include "protocol/http_calls.c"
 #include "protocol/store_http.c"
 
 #include <assert.h>
