--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 VERSION := 0.1.0
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wdeclaration-after-statement
-CPPFLAGS += -D_GNU_SOURCE -DCQ_VERSION=\"$(VERSION)\" -Iinclude -Isrc
+CPPFLAGS += -D_GNU_SOURCE -DCQ_VERSION=\"$(VERSION)\" -Iinclude -Isrc -I.
 CFLAGS_ALL = -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS) $(PKG_CFLAGS) $(CFLAGS)
 CXXFLAGS_ALL = -std=c++17 -g $(OPT) -Wall -Wextra -Werror $(SANFLAGS) \
 	$(PKG_CFLAGS) $(CXXFLAGS)
@@ -42,7 +42,13 @@
 LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
 LIB := $(B)/libchestnutquay.a
 
-PROGRAM_DIRS := $(patsubst %/main.c,%,$(wildcard src/programs/*/main.c))
+# The adapter to the users' platform and the one program that is linked to it.
+PLATFORM_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
+HOSTD_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/programs/hostd/*.c))
+HOSTD := $(B)/bin/cq-hostd
+
+PROGRAM_DIRS := $(patsubst %/main.c,%,$(filter-out src/programs/hostd/%, \
+	$(wildcard src/programs/*/main.c)))
 STANDIN_DIRS := $(patsubst %/main.c,%,$(wildcard tests/standins/*/main.c))
 PROGRAM_COMMON_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/programs/common/*.c))
 program_name = $(if $(filter cqctl,$(notdir $1)),cqctl,cq-$(notdir $1))
@@ -70,10 +76,10 @@
 	$(wildcard tests/fuzz/fuzz_*.c))
 FUZZ_BIN := $(FUZZ_SRC:tests/fuzz/%.c=build-fuzz/%)
 
-.PHONY: all check lint format bench demo deps generate install clean tests \
+.PHONY: all hostd check lint format bench demo deps generate install clean tests \
 	fuzz
 .SECONDARY:
-all: $(LIB) $(PROGRAMS) $(STANDINS)
+all: $(LIB) $(PROGRAMS) $(HOSTD) $(STANDINS)
 
 deps:
 	scripts/install-deps.sh
@@ -97,8 +103,15 @@
 $(foreach d,$(PROGRAM_DIRS),$(eval $(call link_rule,$d,$(call program_name,$d),$(PROGRAM_COMMON_OBJ))))
 $(foreach d,$(STANDIN_DIRS),$(eval $(call link_rule,$d,cq-$(notdir $d),$(TEST_LIB) $(PROGRAM_COMMON_OBJ))))
 
+$(HOSTD): $(HOSTD_OBJ) $(PLATFORM_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	@echo "  LINK $@"
+	$(Q)$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
+
+hostd: $(HOSTD)
+
 $(B)/tests/unit/%: $(B)/tests/unit/%.o $(TEST_LIB) $(PROGRAM_COMMON_OBJ) \
-		$(LIB)
+		$(PLATFORM_OBJ) $(LIB)
 	@echo "  LINK $@"
 	$(Q)$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
 
@@ -152,7 +165,8 @@
 	scripts/demo.sh $(B)
 
 C_FILES = $(shell git ls-files '*.c' '*.h' '*.cc' | grep -v protocol/gen)
-TIDY_FILES = $(shell git ls-files 'src/*.c' 'bench/*.c' 'tests/*.c' | \
+TIDY_FILES = $(shell git ls-files 'src/*.c' 'platform/*.c' 'bench/*.c' \
+	'tests/*.c' | \
 	grep -v -e protocol/gen -e tests/fuzz)
 
 format:
@@ -166,12 +180,12 @@
 	@cppcheck --quiet --error-exitcode=1 --std=c11 -j 8 \
 		--enable=warning,portability --inline-suppr \
 		--suppress=missingIncludeSystem --suppress=unknownMacro \
-		-Iinclude -Isrc -isrc/protocol/gen src
+		-Iinclude -Isrc -I. -isrc/protocol/gen src platform
 
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib \
 		$(DESTDIR)$(PREFIX)/include/chestnutquay
-	install -m 755 $(PROGRAMS) $(DESTDIR)$(PREFIX)/bin
+	install -m 755 $(PROGRAMS) $(HOSTD) $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
 	install -m 644 include/chestnutquay/*.h \
 		$(DESTDIR)$(PREFIX)/include/chestnutquay
--- /dev/null
+++ b/include/chestnutquay/queues.h
@@ -0,0 +1,70 @@
+/*
+ * The operators' configuration as far as callers and dispatch depend on it:
+ * queues, services and workspaces with their keys. A configuration is
+ * immutable; a newer version replaces it as a whole.
+ */
+#ifndef CHESTNUTQUAY_QUEUES_H
+#define CHESTNUTQUAY_QUEUES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define CQ_QUEUE_NAME_BYTES 64
+#define CQ_QUEUE_PATH_BYTES 256
+
+struct cq_queue {
+	char name[CQ_QUEUE_NAME_BYTES];
+	char authority[CQ_QUEUE_PATH_BYTES]; /* host name that callers use */
+	char prefix[CQ_QUEUE_PATH_BYTES];    /* of the path */
+	char service[CQ_QUEUE_NAME_BYTES];
+	uint32_t priority; /* 0 is served first */
+	uint32_t max_attempts;
+	uint32_t timeout_ms;	    /* of one call */
+	uint32_t target_runtime_ms; /* added to the objective of a job */
+	double stretch;		    /* objective over the longest chain */
+	bool allow_anonymous;
+	/* The queue's policy: an adviser names the workers of a step. */
+	bool advised;
+	uint32_t advice_validity_ms;
+};
+
+struct cq_service {
+	char name[CQ_QUEUE_NAME_BYTES];
+	bool standby;
+};
+
+struct cq_workspace_keys {
+	char name[CQ_QUEUE_NAME_BYTES];
+	char **keys; /* NULL-terminated */
+	uint32_t guaranteed_accelerators;
+};
+
+struct cq_queue_config {
+	int64_t version;
+	int64_t revision; /* of the store */
+	struct cq_queue *queues;
+	uint32_t queue_count;
+	struct cq_service *services;
+	uint32_t service_count;
+	struct cq_workspace_keys *workspaces;
+	uint32_t workspace_count;
+};
+
+void cq_queue_config_destroy(struct cq_queue_config *config);
+
+/* The queue with the longest prefix of the path; NULL if there is none. */
+const struct cq_queue *
+cq_queue_config_match(const struct cq_queue_config *config,
+		      const char *authority, const char *path);
+/* NULL if the configuration has no queue of that name. */
+const struct cq_queue *
+cq_queue_config_find(const struct cq_queue_config *config, const char *name);
+/* NULL if no workspace holds the key. */
+const struct cq_workspace_keys *
+cq_queue_config_workspace_of_key(const struct cq_queue_config *config,
+				 const char *key);
+const struct cq_workspace_keys *
+cq_queue_config_workspace(const struct cq_queue_config *config,
+			  const char *name);
+
+#endif
--- a/include/chestnutquay/store.h
+++ b/include/chestnutquay/store.h
@@ -21,6 +21,7 @@
 	CQ_STORE_UNAVAILABLE, /* not executed */
 	CQ_STORE_UNKNOWN,     /* sent; may or may not have taken effect */
 	CQ_STORE_INVALID,     /* refused as malformed or too large */
+	CQ_STORE_COMPACTED,   /* watch: the history is gone; read anew */
 };
 
 const char *cq_store_status_string(enum cq_store_status status);
@@ -46,6 +47,28 @@
 
 struct cq_store_call;
 
+/* A key with the revision that a transaction expects; 0: it is absent. */
+struct cq_store_check {
+	const char *key;
+	int64_t revision;
+};
+
+struct cq_store_put {
+	const char *key;
+	const char *value; /* NUL-terminated */
+	int64_t lease_id;  /* 0: none */
+};
+
+/* All changes or none; CONFLICT lists the checked keys as they are. */
+struct cq_store_txn {
+	const struct cq_store_check *checks;
+	size_t check_count;
+	const struct cq_store_put *puts;
+	size_t put_count;
+	const char *const *deletes;
+	size_t delete_count;
+};
+
 struct cq_store_ops {
 	struct cq_store_call *(*get)(void *self, const char *key,
 				     uint32_t timeout_ms,
@@ -84,6 +107,11 @@
 				       int64_t after_revision, uint32_t wait_ms,
 				       cq_store_done_fn *done, void *ctx);
 	void (*cancel)(void *self, struct cq_store_call *call);
+	/* NULL where the store has no transactions. */
+	struct cq_store_call *(*commit)(void *self,
+					const struct cq_store_txn *txn,
+					uint32_t timeout_ms,
+					cq_store_done_fn *done, void *ctx);
 };
 
 #define CQ_STORE_ANY_REVISION INT64_C(-1)
--- /dev/null
+++ b/include/chestnutquay/workload.h
@@ -0,0 +1,75 @@
+/*
+ * A submitted workload: steps of tasks, each step started after the steps that
+ * it depends on.
+ *
+ * A workload does not change, but for the request to cancel it. It is kept in
+ * the store as JSON by the host that accepted it, see cq_workload_format(), and
+ * read by the host that dispatches it. Times are Unix milliseconds, sizes those
+ * of one task.
+ */
+#ifndef CHESTNUTQUAY_WORKLOAD_H
+#define CHESTNUTQUAY_WORKLOAD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "chestnutquay/error.h"
+
+#define CQ_WORKLOAD_ID_BYTES 17
+#define CQ_WORKLOAD_NAME_BYTES 64
+#define CQ_WORKLOAD_MAX_STEPS 64
+#define CQ_WORKLOAD_MAX_TASKS 20000
+#define CQ_WORKLOAD_SPEC_BYTES 4000
+
+struct cq_workload_step {
+	uint32_t tasks;
+	uint32_t cpu_millicores;
+	uint32_t memory_mb;
+	uint32_t accelerators;
+	int64_t estimate_ms; /* run time of a task; 0: not given */
+	uint64_t after;	     /* bit I: all tasks of step I end first */
+	/* The tasks start together and end together. */
+	bool gang;
+	/* On more than one rack the tasks take remote_factor times as long. */
+	bool same_rack;
+	bool checkpointing;
+	bool allow_duplicates;
+	/* Runs until the job is cancelled; restarted however it ends. */
+	bool long_running;
+	/* Uses processor time that others leave; cpu_millicores not counted. */
+	bool fills;
+	uint32_t max_per_worker;  /* 0: any */
+	uint32_t max_unavailable; /* by actions of the system; 0: not limited */
+	uint32_t target_ms;	  /* bound of the tail of a server; 0: none */
+	char required_label[CQ_WORKLOAD_NAME_BYTES];
+	char data_rack[CQ_WORKLOAD_NAME_BYTES];
+	char image[CQ_WORKLOAD_NAME_BYTES];
+};
+
+struct cq_workload {
+	char id[CQ_WORKLOAD_ID_BYTES];
+	char queue[CQ_WORKLOAD_NAME_BYTES];
+	char workspace[CQ_WORKLOAD_NAME_BYTES];
+	char *spec;
+	struct cq_workload_step *steps;
+	uint32_t step_count;
+	uint32_t occurrences; /* at least 1 */
+	int64_t first_run_ms; /* of occurrence 0; 0: at once */
+	int64_t interval_ms;
+	int64_t accepted_ms;
+	bool cancelled; /* somebody asked to cancel it */
+};
+
+struct cq_workload *cq_workload_create(void);
+void cq_workload_destroy(struct cq_workload *w);
+
+/* Checks ranges and the order of steps; names the field that is wrong. */
+bool cq_workload_check(const struct cq_workload *w, struct cq_error *err);
+/* As kept in the store; freed with free(). */
+char *cq_workload_format(const struct cq_workload *w);
+/* NULL with err set if the text is not a whole, valid workload. */
+struct cq_workload *cq_workload_parse(const char *json, size_t len,
+				      struct cq_error *err);
+
+#endif
--- a/src/coordination/controller_history.c
+++ b/src/coordination/controller_history.c
@@ -163,6 +163,7 @@
 		state->known = false;
 		break;
 	case CQ_STORE_INVALID:
+	case CQ_STORE_COMPACTED:
 		/* Not repeated before the next interval. */
 		cq_log_event(CQ_LOG_ERROR, "history_write_refused", "{s:s}",
 			     "error", result->message);
--- a/src/coordination/controller_store.c
+++ b/src/coordination/controller_store.c
@@ -373,6 +373,7 @@
 					       cq_controller_on_store, call);
 		return;
 	case CQ_STORE_INVALID:
+	case CQ_STORE_COMPACTED:
 		cq_log_event(CQ_LOG_ERROR, "job_write_refused", "{s:s,s:s}",
 			     "job", job_id, "error", result->message);
 		break;
--- /dev/null
+++ b/src/coordination/dispatcher.c
@@ -0,0 +1,318 @@
+#include "chestnutquay/dispatcher.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "chestnutquay/log.h"
+#include "coordination/dispatcher_internal.h"
+
+#define TICK_S 0.05
+/* Changes of this long are planned together. */
+#define PLAN_DELAY_S 0.005
+/* Numbers of runs that one epoch may use for a task before the next begins. */
+#define RUNS_PER_EPOCH 64
+/* A worker that failed runs in a row gets none for a while. */
+#define FAILURES_TO_AVOID 2
+#define AVOID_NS (INT64_C(5) * CQ_NS_PER_S)
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int events);
+static void on_plan(struct ev_loop *loop, ev_timer *timer, int events);
+static void repeat_orders(struct cq_dispatcher *d,
+			  struct cq_pool_worker *worker, int64_t now_ns);
+static void drop_ended(struct cq_dispatcher *d);
+static void forget_gone(struct cq_dispatcher *d, int64_t now_ns);
+static void note_health(struct cq_dispatcher *d, struct cq_pool_worker *worker,
+			enum cq_run_end how);
+static void open_metrics(struct cq_dispatcher *d, struct cq_metrics *metrics);
+
+int64_t dispatcher_now_ns(const struct cq_dispatcher *d)
+{
+	return cq_clock_now_ns(d->clock);
+}
+
+static void open_metrics(struct cq_dispatcher *d, struct cq_metrics *metrics)
+{
+	int i;
+
+	d->starts = cq_metrics_counter(metrics, "cq_starts_total", "");
+	d->stops = cq_metrics_counter(metrics, "cq_stops_total", "");
+	d->holds = cq_metrics_counter(metrics, "cq_holds_total", "");
+	d->preemptions =
+		cq_metrics_counter(metrics, "cq_preemptions_total", "");
+	d->plan_time = cq_metrics_histogram(metrics, "cq_plan_seconds", "");
+	d->wait_time =
+		cq_metrics_histogram(metrics, "cq_wait_for_start_seconds", "");
+	for (i = 0; i <= CQ_RUN_LOST; i++) {
+		char labels[64];
+
+		g_snprintf(labels, sizeof(labels), "how=\"%s\"",
+			   cq_run_end_string((enum cq_run_end)i));
+		d->ends[i] = cq_metrics_counter(metrics, "cq_run_ends_total",
+						labels);
+	}
+}
+
+static void batch_free(void *data)
+{
+	cq_batch_destroy(data);
+}
+
+struct cq_dispatcher *
+cq_dispatcher_create(const struct cq_dispatcher_options *options,
+		     const struct cq_store *store,
+		     const struct cq_executor *executor,
+		     const struct cq_dispatcher_ops *ops, void *ctx)
+{
+	struct cq_dispatcher *d = g_new0(struct cq_dispatcher, 1);
+
+	d->loop = options->loop;
+	d->clock = options->clock;
+	d->store = store;
+	d->executor = executor;
+	d->ops = ops;
+	d->ctx = ctx;
+	d->worker_prefix = g_strdup(options->worker_prefix);
+	d->parse_listing = options->parse_listing;
+	d->epoch = options->epoch;
+	d->created_ns = cq_clock_now_ns(options->clock);
+	d->store_timeout_ms = options->store_timeout_ms;
+	d->max_lease_ms = options->max_lease_ms;
+	d->run_stop_ms = options->run_stop_ms;
+	d->run_floor = (uint32_t)(options->epoch - 1) * RUNS_PER_EPOCH;
+	d->pool = cq_pool_create();
+	d->batches = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   batch_free);
+	d->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_queue_init(&d->dirty);
+	open_metrics(d, options->metrics);
+	ev_timer_init(&d->tick, on_tick, TICK_S, TICK_S);
+	ev_timer_init(&d->plan, on_plan, 0., 0.);
+	d->tick.data = d;
+	d->plan.data = d;
+	ev_timer_start(d->loop, &d->tick);
+	dispatcher_store_open(d, options->head_revision);
+	return d;
+}
+
+void cq_dispatcher_destroy(struct cq_dispatcher *d)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!d)
+		return;
+	ev_timer_stop(d->loop, &d->tick);
+	ev_timer_stop(d->loop, &d->plan);
+	dispatcher_store_close(d);
+	g_queue_clear(&d->dirty);
+	g_hash_table_iter_init(&iter, d->pool->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct cq_pool_worker *worker = value;
+
+		link_destroy(worker->link);
+	}
+	g_hash_table_destroy(d->batches);
+	g_hash_table_destroy(d->ended);
+	cq_pool_destroy(d->pool);
+	g_free(d->worker_prefix);
+	g_free(d->pending);
+	g_free(d);
+}
+
+void cq_dispatcher_set_config(struct cq_dispatcher *d,
+			      const struct cq_queue_config *config)
+{
+	d->config = config;
+	dispatcher_plan_soon(d);
+}
+
+void cq_dispatcher_set_evacuated(struct cq_dispatcher *d,
+				 GHashTable *data_centres)
+{
+	d->evacuated = data_centres;
+	dispatcher_plan_soon(d);
+}
+
+const struct cq_queue *dispatcher_queue(const struct cq_dispatcher *d,
+					const struct cq_batch *batch)
+{
+	return cq_queue_config_find(d->config, batch->workload->queue);
+}
+
+void dispatcher_mark_dirty(struct cq_dispatcher *d, struct cq_batch *batch)
+{
+	if (!batch->dirty_queued) {
+		batch->dirty_queued = true;
+		g_queue_push_tail(&d->dirty, batch);
+	}
+	cq_journal_wake(d->journal);
+}
+
+void dispatcher_plan_soon(struct cq_dispatcher *d)
+{
+	if (ev_is_active(&d->plan))
+		return;
+	ev_now_update(d->loop);
+	ev_timer_set(&d->plan, PLAN_DELAY_S, 0.);
+	ev_timer_start(d->loop, &d->plan);
+}
+
+static void on_plan(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct cq_dispatcher *d = timer->data;
+	int64_t from_ns = dispatcher_now_ns(d);
+
+	(void)loop;
+	(void)events;
+	dispatcher_plan(d);
+	cq_histogram_observe_ns(d->plan_time, dispatcher_now_ns(d) - from_ns);
+}
+
+static void repeat_orders(struct cq_dispatcher *d,
+			  struct cq_pool_worker *worker, int64_t now_ns)
+{
+	guint i;
+
+	for (i = worker->runs->len; i-- > 0;)
+		order_repeat(d, g_ptr_array_index(worker->runs, i), now_ns);
+}
+
+/* Batches that have ended, and whose end is in the store, are not needed. */
+static void drop_ended(struct cq_dispatcher *d)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->batches);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct cq_batch *batch = value;
+
+		if (!cq_batch_state_is_terminal(batch->state) ||
+		    batch->dirty_queued ||
+		    batch->durable_version != batch->version ||
+		    cq_batch_has_runs(batch))
+			continue;
+		g_hash_table_add(d->ended, g_strdup(batch->workload->id));
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+/* Workers that are not listed any more and run nothing. */
+static void forget_gone(struct cq_dispatcher *d, int64_t now_ns)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->pool->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct cq_pool_worker *worker = value;
+		struct link *link = worker->link;
+
+		if (worker->listed || worker->runs->len ||
+		    (link &&
+		     (link->hold_in_flight || link->unacknowledged->len)) ||
+		    now_ns - worker->unlisted_ns <
+			    (int64_t)d->max_lease_ms * CQ_NS_PER_MS)
+			continue;
+		link_destroy(link);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct cq_dispatcher *d = timer->data;
+	int64_t now_ns = dispatcher_now_ns(d);
+	GHashTableIter iter;
+	gpointer value;
+
+	(void)loop;
+	(void)events;
+	g_hash_table_iter_init(&iter, d->pool->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct cq_pool_worker *worker = value;
+
+		link_tick(worker->link, now_ns);
+		repeat_orders(d, worker, now_ns);
+	}
+	forget_gone(d, now_ns);
+	drop_ended(d);
+	dispatcher_write_pending(d);
+	dispatcher_plan_soon(d);
+}
+
+static void note_health(struct cq_dispatcher *d, struct cq_pool_worker *worker,
+			enum cq_run_end how)
+{
+	if (how == CQ_RUN_DONE) {
+		worker->failure_streak = 0;
+		return;
+	}
+	if (how != CQ_RUN_FAILED)
+		return;
+	worker->failure_streak++;
+	if (worker->failure_streak < FAILURES_TO_AVOID)
+		return;
+	worker->avoid_until_ns = dispatcher_now_ns(d) + AVOID_NS;
+	cq_log_event(CQ_LOG_WARN, "worker_avoided", "{s:s,s:i}", "worker",
+		     worker->listing.id, "failures_in_a_row",
+		     (int)worker->failure_streak);
+}
+
+static void stop_members(struct cq_dispatcher *d, struct cq_stage *stage,
+			 const char *reason)
+{
+	uint32_t i;
+
+	for (i = 0; i < stage->step->tasks; i++)
+		if (stage->tasks[i].phase != CQ_RUN_NONE)
+			order_stop(d, &stage->tasks[i], reason);
+}
+
+void dispatcher_stop_batch(struct cq_dispatcher *d, struct cq_batch *batch,
+			   const char *reason)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->stage_count; i++)
+		if (batch->stages[i].active_count)
+			stop_members(d, &batch->stages[i], reason);
+}
+
+void dispatcher_end_run(struct cq_dispatcher *d, struct cq_task *task,
+			enum cq_run_end how, const char *checkpoint)
+{
+	struct cq_stage *stage = task->stage;
+	struct cq_batch *batch = stage->batch;
+	const struct cq_queue *queue = dispatcher_queue(d, batch);
+	struct cq_pool_worker *worker = task->worker;
+	char name[CQ_TASK_NAME_BYTES];
+
+	cq_task_name(task, name);
+	cq_counter_add(d->ends[how], 1);
+	cq_log_event(CQ_LOG_INFO, "run_ended", "{s:s,s:s,s:i,s:s,s:s,s:I}",
+		     "id", batch->workload->id, "task", name, "run",
+		     (int)task->run, "worker", worker->listing.id, "how",
+		     cq_run_end_string(how), "ran_ms",
+		     (json_int_t)(task->started_ns ? (dispatcher_now_ns(d) -
+						      task->started_ns) /
+							     CQ_NS_PER_MS
+						   : 0));
+	note_health(d, worker, how);
+	if (cq_task_end(task, how, checkpoint,
+			queue ? queue->max_attempts : 0)) {
+		batch->ended_ns = dispatcher_now_ns(d);
+		cq_log_event(
+			CQ_LOG_INFO, "job_ended", "{s:s,s:s,s:I}", "id",
+			batch->workload->id, "state",
+			cq_batch_state_string(batch->state), "took_ms",
+			(json_int_t)((batch->ended_ns - batch->accepted_ns) /
+				     CQ_NS_PER_MS));
+		dispatcher_stop_batch(d, batch, "the job has ended");
+	} else if (stage->step->gang && how != CQ_RUN_DONE &&
+		   !cq_stage_done(stage)) {
+		stop_members(d, stage, "a member of the gang ended");
+	}
+	dispatcher_mark_dirty(d, batch);
+	dispatcher_plan_soon(d);
+}
--- /dev/null
+++ b/src/coordination/dispatcher_store.c
@@ -0,0 +1,390 @@
+/* What the dispatcher reads from the store and writes to it. */
+#include <jansson.h>
+#include <string.h>
+
+#include "chestnutquay/log.h"
+#include "coordination/dispatcher_internal.h"
+
+#define WATCH_WAIT_MS 2000
+/* Between writes of the numbers of waiting jobs. */
+#define PENDING_INTERVAL_NS (INT64_C(500) * CQ_NS_PER_MS)
+
+struct written {
+	char batch_id[CQ_WORKLOAD_ID_BYTES];
+	uint64_t version;
+};
+
+static void on_worker(void *ctx, const struct cq_store_entry *entry);
+static void on_worker_gone(void *ctx, const char *key);
+static void on_workers_synced(void *ctx);
+static void read_progress(struct cq_dispatcher *d);
+static void on_progress(void *ctx, const struct cq_store_result *result);
+static void on_workload(void *ctx, const struct cq_store_entry *entry);
+static void on_workload_gone(void *ctx, const char *key);
+static void on_workloads_synced(void *ctx);
+static struct cq_pool_worker *restored_worker(void *ctx, const char *id,
+					      int64_t born_unix_ms);
+static void restore(struct cq_dispatcher *d, struct cq_batch *batch);
+static void cancel(struct cq_dispatcher *d, struct cq_batch *batch);
+static uint32_t collect(void *ctx, struct cq_journal_record *records,
+			uint32_t max);
+static void committed(void *ctx);
+static void superseded(void *ctx);
+
+static const struct cq_follower_ops worker_ops = {
+	.changed = on_worker,
+	.removed = on_worker_gone,
+	.synced = on_workers_synced,
+};
+
+static const struct cq_follower_ops workload_ops = {
+	.changed = on_workload,
+	.removed = on_workload_gone,
+	.synced = on_workloads_synced,
+};
+
+static const struct cq_journal_ops journal_ops = {
+	.collect = collect,
+	.committed = committed,
+	.superseded = superseded,
+};
+
+void dispatcher_store_open(struct cq_dispatcher *d, int64_t head_revision)
+{
+	const struct cq_journal_options journal = {
+		.loop = d->loop,
+		.head_key = CQ_KEY_HEAD,
+		.epoch = d->epoch,
+		.head_revision = head_revision,
+		.call_timeout_ms = d->store_timeout_ms,
+	};
+	const struct cq_follower_options workers = {
+		.loop = d->loop,
+		.clock = d->clock,
+		.prefix = d->worker_prefix,
+		.wait_ms = WATCH_WAIT_MS,
+		.call_timeout_ms = d->store_timeout_ms,
+	};
+
+	d->written = g_array_new(FALSE, TRUE, sizeof(struct written));
+	d->progress =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	d->journal = cq_journal_create(&journal, d->store, &journal_ops, d);
+	d->workers = cq_follower_create(&workers, d->store, &worker_ops, d);
+}
+
+void dispatcher_store_close(struct cq_dispatcher *d)
+{
+	cq_follower_destroy(d->workers);
+	cq_follower_destroy(d->workloads);
+	if (d->list_call)
+		d->store->ops->cancel(d->store->self, d->list_call);
+	cq_journal_destroy(d->journal);
+	g_array_unref(d->written);
+	g_hash_table_destroy(d->progress);
+}
+
+static void on_worker(void *ctx, const struct cq_store_entry *entry)
+{
+	struct cq_dispatcher *d = ctx;
+	const char *id = entry->key + strlen(d->worker_prefix);
+	struct cq_executor_listing listing;
+	struct cq_error err = CQ_ERROR_INIT;
+	struct cq_pool_worker *worker;
+	bool draining;
+
+	if (!d->parse_listing(id, entry->value, entry->value_len, &listing,
+			      &err)) {
+		cq_log_event(CQ_LOG_WARN, "worker_entry_ignored",
+			     "{s:s,s:I,s:s}", "key", entry->key, "revision",
+			     (json_int_t)entry->revision, "error", err.message);
+		on_worker_gone(d, entry->key);
+		return;
+	}
+	worker = cq_pool_add(d->pool, id);
+	if (!worker->link)
+		worker->link = link_create(d, worker);
+	draining = worker->listing.state == CQ_LISTING_DRAINING;
+	if (listing.born_unix_ms && worker->listing.born_unix_ms &&
+	    listing.born_unix_ms != worker->listing.born_unix_ms) {
+		/* An entry written before the life that answers now. */
+		if (listing.born_unix_ms < worker->listing.born_unix_ms)
+			return;
+		link_new_life(worker->link, listing.born_unix_ms);
+		draining = false;
+	}
+	if (!worker->listed ||
+	    (listing.state == CQ_LISTING_DRAINING) != draining)
+		cq_log_event(CQ_LOG_INFO, "worker_listed", "{s:s,s:s,s:b,s:I}",
+			     "worker", id, "address", listing.address,
+			     "draining", listing.state == CQ_LISTING_DRAINING,
+			     "revision", (json_int_t)entry->revision);
+	cq_pool_update(worker, &listing);
+	dispatcher_plan_soon(d);
+}
+
+static void on_worker_gone(void *ctx, const char *key)
+{
+	struct cq_dispatcher *d = ctx;
+	struct cq_pool_worker *worker =
+		cq_pool_find(d->pool, key + strlen(d->worker_prefix));
+
+	if (!worker || !worker->listed)
+		return;
+	worker->listed = false;
+	worker->unlisted_ns = dispatcher_now_ns(d);
+	cq_log_event(CQ_LOG_INFO, "worker_unlisted", "{s:s,s:i}", "worker",
+		     worker->listing.id, "runs", (int)worker->runs->len);
+	dispatcher_plan_soon(d);
+}
+
+static void on_workers_synced(void *ctx)
+{
+	struct cq_dispatcher *d = ctx;
+
+	if (!d->workloads && !d->list_call)
+		read_progress(d);
+}
+
+static void read_progress(struct cq_dispatcher *d)
+{
+	d->list_call = d->store->ops->list(d->store->self, CQ_KEY_PROGRESS,
+					   d->store_timeout_ms, on_progress, d);
+}
+
+static void on_progress(void *ctx, const struct cq_store_result *result)
+{
+	struct cq_dispatcher *d = ctx;
+	const struct cq_follower_options workloads = {
+		.loop = d->loop,
+		.clock = d->clock,
+		.prefix = CQ_KEY_WORKLOADS,
+		.wait_ms = WATCH_WAIT_MS,
+		.call_timeout_ms = d->store_timeout_ms,
+	};
+	size_t i;
+
+	d->list_call = NULL;
+	/* The tick of the dispatcher tries again. */
+	if (result->status != CQ_STORE_OK) {
+		cq_log_event(CQ_LOG_WARN, "progress_unread", "{s:s,s:s}",
+			     "status", cq_store_status_string(result->status),
+			     "error", result->message ? result->message : "");
+		return;
+	}
+	for (i = 0; i < result->entry_count; i++) {
+		const struct cq_store_entry *entry = &result->entries[i];
+
+		g_hash_table_insert(
+			d->progress,
+			g_strdup(entry->key + strlen(CQ_KEY_PROGRESS)),
+			g_strndup(entry->value, entry->value_len));
+	}
+	cq_log_event(CQ_LOG_INFO, "progress_read", "{s:i,s:I}", "records",
+		     (int)result->entry_count, "revision",
+		     (json_int_t)result->revision);
+	d->workloads =
+		cq_follower_create(&workloads, d->store, &workload_ops, d);
+}
+
+/* The worker that held a run; NULL if that life of it is over. */
+static struct cq_pool_worker *restored_worker(void *ctx, const char *id,
+					      int64_t born_unix_ms)
+{
+	struct cq_dispatcher *d = ctx;
+	struct cq_pool_worker *worker = cq_pool_find(d->pool, id);
+
+	if (!worker) {
+		worker = cq_pool_add(d->pool, id);
+		worker->listing.born_unix_ms = born_unix_ms;
+		worker->unlisted_ns = dispatcher_now_ns(d);
+		worker->link = link_create(d, worker);
+		return worker;
+	}
+	if (born_unix_ms && worker->listing.born_unix_ms > born_unix_ms)
+		return NULL;
+	return worker;
+}
+
+static void restore(struct cq_dispatcher *d, struct cq_batch *batch)
+{
+	const char *record =
+		g_hash_table_lookup(d->progress, batch->workload->id);
+	struct cq_error err = CQ_ERROR_INIT;
+
+	if (!record)
+		return;
+	if (!cq_batch_restore(batch, record, strlen(record), restored_worker, d,
+			      &err))
+		cq_log_event(CQ_LOG_ERROR, "progress_unreadable", "{s:s,s:s}",
+			     "id", batch->workload->id, "error", err.message);
+	g_hash_table_remove(d->progress, batch->workload->id);
+}
+
+static void cancel(struct cq_dispatcher *d, struct cq_batch *batch)
+{
+	batch->cancelled = true;
+	if (cq_batch_state_is_terminal(batch->state))
+		return;
+	batch->state = CQ_BATCH_CANCELLED;
+	batch->ended_ns = dispatcher_now_ns(d);
+	batch->version++;
+	cq_log_event(CQ_LOG_INFO, "job_cancelled", "{s:s,s:b}", "id",
+		     batch->workload->id, "started", cq_batch_started(batch));
+	dispatcher_mark_dirty(d, batch);
+	dispatcher_stop_batch(d, batch, "the job was cancelled");
+}
+
+static void on_workload(void *ctx, const struct cq_store_entry *entry)
+{
+	struct cq_dispatcher *d = ctx;
+	const char *id = entry->key + strlen(CQ_KEY_WORKLOADS);
+	struct cq_batch *batch = g_hash_table_lookup(d->batches, id);
+	struct cq_error err = CQ_ERROR_INIT;
+	struct cq_workload *w;
+	bool cancelled;
+
+	if (g_hash_table_contains(d->ended, id))
+		return;
+	w = cq_workload_parse(entry->value, entry->value_len, &err);
+	if (!w) {
+		cq_log_event(CQ_LOG_ERROR, "workload_unreadable", "{s:s,s:s}",
+			     "key", entry->key, "error", err.message);
+		return;
+	}
+	cancelled = w->cancelled;
+	if (batch) {
+		cq_workload_destroy(w);
+	} else {
+		int64_t age_ms = cq_clock_unix_ms(d->clock) - w->accepted_ms;
+
+		batch = cq_batch_create(w);
+		batch->accepted_ns =
+			dispatcher_now_ns(d) - MAX(0, age_ms) * CQ_NS_PER_MS;
+		g_hash_table_insert(d->batches, w->id, batch);
+		restore(d, batch);
+		cq_log_event(CQ_LOG_INFO, "job_taken", "{s:s,s:s,s:s,s:i,s:I}",
+			     "id", w->id, "queue", w->queue, "state",
+			     cq_batch_state_string(batch->state), "steps",
+			     (int)w->step_count, "age_ms", (json_int_t)age_ms);
+	}
+	if (cancelled && !batch->cancelled)
+		cancel(d, batch);
+	dispatcher_plan_soon(d);
+}
+
+static void on_workload_gone(void *ctx, const char *key)
+{
+	(void)ctx;
+	cq_log_event(CQ_LOG_WARN, "workload_gone", "{s:s}", "key", key);
+}
+
+static void on_workloads_synced(void *ctx)
+{
+	struct cq_dispatcher *d = ctx;
+
+	g_hash_table_remove_all(d->progress);
+	dispatcher_plan_soon(d);
+}
+
+static uint32_t collect(void *ctx, struct cq_journal_record *records,
+			uint32_t max)
+{
+	struct cq_dispatcher *d = ctx;
+	uint32_t count = 0;
+
+	g_array_set_size(d->written, 0);
+	if (d->pending && d->next_pending_ns < 0) {
+		d->next_pending_ns = dispatcher_now_ns(d) + PENDING_INTERVAL_NS;
+		records[count].key = g_strdup(CQ_KEY_PENDING);
+		records[count++].value = g_strdup(d->pending);
+	}
+	while (count < max && !g_queue_is_empty(&d->dirty)) {
+		struct cq_batch *batch = g_queue_pop_head(&d->dirty);
+		struct written written = { .version = batch->version };
+
+		batch->dirty_queued = false;
+		g_strlcpy(written.batch_id, batch->workload->id,
+			  sizeof(written.batch_id));
+		g_array_append_val(d->written, written);
+		records[count].key =
+			g_strconcat(CQ_KEY_PROGRESS, batch->workload->id, NULL);
+		records[count++].value = cq_batch_format(batch);
+	}
+	return count;
+}
+
+static void committed(void *ctx)
+{
+	struct cq_dispatcher *d = ctx;
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	for (i = 0; i < d->written->len; i++) {
+		const struct written *written =
+			&g_array_index(d->written, struct written, i);
+		struct cq_batch *batch =
+			g_hash_table_lookup(d->batches, written->batch_id);
+
+		if (!batch)
+			continue;
+		batch->durable_version = written->version;
+		order_recorded(d, batch);
+	}
+	g_array_set_size(d->written, 0);
+	g_hash_table_iter_init(&iter, d->pool->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct cq_pool_worker *worker = value;
+
+		link_acknowledge(worker->link);
+	}
+	if (!g_queue_is_empty(&d->dirty))
+		cq_journal_wake(d->journal);
+}
+
+static void superseded(void *ctx)
+{
+	struct cq_dispatcher *d = ctx;
+
+	d->ops->superseded(d->ctx);
+}
+
+void dispatcher_write_pending(struct cq_dispatcher *d)
+{
+	json_t *counts;
+	GHashTableIter iter;
+	gpointer value;
+	char *text;
+
+	if (!d->workloads) {
+		if (!d->list_call && cq_follower_synced(d->workers))
+			read_progress(d);
+		return;
+	}
+	if (!cq_follower_synced(d->workloads) || d->next_pending_ns < 0 ||
+	    dispatcher_now_ns(d) < d->next_pending_ns)
+		return;
+	counts = json_object();
+	g_hash_table_iter_init(&iter, d->batches);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct cq_batch *batch = value;
+		const char *queue = batch->workload->queue;
+		json_int_t count;
+
+		if (batch->state != CQ_BATCH_QUEUED)
+			continue;
+		count = json_integer_value(json_object_get(counts, queue));
+		json_object_set_new(counts, queue, json_integer(count + 1));
+	}
+	text = json_dumps(counts, JSON_COMPACT | JSON_SORT_KEYS);
+	json_decref(counts);
+	if (g_strcmp0(text, d->pending)) {
+		g_free(d->pending);
+		d->pending = text;
+		d->next_pending_ns = -1; /* to be collected */
+		cq_journal_wake(d->journal);
+		return;
+	}
+	g_free(text);
+}
--- /dev/null
+++ b/src/coordination/follower.c
@@ -0,0 +1,230 @@
+#include "chestnutquay/follower.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "chestnutquay/log.h"
+
+/* Waits between calls that the store refused, doubled each time. */
+#define RETRY_MIN_S 0.1
+#define RETRY_MAX_S 0.8
+
+struct cq_follower {
+	struct ev_loop *loop;
+	const struct cq_clock *clock;
+	const struct cq_store *store;
+	const struct cq_follower_ops *ops;
+	void *ctx;
+	char *prefix;
+	uint32_t wait_ms;
+	uint32_t call_timeout_ms;
+	GHashTable *revisions; /* key -> int64_t, owned */
+	struct cq_store_call *call;
+	ev_timer retry;
+	double retry_s;
+	int64_t revision; /* the next watch starts after it; 0: list first */
+	int64_t sent_ns;
+	int64_t contact_ns;
+	bool synced;
+	bool reachable;
+};
+
+static void send_next(struct cq_follower *f);
+static void on_retry(struct ev_loop *loop, ev_timer *timer, int events);
+static void on_list(void *ctx, const struct cq_store_result *result);
+static void on_watch(void *ctx, const struct cq_store_result *result);
+static void note_contact(struct cq_follower *f,
+			 const struct cq_store_result *result);
+static void wait_and_retry(struct cq_follower *f);
+static void apply(struct cq_follower *f, const struct cq_store_entry *entry);
+static void drop(struct cq_follower *f, const char *key);
+static void drop_missing(struct cq_follower *f,
+			 const struct cq_store_result *result);
+
+struct cq_follower *
+cq_follower_create(const struct cq_follower_options *options,
+		   const struct cq_store *store,
+		   const struct cq_follower_ops *ops, void *ctx)
+{
+	struct cq_follower *f = g_new0(struct cq_follower, 1);
+
+	f->loop = options->loop;
+	f->clock = options->clock;
+	f->store = store;
+	f->ops = ops;
+	f->ctx = ctx;
+	f->prefix = g_strdup(options->prefix);
+	f->wait_ms = options->wait_ms;
+	f->call_timeout_ms = options->call_timeout_ms;
+	f->revisions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f->retry_s = RETRY_MIN_S;
+	f->contact_ns = INT64_MIN;
+	f->reachable = true;
+	ev_timer_init(&f->retry, on_retry, 0., 0.);
+	f->retry.data = f;
+	send_next(f);
+	return f;
+}
+
+void cq_follower_destroy(struct cq_follower *f)
+{
+	if (!f)
+		return;
+	if (f->call)
+		f->store->ops->cancel(f->store->self, f->call);
+	ev_timer_stop(f->loop, &f->retry);
+	g_hash_table_destroy(f->revisions);
+	g_free(f->prefix);
+	g_free(f);
+}
+
+bool cq_follower_synced(const struct cq_follower *f)
+{
+	return f->synced;
+}
+
+int64_t cq_follower_contact_ns(const struct cq_follower *f)
+{
+	return f->contact_ns;
+}
+
+static void send_next(struct cq_follower *f)
+{
+	f->sent_ns = cq_clock_now_ns(f->clock);
+	if (f->revision)
+		f->call = f->store->ops->watch(f->store->self, f->prefix,
+					       f->revision, f->wait_ms,
+					       on_watch, f);
+	else
+		f->call = f->store->ops->list(f->store->self, f->prefix,
+					      f->call_timeout_ms, on_list, f);
+}
+
+static void on_retry(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	send_next(timer->data);
+}
+
+static void wait_and_retry(struct cq_follower *f)
+{
+	double jitter = g_random_double_range(0.7, 1.3);
+
+	ev_now_update(f->loop);
+	ev_timer_set(&f->retry, f->retry_s * jitter, 0.);
+	ev_timer_start(f->loop, &f->retry);
+	f->retry_s = MIN(f->retry_s * 2, RETRY_MAX_S);
+}
+
+static void note_contact(struct cq_follower *f,
+			 const struct cq_store_result *result)
+{
+	bool reachable = result->status == CQ_STORE_OK ||
+			 result->status == CQ_STORE_COMPACTED;
+
+	if (reachable) {
+		f->contact_ns = f->sent_ns;
+		f->retry_s = RETRY_MIN_S;
+	}
+	if (reachable != f->reachable)
+		cq_log_event(reachable ? CQ_LOG_INFO : CQ_LOG_WARN,
+			     reachable ? "store_regained" : "store_lost",
+			     "{s:s,s:s,s:s}", "prefix", f->prefix, "status",
+			     cq_store_status_string(result->status), "error",
+			     result->message ? result->message : "");
+	f->reachable = reachable;
+}
+
+static void apply(struct cq_follower *f, const struct cq_store_entry *entry)
+{
+	const int64_t *known = g_hash_table_lookup(f->revisions, entry->key);
+
+	if (known && *known >= entry->revision)
+		return;
+	if (!entry->value) {
+		drop(f, entry->key);
+		return;
+	}
+	g_hash_table_insert(f->revisions, g_strdup(entry->key),
+			    g_memdup2(&entry->revision, sizeof(int64_t)));
+	f->ops->changed(f->ctx, entry);
+}
+
+static void drop(struct cq_follower *f, const char *key)
+{
+	if (!g_hash_table_remove(f->revisions, key))
+		return;
+	f->ops->removed(f->ctx, key);
+}
+
+static void drop_missing(struct cq_follower *f,
+			 const struct cq_store_result *result)
+{
+	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+	GList *keys = g_hash_table_get_keys(f->revisions);
+	GList *at;
+	size_t i;
+
+	for (i = 0; i < result->entry_count; i++)
+		g_hash_table_add(listed, (gpointer)result->entries[i].key);
+	for (at = keys; at; at = at->next) {
+		char *key;
+
+		if (g_hash_table_contains(listed, at->data))
+			continue;
+		key = g_strdup(at->data);
+		drop(f, key);
+		g_free(key);
+	}
+	g_list_free(keys);
+	g_hash_table_destroy(listed);
+}
+
+static void on_list(void *ctx, const struct cq_store_result *result)
+{
+	struct cq_follower *f = ctx;
+	size_t i;
+
+	f->call = NULL;
+	note_contact(f, result);
+	if (result->status != CQ_STORE_OK) {
+		wait_and_retry(f);
+		return;
+	}
+	for (i = 0; i < result->entry_count; i++)
+		apply(f, &result->entries[i]);
+	drop_missing(f, result);
+	f->revision = result->revision;
+	f->synced = true;
+	send_next(f);
+	if (f->ops->synced)
+		f->ops->synced(f->ctx);
+}
+
+static void on_watch(void *ctx, const struct cq_store_result *result)
+{
+	struct cq_follower *f = ctx;
+	size_t i;
+
+	f->call = NULL;
+	note_contact(f, result);
+	if (result->status == CQ_STORE_COMPACTED) {
+		cq_log_event(CQ_LOG_INFO, "watch_history_gone", "{s:s,s:I}",
+			     "prefix", f->prefix, "after",
+			     (json_int_t)f->revision);
+		f->revision = 0;
+		send_next(f);
+		return;
+	}
+	if (result->status != CQ_STORE_OK) {
+		wait_and_retry(f);
+		return;
+	}
+	f->revision = MAX(f->revision, result->revision);
+	send_next(f);
+	for (i = 0; i < result->entry_count; i++)
+		apply(f, &result->entries[i]);
+}
--- /dev/null
+++ b/src/coordination/journal.c
@@ -0,0 +1,205 @@
+#include "chestnutquay/journal.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "chestnutquay/leader.h"
+#include "chestnutquay/log.h"
+
+#define RETRY_MIN_S 0.05
+#define RETRY_MAX_S 0.5
+/* Changes of this long are written together. */
+#define COLLECT_S 0.004
+
+struct cq_journal {
+	struct ev_loop *loop;
+	const struct cq_store *store;
+	const struct cq_journal_ops *ops;
+	void *ctx;
+	char *head_key;
+	int64_t epoch;
+	int64_t head_revision;
+	uint64_t sequence; /* of the transaction under way, or the last */
+	uint32_t call_timeout_ms;
+	struct cq_journal_record records[CQ_JOURNAL_MAX_RECORDS];
+	uint32_t record_count; /* 0: none under way */
+	struct cq_store_call *call;
+	ev_timer timer;
+	double retry_s;
+	bool stopped;
+};
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events);
+static void schedule(struct cq_journal *j, double after_s);
+static void send_txn(struct cq_journal *j);
+static void on_done(void *ctx, const struct cq_store_result *result);
+static void clear_records(struct cq_journal *j);
+static void finish(struct cq_journal *j, int64_t head_revision);
+static void on_conflict(struct cq_journal *j,
+			const struct cq_store_result *result);
+
+struct cq_journal *cq_journal_create(const struct cq_journal_options *options,
+				     const struct cq_store *store,
+				     const struct cq_journal_ops *ops,
+				     void *ctx)
+{
+	struct cq_journal *j = g_new0(struct cq_journal, 1);
+
+	j->loop = options->loop;
+	j->store = store;
+	j->ops = ops;
+	j->ctx = ctx;
+	j->head_key = g_strdup(options->head_key);
+	j->epoch = options->epoch;
+	j->head_revision = options->head_revision;
+	j->call_timeout_ms = options->call_timeout_ms;
+	j->retry_s = RETRY_MIN_S;
+	ev_timer_init(&j->timer, on_timer, 0., 0.);
+	j->timer.data = j;
+	return j;
+}
+
+void cq_journal_destroy(struct cq_journal *j)
+{
+	if (!j)
+		return;
+	if (j->call)
+		j->store->ops->cancel(j->store->self, j->call);
+	ev_timer_stop(j->loop, &j->timer);
+	clear_records(j);
+	g_free(j->head_key);
+	g_free(j);
+}
+
+static void clear_records(struct cq_journal *j)
+{
+	uint32_t i;
+
+	for (i = 0; i < j->record_count; i++) {
+		g_free(j->records[i].key);
+		g_free(j->records[i].value);
+	}
+	j->record_count = 0;
+}
+
+static void schedule(struct cq_journal *j, double after_s)
+{
+	ev_now_update(j->loop);
+	ev_timer_set(&j->timer, after_s, 0.);
+	ev_timer_start(j->loop, &j->timer);
+}
+
+void cq_journal_wake(struct cq_journal *j)
+{
+	if (j->stopped || j->call || ev_is_active(&j->timer))
+		return;
+	schedule(j, COLLECT_S);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct cq_journal *j = timer->data;
+
+	(void)loop;
+	(void)events;
+	if (!j->record_count) {
+		j->record_count = j->ops->collect(j->ctx, j->records,
+						  CQ_JOURNAL_MAX_RECORDS);
+		if (!j->record_count)
+			return;
+		j->sequence++;
+	}
+	send_txn(j);
+}
+
+static void send_txn(struct cq_journal *j)
+{
+	char *head = cq_leader_format_head(j->epoch, j->sequence);
+	const struct cq_store_check check = { j->head_key, j->head_revision };
+	struct cq_store_put puts[CQ_JOURNAL_MAX_RECORDS + 1];
+	const char *deletes[CQ_JOURNAL_MAX_RECORDS];
+	struct cq_store_txn txn = {
+		.checks = &check,
+		.check_count = 1,
+		.puts = puts,
+		.deletes = deletes,
+	};
+	uint32_t i;
+
+	puts[txn.put_count++] = (struct cq_store_put){ j->head_key, head, 0 };
+	for (i = 0; i < j->record_count; i++) {
+		const struct cq_journal_record *record = &j->records[i];
+
+		if (record->value)
+			puts[txn.put_count++] =
+				(struct cq_store_put){ record->key,
+						       record->value, 0 };
+		else
+			deletes[txn.delete_count++] = record->key;
+	}
+	j->call = j->store->ops->commit(j->store->self, &txn,
+					j->call_timeout_ms, on_done, j);
+	g_free(head);
+}
+
+static void finish(struct cq_journal *j, int64_t head_revision)
+{
+	j->head_revision = head_revision;
+	j->retry_s = RETRY_MIN_S;
+	clear_records(j);
+	/* Changes that came meanwhile. */
+	cq_journal_wake(j);
+	j->ops->committed(j->ctx);
+}
+
+static void on_conflict(struct cq_journal *j,
+			const struct cq_store_result *result)
+{
+	int64_t epoch = 0;
+	uint64_t sequence = 0;
+	size_t i;
+
+	for (i = 0; i < result->entry_count; i++) {
+		const struct cq_store_entry *entry = &result->entries[i];
+
+		if (!entry->value || strcmp(entry->key, j->head_key) ||
+		    !cq_leader_parse_head(entry->value, &epoch, &sequence))
+			continue;
+		if (epoch == j->epoch && sequence == j->sequence) {
+			finish(j, entry->revision);
+			return;
+		}
+	}
+	cq_log_event(CQ_LOG_WARN, "journal_superseded", "{s:I,s:I}", "epoch",
+		     (json_int_t)j->epoch, "now", (json_int_t)epoch);
+	j->stopped = true;
+	j->ops->superseded(j->ctx);
+}
+
+static void on_done(void *ctx, const struct cq_store_result *result)
+{
+	struct cq_journal *j = ctx;
+
+	j->call = NULL;
+	switch (result->status) {
+	case CQ_STORE_OK:
+		finish(j, result->revision);
+		return;
+	case CQ_STORE_CONFLICT:
+		on_conflict(j, result);
+		return;
+	case CQ_STORE_UNKNOWN:
+	case CQ_STORE_UNAVAILABLE:
+	case CQ_STORE_NOT_FOUND:
+	case CQ_STORE_INVALID:
+	case CQ_STORE_COMPACTED:
+		break;
+	}
+	cq_log_event(CQ_LOG_WARN, "journal_retry", "{s:s,s:s,s:i}", "status",
+		     cq_store_status_string(result->status), "error",
+		     result->message ? result->message : "", "records",
+		     (int)j->record_count);
+	schedule(j, j->retry_s * g_random_double_range(0.7, 1.3));
+	j->retry_s = MIN(j->retry_s * 2, RETRY_MAX_S);
+}
--- /dev/null
+++ b/src/coordination/leader.c
@@ -0,0 +1,459 @@
+#include "chestnutquay/leader.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "chestnutquay/follower.h"
+#include "chestnutquay/log.h"
+
+/* The leader stops ordering this long before the store ends its lease. */
+#define DEADLINE_MARGIN_NS (INT64_C(50) * CQ_NS_PER_MS)
+/* Renewals in the time of one lease. */
+#define RENEWALS_PER_LEASE 4
+#define RETRY_S 0.15
+/* Candidates wait up to this long, so that one of them is usually first. */
+#define CAMPAIGN_JITTER_S 0.04
+
+enum leader_step {
+	STEP_FOLLOW,  /* somebody else leads, or nothing is known yet */
+	STEP_GRANT,   /* asks for a store lease */
+	STEP_READ,    /* reads the head key */
+	STEP_ACQUIRE, /* writes holder and head */
+	STEP_LEAD,
+	STEP_RESIGNED,
+};
+
+struct cq_leader {
+	struct ev_loop *loop;
+	const struct cq_clock *clock;
+	const struct cq_store *store;
+	const struct cq_leader_ops *ops;
+	void *ctx;
+	char *identity;
+	char *incarnation;
+	char *holder_key;
+	char *head_key;
+	uint32_t lease_ms;
+	uint32_t call_timeout_ms;
+	struct cq_follower *follower;
+	struct cq_store_call *call;
+	ev_timer timer;
+	enum leader_step step;
+	char *holder_value; /* as seen; NULL: absent */
+	int64_t holder_revision;
+	int64_t head_revision;
+	int64_t epoch;
+	int64_t lease_id;
+	int64_t sent_ns;
+	int64_t deadline_ns;
+};
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events);
+static void schedule(struct cq_leader *l, double after_s);
+static void consider(struct cq_leader *l);
+static bool may_stand(const struct cq_leader *l);
+static void send_grant(struct cq_leader *l);
+static void on_grant(void *ctx, const struct cq_store_result *result);
+static void send_read(struct cq_leader *l);
+static void on_read(void *ctx, const struct cq_store_result *result);
+static void send_acquire(struct cq_leader *l);
+static void on_acquire(void *ctx, const struct cq_store_result *result);
+static void begin_lead(struct cq_leader *l, int64_t head_revision);
+static bool find_own(struct cq_leader *l, const struct cq_store_result *result,
+		     int64_t *head_revision);
+static void send_renewal(struct cq_leader *l);
+static void on_renewal(void *ctx, const struct cq_store_result *result);
+static void step_down(struct cq_leader *l, const char *why);
+static void on_holder(void *ctx, const struct cq_store_entry *entry);
+static void on_holder_gone(void *ctx, const char *key);
+static void on_holder_synced(void *ctx);
+static void cancel_call(struct cq_leader *l);
+
+static const struct cq_follower_ops follower_ops = {
+	.changed = on_holder,
+	.removed = on_holder_gone,
+	.synced = on_holder_synced,
+};
+
+char *cq_leader_format_head(int64_t epoch, uint64_t sequence)
+{
+	return g_strdup_printf("%" G_GINT64_FORMAT " %" G_GUINT64_FORMAT, epoch,
+			       sequence);
+}
+
+bool cq_leader_parse_head(const char *text, int64_t *epoch, uint64_t *sequence)
+{
+	char *end;
+
+	*epoch = g_ascii_strtoll(text, &end, 10);
+	if (end == text || *end != ' ')
+		return false;
+	text = end + 1;
+	*sequence = g_ascii_strtoull(text, &end, 10);
+	return end != text && !*end;
+}
+
+struct cq_leader *cq_leader_create(const struct cq_leader_options *options,
+				   const struct cq_store *store,
+				   const struct cq_leader_ops *ops, void *ctx)
+{
+	struct cq_leader *l = g_new0(struct cq_leader, 1);
+	const struct cq_follower_options follower = {
+		.loop = options->loop,
+		.clock = options->clock,
+		.prefix = options->holder_prefix,
+		.wait_ms = options->watch_wait_ms,
+		.call_timeout_ms = options->call_timeout_ms,
+	};
+
+	l->loop = options->loop;
+	l->clock = options->clock;
+	l->store = store;
+	l->ops = ops;
+	l->ctx = ctx;
+	l->identity = g_strdup(options->identity);
+	l->incarnation = g_strdup_printf("%s %08x%08x", options->identity,
+					 g_random_int(), g_random_int());
+	l->holder_key = g_strdup_printf("%sholder", options->holder_prefix);
+	l->head_key = g_strdup(options->head_key);
+	l->lease_ms = options->lease_ms;
+	l->call_timeout_ms = options->call_timeout_ms;
+	ev_timer_init(&l->timer, on_timer, 0., 0.);
+	l->timer.data = l;
+	l->follower = cq_follower_create(&follower, store, &follower_ops, l);
+	return l;
+}
+
+void cq_leader_destroy(struct cq_leader *l)
+{
+	if (!l)
+		return;
+	cancel_call(l);
+	ev_timer_stop(l->loop, &l->timer);
+	cq_follower_destroy(l->follower);
+	g_free(l->identity);
+	g_free(l->incarnation);
+	g_free(l->holder_key);
+	g_free(l->head_key);
+	g_free(l->holder_value);
+	g_free(l);
+}
+
+bool cq_leader_leads(const struct cq_leader *l)
+{
+	return l->step == STEP_LEAD;
+}
+
+int64_t cq_leader_deadline_ns(const struct cq_leader *l)
+{
+	return l->step == STEP_LEAD ? l->deadline_ns : 0;
+}
+
+bool cq_leader_may_order(const struct cq_leader *l)
+{
+	return l->step == STEP_LEAD &&
+	       cq_clock_now_ns(l->clock) < l->deadline_ns;
+}
+
+static void cancel_call(struct cq_leader *l)
+{
+	if (l->call)
+		l->store->ops->cancel(l->store->self, l->call);
+	l->call = NULL;
+}
+
+static void schedule(struct cq_leader *l, double after_s)
+{
+	ev_timer_stop(l->loop, &l->timer);
+	ev_now_update(l->loop);
+	ev_timer_set(&l->timer, after_s, 0.);
+	ev_timer_start(l->loop, &l->timer);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct cq_leader *l = timer->data;
+
+	(void)loop;
+	(void)events;
+	if (l->call)
+		return;
+	switch (l->step) {
+	case STEP_FOLLOW:
+		consider(l);
+		break;
+	case STEP_GRANT:
+		send_grant(l);
+		break;
+	case STEP_READ:
+		send_read(l);
+		break;
+	case STEP_ACQUIRE:
+		send_acquire(l);
+		break;
+	case STEP_LEAD:
+		send_renewal(l);
+		break;
+	case STEP_RESIGNED:
+		break;
+	}
+}
+
+/* The key is absent, or an earlier process of this host left it. */
+static bool may_stand(const struct cq_leader *l)
+{
+	const char *at;
+
+	if (!cq_follower_synced(l->follower))
+		return false;
+	if (!l->holder_value)
+		return true;
+	at = strchr(l->holder_value, ' ');
+	return at && (size_t)(at - l->holder_value) == strlen(l->identity) &&
+	       g_str_has_prefix(l->holder_value, l->identity) &&
+	       strcmp(l->holder_value, l->incarnation);
+}
+
+static void consider(struct cq_leader *l)
+{
+	if (l->step != STEP_FOLLOW || l->call || !may_stand(l))
+		return;
+	send_grant(l);
+}
+
+static void send_grant(struct cq_leader *l)
+{
+	l->step = STEP_GRANT;
+	l->sent_ns = cq_clock_now_ns(l->clock);
+	l->call = l->store->ops->lease_grant(l->store->self, l->lease_ms,
+					     l->call_timeout_ms, on_grant, l);
+}
+
+static void on_grant(void *ctx, const struct cq_store_result *result)
+{
+	struct cq_leader *l = ctx;
+
+	l->call = NULL;
+	if (result->status != CQ_STORE_OK) {
+		l->step = STEP_FOLLOW;
+		schedule(l, RETRY_S);
+		return;
+	}
+	l->lease_id = result->lease_id;
+	l->deadline_ns = l->sent_ns + (int64_t)l->lease_ms * CQ_NS_PER_MS -
+			 DEADLINE_MARGIN_NS;
+	send_read(l);
+}
+
+static void send_read(struct cq_leader *l)
+{
+	l->step = STEP_READ;
+	l->call = l->store->ops->get(l->store->self, l->head_key,
+				     l->call_timeout_ms, on_read, l);
+}
+
+static void on_read(void *ctx, const struct cq_store_result *result)
+{
+	struct cq_leader *l = ctx;
+	uint64_t sequence;
+
+	l->call = NULL;
+	l->epoch = 0;
+	l->head_revision = 0;
+	if (result->status == CQ_STORE_OK && result->entry_count == 1 &&
+	    result->entries[0].value &&
+	    cq_leader_parse_head(result->entries[0].value, &l->epoch,
+				 &sequence)) {
+		l->head_revision = result->entries[0].revision;
+	} else if (result->status != CQ_STORE_NOT_FOUND) {
+		cq_log_event(CQ_LOG_WARN, "head_unreadable", "{s:s}", "status",
+			     cq_store_status_string(result->status));
+		l->step = STEP_FOLLOW;
+		schedule(l, RETRY_S);
+		return;
+	}
+	l->epoch++;
+	send_acquire(l);
+}
+
+static void send_acquire(struct cq_leader *l)
+{
+	char *head = cq_leader_format_head(l->epoch, 0);
+	const struct cq_store_check checks[] = {
+		{ l->holder_key, l->holder_value ? l->holder_revision : 0 },
+		{ l->head_key, l->head_revision },
+	};
+	const struct cq_store_put puts[] = {
+		{ l->holder_key, l->incarnation, l->lease_id },
+		{ l->head_key, head, 0 },
+	};
+	const struct cq_store_txn txn = {
+		.checks = checks,
+		.check_count = G_N_ELEMENTS(checks),
+		.puts = puts,
+		.put_count = G_N_ELEMENTS(puts),
+	};
+
+	l->step = STEP_ACQUIRE;
+	l->call = l->store->ops->commit(l->store->self, &txn,
+					l->call_timeout_ms, on_acquire, l);
+	g_free(head);
+}
+
+/* After an unanswered try the checked keys show whether it was executed. */
+static bool find_own(struct cq_leader *l, const struct cq_store_result *result,
+		     int64_t *head_revision)
+{
+	bool own = false;
+	size_t i;
+
+	*head_revision = 0;
+	for (i = 0; i < result->entry_count; i++) {
+		const struct cq_store_entry *entry = &result->entries[i];
+
+		if (!entry->value)
+			continue;
+		if (!strcmp(entry->key, l->holder_key))
+			own = !strcmp(entry->value, l->incarnation);
+		else if (!strcmp(entry->key, l->head_key))
+			*head_revision = entry->revision;
+	}
+	return own && *head_revision;
+}
+
+static void on_acquire(void *ctx, const struct cq_store_result *result)
+{
+	struct cq_leader *l = ctx;
+	int64_t head_revision;
+
+	l->call = NULL;
+	if (result->status == CQ_STORE_OK) {
+		begin_lead(l, result->revision);
+		return;
+	}
+	if (result->status == CQ_STORE_CONFLICT &&
+	    find_own(l, result, &head_revision)) {
+		begin_lead(l, head_revision);
+		return;
+	}
+	if (result->status == CQ_STORE_UNKNOWN &&
+	    cq_clock_now_ns(l->clock) < l->deadline_ns) {
+		send_acquire(l);
+		return;
+	}
+	l->step = STEP_FOLLOW;
+	schedule(l, RETRY_S);
+}
+
+static void begin_lead(struct cq_leader *l, int64_t head_revision)
+{
+	l->step = STEP_LEAD;
+	cq_log_event(CQ_LOG_INFO, "leader_elected", "{s:I}", "epoch",
+		     (json_int_t)l->epoch);
+	schedule(l, (double)l->lease_ms / CQ_MS_PER_S / RENEWALS_PER_LEASE);
+	l->ops->elected(l->ctx, l->epoch, head_revision);
+}
+
+static void send_renewal(struct cq_leader *l)
+{
+	l->sent_ns = cq_clock_now_ns(l->clock);
+	l->call = l->store->ops->lease_keepalive(
+		l->store->self, l->lease_id, l->call_timeout_ms, on_renewal, l);
+}
+
+static void on_renewal(void *ctx, const struct cq_store_result *result)
+{
+	struct cq_leader *l = ctx;
+	double interval_s =
+		(double)l->lease_ms / CQ_MS_PER_S / RENEWALS_PER_LEASE;
+
+	l->call = NULL;
+	if (result->status == CQ_STORE_NOT_FOUND) {
+		step_down(l, "the store lease has ended");
+		return;
+	}
+	if (result->status == CQ_STORE_OK) {
+		l->deadline_ns = l->sent_ns +
+				 (int64_t)l->lease_ms * CQ_NS_PER_MS -
+				 DEADLINE_MARGIN_NS;
+		schedule(l, interval_s);
+		return;
+	}
+	cq_log_event(CQ_LOG_WARN, "leader_renewal_failed", "{s:s,s:I}",
+		     "status", cq_store_status_string(result->status),
+		     "left_ms",
+		     (json_int_t)((l->deadline_ns - cq_clock_now_ns(l->clock)) /
+				  CQ_NS_PER_MS));
+	schedule(l, RETRY_S);
+}
+
+static void step_down(struct cq_leader *l, const char *why)
+{
+	cq_log_event(CQ_LOG_WARN, "leader_deposed", "{s:I,s:s}", "epoch",
+		     (json_int_t)l->epoch, "reason", why);
+	cancel_call(l);
+	l->step = STEP_FOLLOW;
+	schedule(l, RETRY_S);
+	l->ops->deposed(l->ctx);
+}
+
+void cq_leader_superseded(struct cq_leader *l)
+{
+	if (l->step == STEP_LEAD)
+		step_down(l, "a later epoch has begun");
+}
+
+static void on_resigned(void *ctx, const struct cq_store_result *result)
+{
+	struct cq_leader *l = ctx;
+
+	(void)result;
+	l->call = NULL;
+}
+
+void cq_leader_resign(struct cq_leader *l)
+{
+	bool led = l->step == STEP_LEAD;
+	bool holds_lease = l->lease_id && l->step != STEP_FOLLOW;
+
+	cancel_call(l);
+	ev_timer_stop(l->loop, &l->timer);
+	l->step = STEP_RESIGNED;
+	if (led)
+		l->ops->deposed(l->ctx);
+	if (holds_lease)
+		l->call = l->store->ops->lease_revoke(l->store->self,
+						      l->lease_id,
+						      l->call_timeout_ms,
+						      on_resigned, l);
+	cq_log_event(CQ_LOG_INFO, "leader_resigned", "{s:b}", "led", led);
+}
+
+static void on_holder(void *ctx, const struct cq_store_entry *entry)
+{
+	struct cq_leader *l = ctx;
+
+	g_free(l->holder_value);
+	l->holder_value = g_strdup(entry->value);
+	l->holder_revision = entry->revision;
+	consider(l);
+}
+
+static void on_holder_gone(void *ctx, const char *key)
+{
+	struct cq_leader *l = ctx;
+
+	(void)key;
+	g_clear_pointer(&l->holder_value, g_free);
+	if (l->step == STEP_LEAD)
+		step_down(l, "the holder key is gone");
+	else if (l->step == STEP_FOLLOW)
+		schedule(l, g_random_double_range(0, CAMPAIGN_JITTER_S));
+}
+
+static void on_holder_synced(void *ctx)
+{
+	consider(ctx);
+}
--- a/src/coordination/ownership.c
+++ b/src/coordination/ownership.c
@@ -407,6 +407,7 @@
 		return;
 	case CQ_STORE_UNAVAILABLE:
 	case CQ_STORE_INVALID:
+	case CQ_STORE_COMPACTED:
 		acquire_failed(o);
 		return;
 	}
--- a/src/coordination/settings_write.c
+++ b/src/coordination/settings_write.c
@@ -178,6 +178,7 @@
 		break;
 	case CQ_STORE_NOT_FOUND:
 	case CQ_STORE_INVALID:
+	case CQ_STORE_COMPACTED:
 		finish(write,
 		       write->lost ? CQ_SETTINGS_WRITE_UNKNOWN
 				   : CQ_SETTINGS_NOT_WRITTEN,
--- a/src/programs/common/job_calls_write.c
+++ b/src/programs/common/job_calls_write.c
@@ -102,6 +102,7 @@
 		cq_job_call_get(call, key, on_read_back);
 		return;
 	case CQ_STORE_INVALID:
+	case CQ_STORE_COMPACTED:
 		cq_job_call_refuse(call, 400, "invalid", result->message, "no");
 		return;
 	case CQ_STORE_NOT_FOUND:
@@ -349,6 +350,7 @@
 	case CQ_STORE_NOT_FOUND:
 	case CQ_STORE_UNAVAILABLE:
 	case CQ_STORE_INVALID:
+	case CQ_STORE_COMPACTED:
 		break;
 	}
 	cancel_failed(call);
--- /dev/null
+++ b/src/programs/hostd/dispatch.c
@@ -0,0 +1,93 @@
+/* Stands for leader, and dispatches while this host leads. */
+#include "platform/documents.h"
+#include "programs/hostd/hostd.h"
+
+#define LEASE_MS 3000
+#define CALL_TIMEOUT_MS 700
+#define WATCH_WAIT_MS 2000
+
+static bool may_order(void *ctx)
+{
+	const struct hostd *h = ctx;
+
+	return h->leader && cq_leader_may_order(h->leader);
+}
+
+static void on_superseded(void *ctx)
+{
+	struct hostd *h = ctx;
+
+	cq_leader_superseded(h->leader);
+}
+
+static const struct cq_dispatcher_ops dispatcher_ops = { may_order,
+							 on_superseded };
+
+static void on_elected(void *ctx, int64_t epoch, int64_t head_revision)
+{
+	struct hostd *h = ctx;
+	const struct cq_dispatcher_options options = {
+		.loop = h->loop,
+		.clock = h->clock,
+		.metrics = h->metrics,
+		.worker_prefix = CQ_PLATFORM_WORKER_PREFIX,
+		.parse_listing = cq_platform_listing_parse,
+		.epoch = epoch,
+		.head_revision = head_revision,
+		.store_timeout_ms = CALL_TIMEOUT_MS,
+		.max_lease_ms = h->settings.max_lease_ms,
+		.run_stop_ms = h->settings.run_stop_ms,
+	};
+
+	h->executor = cq_executor_http_create(h->worker_client);
+	h->dispatcher = cq_dispatcher_create(&options, h->store,
+					     cq_executor_http_get(h->executor),
+					     &dispatcher_ops, h);
+	hostd_dispatch_update(h);
+}
+
+static void on_deposed(void *ctx)
+{
+	struct hostd *h = ctx;
+
+	cq_executor_http_destroy(h->executor);
+	cq_dispatcher_destroy(h->dispatcher);
+	h->executor = NULL;
+	h->dispatcher = NULL;
+}
+
+static const struct cq_leader_ops leader_ops = { on_elected, on_deposed };
+
+void hostd_dispatch_open(struct hostd *h)
+{
+	char *identity = g_strdup_printf("%s/%s", h->settings.host,
+					 h->settings.front_address);
+	const struct cq_leader_options options = {
+		.loop = h->loop,
+		.clock = h->clock,
+		.identity = identity,
+		.holder_prefix = CQ_KEY_LEADER_PREFIX,
+		.head_key = CQ_KEY_HEAD,
+		.lease_ms = MAX(LEASE_MS, h->settings.store_min_ttl_ms),
+		.call_timeout_ms = CALL_TIMEOUT_MS,
+		.watch_wait_ms = WATCH_WAIT_MS,
+	};
+
+	h->leader = cq_leader_create(&options, h->store, &leader_ops, h);
+	g_free(identity);
+}
+
+void hostd_dispatch_close(struct hostd *h)
+{
+	if (h->dispatcher)
+		on_deposed(h);
+	cq_leader_destroy(h->leader);
+}
+
+void hostd_dispatch_update(struct hostd *h)
+{
+	if (!h->dispatcher)
+		return;
+	cq_dispatcher_set_evacuated(h->dispatcher, h->evacuated);
+	cq_dispatcher_set_config(h->dispatcher, h->config);
+}
--- a/src/protocol/store.c
+++ b/src/protocol/store.c
@@ -7,6 +7,7 @@
 	[CQ_STORE_UNAVAILABLE] = "unavailable",
 	[CQ_STORE_UNKNOWN] = "unknown",
 	[CQ_STORE_INVALID] = "invalid",
+	[CQ_STORE_COMPACTED] = "compacted",
 };
 
 const char *cq_store_status_string(enum cq_store_status status)
--- /dev/null
+++ b/src/state/batch.c
@@ -0,0 +1,310 @@
+#include "chestnutquay/batch.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "chestnutquay/pool.h"
+
+static const char *const state_strings[] = {
+	[CQ_BATCH_QUEUED] = "queued",	    [CQ_BATCH_RUNNING] = "running",
+	[CQ_BATCH_COMPLETED] = "completed", [CQ_BATCH_FAILED] = "failed",
+	[CQ_BATCH_CANCELLED] = "cancelled",
+};
+
+static bool all_done(const struct cq_batch *batch);
+static void count_failure(struct cq_task *task);
+static bool failed_too_often(const struct cq_task *task, uint32_t max_attempts);
+
+const char *cq_batch_state_string(enum cq_batch_state state)
+{
+	return state_strings[state];
+}
+
+bool cq_batch_state_parse(const char *text, enum cq_batch_state *state)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(state_strings); i++) {
+		if (strcmp(text, state_strings[i]))
+			continue;
+		*state = (enum cq_batch_state)i;
+		return true;
+	}
+	return false;
+}
+
+bool cq_batch_state_is_terminal(enum cq_batch_state state)
+{
+	return state >= CQ_BATCH_COMPLETED;
+}
+
+struct cq_batch *cq_batch_create(struct cq_workload *workload)
+{
+	struct cq_batch *batch = g_new0(struct cq_batch, 1);
+	uint32_t i, k;
+
+	batch->workload = workload;
+	batch->stage_count = workload->occurrences * workload->step_count;
+	batch->stages = g_new0(struct cq_stage, batch->stage_count);
+	for (i = 0; i < batch->stage_count; i++) {
+		struct cq_stage *stage = &batch->stages[i];
+
+		stage->batch = batch;
+		stage->occurrence = i / workload->step_count;
+		stage->step_index = i % workload->step_count;
+		stage->step = &workload->steps[stage->step_index];
+		stage->tasks = g_new0(struct cq_task, stage->step->tasks);
+		for (k = 0; k < stage->step->tasks; k++) {
+			stage->tasks[k].stage = stage;
+			stage->tasks[k].index = k;
+		}
+	}
+	return batch;
+}
+
+void cq_batch_destroy(struct cq_batch *batch)
+{
+	uint32_t i, k;
+
+	if (!batch)
+		return;
+	for (i = 0; i < batch->stage_count; i++) {
+		for (k = 0; k < batch->stages[i].step->tasks; k++)
+			g_free(batch->stages[i].tasks[k].checkpoint);
+		g_free(batch->stages[i].tasks);
+	}
+	g_free(batch->stages);
+	cq_workload_destroy(batch->workload);
+	g_free(batch);
+}
+
+struct cq_stage *cq_batch_stage(struct cq_batch *batch, uint32_t occurrence,
+				uint32_t step)
+{
+	if (occurrence >= batch->workload->occurrences ||
+	    step >= batch->workload->step_count)
+		return NULL;
+	return &batch->stages[occurrence * batch->workload->step_count + step];
+}
+
+void cq_task_name(const struct cq_task *task, char *name)
+{
+	const struct cq_stage *stage = task->stage;
+
+	snprintf(name, CQ_TASK_NAME_BYTES, "%s.%u.%u.%u",
+		 stage->batch->workload->id, stage->occurrence,
+		 stage->step_index, task->index);
+}
+
+bool cq_task_name_batch(const char *name, char *id)
+{
+	const char *dot = strchr(name, '.');
+
+	if (!dot || dot - name != CQ_WORKLOAD_ID_BYTES - 1)
+		return false;
+	memcpy(id, name, CQ_WORKLOAD_ID_BYTES - 1);
+	id[CQ_WORKLOAD_ID_BYTES - 1] = '\0';
+	return true;
+}
+
+struct cq_task *cq_batch_find_task(struct cq_batch *batch, const char *name)
+{
+	uint32_t part[3];
+	struct cq_stage *stage;
+	char id[CQ_WORKLOAD_ID_BYTES];
+	char *end;
+	int i;
+
+	if (!cq_task_name_batch(name, id) || strcmp(id, batch->workload->id))
+		return NULL;
+	name += CQ_WORKLOAD_ID_BYTES - 1;
+	for (i = 0; i < 3; i++) {
+		if (*name++ != '.' || !g_ascii_isdigit(*name))
+			return NULL;
+		part[i] = (uint32_t)strtoul(name, &end, 10);
+		name = end;
+	}
+	stage = cq_batch_stage(batch, part[0], part[1]);
+	if (*name || !stage || part[2] >= stage->step->tasks)
+		return NULL;
+	return &stage->tasks[part[2]];
+}
+
+bool cq_stage_done(const struct cq_stage *stage)
+{
+	if (stage->step->long_running)
+		return false;
+	if (stage->step->gang)
+		return stage->done_count > 0;
+	return stage->done_count == stage->step->tasks;
+}
+
+bool cq_stage_unblocked(const struct cq_stage *stage)
+{
+	const struct cq_batch *batch = stage->batch;
+	const struct cq_stage *first = stage - stage->step_index;
+	uint32_t i;
+
+	for (i = 0; i < batch->workload->step_count; i++)
+		if (stage->step->after >> i & 1 && !cq_stage_done(first + i))
+			return false;
+	return true;
+}
+
+bool cq_stage_waiting(const struct cq_stage *stage)
+{
+	if (cq_stage_done(stage))
+		return false;
+	if (stage->step->gang)
+		return stage->active_count == 0;
+	return stage->done_count + stage->active_count < stage->step->tasks;
+}
+
+bool cq_batch_has_runs(const struct cq_batch *batch)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->stage_count; i++)
+		if (batch->stages[i].active_count)
+			return true;
+	return false;
+}
+
+bool cq_batch_started(const struct cq_batch *batch)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->stage_count; i++)
+		if (batch->stages[i].started)
+			return true;
+	return false;
+}
+
+void cq_task_assign(struct cq_task *task, struct cq_pool_worker *worker,
+		    uint32_t run)
+{
+	task->run = run;
+	task->phase = CQ_RUN_RECORDING;
+	task->worker = worker;
+	task->start_unanswered = false;
+	task->start_in_flight = false;
+	task->stopping = false;
+	task->stop_in_flight = false;
+	task->stop_answered = false;
+	task->started_ns = 0;
+	task->ordered_ns = 0;
+	task->pace_percent = 100;
+	task->load = 0;
+	task->stage->active_count++;
+	task->stage->started = true;
+	if (task->stage->batch->state == CQ_BATCH_QUEUED)
+		task->stage->batch->state = CQ_BATCH_RUNNING;
+	task->stage->batch->version++;
+	task->recorded_version = task->stage->batch->version;
+	cq_pool_book(worker, task);
+}
+
+static bool all_done(const struct cq_batch *batch)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->stage_count; i++)
+		if (!cq_stage_done(&batch->stages[i]))
+			return false;
+	return true;
+}
+
+/* A gang counts one failure a run, however many members report one. */
+static void count_failure(struct cq_task *task)
+{
+	struct cq_stage *stage = task->stage;
+
+	task->failures++;
+	if (!stage->step->gang || stage->gang_failed_run == task->run)
+		return;
+	stage->gang_failed_run = task->run;
+	stage->gang_failures++;
+}
+
+static bool failed_too_often(const struct cq_task *task, uint32_t max_attempts)
+{
+	const struct cq_stage *stage = task->stage;
+	uint32_t failures = stage->step->gang ? stage->gang_failures
+					      : task->failures;
+
+	return max_attempts && !stage->step->long_running &&
+	       failures >= max_attempts;
+}
+
+void cq_task_checkpoint(struct cq_task *task, const char *checkpoint)
+{
+	if (!checkpoint || !*checkpoint ||
+	    (task->checkpoint && !strcmp(task->checkpoint, checkpoint)))
+		return;
+	g_free(task->checkpoint);
+	task->checkpoint = g_strdup(checkpoint);
+}
+
+bool cq_task_end(struct cq_task *task, enum cq_run_end how,
+		 const char *checkpoint, uint32_t max_attempts)
+{
+	struct cq_stage *stage = task->stage;
+	struct cq_batch *batch = stage->batch;
+	enum cq_batch_state before = batch->state;
+
+	if (task->phase != CQ_RUN_NONE) {
+		cq_pool_release(task->worker, task);
+		stage->active_count--;
+	}
+	task->phase = CQ_RUN_NONE;
+	task->worker = NULL;
+	cq_task_checkpoint(task, checkpoint);
+	batch->version++;
+	if (how == CQ_RUN_DONE && !stage->step->long_running && !task->done) {
+		task->done = true;
+		stage->done_count++;
+	}
+	if (how == CQ_RUN_FAILED)
+		count_failure(task);
+	if (cq_batch_state_is_terminal(before))
+		return false;
+	if (how == CQ_RUN_FAILED && failed_too_often(task, max_attempts) &&
+	    !cq_stage_done(stage))
+		batch->state = CQ_BATCH_FAILED;
+	else if (how == CQ_RUN_DONE && all_done(batch))
+		batch->state = CQ_BATCH_COMPLETED;
+	return cq_batch_state_is_terminal(batch->state);
+}
+
+uint32_t cq_stage_next_run(const struct cq_stage *stage, uint32_t floor_run)
+{
+	uint32_t run = floor_run;
+	uint32_t i;
+
+	for (i = 0; i < stage->step->tasks; i++)
+		run = MAX(run, stage->tasks[i].run);
+	return run + 1;
+}
+
+/*
+ * The checkpoint of any member is valid for the whole gang, and all starts
+ * must carry the same one.
+ */
+const char *cq_task_resume_point(const struct cq_task *task)
+{
+	const struct cq_stage *stage = task->stage;
+	const char *latest = NULL;
+	uint32_t i;
+
+	if (!stage->step->gang)
+		return task->checkpoint;
+	for (i = 0; i < stage->step->tasks; i++) {
+		const char *own = stage->tasks[i].checkpoint;
+
+		if (own && (!latest || strcmp(own, latest) > 0))
+			latest = own;
+	}
+	return latest;
+}
--- /dev/null
+++ b/src/state/pool.c
@@ -0,0 +1,122 @@
+#include "chestnutquay/pool.h"
+
+#include <string.h>
+
+#include "chestnutquay/batch.h"
+
+static void worker_free(void *data);
+static int64_t counted_cpu(const struct cq_workload_step *step);
+
+static void worker_free(void *data)
+{
+	struct cq_pool_worker *worker = data;
+
+	g_ptr_array_unref(worker->runs);
+	g_free(worker);
+}
+
+struct cq_pool *cq_pool_create(void)
+{
+	struct cq_pool *pool = g_new0(struct cq_pool, 1);
+
+	pool->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      worker_free);
+	return pool;
+}
+
+void cq_pool_destroy(struct cq_pool *pool)
+{
+	if (!pool)
+		return;
+	g_hash_table_destroy(pool->workers);
+	g_free(pool);
+}
+
+struct cq_pool_worker *cq_pool_find(const struct cq_pool *pool, const char *id)
+{
+	return g_hash_table_lookup(pool->workers, id);
+}
+
+struct cq_pool_worker *cq_pool_add(struct cq_pool *pool, const char *id)
+{
+	struct cq_pool_worker *worker = cq_pool_find(pool, id);
+
+	if (worker)
+		return worker;
+	worker = g_new0(struct cq_pool_worker, 1);
+	g_strlcpy(worker->listing.id, id, sizeof(worker->listing.id));
+	worker->runs = g_ptr_array_new();
+	g_hash_table_insert(pool->workers, worker->listing.id, worker);
+	return worker;
+}
+
+void cq_pool_remove(struct cq_pool *pool, struct cq_pool_worker *worker)
+{
+	g_hash_table_remove(pool->workers, worker->listing.id);
+}
+
+static int64_t counted_cpu(const struct cq_workload_step *step)
+{
+	return step->fills ? 0 : step->cpu_millicores;
+}
+
+void cq_pool_update(struct cq_pool_worker *worker,
+		    const struct cq_executor_listing *listing)
+{
+	guint i;
+
+	worker->listing = *listing;
+	worker->listed = true;
+	worker->free_cpu_millicores = listing->cpu_millicores;
+	worker->free_memory_mb = listing->memory_mb;
+	worker->free_accelerators = listing->accelerators;
+	for (i = 0; i < worker->runs->len; i++) {
+		const struct cq_task *task = g_ptr_array_index(worker->runs, i);
+		const struct cq_workload_step *step = task->stage->step;
+
+		worker->free_cpu_millicores -= counted_cpu(step);
+		worker->free_memory_mb -= step->memory_mb;
+		worker->free_accelerators -= step->accelerators;
+	}
+}
+
+void cq_pool_book(struct cq_pool_worker *worker, struct cq_task *task)
+{
+	const struct cq_workload_step *step = task->stage->step;
+
+	g_ptr_array_add(worker->runs, task);
+	worker->free_cpu_millicores -= counted_cpu(step);
+	worker->free_memory_mb -= step->memory_mb;
+	worker->free_accelerators -= step->accelerators;
+}
+
+void cq_pool_release(struct cq_pool_worker *worker, struct cq_task *task)
+{
+	const struct cq_workload_step *step = task->stage->step;
+
+	if (!g_ptr_array_remove_fast(worker->runs, task))
+		return;
+	worker->free_cpu_millicores += counted_cpu(step);
+	worker->free_memory_mb += step->memory_mb;
+	worker->free_accelerators += step->accelerators;
+}
+
+bool cq_pool_fits(const struct cq_pool_worker *worker,
+		  const struct cq_workload_step *step, uint32_t tasks)
+{
+	return worker->free_cpu_millicores >= counted_cpu(step) * tasks &&
+	       worker->free_memory_mb >= (int64_t)step->memory_mb * tasks &&
+	       worker->free_accelerators >= (int64_t)step->accelerators * tasks;
+}
+
+bool cq_pool_has_label(const struct cq_pool_worker *worker, const char *label)
+{
+	uint32_t i;
+
+	if (!*label)
+		return true;
+	for (i = 0; i < worker->listing.label_count; i++)
+		if (!strcmp(worker->listing.labels[i], label))
+			return true;
+	return false;
+}
--- /dev/null
+++ b/src/state/queues.c
@@ -0,0 +1,86 @@
+#include "chestnutquay/queues.h"
+
+#include <glib.h>
+#include <string.h>
+#include <strings.h>
+
+static bool authority_matches(const char *configured, const char *authority);
+
+void cq_queue_config_destroy(struct cq_queue_config *config)
+{
+	uint32_t i;
+
+	if (!config)
+		return;
+	for (i = 0; i < config->workspace_count; i++)
+		g_strfreev(config->workspaces[i].keys);
+	g_free(config->queues);
+	g_free(config->services);
+	g_free(config->workspaces);
+	g_free(config);
+}
+
+/* Compares without regard to case, and ignores a port that was sent. */
+static bool authority_matches(const char *configured, const char *authority)
+{
+	size_t len = strcspn(authority, ":");
+
+	return strlen(configured) == len &&
+	       !strncasecmp(configured, authority, len);
+}
+
+const struct cq_queue *
+cq_queue_config_match(const struct cq_queue_config *config,
+		      const char *authority, const char *path)
+{
+	const struct cq_queue *best = NULL;
+	uint32_t i;
+
+	for (i = 0; config && i < config->queue_count; i++) {
+		const struct cq_queue *queue = &config->queues[i];
+
+		if (!authority_matches(queue->authority, authority) ||
+		    !g_str_has_prefix(path, queue->prefix))
+			continue;
+		if (!best || strlen(queue->prefix) > strlen(best->prefix))
+			best = queue;
+	}
+	return best;
+}
+
+const struct cq_queue *
+cq_queue_config_find(const struct cq_queue_config *config, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; config && i < config->queue_count; i++)
+		if (!strcmp(config->queues[i].name, name))
+			return &config->queues[i];
+	return NULL;
+}
+
+const struct cq_workspace_keys *
+cq_queue_config_workspace_of_key(const struct cq_queue_config *config,
+				 const char *key)
+{
+	uint32_t i;
+
+	for (i = 0; config && i < config->workspace_count; i++)
+		if (g_strv_contains(
+			    (const char *const *)config->workspaces[i].keys,
+			    key))
+			return &config->workspaces[i];
+	return NULL;
+}
+
+const struct cq_workspace_keys *
+cq_queue_config_workspace(const struct cq_queue_config *config,
+			  const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; config && i < config->workspace_count; i++)
+		if (!strcmp(config->workspaces[i].name, name))
+			return &config->workspaces[i];
+	return NULL;
+}
--- /dev/null
+++ b/src/state/workload.c
@@ -0,0 +1,223 @@
+#include "chestnutquay/workload.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <string.h>
+
+static json_t *format_step(const struct cq_workload_step *step);
+static void set_flag(json_t *object, const char *name, bool value);
+static void set_number(json_t *object, const char *name, int64_t value);
+static void set_text(json_t *object, const char *name, const char *value);
+static void read_text(const json_t *object, const char *name, char *out,
+		      size_t out_bytes);
+static int64_t read_number(const json_t *object, const char *name);
+static void parse_step(const json_t *object, struct cq_workload_step *step);
+static bool check_step(const struct cq_workload *w, uint32_t i,
+		       struct cq_error *err);
+
+struct cq_workload *cq_workload_create(void)
+{
+	struct cq_workload *w = g_new0(struct cq_workload, 1);
+
+	w->occurrences = 1;
+	return w;
+}
+
+void cq_workload_destroy(struct cq_workload *w)
+{
+	if (!w)
+		return;
+	g_free(w->spec);
+	g_free(w->steps);
+	g_free(w);
+}
+
+static bool check_step(const struct cq_workload *w, uint32_t i,
+		       struct cq_error *err)
+{
+	const struct cq_workload_step *step = &w->steps[i];
+
+	if (!step->tasks)
+		return cq_error_set(err, CQ_ERROR_STATE, CQ_ERR_INVALID,
+				    "step %u has no tasks", i);
+	if (step->after >> i)
+		return cq_error_set(err, CQ_ERROR_STATE, CQ_ERR_INVALID,
+				    "step %u depends on a step that is not an "
+				    "earlier one",
+				    i);
+	return true;
+}
+
+bool cq_workload_check(const struct cq_workload *w, struct cq_error *err)
+{
+	uint64_t tasks = 0;
+	uint32_t i;
+
+	if (strlen(w->id) != CQ_WORKLOAD_ID_BYTES - 1 ||
+	    strspn(w->id, "0123456789abcdefABCDEF") != strlen(w->id))
+		return cq_error_set(err, CQ_ERROR_STATE, CQ_ERR_INVALID,
+				    "id \"%s\" is not 16 hexadecimal digits",
+				    w->id);
+	if (!w->spec || strlen(w->spec) > CQ_WORKLOAD_SPEC_BYTES)
+		return cq_error_set(err, CQ_ERROR_STATE, CQ_ERR_INVALID,
+				    "spec is missing or longer than %d bytes",
+				    CQ_WORKLOAD_SPEC_BYTES);
+	if (!w->step_count || w->step_count > CQ_WORKLOAD_MAX_STEPS)
+		return cq_error_set(err, CQ_ERROR_STATE, CQ_ERR_INVALID,
+				    "%u steps; allowed are 1 to %d",
+				    w->step_count, CQ_WORKLOAD_MAX_STEPS);
+	for (i = 0; i < w->step_count; i++) {
+		if (!check_step(w, i, err))
+			return false;
+		tasks += w->steps[i].tasks;
+	}
+	if (tasks > CQ_WORKLOAD_MAX_TASKS)
+		return cq_error_set(err, CQ_ERROR_STATE, CQ_ERR_LIMIT,
+				    "%" PRIu64 " tasks; at most %d are allowed",
+				    tasks, CQ_WORKLOAD_MAX_TASKS);
+	return true;
+}
+
+static void set_flag(json_t *object, const char *name, bool value)
+{
+	if (value)
+		json_object_set_new(object, name, json_true());
+}
+
+static void set_number(json_t *object, const char *name, int64_t value)
+{
+	if (value)
+		json_object_set_new(object, name,
+				    json_integer((json_int_t)value));
+}
+
+static void set_text(json_t *object, const char *name, const char *value)
+{
+	if (*value)
+		json_object_set_new(object, name, json_string(value));
+}
+
+static json_t *format_step(const struct cq_workload_step *step)
+{
+	json_t *object = json_object();
+
+	set_number(object, "tasks", step->tasks);
+	set_number(object, "cpu", step->cpu_millicores);
+	set_number(object, "memory_mb", step->memory_mb);
+	set_number(object, "accelerators", step->accelerators);
+	set_number(object, "estimate_ms", step->estimate_ms);
+	set_number(object, "after", (int64_t)step->after);
+	set_flag(object, "gang", step->gang);
+	set_flag(object, "same_rack", step->same_rack);
+	set_flag(object, "checkpointing", step->checkpointing);
+	set_flag(object, "allow_duplicates", step->allow_duplicates);
+	set_flag(object, "long_running", step->long_running);
+	set_flag(object, "fills", step->fills);
+	set_number(object, "max_per_worker", step->max_per_worker);
+	set_number(object, "max_unavailable", step->max_unavailable);
+	set_number(object, "target_ms", step->target_ms);
+	set_text(object, "required_label", step->required_label);
+	set_text(object, "data_rack", step->data_rack);
+	set_text(object, "image", step->image);
+	return object;
+}
+
+char *cq_workload_format(const struct cq_workload *w)
+{
+	json_t *steps = json_array();
+	json_t *object;
+	char *text;
+	uint32_t i;
+
+	for (i = 0; i < w->step_count; i++)
+		json_array_append_new(steps, format_step(&w->steps[i]));
+	object = json_pack("{s:s,s:s,s:s,s:s,s:o}", "id", w->id, "queue",
+			   w->queue, "workspace", w->workspace, "spec", w->spec,
+			   "steps", steps);
+	set_number(object, "occurrences", w->occurrences);
+	set_number(object, "first_run_ms", w->first_run_ms);
+	set_number(object, "interval_ms", w->interval_ms);
+	set_number(object, "accepted_ms", w->accepted_ms);
+	set_flag(object, "cancelled", w->cancelled);
+	text = json_dumps(object, JSON_COMPACT);
+	json_decref(object);
+	return text;
+}
+
+static void read_text(const json_t *object, const char *name, char *out,
+		      size_t out_bytes)
+{
+	const char *text = json_string_value(json_object_get(object, name));
+
+	g_strlcpy(out, text ? text : "", out_bytes);
+}
+
+static int64_t read_number(const json_t *object, const char *name)
+{
+	return json_integer_value(json_object_get(object, name));
+}
+
+static void parse_step(const json_t *object, struct cq_workload_step *step)
+{
+	step->tasks = (uint32_t)read_number(object, "tasks");
+	step->cpu_millicores = (uint32_t)read_number(object, "cpu");
+	step->memory_mb = (uint32_t)read_number(object, "memory_mb");
+	step->accelerators = (uint32_t)read_number(object, "accelerators");
+	step->estimate_ms = read_number(object, "estimate_ms");
+	step->after = (uint64_t)read_number(object, "after");
+	step->gang = json_is_true(json_object_get(object, "gang"));
+	step->same_rack = json_is_true(json_object_get(object, "same_rack"));
+	step->checkpointing =
+		json_is_true(json_object_get(object, "checkpointing"));
+	step->allow_duplicates =
+		json_is_true(json_object_get(object, "allow_duplicates"));
+	step->long_running =
+		json_is_true(json_object_get(object, "long_running"));
+	step->fills = json_is_true(json_object_get(object, "fills"));
+	step->max_per_worker = (uint32_t)read_number(object, "max_per_worker");
+	step->max_unavailable =
+		(uint32_t)read_number(object, "max_unavailable");
+	step->target_ms = (uint32_t)read_number(object, "target_ms");
+	read_text(object, "required_label", step->required_label,
+		  sizeof(step->required_label));
+	read_text(object, "data_rack", step->data_rack,
+		  sizeof(step->data_rack));
+	read_text(object, "image", step->image, sizeof(step->image));
+}
+
+struct cq_workload *cq_workload_parse(const char *json, size_t len,
+				      struct cq_error *err)
+{
+	json_t *root = json_loadb(json, len, 0, NULL);
+	const json_t *steps = json_object_get(root, "steps");
+	struct cq_workload *w;
+	uint32_t i;
+
+	if (!json_is_object(root) || !json_is_array(steps)) {
+		json_decref(root);
+		cq_error_set(err, CQ_ERROR_STATE, CQ_ERR_INVALID,
+			     "not a JSON object with steps");
+		return NULL;
+	}
+	w = cq_workload_create();
+	read_text(root, "id", w->id, sizeof(w->id));
+	read_text(root, "queue", w->queue, sizeof(w->queue));
+	read_text(root, "workspace", w->workspace, sizeof(w->workspace));
+	w->spec = g_strdup(json_string_value(json_object_get(root, "spec")));
+	w->step_count = (uint32_t)json_array_size(steps);
+	w->steps = g_new0(struct cq_workload_step, w->step_count);
+	for (i = 0; i < w->step_count; i++)
+		parse_step(json_array_get(steps, i), &w->steps[i]);
+	w->occurrences = (uint32_t)read_number(root, "occurrences");
+	w->first_run_ms = read_number(root, "first_run_ms");
+	w->interval_ms = read_number(root, "interval_ms");
+	w->accepted_ms = read_number(root, "accepted_ms");
+	w->cancelled = json_is_true(json_object_get(root, "cancelled"));
+	json_decref(root);
+	if (!cq_workload_check(w, err)) {
+		cq_workload_destroy(w);
+		return NULL;
+	}
+	return w;
+}
