--- a/include/chestnutquay/log.h
+++ b/include/chestnutquay/log.h
@@ -42,7 +42,7 @@
 void cq_log_event(enum cq_log_level level, const char *event, const char *fmt,
 		  ...);
 
-#define CQ_LOG_BURST 50
+#define CQ_LOG_BURST 1000
 #define CQ_LOG_WINDOW_NS INT64_C(10000000000)
 
 #endif
--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -308,7 +308,9 @@
 			cq_batch_state_string(batch->state), "took_ms",
 			(json_int_t)((batch->ended_ns - batch->accepted_ns) /
 				     CQ_NS_PER_MS));
-		dispatcher_stop_batch(d, batch, "the job has ended");
+		/* The members of a gang that is done end by themselves. */
+		if (batch->state != CQ_BATCH_COMPLETED)
+			dispatcher_stop_batch(d, batch, "the job has ended");
 	} else if (stage->step->gang && how != CQ_RUN_DONE &&
 		   !cq_stage_done(stage)) {
 		stop_members(d, stage, "a member of the gang ended");
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -94,6 +94,8 @@
 void dispatcher_store_open(struct cq_dispatcher *d, int64_t head_revision);
 void dispatcher_store_close(struct cq_dispatcher *d);
 void dispatcher_write_pending(struct cq_dispatcher *d);
+/* All accepted workloads and their progress have been read. */
+bool dispatcher_loaded(const struct cq_dispatcher *d);
 
 /* dispatcher_links.c */
 struct link *link_create(struct cq_dispatcher *d,
--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -92,7 +92,7 @@
 		return;
 	link->clock_ms = clock_ms;
 	link->clock_ns = link->last_answer_ns;
-	if (link->fenced)
+	if (link->lease_end_ms)
 		update_lapse(link);
 }
 
@@ -161,13 +161,12 @@
 	if (!link)
 		return;
 	if (link->worker->runs->len && now_ns > link->lapse_ns &&
-	    link->hold_failed)
+	    (link->hold_failed || !link->worker->listing.address[0]))
 		lose_runs(link, "the lease has lapsed");
-	if (link->worker->runs->len && !link->worker->listed &&
-	    now_ns > link->lapse_ns)
-		lose_runs(link, "the worker is gone and its lease has lapsed");
-	if (link->hold_in_flight || now_ns < link->next_hold_ns ||
-	    !needs_hold(link) || !link->d->ops->may_order(link->d->ctx))
+	/* Ends must not be taken over before the jobs are known. */
+	if (!dispatcher_loaded(link->d) || link->hold_in_flight ||
+	    now_ns < link->next_hold_ns || !needs_hold(link) ||
+	    !link->d->ops->may_order(link->d->ctx))
 		return;
 	send_hold(link, now_ns);
 }
--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -193,7 +193,7 @@
 {
 	char name[CQ_TASK_NAME_BYTES];
 
-	if (task->stopping)
+	if (task->phase == CQ_RUN_NONE || task->stopping)
 		return;
 	cq_task_name(task, name);
 	cq_log_event(CQ_LOG_INFO, "stop_ordered", "{s:s,s:s,s:i,s:s,s:s}", "id",
--- a/src/coordination/dispatcher_plan.c
+++ b/src/coordination/dispatcher_plan.c
@@ -190,8 +190,7 @@
 	gpointer value;
 	guint i;
 
-	if (!d->config || !d->workloads || !cq_follower_synced(d->workloads) ||
-	    !d->ops->may_order(d->ctx))
+	if (!d->config || !dispatcher_loaded(d) || !d->ops->may_order(d->ctx))
 		goto done;
 	g_hash_table_iter_init(&iter, d->pool->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -84,6 +84,11 @@
 	g_hash_table_destroy(d->progress);
 }
 
+bool dispatcher_loaded(const struct cq_dispatcher *d)
+{
+	return d->workloads && cq_follower_synced(d->workloads);
+}
+
 static void on_worker(void *ctx, const struct cq_store_entry *entry)
 {
 	struct cq_dispatcher *d = ctx;
@@ -362,7 +367,7 @@
 			read_progress(d);
 		return;
 	}
-	if (!cq_follower_synced(d->workloads) || d->next_pending_ns < 0 ||
+	if (!dispatcher_loaded(d) || d->next_pending_ns < 0 ||
 	    dispatcher_now_ns(d) < d->next_pending_ns)
 		return;
 	counts = json_object();
--- a/src/coordination/journal.c
+++ b/src/coordination/journal.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <string.h>
+#include <stdio.h>
 
 #include "chestnutquay/leader.h"
 #include "chestnutquay/log.h"
@@ -113,6 +114,7 @@
 	send_txn(j);
 }
 
+static char dbg[4000];
 static void send_txn(struct cq_journal *j)
 {
 	char *head = cq_leader_format_head(j->epoch, j->sequence);
@@ -127,6 +129,8 @@
 	};
 	uint32_t i;
 
+	snprintf(dbg + strlen(dbg), sizeof(dbg) - strlen(dbg), "[S %p %d e%d]",
+		 (void *)j, (int)j->sequence, (int)j->head_revision);
 	puts[txn.put_count++] = (struct cq_store_put){ j->head_key, head, 0 };
 	for (i = 0; i < j->record_count; i++) {
 		const struct cq_journal_record *record = &j->records[i];
@@ -166,13 +170,29 @@
 		if (!entry->value || strcmp(entry->key, j->head_key) ||
 		    !cq_leader_parse_head(entry->value, &epoch, &sequence))
 			continue;
-		if (epoch == j->epoch && sequence == j->sequence) {
+		if (epoch != j->epoch)
+			continue;
+		if (sequence == j->sequence) {
 			finish(j, entry->revision);
 			return;
 		}
+		/*
+		 * The revision in an answer is the store's and may be later
+		 * than that of the head key.
+		 */
+		if (sequence + 1 == j->sequence) {
+			j->head_revision = entry->revision;
+			send_txn(j);
+			return;
+		}
 	}
-	cq_log_event(CQ_LOG_WARN, "journal_superseded", "{s:I,s:I}", "epoch",
-		     (json_int_t)j->epoch, "now", (json_int_t)epoch);
+	if (epoch == j->epoch)
+		cq_log_event(CQ_LOG_WARN, dbg, NULL);
+	cq_log_event(CQ_LOG_WARN, "journal_superseded", "{s:I,s:I,s:I,s:I,s:I}",
+		     "epoch", (json_int_t)j->epoch, "now", (json_int_t)epoch,
+		     "sequence", (json_int_t)j->sequence, "sequence_now",
+		     (json_int_t)sequence, "expected_revision",
+		     (json_int_t)j->head_revision);
 	j->stopped = true;
 	j->ops->superseded(j->ctx);
 }
@@ -182,6 +202,10 @@
 	struct cq_journal *j = ctx;
 
 	j->call = NULL;
+	snprintf(dbg + strlen(dbg), sizeof(dbg) - strlen(dbg),
+		 "[D %d %s r%d n%d]", (int)j->sequence,
+		 cq_store_status_string(result->status), (int)result->revision,
+		 (int)result->entry_count);
 	switch (result->status) {
 	case CQ_STORE_OK:
 		finish(j, result->revision);
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -44,6 +44,7 @@
 	char *holder_value; /* as seen; NULL: absent */
 	int64_t holder_revision;
 	int64_t head_revision;
+	int64_t expected_revision; /* of the holder key, when it stands */
 	int64_t epoch;
 	int64_t lease_id;
 	int64_t sent_ns;
@@ -58,7 +59,10 @@
 static void on_grant(void *ctx, const struct cq_store_result *result);
 static void send_read(struct cq_leader *l);
 static void on_read(void *ctx, const struct cq_store_result *result);
+static void end_unused_lease(struct cq_leader *l);
+static void on_lease_ended(void *ctx, const struct cq_store_result *result);
 static void send_acquire(struct cq_leader *l);
+static void resend_acquire(struct cq_leader *l);
 static void on_acquire(void *ctx, const struct cq_store_result *result);
 static void begin_lead(struct cq_leader *l, int64_t head_revision);
 static bool find_own(struct cq_leader *l, const struct cq_store_result *result,
@@ -275,14 +279,42 @@
 		return;
 	}
 	l->epoch++;
-	send_acquire(l);
+	/* Somebody else may have been elected meanwhile. */
+	if (may_stand(l)) {
+		send_acquire(l);
+		return;
+	}
+	l->step = STEP_FOLLOW;
+	end_unused_lease(l);
+}
+
+static void on_lease_ended(void *ctx, const struct cq_store_result *result)
+{
+	struct cq_leader *l = ctx;
+
+	(void)result;
+	l->call = NULL;
+	consider(l);
+}
+
+static void end_unused_lease(struct cq_leader *l)
+{
+	l->call = l->store->ops->lease_revoke(l->store->self, l->lease_id,
+					      l->call_timeout_ms,
+					      on_lease_ended, l);
 }
 
 static void send_acquire(struct cq_leader *l)
+{
+	l->expected_revision = l->holder_value ? l->holder_revision : 0;
+	resend_acquire(l);
+}
+
+static void resend_acquire(struct cq_leader *l)
 {
 	char *head = cq_leader_format_head(l->epoch, 0);
 	const struct cq_store_check checks[] = {
-		{ l->holder_key, l->holder_value ? l->holder_revision : 0 },
+		{ l->holder_key, l->expected_revision },
 		{ l->head_key, l->head_revision },
 	};
 	const struct cq_store_put puts[] = {
@@ -338,13 +370,14 @@
 		begin_lead(l, head_revision);
 		return;
 	}
+	/* The checks make a repeat harmless, whoever was elected. */
 	if (result->status == CQ_STORE_UNKNOWN &&
 	    cq_clock_now_ns(l->clock) < l->deadline_ns) {
-		send_acquire(l);
+		resend_acquire(l);
 		return;
 	}
 	l->step = STEP_FOLLOW;
-	schedule(l, RETRY_S);
+	end_unused_lease(l);
 }
 
 static void begin_lead(struct cq_leader *l, int64_t head_revision)
@@ -405,14 +438,6 @@
 		step_down(l, "a later epoch has begun");
 }
 
-static void on_resigned(void *ctx, const struct cq_store_result *result)
-{
-	struct cq_leader *l = ctx;
-
-	(void)result;
-	l->call = NULL;
-}
-
 void cq_leader_resign(struct cq_leader *l)
 {
 	bool led = l->step == STEP_LEAD;
@@ -427,7 +452,7 @@
 		l->call = l->store->ops->lease_revoke(l->store->self,
 						      l->lease_id,
 						      l->call_timeout_ms,
-						      on_resigned, l);
+						      on_lease_ended, l);
 	cq_log_event(CQ_LOG_INFO, "leader_resigned", "{s:b}", "led", led);
 }
 
