--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -273,6 +273,7 @@
 		if (!task->started_ns)
 			task->started_ns = now_ns;
 		task->phase = CQ_RUN_CONFIRMED;
+		task->confirmed_ns = now_ns;
 		task->load = row->load;
 		cq_task_checkpoint(task, row->checkpoint);
 	}
@@ -316,7 +317,7 @@
 		if (task->phase == CQ_RUN_RESTORED)
 			gone = true;
 		else if (task->phase == CQ_RUN_CONFIRMED)
-			gone = task->ordered_ns < link->hold_sent_ns &&
+			gone = task->confirmed_ns < link->hold_sent_ns &&
 			       !task->start_in_flight;
 		if (task->stop_answered &&
 		    task->stop_answered_ns < link->hold_sent_ns)
--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -146,14 +146,16 @@
 	task->start_in_flight = false;
 	switch (report->answer) {
 	case CQ_EXECUTOR_OK:
-		if (!task->started_ns)
-			task->started_ns = dispatcher_now_ns(d);
 		task->phase = CQ_RUN_CONFIRMED;
+		task->confirmed_ns = dispatcher_now_ns(d);
+		if (!task->started_ns)
+			task->started_ns = task->confirmed_ns;
 		link_tick(task->worker->link, dispatcher_now_ns(d));
 		break;
 	case CQ_EXECUTOR_OLD_RUN:
 		/* It has ended there; the worker lists the end. */
 		task->phase = CQ_RUN_CONFIRMED;
+		task->confirmed_ns = dispatcher_now_ns(d);
 		break;
 	case CQ_EXECUTOR_LATE:
 		break; /* repeated with a later lease end */
--- a/src/coordination/journal.c
+++ b/src/coordination/journal.c
@@ -3,7 +3,6 @@
 #include <glib.h>
 #include <jansson.h>
 #include <string.h>
-#include <stdio.h>
 
 #include "chestnutquay/leader.h"
 #include "chestnutquay/log.h"
@@ -93,7 +92,9 @@
 
 void cq_journal_wake(struct cq_journal *j)
 {
-	if (j->stopped || j->call || ev_is_active(&j->timer))
+	/* A timer that has expired is pending, and no longer active. */
+	if (j->stopped || j->call || ev_is_active(&j->timer) ||
+	    ev_is_pending(&j->timer))
 		return;
 	schedule(j, COLLECT_S);
 }
@@ -104,6 +105,8 @@
 
 	(void)loop;
 	(void)events;
+	if (j->call)
+		return;
 	if (!j->record_count) {
 		j->record_count = j->ops->collect(j->ctx, j->records,
 						  CQ_JOURNAL_MAX_RECORDS);
@@ -114,7 +117,6 @@
 	send_txn(j);
 }
 
-static char dbg[4000];
 static void send_txn(struct cq_journal *j)
 {
 	char *head = cq_leader_format_head(j->epoch, j->sequence);
@@ -129,8 +131,6 @@
 	};
 	uint32_t i;
 
-	snprintf(dbg + strlen(dbg), sizeof(dbg) - strlen(dbg), "[S %p %d e%d]",
-		 (void *)j, (int)j->sequence, (int)j->head_revision);
 	puts[txn.put_count++] = (struct cq_store_put){ j->head_key, head, 0 };
 	for (i = 0; i < j->record_count; i++) {
 		const struct cq_journal_record *record = &j->records[i];
@@ -186,8 +186,6 @@
 			return;
 		}
 	}
-	if (epoch == j->epoch)
-		cq_log_event(CQ_LOG_WARN, dbg, NULL);
 	cq_log_event(CQ_LOG_WARN, "journal_superseded", "{s:I,s:I,s:I,s:I,s:I}",
 		     "epoch", (json_int_t)j->epoch, "now", (json_int_t)epoch,
 		     "sequence", (json_int_t)j->sequence, "sequence_now",
@@ -202,10 +200,6 @@
 	struct cq_journal *j = ctx;
 
 	j->call = NULL;
-	snprintf(dbg + strlen(dbg), sizeof(dbg) - strlen(dbg),
-		 "[D %d %s r%d n%d]", (int)j->sequence,
-		 cq_store_status_string(result->status), (int)result->revision,
-		 (int)result->entry_count);
 	switch (result->status) {
 	case CQ_STORE_OK:
 		finish(j, result->revision);
