--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -200,7 +200,8 @@
 	if (link->fenced && !link->hold_failed && !link->unacknowledged->len)
 		hold.wait_ms = is_shared(link->worker) ? HOLD_WAIT_SHARED_MS
 						       : HOLD_WAIT_MS;
-	if (link->fenced && link->worker->runs->len)
+	/* A worker that is silent gets no longer lease, so that it lapses. */
+	if (link->fenced && !link->hold_failed && link->worker->runs->len)
 		hold.lease_end_ms = link_grant(link);
 	call->d = d;
 	g_strlcpy(call->worker, link->worker->listing.id, sizeof(call->worker));
