--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -219,6 +219,13 @@
 	struct cq_task *task = find_ordered(call);
 
 	note_answer(call, report);
+	if (report->answer != CQ_EXECUTOR_OK)
+		cq_log_event(CQ_LOG_INFO, "stop_answered",
+			     "{s:s,s:i,s:s,s:s,s:s}", "task", call->task,
+			     "run", (int)call->run, "worker", call->worker,
+			     "answer",
+			     cq_executor_answer_string(report->answer),
+			     "error", report->message);
 	g_free(call);
 	if (report->answer == CQ_EXECUTOR_FENCED) {
 		d->ops->superseded(d->ctx);
@@ -230,9 +237,11 @@
 	if (report->answer != CQ_EXECUTOR_OK &&
 	    report->answer != CQ_EXECUTOR_OLD_RUN)
 		return;
+	/* The first answer counts: the run cannot start after it. */
+	if (!task->stop_answered)
+		task->stop_answered_ns = dispatcher_now_ns(d);
 	task->stop_answered = true;
-	task->stop_answered_ns = dispatcher_now_ns(d);
-	link_tick(task->worker->link, task->stop_answered_ns);
+	link_tick(task->worker->link, dispatcher_now_ns(d));
 }
 
 static void on_stray_stop(void *ctx, const struct cq_executor_report *report)
