Place gangs in one rack, pack racks, make room in one rack

Gangs that are to be in one rack wait for it unless none could hold them; the rest packs the fullest racks; gangs that are not urgent may stop runs that lose little after 0.5 s.

--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -56,8 +56,8 @@
 	struct cq_pool_worker *worker;
 	uint64_t recorded_version; /* of the batch, when it is RECORDING */
 	int64_t ordered_ns;	   /* last start sent */
-	int64_t confirmed_ns;	   /* the start was answered, or it was listed */
-	int64_t started_ns;	   /* first of them */
+	int64_t confirmed_ns; /* the start was answered, or it was listed */
+	int64_t started_ns;   /* first of them */
 	/* A start was sent that got no answer: it may be executed later. */
 	bool start_unanswered;
 	bool start_in_flight;
--- a/include/chestnutquay/placement.h
+++ b/include/chestnutquay/placement.h
@@ -1,5 +1,6 @@
 /*
- * Where the waiting tasks of a stage go. Pure functions over the pool.
+ * Where the waiting tasks of a stage go, and which runs give way to them. Pure
+ * functions over the pool.
  */
 #ifndef CHESTNUTQUAY_PLACEMENT_H
 #define CHESTNUTQUAY_PLACEMENT_H
@@ -16,32 +17,47 @@
 	struct cq_pool_worker *worker;
 };
 
+struct cq_placement {
+	const struct cq_pool *pool;
+	const struct cq_stage *stage;
+	const char *service;
+	int64_t now_ns;
+	/*
+	 * The stage fills the fullest racks first, so that whole racks stay
+	 * free for gangs.
+	 */
+	bool pack_racks;
+};
+
+/* To be called before the placements of one plan. */
+void cq_placement_prepare(const struct cq_pool *pool);
+
 /*
  * Places waiting tasks of the stage on usable workers of the service and adds
  * an assignment for each; the caller books them. A gang is placed as a whole
- * or not at all. Returns the number of tasks placed.
+ * or not at all, and one that is to be in one rack only there, unless no rack
+ * could ever hold it. Returns the number of tasks placed.
  */
-uint32_t cq_placement_find(const struct cq_pool *pool,
-			   const struct cq_stage *stage, const char *service,
-			   int64_t now_ns, GArray *assignments);
+uint32_t cq_placement_find(const struct cq_placement *p, GArray *assignments);
 
-/*
- * The cheapest runs of lower priority that have to end so that the waiting
- * tasks of the stage fit. Runs that are being stopped count as gone. Reserves
- * the workers for the stage and adds the victims (struct cq_task) to the
- * array; none if what is being stopped is enough. False if even stopping all
- * of them would not make room.
- */
+/* Which runs may be stopped for others. */
 struct cq_placement_victims {
 	/* Priority of the queue of a batch; higher numbers give way. */
 	uint32_t (*priority)(void *ctx, const struct cq_batch *batch);
 	void *ctx;
 	uint32_t own_priority;
-	int64_t now_ns;
+	/* Runs that would lose more core-seconds of work are not stopped. */
+	double max_loss_core_s;
 };
 
-bool cq_placement_make_room(const struct cq_pool *pool,
-			    const struct cq_stage *stage, const char *service,
+/*
+ * The cheapest runs of lower priority that have to end so that the waiting
+ * tasks of the stage fit. Runs that are being stopped count as gone. Reserves
+ * the workers for the stage and adds the victims (struct cq_task) to the
+ * array; none if what is being stopped is enough. False if even stopping all
+ * of them would not make room.
+ */
+bool cq_placement_make_room(const struct cq_placement *p,
 			    const struct cq_placement_victims *victims,
 			    GPtrArray *out);
 
--- a/include/chestnutquay/pool.h
+++ b/include/chestnutquay/pool.h
@@ -25,8 +25,9 @@
 	int64_t free_accelerators;
 	/* Ends "failed" here without an end "done" between them. */
 	uint32_t failure_streak;
-	int64_t avoid_until_ns; /* no new runs before */
-	uint32_t placing;	/* tasks of the placement under way */
+	int64_t avoid_until_ns;		/* no new runs before */
+	int64_t rack_free_accelerators; /* when the plan began */
+	uint32_t placing;		/* tasks of the placement under way */
 	/* Kept for this stage; no other run is put here. */
 	const void *reserved_for;
 	void *link; /* of the dispatcher */
--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -221,11 +221,10 @@
 	note_answer(call, report);
 	if (report->answer != CQ_EXECUTOR_OK)
 		cq_log_event(CQ_LOG_INFO, "stop_answered",
-			     "{s:s,s:i,s:s,s:s,s:s}", "task", call->task,
-			     "run", (int)call->run, "worker", call->worker,
-			     "answer",
-			     cq_executor_answer_string(report->answer),
-			     "error", report->message);
+			     "{s:s,s:i,s:s,s:s,s:s}", "task", call->task, "run",
+			     (int)call->run, "worker", call->worker, "answer",
+			     cq_executor_answer_string(report->answer), "error",
+			     report->message);
 	g_free(call);
 	if (report->answer == CQ_EXECUTOR_FENCED) {
 		d->ops->superseded(d->ctx);
--- a/src/coordination/dispatcher_plan.c
+++ b/src/coordination/dispatcher_plan.c
@@ -8,6 +8,10 @@
 
 /* Objective of jobs without an estimate. */
 #define DEFAULT_ESTIMATE_MS 5000
+/* A gang that is not urgent waits this long before it stops others. */
+#define GANG_PATIENCE_NS (INT64_C(500) * CQ_NS_PER_MS)
+/* It stops only runs that lose less. */
+#define GANG_LOSS_CORE_S 15.0
 
 /* A stage that could start, with what its order depends on. */
 struct ready_stage {
@@ -25,8 +29,11 @@
 static gint by_rank(gconstpointer a, gconstpointer b);
 static void assign(struct cq_dispatcher *d, const struct ready_stage *ready,
 		   GArray *assignments);
-static void make_room(struct cq_dispatcher *d, const struct ready_stage *ready,
-		      int64_t now_ns);
+static void make_room(struct cq_dispatcher *d, const struct cq_placement *p,
+		      const struct ready_stage *ready);
+static bool may_preempt(const struct ready_stage *r, int64_t now_ns);
+static void start_stage(struct cq_dispatcher *d, const struct ready_stage *r,
+			GArray *assignments, int64_t now_ns);
 static uint32_t priority_of(void *ctx, const struct cq_batch *batch);
 
 static bool worker_usable(const struct cq_dispatcher *d,
@@ -158,28 +165,56 @@
 	return queue ? queue->priority : 0;
 }
 
-static void make_room(struct cq_dispatcher *d, const struct ready_stage *ready,
-		      int64_t now_ns)
+static void make_room(struct cq_dispatcher *d, const struct cq_placement *p,
+		      const struct ready_stage *ready)
 {
 	const struct cq_placement_victims victims = {
 		.priority = priority_of,
 		.ctx = d,
 		.own_priority = ready->queue->priority,
-		.now_ns = now_ns,
+		.max_loss_core_s = ready->queue->priority ? GANG_LOSS_CORE_S
+							  : G_MAXDOUBLE,
 	};
 	GPtrArray *out = g_ptr_array_new();
 	guint i;
 
-	if (cq_placement_make_room(d->pool, ready->stage, ready->queue->service,
-				   &victims, out))
+	if (cq_placement_make_room(p, &victims, out))
 		for (i = 0; i < out->len; i++) {
 			cq_counter_add(d->preemptions, 1);
 			order_stop(d, g_ptr_array_index(out, i),
-				   "urgent work needs the room");
+				   "more urgent work needs the room");
 		}
 	g_ptr_array_unref(out);
 }
 
+/* Urgent work at once; gangs of the middle once they have waited. */
+static bool may_preempt(const struct ready_stage *r, int64_t now_ns)
+{
+	if (!cq_stage_waiting(r->stage))
+		return false;
+	return r->queue->priority == 0 ||
+	       (r->stage->step->gang &&
+		now_ns - r->stage->ready_ns > GANG_PATIENCE_NS);
+}
+
+static void start_stage(struct cq_dispatcher *d, const struct ready_stage *r,
+			GArray *assignments, int64_t now_ns)
+{
+	const struct cq_placement p = {
+		.pool = d->pool,
+		.stage = r->stage,
+		.service = r->queue->service,
+		.now_ns = now_ns,
+		.pack_racks = r->queue->priority > 0,
+	};
+
+	g_array_set_size(assignments, 0);
+	if (cq_placement_find(&p, assignments))
+		assign(d, r, assignments);
+	if (may_preempt(r, now_ns))
+		make_room(d, &p, r);
+}
+
 void dispatcher_plan(struct cq_dispatcher *d)
 {
 	GArray *ready = g_array_new(FALSE, TRUE, sizeof(struct ready_stage));
@@ -199,19 +234,12 @@
 		worker->usable = worker_usable(d, worker, now_ns);
 		worker->reserved_for = NULL;
 	}
+	cq_placement_prepare(d->pool);
 	collect_ready(d, ready);
 	g_array_sort(ready, by_rank);
-	for (i = 0; i < ready->len; i++) {
-		const struct ready_stage *r =
-			&g_array_index(ready, struct ready_stage, i);
-
-		g_array_set_size(assignments, 0);
-		if (cq_placement_find(d->pool, r->stage, r->queue->service,
-				      now_ns, assignments))
-			assign(d, r, assignments);
-		if (cq_stage_waiting(r->stage) && r->queue->priority == 0)
-			make_room(d, r, now_ns);
-	}
+	for (i = 0; i < ready->len; i++)
+		start_stage(d, &g_array_index(ready, struct ready_stage, i),
+			    assignments, now_ns);
 done:
 	g_array_unref(ready);
 	g_array_unref(assignments);
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -2,53 +2,34 @@
 
 #include <string.h>
 
-#include "chestnutquay/clock.h"
+#include "state/placement_internal.h"
 
-/* A GPU counts as this many cores in the work that a stop throws away. */
-#define CORES_PER_ACCELERATOR 8
-/* Work that a checkpointing task loses by a stop. */
-#define CHECKPOINT_LOSS_NS (CQ_NS_PER_S / 2)
 /* Weights of the preference for a worker; lower sums are better. */
 #define PENALTY_OTHER_RACK 1000000
 #define PENALTY_FAILING 200000
 #define PENALTY_COLD 50000
 #define PENALTY_DISTURBS 20000
-#define MB_PER_ACCELERATOR 65536
+#define RACK_WEIGHT 4
+#define PERMILLE 1000
 
-struct room {
-	int64_t cpu, memory, accelerators;
-};
-
-struct candidate {
-	struct cq_pool_worker *worker;
-	GPtrArray *victims;
-	uint32_t tasks;
-	double cost;
-};
-
-static bool allows(const struct cq_pool_worker *worker,
-		   const struct cq_stage *stage, const char *service);
 static uint32_t runs_of_stage(const struct cq_pool_worker *worker,
 			      const struct cq_stage *stage);
-static int64_t penalty(const struct cq_pool_worker *worker,
-		       const struct cq_stage *stage, int64_t now_ns);
-static struct cq_pool_worker *best_worker(const GPtrArray *workers,
-					  const struct cq_stage *stage,
-					  int64_t now_ns);
-static uint32_t place(const GPtrArray *workers, const struct cq_stage *stage,
-		      int64_t now_ns, GArray *assignments);
+static bool disturbs(const struct cq_pool_worker *worker,
+		     const struct cq_stage *stage);
+static int64_t penalty(const struct cq_placement *p,
+		       const struct cq_pool_worker *worker);
+static struct cq_pool_worker *best_worker(const struct cq_placement *p,
+					  const GPtrArray *workers);
 static void book(struct cq_pool_worker *worker, const struct cq_stage *stage,
 		 int sign);
-static GPtrArray *select_workers(const struct cq_pool *pool,
-				 const struct cq_stage *stage,
-				 const char *service, const char *rack);
 static void undo(const struct cq_stage *stage, GArray *assignments, guint from);
-static GPtrArray *racks_by_room(const struct cq_pool *pool,
-				const struct cq_stage *stage,
-				const char *service);
-static bool place_in_one_rack(const struct cq_pool *pool,
-			      const struct cq_stage *stage, const char *service,
-			      int64_t now_ns, GArray *assignments);
+static uint32_t place(const struct cq_placement *p, const GPtrArray *workers,
+		      GArray *assignments);
+static gint by_free_room(gconstpointer a, gconstpointer b);
+static bool place_in_one_rack(const struct cq_placement *p,
+			      const GPtrArray *racks, GArray *assignments);
+static bool rack_could_hold(const struct cq_placement *p,
+			    const GPtrArray *workers);
 
 static uint32_t runs_of_stage(const struct cq_pool_worker *worker,
 			      const struct cq_stage *stage)
@@ -65,12 +46,76 @@
 }
 
 /* Everything but the room. */
-static bool allows(const struct cq_pool_worker *worker,
-		   const struct cq_stage *stage, const char *service)
+bool placement_allows(const struct cq_placement *p,
+		      const struct cq_pool_worker *worker)
+{
+	return worker->usable && !strcmp(worker->listing.service, p->service) &&
+	       (!worker->reserved_for || worker->reserved_for == p->stage) &&
+	       cq_pool_has_label(worker, p->stage->step->required_label);
+}
+
+GPtrArray *placement_workers(const struct cq_placement *p)
+{
+	GPtrArray *workers = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, p->pool->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (placement_allows(p, value))
+			g_ptr_array_add(workers, value);
+	return workers;
+}
+
+GPtrArray *placement_racks(const GPtrArray *workers)
 {
-	return worker->usable && !strcmp(worker->listing.service, service) &&
-	       (!worker->reserved_for || worker->reserved_for == stage) &&
-	       cq_pool_has_label(worker, stage->step->required_label);
+	GPtrArray *racks = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)g_ptr_array_unref);
+	GHashTable *by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	guint i;
+
+	for (i = 0; i < workers->len; i++) {
+		struct cq_pool_worker *worker = g_ptr_array_index(workers, i);
+		GPtrArray *rack =
+			g_hash_table_lookup(by_name, worker->listing.rack);
+
+		if (!rack) {
+			rack = g_ptr_array_new();
+			g_hash_table_insert(by_name, worker->listing.rack,
+					    rack);
+			g_ptr_array_add(racks, rack);
+		}
+		g_ptr_array_add(rack, worker);
+	}
+	g_hash_table_destroy(by_name);
+	return racks;
+}
+
+void cq_placement_prepare(const struct cq_pool *pool)
+{
+	GHashTable *free_in = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct cq_pool_worker *worker = value;
+		int64_t sum = GPOINTER_TO_INT(
+			g_hash_table_lookup(free_in, worker->listing.rack));
+
+		if (worker->usable)
+			sum += worker->free_accelerators;
+		g_hash_table_insert(free_in, (gpointer)worker->listing.rack,
+				    GINT_TO_POINTER((gint)sum));
+	}
+	g_hash_table_iter_init(&iter, pool->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct cq_pool_worker *worker = value;
+
+		worker->rack_free_accelerators = GPOINTER_TO_INT(
+			g_hash_table_lookup(free_in, worker->listing.rack));
+	}
+	g_hash_table_destroy(free_in);
 }
 
 static bool disturbs(const struct cq_pool_worker *worker,
@@ -89,29 +134,45 @@
 	return false;
 }
 
-static int64_t penalty(const struct cq_pool_worker *worker,
-		       const struct cq_stage *stage, int64_t now_ns)
+static int64_t permille(int64_t left, int64_t of)
 {
-	const struct cq_workload_step *step = stage->step;
-	int64_t left_mb = worker->free_memory_mb - step->memory_mb;
-	int64_t left = worker->free_accelerators - step->accelerators;
-	int64_t sum = left * 100 + left_mb * 10 / MB_PER_ACCELERATOR;
+	return of > 0 ? left * PERMILLE / of : 0;
+}
 
-	if (step->data_rack[0] && strcmp(step->data_rack, worker->listing.rack))
+/* Leaves little room on the worker, and other racks whole. */
+static int64_t penalty(const struct cq_placement *p,
+		       const struct cq_pool_worker *worker)
+{
+	const struct cq_workload_step *step = p->stage->step;
+	const struct cq_executor_listing *size = &worker->listing;
+	int64_t sum =
+		permille(worker->free_accelerators - step->accelerators,
+			 size->accelerators) +
+		permille(worker->free_memory_mb - step->memory_mb,
+			 size->memory_mb) +
+		permille(worker->free_cpu_millicores - step->cpu_millicores,
+			 size->cpu_millicores);
+
+	if (p->pack_racks)
+		sum += RACK_WEIGHT *
+		       permille(worker->rack_free_accelerators,
+				size->accelerators) /
+		       10;
+	if (step->data_rack[0] && strcmp(step->data_rack, size->rack))
 		sum += PENALTY_OTHER_RACK;
-	if (worker->failure_streak || worker->avoid_until_ns > now_ns)
+	if (worker->failure_streak || worker->avoid_until_ns > p->now_ns)
 		sum += PENALTY_FAILING * (1 + worker->failure_streak);
-	if (worker->listing.cold_ms)
+	if (size->cold_ms)
 		sum += PENALTY_COLD;
-	if (disturbs(worker, stage))
+	if (disturbs(worker, p->stage))
 		sum += PENALTY_DISTURBS;
 	return sum;
 }
 
-static struct cq_pool_worker *best_worker(const GPtrArray *workers,
-					  const struct cq_stage *stage,
-					  int64_t now_ns)
+static struct cq_pool_worker *best_worker(const struct cq_placement *p,
+					  const GPtrArray *workers)
 {
+	const struct cq_workload_step *step = p->stage->step;
 	struct cq_pool_worker *best = NULL;
 	int64_t best_penalty = 0;
 	guint i;
@@ -120,13 +181,13 @@
 		struct cq_pool_worker *worker = g_ptr_array_index(workers, i);
 		int64_t own;
 
-		if (!cq_pool_fits(worker, stage->step, 1))
+		if (!cq_pool_fits(worker, step, 1))
 			continue;
-		if (stage->step->max_per_worker &&
-		    worker->placing + runs_of_stage(worker, stage) >=
-			    stage->step->max_per_worker)
+		if (step->max_per_worker &&
+		    worker->placing + runs_of_stage(worker, p->stage) >=
+			    step->max_per_worker)
 			continue;
-		own = penalty(worker, stage, now_ns);
+		own = penalty(p, worker);
 		if (best && own >= best_penalty)
 			continue;
 		best = worker;
@@ -157,9 +218,10 @@
 		     stage, -1);
 }
 
-static uint32_t place(const GPtrArray *workers, const struct cq_stage *stage,
-		      int64_t now_ns, GArray *assignments)
+static uint32_t place(const struct cq_placement *p, const GPtrArray *workers,
+		      GArray *assignments)
 {
+	const struct cq_stage *stage = p->stage;
 	guint from = assignments->len;
 	uint32_t placed = 0;
 	uint32_t i;
@@ -169,7 +231,7 @@
 
 		if (a.task->done || a.task->phase != CQ_RUN_NONE)
 			continue;
-		a.worker = best_worker(workers, stage, now_ns);
+		a.worker = best_worker(p, workers);
 		if (!a.worker)
 			break;
 		book(a.worker, stage, 1);
@@ -184,250 +246,77 @@
 	return placed;
 }
 
-static GPtrArray *select_workers(const struct cq_pool *pool,
-				 const struct cq_stage *stage,
-				 const char *service, const char *rack)
+static gint by_free_room(gconstpointer a, gconstpointer b)
 {
-	GPtrArray *workers = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer value;
+	const GPtrArray *left = *(const GPtrArray *const *)a;
+	const GPtrArray *right = *(const GPtrArray *const *)b;
+	const struct cq_pool_worker *l = g_ptr_array_index(left, 0);
+	const struct cq_pool_worker *r = g_ptr_array_index(right, 0);
 
-	g_hash_table_iter_init(&iter, pool->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct cq_pool_worker *worker = value;
-
-		if (allows(worker, stage, service) &&
-		    (!rack || !strcmp(worker->listing.rack, rack)))
-			g_ptr_array_add(workers, worker);
-	}
-	return workers;
+	return (l->rack_free_accelerators > r->rack_free_accelerators) -
+	       (l->rack_free_accelerators < r->rack_free_accelerators);
 }
 
-static GPtrArray *racks_by_room(const struct cq_pool *pool,
-				const struct cq_stage *stage,
-				const char *service)
+/* The fullest rack that holds the gang. */
+static bool place_in_one_rack(const struct cq_placement *p,
+			      const GPtrArray *racks, GArray *assignments)
 {
-	GPtrArray *racks = g_ptr_array_new();
-	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
-	GPtrArray *workers = select_workers(pool, stage, service, NULL);
 	guint i;
 
-	for (i = 0; i < workers->len; i++) {
-		struct cq_pool_worker *worker = g_ptr_array_index(workers, i);
-
-		if (!g_hash_table_add(seen, worker->listing.rack))
-			continue;
-		/* The rack of the data is tried first. */
-		if (!strcmp(worker->listing.rack, stage->step->data_rack))
-			g_ptr_array_insert(racks, 0, worker->listing.rack);
-		else
-			g_ptr_array_add(racks, worker->listing.rack);
-	}
-	g_ptr_array_unref(workers);
-	g_hash_table_destroy(seen);
-	return racks;
+	for (i = 0; i < racks->len; i++)
+		if (place(p, g_ptr_array_index(racks, i), assignments))
+			return true;
+	return false;
 }
 
-static bool place_in_one_rack(const struct cq_pool *pool,
-			      const struct cq_stage *stage, const char *service,
-			      int64_t now_ns, GArray *assignments)
+/* Whether the workers could hold the gang if they ran nothing else. */
+static bool rack_could_hold(const struct cq_placement *p,
+			    const GPtrArray *workers)
 {
-	GPtrArray *racks = racks_by_room(pool, stage, service);
-	bool placed = false;
+	uint32_t tasks = 0;
 	guint i;
 
-	for (i = 0; i < racks->len && !placed; i++) {
-		GPtrArray *workers = select_workers(
-			pool, stage, service, g_ptr_array_index(racks, i));
-
-		placed = place(workers, stage, now_ns, assignments) > 0;
-		g_ptr_array_unref(workers);
+	for (i = 0; i < workers->len; i++) {
+		const struct cq_pool_worker *worker =
+			g_ptr_array_index(workers, i);
+		const struct cq_executor_listing *size = &worker->listing;
+		const struct placement_room whole = { size->cpu_millicores,
+						      size->memory_mb,
+						      size->accelerators };
+
+		tasks += placement_fits_in(&whole, p->stage->step);
 	}
-	g_ptr_array_unref(racks);
-	return placed;
-}
-
-uint32_t cq_placement_find(const struct cq_pool *pool,
-			   const struct cq_stage *stage, const char *service,
-			   int64_t now_ns, GArray *assignments)
-{
-	guint from = assignments->len;
-	GPtrArray *workers;
-
-	if (stage->step->gang && stage->step->same_rack &&
-	    place_in_one_rack(pool, stage, service, now_ns, assignments))
-		return assignments->len - from;
-	workers = select_workers(pool, stage, service, NULL);
-	place(workers, stage, now_ns, assignments);
-	g_ptr_array_unref(workers);
-	return assignments->len - from;
-}
-
-/* Work in core-nanoseconds that a stop of the run throws away. */
-static double cost_of(const struct cq_task *task, int64_t now_ns)
-{
-	const struct cq_workload_step *step = task->stage->step;
-	double cores = step->cpu_millicores / 1000.0 +
-		       (double)step->accelerators * CORES_PER_ACCELERATOR;
-	int64_t age_ns = task->started_ns ? now_ns - task->started_ns : 0;
-	uint32_t members = step->gang ? task->stage->active_count : 1;
-
-	if (step->checkpointing)
-		age_ns = MIN(age_ns, CHECKPOINT_LOSS_NS);
-	return cores * (double)age_ns * members;
+	return tasks >= p->stage->step->tasks;
 }
 
-static gint by_cost(gconstpointer a, gconstpointer b, gpointer data)
+bool placement_one_rack(const struct cq_placement *p, const GPtrArray *racks)
 {
-	const int64_t *now_ns = data;
-	const struct cq_task *left = *(const struct cq_task *const *)a;
-	const struct cq_task *right = *(const struct cq_task *const *)b;
-	double difference = cost_of(left, *now_ns) - cost_of(right, *now_ns);
-
-	return difference < 0 ? -1 : difference > 0;
-}
-
-static void add_room(struct room *room, const struct cq_workload_step *step)
-{
-	room->cpu += step->fills ? 0 : step->cpu_millicores;
-	room->memory += step->memory_mb;
-	room->accelerators += step->accelerators;
-}
-
-static uint32_t fits_in(const struct room *room,
-			const struct cq_workload_step *step)
-{
-	int64_t tasks = INT32_MAX;
-
-	if (step->cpu_millicores && !step->fills)
-		tasks = MIN(tasks, room->cpu / step->cpu_millicores);
-	if (step->memory_mb)
-		tasks = MIN(tasks, room->memory / step->memory_mb);
-	if (step->accelerators)
-		tasks = MIN(tasks, room->accelerators / step->accelerators);
-	if (step->max_per_worker)
-		tasks = MIN(tasks, step->max_per_worker);
-	return (uint32_t)MAX(0, tasks);
-}
-
-/* How many tasks fit on the worker at which cost, for the first that do. */
-static void evaluate(struct candidate *c, const struct cq_stage *stage,
-		     const struct cq_placement_victims *v, uint32_t wanted)
-{
-	struct room room = { c->worker->free_cpu_millicores,
-			     c->worker->free_memory_mb,
-			     c->worker->free_accelerators };
-	GPtrArray *others = g_ptr_array_new();
-	int64_t now_ns = v->now_ns;
 	guint i;
 
-	for (i = 0; i < c->worker->runs->len; i++) {
-		struct cq_task *task = g_ptr_array_index(c->worker->runs, i);
-
-		if (task->stopping)
-			add_room(&room, task->stage->step);
-		else if (v->priority(v->ctx, task->stage->batch) >
-				 v->own_priority &&
-			 !task->stage->step->max_unavailable)
-			g_ptr_array_add(others, task);
-	}
-	g_ptr_array_sort_with_data(others, by_cost, &now_ns);
-	c->tasks = MIN(wanted, fits_in(&room, stage->step));
-	for (i = 0; i < others->len && c->tasks < wanted; i++) {
-		struct cq_task *task = g_ptr_array_index(others, i);
-		uint32_t tasks;
-
-		add_room(&room, task->stage->step);
-		g_ptr_array_add(c->victims, task);
-		c->cost += cost_of(task, now_ns);
-		tasks = MIN(wanted, fits_in(&room, stage->step));
-		if (tasks > c->tasks) {
-			c->tasks = tasks;
-			if (c->tasks)
-				break;
-		}
-	}
-	if (!c->tasks) {
-		g_ptr_array_set_size(c->victims, 0);
-		c->cost = 0;
-	}
-	g_ptr_array_unref(others);
-}
-
-static gint by_cost_per_task(gconstpointer a, gconstpointer b)
-{
-	const struct candidate *left = a;
-	const struct candidate *right = b;
-	double l = left->tasks ? left->cost / left->tasks : G_MAXDOUBLE;
-	double r = right->tasks ? right->cost / right->tasks : G_MAXDOUBLE;
-
-	return l < r ? -1 : l > r;
-}
-
-static void candidate_clear(void *data)
-{
-	struct candidate *c = data;
-
-	g_ptr_array_unref(c->victims);
-}
-
-static uint32_t waiting_tasks(const struct cq_stage *stage)
-{
-	uint32_t waiting = 0;
-	uint32_t i;
-
-	for (i = 0; i < stage->step->tasks; i++)
-		waiting += !stage->tasks[i].done &&
-			   stage->tasks[i].phase == CQ_RUN_NONE;
-	return waiting;
-}
-
-static bool take_cheapest(GArray *candidates, const struct cq_stage *stage,
-			  uint32_t wanted, GPtrArray *out)
-{
-	uint32_t found = 0;
-	guint i, k;
-
-	for (i = 0; i < candidates->len; i++)
-		found += g_array_index(candidates, struct candidate, i).tasks;
-	if (found < wanted)
+	if (!p->stage->step->gang || !p->stage->step->same_rack)
 		return false;
-	for (i = 0, found = 0; found < wanted; i++) {
-		struct candidate *c =
-			&g_array_index(candidates, struct candidate, i);
-
-		found += c->tasks;
-		c->worker->reserved_for = stage;
-		for (k = 0; k < c->victims->len; k++)
-			g_ptr_array_add(out, g_ptr_array_index(c->victims, k));
-	}
-	return true;
+	for (i = 0; i < racks->len; i++)
+		if (rack_could_hold(p, g_ptr_array_index(racks, i)))
+			return true;
+	return false;
 }
 
-bool cq_placement_make_room(const struct cq_pool *pool,
-			    const struct cq_stage *stage, const char *service,
-			    const struct cq_placement_victims *victims,
-			    GPtrArray *out)
+uint32_t cq_placement_find(const struct cq_placement *p, GArray *assignments)
 {
-	GPtrArray *workers = select_workers(pool, stage, service, NULL);
-	GArray *candidates = g_array_new(FALSE, TRUE, sizeof(struct candidate));
-	uint32_t wanted = waiting_tasks(stage);
-	bool found;
-	guint i;
-
-	g_array_set_clear_func(candidates, candidate_clear);
-	for (i = 0; i < workers->len; i++) {
-		struct candidate c = {
-			.worker = g_ptr_array_index(workers, i),
-			.victims = g_ptr_array_new(),
-		};
+	guint from = assignments->len;
+	GPtrArray *workers = placement_workers(p);
+	GPtrArray *racks = NULL;
 
-		evaluate(&c, stage, victims, wanted);
-		g_array_append_val(candidates, c);
+	if (p->stage->step->gang && p->stage->step->same_rack) {
+		racks = placement_racks(workers);
+		g_ptr_array_sort(racks, by_free_room);
 	}
-	g_array_sort(candidates, by_cost_per_task);
-	found = take_cheapest(candidates, stage, wanted, out);
-	g_array_unref(candidates);
+	if (racks && placement_one_rack(p, racks))
+		place_in_one_rack(p, racks, assignments);
+	else
+		place(p, workers, assignments);
+	if (racks)
+		g_ptr_array_unref(racks);
 	g_ptr_array_unref(workers);
-	return found;
+	return assignments->len - from;
 }
