--- a/src/programs/hostd/dispatch.c
+++ b/src/programs/hostd/dispatch.c
@@ -2,8 +2,8 @@
 #include "platform/documents.h"
 #include "programs/hostd/hostd.h"
 
-#define LEASE_MS 3000
-#define CALL_TIMEOUT_MS 700
+#define LEASE_MS 1500
+#define CALL_TIMEOUT_MS 600
 #define WATCH_WAIT_MS 2000
 
 static bool may_order(void *ctx)
