Leave a quarter of the accelerators free for urgent work

Work that is not urgent now leaves 25 % of the accelerators free until 1.5 chains before its objective.

--- a/src/coordination/dispatcher_plan.c
+++ b/src/coordination/dispatcher_plan.c
@@ -8,6 +8,10 @@
 
 /* Objective of jobs without an estimate. */
 #define DEFAULT_ESTIMATE_MS 5000
+/* Share of the accelerators that is left free for urgent work. */
+#define HEADROOM_PERMILLE 250
+/* Later than this many chains before its objective, work starts anyway. */
+#define HEADROOM_SLACK 1.5
 /* A gang that is not urgent waits this long before it stops others. */
 #define GANG_PATIENCE_NS (INT64_C(500) * CQ_NS_PER_MS)
 /* It stops only runs that lose less. */
@@ -24,8 +28,11 @@
 			  const struct cq_pool_worker *worker, int64_t now_ns);
 static void collect_ready(struct cq_dispatcher *d, GArray *ready);
 static bool is_due(const struct cq_dispatcher *d, const struct cq_stage *stage);
+static int64_t chain_ms(const struct cq_workload *w);
 static int64_t objective_of(const struct cq_batch *batch,
 			    const struct cq_queue *queue);
+static bool leaves_headroom(const struct cq_dispatcher *d,
+			    const struct ready_stage *r, int64_t now_ns);
 static gint by_rank(gconstpointer a, gconstpointer b);
 static void assign(struct cq_dispatcher *d, const struct ready_stage *ready,
 		   GArray *assignments);
@@ -197,6 +204,39 @@
 		now_ns - r->stage->ready_ns > GANG_PATIENCE_NS);
 }
 
+/*
+ * Work that is not urgent leaves room for urgent work, which would otherwise
+ * wait for stops, as long as it can still meet its objective later.
+ */
+static bool leaves_headroom(const struct cq_dispatcher *d,
+			    const struct ready_stage *r, int64_t now_ns)
+{
+	int64_t total = 0;
+	int64_t left = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (r->queue->priority == 0 ||
+	    now_ns > r->objective_ns -
+			     HEADROOM_SLACK *
+				     chain_ms(r->stage->batch->workload) *
+				     CQ_NS_PER_MS)
+		return true;
+	g_hash_table_iter_init(&iter, d->pool->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct cq_pool_worker *worker = value;
+
+		if (!worker->usable)
+			continue;
+		total += worker->listing.accelerators;
+		left += worker->free_accelerators;
+	}
+	return (left -
+		(int64_t)r->stage->step->tasks * r->stage->step->accelerators) *
+		       1000 >=
+	       total * HEADROOM_PERMILLE;
+}
+
 static void start_stage(struct cq_dispatcher *d, const struct ready_stage *r,
 			GArray *assignments, int64_t now_ns)
 {
@@ -209,6 +249,8 @@
 	};
 
 	g_array_set_size(assignments, 0);
+	if (!leaves_headroom(d, r, now_ns))
+		return;
 	if (cq_placement_find(&p, assignments))
 		assign(d, r, assignments);
 	if (may_preempt(r, now_ns))
