--- /dev/null
+++ b/tests/support/dispatch_world.c
@@ -0,0 +1,297 @@
+#include "dispatch_world.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "chestnutquay/batch.h"
+#include "chestnutquay/leader.h"
+#include "chestnutquay/workload.h"
+#include "tests/support/wait_for.h"
+
+#define WORKERS "w/"
+
+struct dispatch_world {
+	struct ev_loop *loop;
+	struct mem_store *store;
+	struct mem_executor *workers;
+	struct cq_metrics *metrics;
+	struct cq_dispatcher *dispatcher;
+	struct cq_queue queue;
+	struct cq_service service;
+	struct cq_queue_config config;
+	GHashTable *evacuated;
+	uint32_t max_lease_ms;
+	int64_t epoch;
+	bool allowed, superseded;
+	char state[32];
+	/* What is waited for. */
+	int awaited_job;
+	const char *awaited_state;
+	uint32_t awaited_runs;
+};
+
+static bool parse_listing(const char *id, const char *json, size_t len,
+			  struct cq_executor_listing *listing,
+			  struct cq_error *err)
+{
+	char *text = g_strndup(json, len);
+	long born;
+	int fields;
+
+	memset(listing, 0, sizeof(*listing));
+	g_strlcpy(listing->id, id, sizeof(listing->id));
+	g_strlcpy(listing->address, id, sizeof(listing->address));
+	g_strlcpy(listing->service, "s", sizeof(listing->service));
+	listing->cpu_millicores = 64000;
+	listing->memory_mb = 65536;
+	listing->accelerators = 8;
+	fields = sscanf(text, "%15s %15s %ld", listing->data_centre,
+			listing->rack, &born);
+	g_free(text);
+	if (fields != 3)
+		return cq_error_set(err, CQ_ERROR_PROTOCOL, CQ_ERR_INVALID,
+				    "not a worker");
+	listing->born_unix_ms = born;
+	return true;
+}
+
+static bool may_order(void *ctx)
+{
+	const struct dispatch_world *w = ctx;
+
+	return w->allowed;
+}
+
+static void on_superseded(void *ctx)
+{
+	struct dispatch_world *w = ctx;
+
+	w->superseded = true;
+	w->allowed = false;
+}
+
+static const struct cq_dispatcher_ops ops = { may_order, on_superseded };
+
+struct dispatch_world *dispatch_world_create(uint32_t max_lease_ms)
+{
+	struct dispatch_world *w = g_new0(struct dispatch_world, 1);
+
+	w->loop = ev_loop_new(0);
+	w->store = mem_store_create(w->loop);
+	w->workers = mem_executor_create(w->loop);
+	w->metrics = cq_metrics_create();
+	w->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	w->max_lease_ms = max_lease_ms;
+	g_strlcpy(w->queue.name, "q", sizeof(w->queue.name));
+	g_strlcpy(w->queue.service, "s", sizeof(w->queue.service));
+	w->queue.max_attempts = 2;
+	w->queue.stretch = 2;
+	g_strlcpy(w->service.name, "s", sizeof(w->service.name));
+	w->config = (struct cq_queue_config){
+		.version = 1,
+		.queues = &w->queue,
+		.queue_count = 1,
+		.services = &w->service,
+		.service_count = 1,
+	};
+	return w;
+}
+
+void dispatch_world_destroy(struct dispatch_world *w)
+{
+	dispatch_world_stop(w);
+	mem_executor_destroy(w->workers);
+	mem_store_destroy(w->store);
+	cq_metrics_destroy(w->metrics);
+	g_hash_table_destroy(w->evacuated);
+	ev_loop_destroy(w->loop);
+	g_free(w);
+}
+
+struct mem_store *dispatch_world_store(struct dispatch_world *w)
+{
+	return w->store;
+}
+
+struct mem_executor *dispatch_world_workers(struct dispatch_world *w)
+{
+	return w->workers;
+}
+
+struct ev_loop *dispatch_world_loop(struct dispatch_world *w)
+{
+	return w->loop;
+}
+
+static char *worker_id(int k)
+{
+	return g_strdup_printf("worker%d", k);
+}
+
+void dispatch_world_list(struct dispatch_world *w, int k, bool listed)
+{
+	char *id = worker_id(k);
+	char *key = g_strconcat(WORKERS, id, NULL);
+	char *value = g_strdup_printf("dc%d r%d %ld", k % 2, k % 2,
+				      (long)mem_executor_born(w->workers, id));
+
+	mem_store_write(w->store, key, listed ? value : NULL);
+	g_free(value);
+	g_free(key);
+	g_free(id);
+}
+
+void dispatch_world_add_worker(struct dispatch_world *w, int k)
+{
+	char *id = worker_id(k);
+
+	mem_executor_add(w->workers, id);
+	dispatch_world_list(w, k, true);
+	g_free(id);
+}
+
+void dispatch_world_evacuate(struct dispatch_world *w, const char *dc, bool out)
+{
+	if (out)
+		g_hash_table_add(w->evacuated, g_strdup(dc));
+	else
+		g_hash_table_remove(w->evacuated, dc);
+	if (w->dispatcher)
+		cq_dispatcher_set_evacuated(w->dispatcher, w->evacuated);
+}
+
+void dispatch_world_stop(struct dispatch_world *w)
+{
+	cq_dispatcher_destroy(w->dispatcher);
+	w->dispatcher = NULL;
+	/* Open calls of a former epoch must not complete in this one. */
+	mem_executor_cancel(w->workers);
+}
+
+void dispatch_world_lead(struct dispatch_world *w)
+{
+	struct cq_dispatcher_options options = {
+		.loop = w->loop,
+		.clock = cq_clock_system(),
+		.metrics = w->metrics,
+		.worker_prefix = WORKERS,
+		.parse_listing = parse_listing,
+		.store_timeout_ms = 100,
+		.max_lease_ms = w->max_lease_ms,
+		.run_stop_ms = 100,
+	};
+	char *head;
+
+	dispatch_world_stop(w);
+	head = cq_leader_format_head(++w->epoch, 0);
+	mem_store_write(w->store, CQ_KEY_HEAD, head);
+	g_free(head);
+	w->allowed = true;
+	w->superseded = false;
+	options.epoch = w->epoch;
+	options.head_revision = mem_store_revision(w->store);
+	w->dispatcher = cq_dispatcher_create(&options, mem_store_get(w->store),
+					     mem_executor_get(w->workers), &ops,
+					     w);
+	cq_dispatcher_set_evacuated(w->dispatcher, w->evacuated);
+	cq_dispatcher_set_config(w->dispatcher, &w->config);
+}
+
+void dispatch_world_allow(struct dispatch_world *w, bool allowed)
+{
+	w->allowed = allowed;
+}
+
+bool dispatch_world_superseded(const struct dispatch_world *w)
+{
+	return w->superseded;
+}
+
+static struct cq_workload *workload(int k, uint32_t tasks,
+				    uint32_t accelerators, bool gang)
+{
+	struct cq_workload *job = cq_workload_create();
+
+	g_snprintf(job->id, sizeof(job->id), "%016d", k);
+	g_strlcpy(job->queue, "q", sizeof(job->queue));
+	job->spec = g_strdup("spec");
+	job->steps = g_new0(struct cq_workload_step, 1);
+	job->step_count = 1;
+	job->steps[0].tasks = tasks;
+	job->steps[0].accelerators = accelerators;
+	job->steps[0].cpu_millicores = 1000;
+	job->steps[0].memory_mb = 100;
+	job->steps[0].gang = gang;
+	return job;
+}
+
+static void write_job(struct dispatch_world *w, struct cq_workload *job)
+{
+	char *key = g_strconcat(CQ_KEY_WORKLOADS, job->id, NULL);
+	char *text = cq_workload_format(job);
+
+	mem_store_write(w->store, key, text);
+	free(text);
+	g_free(key);
+	cq_workload_destroy(job);
+}
+
+void dispatch_world_submit(struct dispatch_world *w, int k, uint32_t tasks,
+			   uint32_t accelerators, bool gang)
+{
+	write_job(w, workload(k, tasks, accelerators, gang));
+}
+
+void dispatch_world_cancel(struct dispatch_world *w, int k)
+{
+	char *key = g_strdup_printf("%s%016d", CQ_KEY_WORKLOADS, k);
+	const char *text = mem_store_read(w->store, key);
+	struct cq_workload *job = cq_workload_parse(text, strlen(text), NULL);
+
+	g_free(key);
+	job->cancelled = true;
+	write_job(w, job);
+}
+
+const char *dispatch_world_state(struct dispatch_world *w, int k)
+{
+	char *key = g_strdup_printf("%s%016d", CQ_KEY_PROGRESS, k);
+	const char *text = mem_store_read(w->store, key);
+	enum cq_batch_state state;
+
+	g_free(key);
+	if (!text || !cq_batch_state_of(text, strlen(text), &state))
+		return "";
+	return cq_batch_state_string(state);
+}
+
+static bool has_state(void *ctx)
+{
+	struct dispatch_world *w = ctx;
+
+	return !strcmp(dispatch_world_state(w, w->awaited_job),
+		       w->awaited_state);
+}
+
+bool dispatch_world_await(struct dispatch_world *w, int k, const char *state)
+{
+	w->awaited_job = k;
+	w->awaited_state = state;
+	return wait_for(w->loop, has_state, w);
+}
+
+static bool has_runs(void *ctx)
+{
+	struct dispatch_world *w = ctx;
+
+	return mem_executor_running(w->workers) == w->awaited_runs;
+}
+
+bool dispatch_world_await_running(struct dispatch_world *w, uint32_t runs)
+{
+	w->awaited_runs = runs;
+	return wait_for(w->loop, has_runs, w);
+}
--- /dev/null
+++ b/tests/support/mem_executor.c
@@ -0,0 +1,565 @@
+#include "mem_executor.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Ends that a worker still lists, and the answer of a hold. */
+struct ended {
+	uint64_t number;
+	char *task;
+	uint32_t run;
+	enum cq_run_end how;
+};
+
+struct run {
+	char *task;
+	uint32_t run;
+};
+
+struct worker {
+	char *id;
+	bool cut;
+	int64_t born_ms;
+	int64_t fence;
+	GPtrArray *runs;
+	GPtrArray *ended;
+	GHashTable *barred; /* task -> highest run stopped or ended here */
+	uint64_t next_end;
+};
+
+struct pending {
+	struct mem_executor *m;
+	ev_timer timer;
+	cq_executor_done_fn *done;
+	void *ctx;
+	enum cq_executor_answer answer;
+	char *worker; /* hold: lists are read when it completes */
+	uint64_t acknowledged;
+	bool lists;
+};
+
+struct late_order {
+	char *worker, *task;
+	uint32_t run;
+	int64_t fence;
+	bool stop;
+};
+
+struct mem_executor {
+	struct cq_executor executor;
+	struct ev_loop *loop;
+	GHashTable *workers; /* id -> struct worker */
+	GPtrArray *pending;
+	GPtrArray *late;
+	GHashTable *acknowledged; /* tasks with an acknowledged end "done" */
+	GString *breaches;
+	enum mem_executor_fault fault;
+	int fault_count;
+	uint32_t starts;
+	int64_t clock_ms;
+};
+
+static void run_free(void *data)
+{
+	struct run *run = data;
+
+	g_free(run->task);
+	g_free(run);
+}
+
+static void ended_free(void *data)
+{
+	struct ended *ended = data;
+
+	g_free(ended->task);
+	g_free(ended);
+}
+
+static void late_free(void *data)
+{
+	struct late_order *late = data;
+
+	g_free(late->worker);
+	g_free(late->task);
+	g_free(late);
+}
+
+static void worker_free(void *data)
+{
+	struct worker *w = data;
+
+	g_ptr_array_unref(w->runs);
+	g_ptr_array_unref(w->ended);
+	g_hash_table_destroy(w->barred);
+	g_free(w->id);
+	g_free(w);
+}
+
+static void pending_free(void *data)
+{
+	struct pending *p = data;
+
+	ev_timer_stop(p->m->loop, &p->timer);
+	g_free(p->worker);
+	g_free(p);
+}
+
+static struct worker *find(const struct mem_executor *m, const char *id)
+{
+	return g_hash_table_lookup(m->workers, id);
+}
+
+static struct run *find_run(const struct worker *w, const char *task)
+{
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		struct run *run = g_ptr_array_index(w->runs, i);
+
+		if (!strcmp(run->task, task))
+			return run;
+	}
+	return NULL;
+}
+
+static struct worker *where(const struct mem_executor *m, const char *task)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (find_run(value, task))
+			return value;
+	return NULL;
+}
+
+static void note_end(struct worker *w, struct run *run, enum cq_run_end how)
+{
+	struct ended *ended = g_new0(struct ended, 1);
+
+	ended->number = ++w->next_end;
+	ended->task = g_strdup(run->task);
+	ended->run = run->run;
+	ended->how = how;
+	g_ptr_array_add(w->ended, ended);
+	g_hash_table_insert(w->barred, g_strdup(run->task),
+			    GUINT_TO_POINTER(run->run));
+	g_ptr_array_remove(w->runs, run);
+}
+
+static enum cq_executor_answer carry_out_start(struct mem_executor *m,
+					       struct worker *w,
+					       const char *task, uint32_t run,
+					       int64_t fence)
+{
+	const struct run *present = find_run(w, task);
+	struct worker *other = where(m, task);
+	struct run *added;
+
+	if (fence < w->fence)
+		return CQ_EXECUTOR_FENCED;
+	w->fence = fence;
+	if (present && present->run == run)
+		return CQ_EXECUTOR_OK;
+	if (run <= GPOINTER_TO_UINT(g_hash_table_lookup(w->barred, task)))
+		return CQ_EXECUTOR_OLD_RUN;
+	if (other)
+		g_string_append_printf(m->breaches,
+				       "%s run %u started on %s while it runs "
+				       "on %s\n",
+				       task, run, w->id, other->id);
+	if (g_hash_table_contains(m->acknowledged, task))
+		g_string_append_printf(m->breaches,
+				       "%s run %u started after an end done "
+				       "was acknowledged\n",
+				       task, run);
+	added = g_new0(struct run, 1);
+	added->task = g_strdup(task);
+	added->run = run;
+	g_ptr_array_add(w->runs, added);
+	m->starts++;
+	return CQ_EXECUTOR_OK;
+}
+
+static enum cq_executor_answer
+carry_out_stop(struct worker *w, const char *task, uint32_t run, int64_t fence)
+{
+	struct run *present = find_run(w, task);
+
+	if (fence < w->fence)
+		return CQ_EXECUTOR_FENCED;
+	w->fence = fence;
+	if (present && present->run == run)
+		note_end(w, present, CQ_RUN_STOPPED);
+	else
+		g_hash_table_insert(w->barred, g_strdup(task),
+				    GUINT_TO_POINTER(run));
+	return CQ_EXECUTOR_OK;
+}
+
+static void acknowledge(struct mem_executor *m, struct worker *w,
+			uint64_t number)
+{
+	guint i;
+
+	for (i = w->ended->len; i-- > 0;) {
+		const struct ended *ended = g_ptr_array_index(w->ended, i);
+
+		if (ended->number > number)
+			continue;
+		if (ended->how == CQ_RUN_DONE)
+			g_hash_table_add(m->acknowledged,
+					 g_strdup(ended->task));
+		g_ptr_array_remove_index(w->ended, i);
+	}
+}
+
+static void report_lists(const struct pending *p, const struct worker *w,
+			 struct cq_executor_report *report)
+{
+	GArray *running =
+		g_array_new(FALSE, TRUE, sizeof(struct cq_executor_running));
+	GArray *ended =
+		g_array_new(FALSE, TRUE, sizeof(struct cq_executor_ended));
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		const struct run *run = g_ptr_array_index(w->runs, i);
+		const struct cq_executor_running row = {
+			.task = run->task,
+			.run = run->run,
+			.checkpoint = "",
+			.percent = 100,
+		};
+
+		g_array_append_val(running, row);
+	}
+	for (i = 0; i < w->ended->len; i++) {
+		const struct ended *end = g_ptr_array_index(w->ended, i);
+		const struct cq_executor_ended row = {
+			.number = end->number,
+			.task = end->task,
+			.run = end->run,
+			.how = end->how,
+			.checkpoint = "",
+		};
+
+		g_array_append_val(ended, row);
+	}
+	report->running = (void *)running->data;
+	report->running_count = running->len;
+	report->ended = (void *)ended->data;
+	report->ended_count = ended->len;
+	p->done(p->ctx, report);
+	g_array_unref(running);
+	g_array_unref(ended);
+}
+
+static void on_due(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct pending *p = timer->data;
+	struct mem_executor *m = p->m;
+	struct worker *w = p->worker ? find(m, p->worker) : NULL;
+	struct cq_executor_report report = {
+		.answer = p->answer,
+		.clock_ms = -1,
+		.message = "",
+	};
+
+	(void)loop;
+	(void)events;
+	g_ptr_array_set_free_func(m->pending, NULL);
+	g_ptr_array_remove_fast(m->pending, p);
+	g_ptr_array_set_free_func(m->pending, pending_free);
+	if (p->answer <= CQ_EXECUTOR_INVALID && w) {
+		report.clock_ms = ++m->clock_ms;
+		report.born_unix_ms = w->born_ms;
+	}
+	if (p->lists && p->answer == CQ_EXECUTOR_OK && w)
+		report_lists(p, w, &report);
+	else
+		p->done(p->ctx, &report);
+	pending_free(p);
+}
+
+static struct pending *answer(struct mem_executor *m, const char *worker,
+			      enum cq_executor_answer value,
+			      cq_executor_done_fn *done, void *ctx)
+{
+	struct pending *p = g_new0(struct pending, 1);
+
+	p->m = m;
+	p->answer = value;
+	p->done = done;
+	p->ctx = ctx;
+	p->worker = g_strdup(worker);
+	ev_timer_init(&p->timer, on_due, 0., 0.);
+	p->timer.data = p;
+	ev_timer_start(m->loop, &p->timer);
+	g_ptr_array_add(m->pending, p);
+	return p;
+}
+
+static enum mem_executor_fault next_fault(struct mem_executor *m)
+{
+	if (m->fault_count <= 0)
+		return MEM_EXECUTOR_FINE;
+	m->fault_count--;
+	return m->fault;
+}
+
+static void order(struct mem_executor *m,
+		  const struct cq_executor_target *target, const char *task,
+		  uint32_t run, bool stop, cq_executor_done_fn *done, void *ctx)
+{
+	struct worker *w = find(m, target->id);
+	enum mem_executor_fault fault = next_fault(m);
+	enum cq_executor_answer value;
+	struct late_order *late;
+
+	if (!w || w->cut || fault == MEM_EXECUTOR_NOT_SENT) {
+		answer(m, target->id, CQ_EXECUTOR_NOT_SENT, done, ctx);
+		return;
+	}
+	if (fault == MEM_EXECUTOR_VANISH || fault == MEM_EXECUTOR_LATE) {
+		answer(m, target->id, CQ_EXECUTOR_UNKNOWN, done, ctx);
+		if (fault == MEM_EXECUTOR_VANISH)
+			return;
+		late = g_new0(struct late_order, 1);
+		late->worker = g_strdup(target->id);
+		late->task = g_strdup(task);
+		late->run = run;
+		late->fence = target->fence;
+		late->stop = stop;
+		g_ptr_array_add(m->late, late);
+		return;
+	}
+	value = stop ? carry_out_stop(w, task, run, target->fence)
+		     : carry_out_start(m, w, task, run, target->fence);
+	answer(m, target->id,
+	       fault == MEM_EXECUTOR_LOSE ? CQ_EXECUTOR_UNKNOWN : value, done,
+	       ctx);
+}
+
+void mem_executor_run_late(struct mem_executor *m)
+{
+	guint i;
+
+	for (i = 0; i < m->late->len; i++) {
+		const struct late_order *late = g_ptr_array_index(m->late, i);
+		struct worker *w = find(m, late->worker);
+
+		if (!w)
+			continue;
+		if (late->stop)
+			carry_out_stop(w, late->task, late->run, late->fence);
+		else
+			carry_out_start(m, w, late->task, late->run,
+					late->fence);
+	}
+	g_ptr_array_set_size(m->late, 0);
+}
+
+static void mem_start(void *self, const struct cq_executor_target *target,
+		      const struct cq_executor_start *start,
+		      uint32_t timeout_ms, cq_executor_done_fn *done, void *ctx)
+{
+	(void)timeout_ms;
+	order(self, target, start->task, start->run, false, done, ctx);
+}
+
+static void mem_stop(void *self, const struct cq_executor_target *target,
+		     const char *task, uint32_t run, uint32_t timeout_ms,
+		     cq_executor_done_fn *done, void *ctx)
+{
+	(void)timeout_ms;
+	order(self, target, task, run, true, done, ctx);
+}
+
+/* Holds with a wait complete a little later, so that ends can be listed. */
+static void mem_hold(void *self, const struct cq_executor_target *target,
+		     const struct cq_executor_hold *hold, uint32_t timeout_ms,
+		     cq_executor_done_fn *done, void *ctx)
+{
+	struct mem_executor *m = self;
+	struct worker *w = find(m, target->id);
+	struct pending *p;
+
+	(void)timeout_ms;
+	if (!w || w->cut) {
+		answer(m, target->id, CQ_EXECUTOR_NOT_SENT, done, ctx);
+		return;
+	}
+	if (target->fence < w->fence) {
+		answer(m, target->id, CQ_EXECUTOR_FENCED, done, ctx);
+		return;
+	}
+	w->fence = target->fence;
+	acknowledge(m, w, hold->acknowledged);
+	p = answer(m, target->id, CQ_EXECUTOR_OK, done, ctx);
+	p->lists = true;
+	if (!hold->wait_ms || w->ended->len)
+		return;
+	ev_timer_stop(m->loop, &p->timer);
+	ev_timer_set(&p->timer, 0.01, 0.);
+	ev_timer_start(m->loop, &p->timer);
+}
+
+static void mem_pace(void *self, const struct cq_executor_target *target,
+		     const char *task, uint32_t run, uint32_t percent,
+		     uint32_t timeout_ms, cq_executor_done_fn *done, void *ctx)
+{
+	(void)task;
+	(void)run;
+	(void)percent;
+	(void)timeout_ms;
+	answer(self, target->id, CQ_EXECUTOR_OK, done, ctx);
+}
+
+static const struct cq_executor_ops mem_ops = {
+	.start = mem_start,
+	.stop = mem_stop,
+	.hold = mem_hold,
+	.pace = mem_pace,
+};
+
+struct mem_executor *mem_executor_create(struct ev_loop *loop)
+{
+	struct mem_executor *m = g_new0(struct mem_executor, 1);
+
+	m->executor.ops = &mem_ops;
+	m->executor.self = m;
+	m->loop = loop;
+	m->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   worker_free);
+	m->pending = g_ptr_array_new_with_free_func(pending_free);
+	m->late = g_ptr_array_new_with_free_func(late_free);
+	m->acknowledged =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	m->breaches = g_string_new("");
+	m->clock_ms = 1000;
+	return m;
+}
+
+void mem_executor_destroy(struct mem_executor *m)
+{
+	g_ptr_array_unref(m->pending);
+	g_ptr_array_unref(m->late);
+	g_hash_table_destroy(m->workers);
+	g_hash_table_destroy(m->acknowledged);
+	g_string_free(m->breaches, TRUE);
+	g_free(m);
+}
+
+void mem_executor_cancel(struct mem_executor *m)
+{
+	g_ptr_array_set_size(m->pending, 0);
+}
+
+const struct cq_executor *mem_executor_get(struct mem_executor *m)
+{
+	return &m->executor;
+}
+
+static void start_life(struct worker *w)
+{
+	w->runs = g_ptr_array_new_with_free_func(run_free);
+	w->ended = g_ptr_array_new_with_free_func(ended_free);
+	w->barred =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	w->next_end = 0;
+	w->fence = 0;
+	w->born_ms++;
+}
+
+void mem_executor_add(struct mem_executor *m, const char *id)
+{
+	struct worker *w = g_new0(struct worker, 1);
+
+	w->id = g_strdup(id);
+	w->born_ms = 1000;
+	start_life(w);
+	g_hash_table_insert(m->workers, w->id, w);
+}
+
+void mem_executor_reboot(struct mem_executor *m, const char *id)
+{
+	struct worker *w = find(m, id);
+
+	g_ptr_array_unref(w->runs);
+	g_ptr_array_unref(w->ended);
+	g_hash_table_destroy(w->barred);
+	start_life(w);
+}
+
+int64_t mem_executor_born(const struct mem_executor *m, const char *id)
+{
+	return find(m, id)->born_ms;
+}
+
+void mem_executor_fail_orders(struct mem_executor *m,
+			      enum mem_executor_fault fault, int count)
+{
+	m->fault = fault;
+	m->fault_count = count;
+}
+
+void mem_executor_cut(struct mem_executor *m, const char *id, bool cut)
+{
+	find(m, id)->cut = cut;
+}
+
+bool mem_executor_end(struct mem_executor *m, const char *task,
+		      enum cq_run_end how)
+{
+	struct worker *w = where(m, task);
+
+	if (!w)
+		return false;
+	note_end(w, find_run(w, task), how);
+	return true;
+}
+
+void mem_executor_end_all(struct mem_executor *m)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *w = value;
+
+		while (w->runs->len)
+			note_end(w, g_ptr_array_index(w->runs, 0), CQ_RUN_DONE);
+	}
+}
+
+uint32_t mem_executor_running(const struct mem_executor *m)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, m->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += ((struct worker *)value)->runs->len;
+	return count;
+}
+
+const char *mem_executor_where(const struct mem_executor *m, const char *task)
+{
+	const struct worker *w = where(m, task);
+
+	return w ? w->id : NULL;
+}
+
+uint32_t mem_executor_starts(const struct mem_executor *m)
+{
+	return m->starts;
+}
+
+const char *mem_executor_breaches(const struct mem_executor *m)
+{
+	return m->breaches->str;
+}
--- /dev/null
+++ b/tests/support/mem_store.c
@@ -0,0 +1,647 @@
+#include "mem_store.h"
+
+#include <glib.h>
+#include <string.h>
+
+struct item {
+	char *value;
+	int64_t revision;
+	int64_t lease_id;
+};
+
+struct event {
+	char *key;
+	char *value; /* NULL: deleted */
+	int64_t revision;
+};
+
+struct mem_call {
+	struct mem_store *store;
+	ev_timer timer;
+	cq_store_done_fn *done;
+	void *ctx;
+	struct cq_store_result result;
+	GArray *entries; /* struct cq_store_entry, strings owned */
+	/* A watch that waits. */
+	char *prefix;
+	int64_t after;
+};
+
+/* A change kept for later. */
+struct late_change {
+	GArray *checks, *puts; /* strings owned */
+	GPtrArray *deletes;
+};
+
+struct mem_store {
+	struct cq_store store;
+	struct ev_loop *loop;
+	GTree *items;	    /* key -> struct item */
+	GPtrArray *history; /* struct event */
+	GPtrArray *calls;   /* struct mem_call, open */
+	GPtrArray *late;    /* struct late_change */
+	int64_t revision;
+	int64_t compacted; /* history up to here is gone */
+	int64_t next_lease;
+	GHashTable *leases; /* set of ids */
+	enum mem_store_fault change_fault, fault;
+	int fault_count;
+	double delay_s;
+	uint32_t change_count, call_count;
+};
+
+static void item_free(void *data)
+{
+	struct item *item = data;
+
+	g_free(item->value);
+	g_free(item);
+}
+
+static void event_free(void *data)
+{
+	struct event *event = data;
+
+	g_free(event->key);
+	g_free(event->value);
+	g_free(event);
+}
+
+static void clear_entry(void *data)
+{
+	struct cq_store_entry *entry = data;
+
+	g_free((char *)entry->key);
+	g_free((char *)entry->value);
+}
+
+static void call_free(void *data)
+{
+	struct mem_call *call = data;
+
+	ev_timer_stop(call->store->loop, &call->timer);
+	g_array_unref(call->entries);
+	g_free(call->prefix);
+	g_free(call);
+}
+
+static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return strcmp(a, b);
+}
+
+static void add_entry(struct mem_call *call, const char *key, const char *value,
+		      int64_t revision, int64_t lease_id)
+{
+	struct cq_store_entry entry = {
+		.key = g_strdup(key),
+		.value = g_strdup(value),
+		.value_len = value ? strlen(value) : 0,
+		.revision = revision,
+		.lease_id = lease_id,
+	};
+
+	g_array_append_val(call->entries, entry);
+}
+
+static void on_due(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct mem_call *call = timer->data;
+
+	(void)loop;
+	(void)events;
+	g_ptr_array_set_free_func(call->store->calls, NULL);
+	g_ptr_array_remove_fast(call->store->calls, call);
+	g_ptr_array_set_free_func(call->store->calls, call_free);
+	call->result.entries =
+		(const struct cq_store_entry *)(void *)call->entries->data;
+	call->result.entry_count = call->entries->len;
+	if (!call->result.message)
+		call->result.message = "";
+	call->done(call->ctx, &call->result);
+	call_free(call);
+}
+
+static struct mem_call *call_create(struct mem_store *s, cq_store_done_fn *done,
+				    void *ctx)
+{
+	struct mem_call *call = g_new0(struct mem_call, 1);
+
+	s->call_count++;
+	call->store = s;
+	call->done = done;
+	call->ctx = ctx;
+	call->result.revision = s->revision;
+	call->entries = g_array_new(FALSE, TRUE, sizeof(struct cq_store_entry));
+	g_array_set_clear_func(call->entries, clear_entry);
+	ev_timer_init(&call->timer, on_due, s->delay_s, 0.);
+	call->timer.data = call;
+	g_ptr_array_add(s->calls, call);
+	return call;
+}
+
+static struct cq_store_call *complete(struct mem_call *call,
+				      enum cq_store_status status)
+{
+	call->result.status = status;
+	ev_now_update(call->store->loop);
+	ev_timer_start(call->store->loop, &call->timer);
+	return (struct cq_store_call *)call;
+}
+
+/* Whether the fault of all calls answers this one. */
+static bool answered_by_fault(struct mem_call *call)
+{
+	if (call->store->fault == MEM_STORE_FINE)
+		return false;
+	complete(call, call->store->fault == MEM_STORE_REFUSE
+			       ? CQ_STORE_UNAVAILABLE
+			       : CQ_STORE_UNKNOWN);
+	return true;
+}
+
+static void wake_watches(struct mem_store *s)
+{
+	guint i, k;
+
+	for (i = 0; i < s->calls->len; i++) {
+		struct mem_call *call = g_ptr_array_index(s->calls, i);
+
+		if (!call->prefix)
+			continue;
+		for (k = 0; k < s->history->len; k++) {
+			const struct event *event =
+				g_ptr_array_index(s->history, k);
+
+			if (event->revision > call->after &&
+			    g_str_has_prefix(event->key, call->prefix))
+				add_entry(call, event->key, event->value,
+					  event->revision, 0);
+		}
+		if (!call->entries->len)
+			continue;
+		call->result.revision = s->revision;
+		g_clear_pointer(&call->prefix, g_free);
+		ev_timer_stop(s->loop, &call->timer);
+		ev_timer_set(&call->timer, 0., 0.);
+		complete(call, CQ_STORE_OK);
+	}
+}
+
+static void change(struct mem_store *s, const char *key, const char *value,
+		   int64_t lease_id)
+{
+	struct event *event = g_new0(struct event, 1);
+
+	event->key = g_strdup(key);
+	event->value = g_strdup(value);
+	event->revision = s->revision;
+	g_ptr_array_add(s->history, event);
+	if (value) {
+		struct item *item = g_new0(struct item, 1);
+
+		item->value = g_strdup(value);
+		item->revision = s->revision;
+		item->lease_id = lease_id;
+		g_tree_replace(s->items, g_strdup(key), item);
+	} else {
+		g_tree_remove(s->items, key);
+	}
+}
+
+void mem_store_write(struct mem_store *s, const char *key, const char *value)
+{
+	s->revision++;
+	change(s, key, value, 0);
+	wake_watches(s);
+}
+
+const char *mem_store_read(const struct mem_store *s, const char *key)
+{
+	const struct item *item = g_tree_lookup(s->items, key);
+
+	return item ? item->value : NULL;
+}
+
+int64_t mem_store_revision(const struct mem_store *s)
+{
+	return s->revision;
+}
+
+int64_t mem_store_lease_of(const struct mem_store *s, const char *key)
+{
+	const struct item *item = g_tree_lookup(s->items, key);
+
+	return item ? item->lease_id : 0;
+}
+
+uint32_t mem_store_changes(const struct mem_store *s)
+{
+	return s->change_count;
+}
+
+uint32_t mem_store_calls(const struct mem_store *s)
+{
+	return s->call_count;
+}
+
+struct lease_search {
+	int64_t lease_id;
+	GPtrArray *keys;
+};
+
+static gboolean find_leased(gpointer key, gpointer value, gpointer data)
+{
+	const struct item *item = value;
+	struct lease_search *search = data;
+
+	if (item->lease_id == search->lease_id)
+		g_ptr_array_add(search->keys, g_strdup(key));
+	return FALSE;
+}
+
+void mem_store_expire(struct mem_store *s, int64_t lease_id)
+{
+	struct lease_search search = {
+		lease_id,
+		g_ptr_array_new_with_free_func(g_free),
+	};
+	guint i;
+
+	g_hash_table_remove(s->leases, GINT_TO_POINTER((gint)lease_id));
+	g_tree_foreach(s->items, find_leased, &search);
+	for (i = 0; i < search.keys->len; i++)
+		mem_store_write(s, g_ptr_array_index(search.keys, i), NULL);
+	g_ptr_array_unref(search.keys);
+}
+
+void mem_store_compact(struct mem_store *s)
+{
+	guint i;
+
+	g_ptr_array_set_size(s->history, 0);
+	s->compacted = s->revision;
+	for (i = 0; i < s->calls->len; i++) {
+		struct mem_call *call = g_ptr_array_index(s->calls, i);
+
+		if (!call->prefix)
+			continue;
+		g_clear_pointer(&call->prefix, g_free);
+		ev_timer_stop(s->loop, &call->timer);
+		ev_timer_set(&call->timer, 0., 0.);
+		complete(call, CQ_STORE_COMPACTED);
+	}
+}
+
+void mem_store_delay(struct mem_store *s, double delay_s)
+{
+	s->delay_s = delay_s;
+}
+
+void mem_store_fail_changes(struct mem_store *s, enum mem_store_fault fault,
+			    int count)
+{
+	s->change_fault = fault;
+	s->fault_count = count;
+}
+
+void mem_store_fail_all(struct mem_store *s, enum mem_store_fault fault)
+{
+	s->fault = fault;
+}
+
+static struct cq_store_call *mem_get(void *self, const char *key,
+				     uint32_t timeout_ms,
+				     cq_store_done_fn *done, void *ctx)
+{
+	struct mem_store *s = self;
+	struct mem_call *call = call_create(s, done, ctx);
+	const struct item *item = g_tree_lookup(s->items, key);
+
+	(void)timeout_ms;
+	if (answered_by_fault(call))
+		return (struct cq_store_call *)call;
+	if (!item)
+		return complete(call, CQ_STORE_NOT_FOUND);
+	add_entry(call, key, item->value, item->revision, item->lease_id);
+	return complete(call, CQ_STORE_OK);
+}
+
+struct list_search {
+	struct mem_call *call;
+	const char *prefix;
+};
+
+static gboolean find_prefixed(gpointer key, gpointer value, gpointer data)
+{
+	const struct item *item = value;
+	struct list_search *search = data;
+
+	if (g_str_has_prefix(key, search->prefix))
+		add_entry(search->call, key, item->value, item->revision,
+			  item->lease_id);
+	return FALSE;
+}
+
+static struct cq_store_call *mem_list(void *self, const char *prefix,
+				      uint32_t timeout_ms,
+				      cq_store_done_fn *done, void *ctx)
+{
+	struct mem_store *s = self;
+	struct list_search search = { call_create(s, done, ctx), prefix };
+
+	(void)timeout_ms;
+	if (answered_by_fault(search.call))
+		return (struct cq_store_call *)search.call;
+	g_tree_foreach(s->items, find_prefixed, &search);
+	return complete(search.call, CQ_STORE_OK);
+}
+
+static struct cq_store_call *mem_watch(void *self, const char *prefix,
+				       int64_t after_revision, uint32_t wait_ms,
+				       cq_store_done_fn *done, void *ctx)
+{
+	struct mem_store *s = self;
+	struct mem_call *call = call_create(s, done, ctx);
+
+	if (answered_by_fault(call))
+		return (struct cq_store_call *)call;
+	if (after_revision < s->compacted)
+		return complete(call, CQ_STORE_COMPACTED);
+	call->prefix = g_strdup(prefix);
+	call->after = after_revision;
+	ev_timer_set(&call->timer, wait_ms / 1000.0, 0.);
+	complete(call, CQ_STORE_OK);
+	wake_watches(s);
+	return (struct cq_store_call *)call;
+}
+
+static bool checks_hold(const struct mem_store *s,
+			const struct cq_store_txn *txn)
+{
+	size_t i;
+
+	for (i = 0; i < txn->check_count; i++) {
+		const struct item *item =
+			g_tree_lookup(s->items, txn->checks[i].key);
+
+		if ((item ? item->revision : 0) != txn->checks[i].revision)
+			return false;
+	}
+	return true;
+}
+
+static void execute(struct mem_store *s, const struct cq_store_txn *txn)
+{
+	size_t i;
+
+	s->revision++;
+	s->change_count++;
+	for (i = 0; i < txn->put_count; i++)
+		change(s, txn->puts[i].key, txn->puts[i].value,
+		       txn->puts[i].lease_id);
+	for (i = 0; i < txn->delete_count; i++)
+		if (g_tree_lookup(s->items, txn->deletes[i]))
+			change(s, txn->deletes[i], NULL, 0);
+	wake_watches(s);
+}
+
+static void keep_late(struct mem_store *s, const struct cq_store_txn *txn)
+{
+	struct late_change *late = g_new0(struct late_change, 1);
+	size_t i;
+
+	late->checks = g_array_new(FALSE, TRUE, sizeof(struct cq_store_check));
+	late->puts = g_array_new(FALSE, TRUE, sizeof(struct cq_store_put));
+	late->deletes = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < txn->check_count; i++) {
+		struct cq_store_check check = txn->checks[i];
+
+		check.key = g_strdup(check.key);
+		g_array_append_val(late->checks, check);
+	}
+	for (i = 0; i < txn->put_count; i++) {
+		struct cq_store_put put = txn->puts[i];
+
+		put.key = g_strdup(put.key);
+		put.value = g_strdup(put.value);
+		g_array_append_val(late->puts, put);
+	}
+	for (i = 0; i < txn->delete_count; i++)
+		g_ptr_array_add(late->deletes, g_strdup(txn->deletes[i]));
+	g_ptr_array_add(s->late, late);
+}
+
+static void late_free(void *data)
+{
+	struct late_change *late = data;
+	guint i;
+
+	for (i = 0; i < late->checks->len; i++)
+		g_free((char *)g_array_index(late->checks,
+					     struct cq_store_check, i)
+			       .key);
+	for (i = 0; i < late->puts->len; i++) {
+		const struct cq_store_put *put =
+			&g_array_index(late->puts, struct cq_store_put, i);
+
+		g_free((char *)put->key);
+		g_free((char *)put->value);
+	}
+	g_array_unref(late->checks);
+	g_array_unref(late->puts);
+	g_ptr_array_unref(late->deletes);
+	g_free(late);
+}
+
+void mem_store_run_late(struct mem_store *s)
+{
+	guint i;
+
+	for (i = 0; i < s->late->len; i++) {
+		const struct late_change *late = g_ptr_array_index(s->late, i);
+		const struct cq_store_txn txn = {
+			.checks = (void *)late->checks->data,
+			.check_count = late->checks->len,
+			.puts = (void *)late->puts->data,
+			.put_count = late->puts->len,
+			.deletes = (void *)late->deletes->pdata,
+			.delete_count = late->deletes->len,
+		};
+
+		if (checks_hold(s, &txn))
+			execute(s, &txn);
+	}
+	g_ptr_array_set_size(s->late, 0);
+}
+
+static enum mem_store_fault next_change_fault(struct mem_store *s)
+{
+	if (s->fault_count <= 0)
+		return MEM_STORE_FINE;
+	s->fault_count--;
+	return s->change_fault;
+}
+
+static struct cq_store_call *mem_commit(void *self,
+					const struct cq_store_txn *txn,
+					uint32_t timeout_ms,
+					cq_store_done_fn *done, void *ctx)
+{
+	struct mem_store *s = self;
+	struct mem_call *call = call_create(s, done, ctx);
+	enum mem_store_fault fault;
+	size_t i;
+
+	(void)timeout_ms;
+	if (answered_by_fault(call))
+		return (struct cq_store_call *)call;
+	fault = next_change_fault(s);
+	if (fault == MEM_STORE_REFUSE)
+		return complete(call, CQ_STORE_UNAVAILABLE);
+	if (fault == MEM_STORE_VANISH)
+		return complete(call, CQ_STORE_UNKNOWN);
+	if (fault == MEM_STORE_LATE) {
+		keep_late(s, txn);
+		return complete(call, CQ_STORE_UNKNOWN);
+	}
+	for (i = 0; i < txn->put_count; i++)
+		if (txn->puts[i].lease_id &&
+		    !g_hash_table_contains(
+			    s->leases,
+			    GINT_TO_POINTER((gint)txn->puts[i].lease_id)))
+			return complete(call, CQ_STORE_NOT_FOUND);
+	if (!checks_hold(s, txn)) {
+		for (i = 0; i < txn->check_count; i++) {
+			const struct item *item =
+				g_tree_lookup(s->items, txn->checks[i].key);
+
+			if (item)
+				add_entry(call, txn->checks[i].key, item->value,
+					  item->revision, item->lease_id);
+		}
+		return complete(call, CQ_STORE_CONFLICT);
+	}
+	execute(s, txn);
+	call->result.revision = s->revision;
+	if (fault == MEM_STORE_AHEAD)
+		call->result.revision = ++s->revision;
+	return complete(call, fault == MEM_STORE_LOSE ? CQ_STORE_UNKNOWN
+						      : CQ_STORE_OK);
+}
+
+static struct cq_store_call *mem_put(void *self, const char *key,
+				     const char *value, int64_t revision,
+				     int64_t lease_id, uint32_t timeout_ms,
+				     cq_store_done_fn *done, void *ctx)
+{
+	const struct cq_store_check check = { key, revision };
+	const struct cq_store_put put = { key, value, lease_id };
+	const struct cq_store_txn txn = {
+		.checks = &check,
+		.check_count = revision == CQ_STORE_ANY_REVISION ? 0 : 1,
+		.puts = &put,
+		.put_count = 1,
+	};
+
+	return mem_commit(self, &txn, timeout_ms, done, ctx);
+}
+
+static struct cq_store_call *mem_lease_grant(void *self, uint32_t ttl_ms,
+					     uint32_t timeout_ms,
+					     cq_store_done_fn *done, void *ctx)
+{
+	struct mem_store *s = self;
+	struct mem_call *call = call_create(s, done, ctx);
+
+	(void)ttl_ms;
+	(void)timeout_ms;
+	if (answered_by_fault(call))
+		return (struct cq_store_call *)call;
+	call->result.lease_id = ++s->next_lease;
+	g_hash_table_add(s->leases, GINT_TO_POINTER((gint)s->next_lease));
+	return complete(call, CQ_STORE_OK);
+}
+
+static struct cq_store_call *mem_lease_keepalive(void *self, int64_t lease_id,
+						 uint32_t timeout_ms,
+						 cq_store_done_fn *done,
+						 void *ctx)
+{
+	struct mem_store *s = self;
+	struct mem_call *call = call_create(s, done, ctx);
+
+	(void)timeout_ms;
+	if (answered_by_fault(call))
+		return (struct cq_store_call *)call;
+	return complete(call,
+			g_hash_table_contains(s->leases,
+					      GINT_TO_POINTER((gint)lease_id))
+				? CQ_STORE_OK
+				: CQ_STORE_NOT_FOUND);
+}
+
+static struct cq_store_call *mem_lease_revoke(void *self, int64_t lease_id,
+					      uint32_t timeout_ms,
+					      cq_store_done_fn *done, void *ctx)
+{
+	struct mem_store *s = self;
+	struct mem_call *call = call_create(s, done, ctx);
+
+	(void)timeout_ms;
+	if (answered_by_fault(call))
+		return (struct cq_store_call *)call;
+	mem_store_expire(s, lease_id);
+	return complete(call, CQ_STORE_OK);
+}
+
+static void mem_cancel(void *self, struct cq_store_call *call)
+{
+	struct mem_store *s = self;
+
+	g_ptr_array_remove_fast(s->calls, call);
+}
+
+static const struct cq_store_ops mem_ops = {
+	.get = mem_get,
+	.list = mem_list,
+	.put = mem_put,
+	.lease_grant = mem_lease_grant,
+	.lease_keepalive = mem_lease_keepalive,
+	.lease_revoke = mem_lease_revoke,
+	.watch = mem_watch,
+	.cancel = mem_cancel,
+	.commit = mem_commit,
+};
+
+struct mem_store *mem_store_create(struct ev_loop *loop)
+{
+	struct mem_store *s = g_new0(struct mem_store, 1);
+
+	s->store.ops = &mem_ops;
+	s->store.self = s;
+	s->loop = loop;
+	s->items = g_tree_new_full(compare_keys, NULL, g_free, item_free);
+	s->history = g_ptr_array_new_with_free_func(event_free);
+	s->calls = g_ptr_array_new_with_free_func(call_free);
+	s->late = g_ptr_array_new_with_free_func(late_free);
+	s->leases = g_hash_table_new(NULL, NULL);
+	s->revision = 1;
+	return s;
+}
+
+void mem_store_destroy(struct mem_store *s)
+{
+	g_ptr_array_unref(s->calls);
+	g_ptr_array_unref(s->late);
+	g_ptr_array_unref(s->history);
+	g_tree_destroy(s->items);
+	g_hash_table_destroy(s->leases);
+	g_free(s);
+}
+
+const struct cq_store *mem_store_get(struct mem_store *s)
+{
+	return &s->store;
+}
