--- a/tests/support/mem_executor.c
+++ b/tests/support/mem_executor.c
@@ -3,6 +3,9 @@
 #include <glib.h>
 #include <string.h>
 
+/* Between the reading of a stale hold's lists and its answer. */
+#define STALE_S 0.012
+
 /* Ends that a worker still lists, and the answer of a hold. */
 struct ended {
 	uint64_t number;
@@ -36,6 +39,7 @@
 	char *worker; /* hold: lists are read when it completes */
 	uint64_t acknowledged;
 	bool lists;
+	GArray *running, *ended; /* read when sent, if holds are stale */
 };
 
 struct late_order {
@@ -56,6 +60,7 @@
 	enum mem_executor_fault fault;
 	int fault_count;
 	uint32_t starts;
+	bool stale_holds;
 	int64_t clock_ms;
 };
 
@@ -95,11 +100,14 @@
 	g_free(w);
 }
 
+static void free_lists(struct pending *p);
+
 static void pending_free(void *data)
 {
 	struct pending *p = data;
 
 	ev_timer_stop(p->m->loop, &p->timer);
+	free_lists(p);
 	g_free(p->worker);
 	g_free(p);
 }
@@ -134,10 +142,27 @@
 	return NULL;
 }
 
-static void note_end(struct worker *w, struct run *run, enum cq_run_end how)
+static void wake_holds(struct mem_executor *m, const struct worker *w)
+{
+	guint i;
+
+	for (i = 0; i < m->pending->len; i++) {
+		struct pending *p = g_ptr_array_index(m->pending, i);
+
+		if (!p->lists || p->running || strcmp(p->worker, w->id))
+			continue;
+		ev_timer_stop(m->loop, &p->timer);
+		ev_timer_set(&p->timer, 0., 0.);
+		ev_timer_start(m->loop, &p->timer);
+	}
+}
+
+static void note_end(struct mem_executor *m, struct worker *w, struct run *run,
+		     enum cq_run_end how)
 {
 	struct ended *ended = g_new0(struct ended, 1);
 
+	wake_holds(m, w);
 	ended->number = ++w->next_end;
 	ended->task = g_strdup(run->task);
 	ended->run = run->run;
@@ -182,8 +207,10 @@
 	return CQ_EXECUTOR_OK;
 }
 
-static enum cq_executor_answer
-carry_out_stop(struct worker *w, const char *task, uint32_t run, int64_t fence)
+static enum cq_executor_answer carry_out_stop(struct mem_executor *m,
+					      struct worker *w,
+					      const char *task, uint32_t run,
+					      int64_t fence)
 {
 	struct run *present = find_run(w, task);
 
@@ -191,7 +218,7 @@
 		return CQ_EXECUTOR_FENCED;
 	w->fence = fence;
 	if (present && present->run == run)
-		note_end(w, present, CQ_RUN_STOPPED);
+		note_end(m, w, present, CQ_RUN_STOPPED);
 	else
 		g_hash_table_insert(w->barred, g_strdup(task),
 				    GUINT_TO_POINTER(run));
@@ -215,45 +242,55 @@
 	}
 }
 
-static void report_lists(const struct pending *p, const struct worker *w,
-			 struct cq_executor_report *report)
+/* What the worker would report now. */
+static void take_lists(struct pending *p, const struct worker *w)
 {
-	GArray *running =
-		g_array_new(FALSE, TRUE, sizeof(struct cq_executor_running));
-	GArray *ended =
-		g_array_new(FALSE, TRUE, sizeof(struct cq_executor_ended));
 	guint i;
 
+	p->running =
+		g_array_new(FALSE, TRUE, sizeof(struct cq_executor_running));
+	p->ended = g_array_new(FALSE, TRUE, sizeof(struct cq_executor_ended));
 	for (i = 0; i < w->runs->len; i++) {
 		const struct run *run = g_ptr_array_index(w->runs, i);
 		const struct cq_executor_running row = {
-			.task = run->task,
+			.task = g_strdup(run->task),
 			.run = run->run,
 			.checkpoint = "",
 			.percent = 100,
 		};
 
-		g_array_append_val(running, row);
+		g_array_append_val(p->running, row);
 	}
 	for (i = 0; i < w->ended->len; i++) {
 		const struct ended *end = g_ptr_array_index(w->ended, i);
 		const struct cq_executor_ended row = {
 			.number = end->number,
-			.task = end->task,
+			.task = g_strdup(end->task),
 			.run = end->run,
 			.how = end->how,
 			.checkpoint = "",
 		};
 
-		g_array_append_val(ended, row);
+		g_array_append_val(p->ended, row);
 	}
-	report->running = (void *)running->data;
-	report->running_count = running->len;
-	report->ended = (void *)ended->data;
-	report->ended_count = ended->len;
-	p->done(p->ctx, report);
-	g_array_unref(running);
-	g_array_unref(ended);
+}
+
+static void free_lists(struct pending *p)
+{
+	guint i;
+
+	if (!p->running)
+		return;
+	for (i = 0; i < p->running->len; i++)
+		g_free((char *)g_array_index(p->running,
+					     struct cq_executor_running, i)
+			       .task);
+	for (i = 0; i < p->ended->len; i++)
+		g_free((char *)g_array_index(p->ended, struct cq_executor_ended,
+					     i)
+			       .task);
+	g_array_unref(p->running);
+	g_array_unref(p->ended);
 }
 
 static void on_due(struct ev_loop *loop, ev_timer *timer, int events)
@@ -272,14 +309,21 @@
 	g_ptr_array_set_free_func(m->pending, NULL);
 	g_ptr_array_remove_fast(m->pending, p);
 	g_ptr_array_set_free_func(m->pending, pending_free);
-	if (p->answer <= CQ_EXECUTOR_INVALID && w) {
+	if (w && w->cut && p->answer == CQ_EXECUTOR_OK)
+		report.answer = CQ_EXECUTOR_UNKNOWN;
+	if (report.answer <= CQ_EXECUTOR_INVALID && w) {
 		report.clock_ms = ++m->clock_ms;
 		report.born_unix_ms = w->born_ms;
 	}
-	if (p->lists && p->answer == CQ_EXECUTOR_OK && w)
-		report_lists(p, w, &report);
-	else
-		p->done(p->ctx, &report);
+	if (p->lists && report.answer == CQ_EXECUTOR_OK && w) {
+		if (!p->running)
+			take_lists(p, w);
+		report.running = (void *)p->running->data;
+		report.running_count = p->running->len;
+		report.ended = (void *)p->ended->data;
+		report.ended_count = p->ended->len;
+	}
+	p->done(p->ctx, &report);
 	pending_free(p);
 }
 
@@ -335,7 +379,7 @@
 		g_ptr_array_add(m->late, late);
 		return;
 	}
-	value = stop ? carry_out_stop(w, task, run, target->fence)
+	value = stop ? carry_out_stop(m, w, task, run, target->fence)
 		     : carry_out_start(m, w, task, run, target->fence);
 	answer(m, target->id,
 	       fault == MEM_EXECUTOR_LOSE ? CQ_EXECUTOR_UNKNOWN : value, done,
@@ -353,7 +397,8 @@
 		if (!w)
 			continue;
 		if (late->stop)
-			carry_out_stop(w, late->task, late->run, late->fence);
+			carry_out_stop(m, w, late->task, late->run,
+				       late->fence);
 		else
 			carry_out_start(m, w, late->task, late->run,
 					late->fence);
@@ -377,7 +422,7 @@
 	order(self, target, task, run, true, done, ctx);
 }
 
-/* Holds with a wait complete a little later, so that ends can be listed. */
+/* A hold with a wait completes when an end comes, or after the wait. */
 static void mem_hold(void *self, const struct cq_executor_target *target,
 		     const struct cq_executor_hold *hold, uint32_t timeout_ms,
 		     cq_executor_done_fn *done, void *ctx)
@@ -399,10 +444,13 @@
 	acknowledge(m, w, hold->acknowledged);
 	p = answer(m, target->id, CQ_EXECUTOR_OK, done, ctx);
 	p->lists = true;
-	if (!hold->wait_ms || w->ended->len)
+	if (m->stale_holds)
+		take_lists(p, w);
+	if (!m->stale_holds && (!hold->wait_ms || w->ended->len))
 		return;
 	ev_timer_stop(m->loop, &p->timer);
-	ev_timer_set(&p->timer, 0.01, 0.);
+	ev_timer_set(&p->timer,
+		     m->stale_holds ? STALE_S : hold->wait_ms / 1000.0, 0.);
 	ev_timer_start(m->loop, &p->timer);
 }
 
@@ -498,6 +546,11 @@
 	return find(m, id)->born_ms;
 }
 
+void mem_executor_stale_holds(struct mem_executor *m, bool stale)
+{
+	m->stale_holds = stale;
+}
+
 void mem_executor_fail_orders(struct mem_executor *m,
 			      enum mem_executor_fault fault, int count)
 {
@@ -517,7 +570,7 @@
 
 	if (!w)
 		return false;
-	note_end(w, find_run(w, task), how);
+	note_end(m, w, find_run(w, task), how);
 	return true;
 }
 
@@ -531,7 +584,8 @@
 		struct worker *w = value;
 
 		while (w->runs->len)
-			note_end(w, g_ptr_array_index(w->runs, 0), CQ_RUN_DONE);
+			note_end(m, w, g_ptr_array_index(w->runs, 0),
+				 CQ_RUN_DONE);
 	}
 }
 
--- a/tests/support/mem_executor.h
+++ b/tests/support/mem_executor.h
@@ -36,6 +36,8 @@
 /* The next count starts and stops meet the fault. */
 void mem_executor_fail_orders(struct mem_executor *m,
 			      enum mem_executor_fault fault, int count);
+/* Holds answer with what ran when they were sent. */
+void mem_executor_stale_holds(struct mem_executor *m, bool stale);
 /* The worker does not answer at all. */
 void mem_executor_cut(struct mem_executor *m, const char *id, bool cut);
 void mem_executor_run_late(struct mem_executor *m);
--- a/tests/unit/test_dispatcher.c
+++ b/tests/unit/test_dispatcher.c
@@ -125,6 +125,27 @@
 	close_world(w);
 }
 
+/* A hold sent beside a start may list what ran before it. */
+static void test_hold_beside_start(void)
+{
+	struct dispatch_world *w = open_world(LONG_LEASE_MS, 1);
+	struct mem_executor *workers = dispatch_world_workers(w);
+	int k;
+
+	dispatch_world_submit(w, 1, 1, 1, false);
+	g_assert_true(dispatch_world_await_running(w, 1));
+	mem_executor_stale_holds(workers, true);
+	mem_executor_end_all(workers); /* the waiting hold answers */
+	for (k = 2; k < 8; k++) {
+		dispatch_world_submit(w, k, 1, 1, false);
+		wait_turns(dispatch_world_loop(w), 6);
+	}
+	g_assert_true(dispatch_world_await_running(w, 6));
+	wait_turns(dispatch_world_loop(w), 60);
+	g_assert_cmpuint(mem_executor_starts(workers), ==, 7);
+	close_world(w);
+}
+
 /* The next epoch takes over what runs. */
 static void test_next_epoch_adopts_runs(void)
 {
@@ -312,6 +333,8 @@
 			test_stop_of_run_that_never_started);
 	g_test_add_func("/dispatcher/next_epoch_knows_the_ends",
 			test_next_epoch_knows_the_ends);
+	g_test_add_func("/dispatcher/hold_beside_start",
+			test_hold_beside_start);
 	g_test_add_func("/dispatcher/next_epoch_adopts_runs",
 			test_next_epoch_adopts_runs);
 	g_test_add_func("/dispatcher/late_order_of_former_epoch",
