--- a/tests/support/mem_executor.c
+++ b/tests/support/mem_executor.c
@@ -39,10 +39,12 @@
 	char *worker; /* hold: lists are read when it completes */
 	uint64_t acknowledged;
 	bool lists;
+	struct mem_order *order; /* carried out when it completes */
+	bool lost;		 /* and its answer does not arrive */
 	GArray *running, *ended; /* read when sent, if holds are stale */
 };
 
-struct late_order {
+struct mem_order {
 	char *worker, *task;
 	uint32_t run;
 	int64_t fence;
@@ -80,9 +82,9 @@
 	g_free(ended);
 }
 
-static void late_free(void *data)
+static void order_free(void *data)
 {
-	struct late_order *late = data;
+	struct mem_order *late = data;
 
 	g_free(late->worker);
 	g_free(late->task);
@@ -108,10 +110,25 @@
 
 	ev_timer_stop(p->m->loop, &p->timer);
 	free_lists(p);
+	if (p->order)
+		order_free(p->order);
 	g_free(p->worker);
 	g_free(p);
 }
 
+static struct mem_order *order_create(const struct cq_executor_target *target,
+				      const char *task, uint32_t run, bool stop)
+{
+	struct mem_order *order = g_new0(struct mem_order, 1);
+
+	order->worker = g_strdup(target->id);
+	order->task = g_strdup(task);
+	order->run = run;
+	order->fence = target->fence;
+	order->stop = stop;
+	return order;
+}
+
 static struct worker *find(const struct mem_executor *m, const char *id)
 {
 	return g_hash_table_lookup(m->workers, id);
@@ -225,6 +242,19 @@
 	return CQ_EXECUTOR_OK;
 }
 
+static enum cq_executor_answer carry_out(struct mem_executor *m,
+					 const struct mem_order *order)
+{
+	struct worker *w = find(m, order->worker);
+
+	if (!w || w->cut)
+		return CQ_EXECUTOR_UNKNOWN;
+	if (order->stop)
+		return carry_out_stop(m, w, order->task, order->run,
+				      order->fence);
+	return carry_out_start(m, w, order->task, order->run, order->fence);
+}
+
 static void acknowledge(struct mem_executor *m, struct worker *w,
 			uint64_t number)
 {
@@ -309,6 +339,10 @@
 	g_ptr_array_set_free_func(m->pending, NULL);
 	g_ptr_array_remove_fast(m->pending, p);
 	g_ptr_array_set_free_func(m->pending, pending_free);
+	if (p->order)
+		report.answer = carry_out(m, p->order);
+	if (p->lost)
+		report.answer = CQ_EXECUTOR_UNKNOWN;
 	if (w && w->cut && p->answer == CQ_EXECUTOR_OK)
 		report.answer = CQ_EXECUTOR_UNKNOWN;
 	if (report.answer <= CQ_EXECUTOR_INVALID && w) {
@@ -359,8 +393,7 @@
 {
 	struct worker *w = find(m, target->id);
 	enum mem_executor_fault fault = next_fault(m);
-	enum cq_executor_answer value;
-	struct late_order *late;
+	struct pending *p;
 
 	if (!w || w->cut || fault == MEM_EXECUTOR_NOT_SENT) {
 		answer(m, target->id, CQ_EXECUTOR_NOT_SENT, done, ctx);
@@ -370,20 +403,17 @@
 		answer(m, target->id, CQ_EXECUTOR_UNKNOWN, done, ctx);
 		if (fault == MEM_EXECUTOR_VANISH)
 			return;
-		late = g_new0(struct late_order, 1);
-		late->worker = g_strdup(target->id);
-		late->task = g_strdup(task);
-		late->run = run;
-		late->fence = target->fence;
-		late->stop = stop;
-		g_ptr_array_add(m->late, late);
+		g_ptr_array_add(m->late, order_create(target, task, run, stop));
 		return;
 	}
-	value = stop ? carry_out_stop(m, w, task, run, target->fence)
-		     : carry_out_start(m, w, task, run, target->fence);
-	answer(m, target->id,
-	       fault == MEM_EXECUTOR_LOSE ? CQ_EXECUTOR_UNKNOWN : value, done,
-	       ctx);
+	p = answer(m, target->id, CQ_EXECUTOR_OK, done, ctx);
+	p->order = order_create(target, task, run, stop);
+	p->lost = fault == MEM_EXECUTOR_LOSE;
+	if (!m->stale_holds)
+		return;
+	ev_timer_stop(m->loop, &p->timer);
+	ev_timer_set(&p->timer, STALE_S / 2, 0.);
+	ev_timer_start(m->loop, &p->timer);
 }
 
 void mem_executor_run_late(struct mem_executor *m)
@@ -391,7 +421,7 @@
 	guint i;
 
 	for (i = 0; i < m->late->len; i++) {
-		const struct late_order *late = g_ptr_array_index(m->late, i);
+		const struct mem_order *late = g_ptr_array_index(m->late, i);
 		struct worker *w = find(m, late->worker);
 
 		if (!w)
@@ -482,7 +512,7 @@
 	m->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   worker_free);
 	m->pending = g_ptr_array_new_with_free_func(pending_free);
-	m->late = g_ptr_array_new_with_free_func(late_free);
+	m->late = g_ptr_array_new_with_free_func(order_free);
 	m->acknowledged =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	m->breaches = g_string_new("");
--- a/tests/unit/test_dispatcher.c
+++ b/tests/unit/test_dispatcher.c
@@ -9,7 +9,8 @@
 #include "tests/support/wait_for.h"
 
 #define LONG_LEASE_MS 10000
-#define SHORT_LEASE_MS 1200
+/* Longer than the wait of a hold. */
+#define SHORT_LEASE_MS 3000
 
 static struct dispatch_world *open_world(uint32_t lease_ms, int workers)
 {
