--- /dev/null
+++ b/tests/unit/test_placement.c
@@ -0,0 +1,312 @@
+/*
+ * Where stages go and what gives way, for the loads that the policy answers:
+ * gangs that need a whole rack beside many small tasks, and urgent gangs that
+ * come in bursts.
+ */
+#include <glib.h>
+
+#include "chestnutquay/clock.h"
+#include "chestnutquay/placement.h"
+
+#define NOW_NS (INT64_C(100) * CQ_NS_PER_S)
+
+struct world {
+	struct cq_pool *pool;
+	GPtrArray *batches;
+};
+
+static void world_open(struct world *w, int racks, int workers_each)
+{
+	int rack, k;
+
+	w->pool = cq_pool_create();
+	w->batches = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)cq_batch_destroy);
+	for (rack = 0; rack < racks; rack++)
+		for (k = 0; k < workers_each; k++) {
+			struct cq_executor_listing listing = {
+				.service = "s",
+				.cpu_millicores = 128000,
+				.memory_mb = 524288,
+				.accelerators = 8,
+			};
+			struct cq_pool_worker *worker;
+
+			g_snprintf(listing.id, sizeof(listing.id), "r%d-%d",
+				   rack, k);
+			g_snprintf(listing.rack, sizeof(listing.rack), "r0-%d",
+				   rack);
+			worker = cq_pool_add(w->pool, listing.id);
+			cq_pool_update(worker, &listing);
+			worker->usable = true;
+		}
+}
+
+static void world_close(struct world *w)
+{
+	g_ptr_array_unref(w->batches);
+	cq_pool_destroy(w->pool);
+}
+
+/* The queue's name is its priority. */
+static struct cq_stage *stage(struct world *w, const char *priority,
+			      uint32_t tasks, uint32_t accelerators,
+			      uint32_t memory_mb)
+{
+	struct cq_workload *job = cq_workload_create();
+	struct cq_batch *batch;
+
+	g_strlcpy(job->queue, priority, sizeof(job->queue));
+	job->steps = g_new0(struct cq_workload_step, 1);
+	job->step_count = 1;
+	job->steps[0].tasks = tasks;
+	job->steps[0].accelerators = accelerators;
+	job->steps[0].memory_mb = memory_mb;
+	batch = cq_batch_create(job);
+	g_ptr_array_add(w->batches, batch);
+	return &batch->stages[0];
+}
+
+static struct cq_workload_step *step_of(struct cq_stage *s)
+{
+	return s->batch->workload->steps;
+}
+
+static struct cq_placement placement(struct world *w, struct cq_stage *s,
+				     bool pack_racks)
+{
+	cq_placement_prepare(w->pool);
+	return (struct cq_placement){
+		.pool = w->pool,
+		.stage = s,
+		.service = "s",
+		.now_ns = NOW_NS,
+		.pack_racks = pack_racks,
+	};
+}
+
+/* Places the stage, books it, and returns the number of tasks placed. */
+static uint32_t start(struct world *w, struct cq_stage *s, bool pack_racks)
+{
+	struct cq_placement p = placement(w, s, pack_racks);
+	GArray *assignments =
+		g_array_new(FALSE, TRUE, sizeof(struct cq_assignment));
+	uint32_t placed = cq_placement_find(&p, assignments);
+	guint i;
+
+	for (i = 0; i < assignments->len; i++) {
+		const struct cq_assignment *a =
+			&g_array_index(assignments, struct cq_assignment, i);
+
+		cq_task_assign(a->task, a->worker, 1);
+		a->task->phase = CQ_RUN_CONFIRMED;
+		a->task->started_ns = NOW_NS - CQ_NS_PER_S;
+	}
+	g_array_unref(assignments);
+	return placed;
+}
+
+static uint32_t racks_used(const struct cq_stage *s)
+{
+	GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
+	uint32_t count, i;
+
+	for (i = 0; i < s->step->tasks; i++)
+		g_hash_table_add(racks, s->tasks[i].worker->listing.rack);
+	count = g_hash_table_size(racks);
+	g_hash_table_destroy(racks);
+	return count;
+}
+
+/* Many small tasks that came first leave whole racks for a gang. */
+static void test_small_tasks_leave_racks(void)
+{
+	struct world w;
+	struct cq_stage *gang;
+	int k;
+
+	world_open(&w, 4, 6);
+	for (k = 0; k < 5; k++)
+		g_assert_cmpuint(start(&w, stage(&w, "2", 16, 1, 59000), true),
+				 ==, 16);
+	gang = stage(&w, "1", 6, 8, 210000);
+	step_of(gang)->gang = true;
+	step_of(gang)->same_rack = true;
+	g_assert_cmpuint(start(&w, gang, true), ==, 6);
+	g_assert_cmpuint(racks_used(gang), ==, 1);
+	world_close(&w);
+}
+
+/* On two racks a gang would take three times as long: it waits for one. */
+static void test_gang_waits_for_a_rack(void)
+{
+	struct world w;
+	struct cq_stage *small, *gang;
+
+	world_open(&w, 2, 2);
+	/* One task in each rack. */
+	small = stage(&w, "2", 2, 8, 1000);
+	cq_task_assign(&small->tasks[0], cq_pool_find(w.pool, "r0-0"), 1);
+	cq_task_assign(&small->tasks[1], cq_pool_find(w.pool, "r1-0"), 1);
+	gang = stage(&w, "1", 2, 8, 1000);
+	step_of(gang)->gang = true;
+	step_of(gang)->same_rack = true;
+	g_assert_cmpuint(start(&w, gang, true), ==, 0);
+	/* A gang that no rack could ever hold is spread. */
+	cq_task_end(&small->tasks[0], CQ_RUN_DONE, NULL, 0);
+	cq_task_end(&small->tasks[1], CQ_RUN_DONE, NULL, 0);
+	gang = stage(&w, "1", 4, 8, 1000);
+	step_of(gang)->gang = true;
+	step_of(gang)->same_rack = true;
+	g_assert_cmpuint(start(&w, gang, true), ==, 4);
+	world_close(&w);
+}
+
+/* A gang is placed as a whole or not at all. */
+static void test_gang_whole(void)
+{
+	struct world w;
+	struct cq_stage *gang;
+
+	world_open(&w, 1, 2);
+	gang = stage(&w, "1", 3, 8, 1000);
+	step_of(gang)->gang = true;
+	g_assert_cmpuint(start(&w, gang, false), ==, 0);
+	g_assert_cmpint(cq_pool_find(w.pool, "r0-0")->free_accelerators, ==, 8);
+	world_close(&w);
+}
+
+static void test_constraints(void)
+{
+	struct world w;
+	struct cq_stage *s;
+	struct cq_pool_worker *worker;
+
+	world_open(&w, 1, 3);
+	s = stage(&w, "1", 6, 1, 1000);
+	step_of(s)->max_per_worker = 1;
+	g_assert_cmpuint(start(&w, s, false), ==, 3);
+	s = stage(&w, "1", 1, 1, 1000);
+	g_strlcpy(step_of(s)->required_label, "big", CQ_WORKLOAD_NAME_BYTES);
+	g_assert_cmpuint(start(&w, s, false), ==, 0);
+	worker = cq_pool_find(w.pool, "r0-1");
+	g_strlcpy(worker->listing.labels[0], "big", CQ_EXECUTOR_NAME_BYTES);
+	worker->listing.label_count = 1;
+	g_assert_cmpuint(start(&w, s, false), ==, 1);
+	g_assert_true(s->tasks[0].worker == worker);
+	world_close(&w);
+}
+
+static uint32_t priority_of(void *ctx, const struct cq_batch *batch)
+{
+	(void)ctx;
+	return (uint32_t)g_ascii_strtoull(batch->workload->queue, NULL, 10);
+}
+
+static bool make_room(struct world *w, struct cq_stage *s, GPtrArray *out)
+{
+	const struct cq_placement p = placement(w, s, false);
+	const struct cq_placement_victims victims = {
+		.priority = priority_of,
+		.own_priority = priority_of(NULL, s->batch),
+		.max_loss_core_s = G_MAXDOUBLE,
+	};
+
+	return cq_placement_make_room(&p, &victims, out);
+}
+
+/* Work that can be resumed gives way before a gang that would start anew. */
+static void test_cheapest_gives_way(void)
+{
+	struct world w;
+	struct cq_stage *gang, *resumable, *urgent;
+	GPtrArray *out = g_ptr_array_new();
+
+	world_open(&w, 1, 2);
+	gang = stage(&w, "1", 2, 4, 1000);
+	step_of(gang)->gang = true;
+	step_of(gang)->cpu_millicores = 50000;
+	step_of(gang)->max_per_worker = 2;
+	g_assert_cmpuint(start(&w, gang, false), ==, 2);
+	resumable = stage(&w, "2", 8, 1, 1000);
+	step_of(resumable)->checkpointing = true;
+	g_assert_cmpuint(start(&w, resumable, false), ==, 8);
+	urgent = stage(&w, "0", 1, 8, 1000);
+	g_assert_cmpuint(start(&w, urgent, false), ==, 0);
+	g_assert_true(make_room(&w, urgent, out));
+	g_assert_cmpuint(out->len, ==, 8);
+	g_assert_true(((struct cq_task *)g_ptr_array_index(out, 0))->stage ==
+		      resumable);
+	g_ptr_array_unref(out);
+	world_close(&w);
+}
+
+/* What is being stopped already is room; nothing more is stopped. */
+static void test_stopping_counts_as_room(void)
+{
+	struct world w;
+	struct cq_stage *small, *urgent;
+	GPtrArray *out = g_ptr_array_new();
+	uint32_t i;
+
+	world_open(&w, 1, 1);
+	small = stage(&w, "2", 8, 1, 1000);
+	g_assert_cmpuint(start(&w, small, false), ==, 8);
+	urgent = stage(&w, "0", 1, 4, 1000);
+	g_assert_true(make_room(&w, urgent, out));
+	g_assert_cmpuint(out->len, ==, 4);
+	for (i = 0; i < out->len; i++)
+		((struct cq_task *)g_ptr_array_index(out, i))->stopping = true;
+	g_ptr_array_set_size(out, 0);
+	g_assert_true(make_room(&w, urgent, out));
+	g_assert_cmpuint(out->len, ==, 0);
+	/* The room is kept for the urgent stage. */
+	g_assert_cmpuint(start(&w, stage(&w, "2", 1, 0, 10), false), ==, 0);
+	/* Nothing gives way to work of the same priority. */
+	cq_pool_find(w.pool, "r0-0")->reserved_for = NULL;
+	g_assert_false(make_room(&w, stage(&w, "2", 1, 8, 1000), out));
+	g_ptr_array_unref(out);
+	world_close(&w);
+}
+
+/* Room for a gang that is to be in one rack is made in one rack. */
+static void test_room_in_one_rack(void)
+{
+	struct world w;
+	struct cq_stage *urgent;
+	GPtrArray *out = g_ptr_array_new();
+	guint i;
+
+	world_open(&w, 2, 2);
+	g_assert_cmpuint(start(&w, stage(&w, "2", 32, 1, 1000), false), ==, 32);
+	urgent = stage(&w, "0", 2, 8, 1000);
+	step_of(urgent)->gang = true;
+	step_of(urgent)->same_rack = true;
+	g_assert_true(make_room(&w, urgent, out));
+	g_assert_cmpuint(out->len, ==, 16);
+	for (i = 1; i < out->len; i++)
+		g_assert_cmpstr(((struct cq_task *)g_ptr_array_index(out, i))
+					->worker->listing.rack,
+				==,
+				((struct cq_task *)g_ptr_array_index(out, 0))
+					->worker->listing.rack);
+	g_ptr_array_unref(out);
+	world_close(&w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/placement/small_tasks_leave_racks",
+			test_small_tasks_leave_racks);
+	g_test_add_func("/placement/gang_waits_for_a_rack",
+			test_gang_waits_for_a_rack);
+	g_test_add_func("/placement/gang_whole", test_gang_whole);
+	g_test_add_func("/placement/constraints", test_constraints);
+	g_test_add_func("/placement/cheapest_gives_way",
+			test_cheapest_gives_way);
+	g_test_add_func("/placement/stopping_counts_as_room",
+			test_stopping_counts_as_room);
+	g_test_add_func("/placement/room_in_one_rack", test_room_in_one_rack);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_platform_documents.c
@@ -0,0 +1,238 @@
+/*
+ * What the platform's documents become, and what is said of those that cannot
+ * be used: a foreign or damaged entry must not take anything else with it.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "platform/documents.h"
+#include "platform/settings.h"
+
+static const char settings_json[] =
+	"{\"nodeName\":\"front-a-1\",\"zone\":\"a\",\"extra\":[1],"
+	"\"listen\":{\"front\":\"10.1.0.19:8521\",\"ready\":\"10.1.0.19:8523\"},"
+	"\"bounds\":{\"graceS\":6.5,\"holdMaxMs\":9000,\"stopTimeoutMs\":\"x\"},"
+	"\"heartbeatMs\":1500,\"advisor\":\"10.2.0.1:1\","
+	"\"platform\":{\"address\":\"10.200.1.7:8524\",\"writesPerS\":300},"
+	"\"cloud\":{\"address\":\"10.200.0.1:2\"}}";
+
+static void test_settings(void)
+{
+	struct cq_platform_settings s;
+
+	g_assert_true(cq_platform_settings_parse(
+		settings_json, strlen(settings_json), &s, NULL));
+	g_assert_cmpstr(s.host, ==, "front-a-1");
+	g_assert_cmpstr(s.data_centre, ==, "a");
+	g_assert_cmpstr(s.front_address, ==, "10.1.0.19:8521");
+	g_assert_cmpstr(s.store_address, ==, "10.200.1.7:8524");
+	g_assert_cmpuint(s.store_writes_per_s, ==, 300);
+	g_assert_cmpuint(s.store_reads_per_s, ==, 2000);
+	g_assert_cmpuint(s.stop_grace_ms, ==, 6500);
+	g_assert_cmpuint(s.max_lease_ms, ==, 9000);
+	/* Of another type: the default. */
+	g_assert_cmpuint(s.run_stop_ms, ==, 900);
+}
+
+static void test_bad_settings(void)
+{
+	static const struct {
+		const char *json, *message;
+	} cases[] = {
+		{ "{", "settings: not a JSON object: " },
+		{ "[]", "settings: not a JSON object: " },
+		{ "{\"zone\":\"a\"}", "settings: field \"nodeName\" is" },
+		{ "{\"nodeName\":\"a\",\"zone\":3}",
+		  "settings: field \"zone\" is" },
+		{ "{\"nodeName\":\"a\",\"zone\":\"b\"}",
+		  "settings: field \"front\" is" },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cq_platform_settings s;
+		struct cq_error err = CQ_ERROR_INIT;
+
+		g_assert_false(cq_platform_settings_parse(
+			cases[i].json, strlen(cases[i].json), &s, &err));
+		g_assert_true(g_str_has_prefix(err.message, cases[i].message));
+	}
+}
+
+static const char config_json[] =
+	"{\"version\":7,\"routes\":["
+	"{\"name\":\"r1\",\"host\":\"h.example\",\"prefix\":\"/a/\","
+	"\"service\":\"s\",\"priority\":1,\"maxAttempts\":2,\"stretch\":3.0,"
+	"\"targetRuntimeMs\":1000,\"timeoutMs\":3000,\"kind\":\"x\"},"
+	"{\"name\":\"r2\",\"host\":\"h.example\",\"prefix\":\"/a/b/\","
+	"\"service\":\"s\",\"allowAnonymous\":true,"
+	"\"advisor\":{\"decisionMs\":1,\"periodMs\":2,\"validityMs\":3000}}],"
+	"\"services\":[{\"name\":\"s\",\"standby\":true}],"
+	"\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k1\",5,\"k2\"],"
+	"\"guaranteed\":{\"gpus\":72}}]}";
+
+static void test_config(void)
+{
+	struct cq_queue_config *c = cq_platform_config_parse(
+		config_json, strlen(config_json), NULL);
+	const struct cq_queue *queue;
+
+	g_assert_nonnull(c);
+	g_assert_cmpint(c->version, ==, 7);
+	/* The longest prefix wins; a port is no part of the host. */
+	queue = cq_queue_config_match(c, "H.example:80", "/a/b/0123");
+	g_assert_cmpstr(queue->name, ==, "r2");
+	g_assert_true(queue->allow_anonymous);
+	g_assert_true(queue->advised);
+	g_assert_cmpuint(queue->advice_validity_ms, ==, 3000);
+	queue = cq_queue_config_match(c, "h.example", "/a/c");
+	g_assert_cmpstr(queue->name, ==, "r1");
+	g_assert_cmpfloat(queue->stretch, ==, 3.0);
+	g_assert_null(cq_queue_config_match(c, "h.example", "/b/"));
+	g_assert_null(cq_queue_config_match(c, "other.example", "/a/"));
+	g_assert_cmpstr(cq_queue_config_workspace_of_key(c, "k2")->name, ==,
+			"t");
+	g_assert_null(cq_queue_config_workspace_of_key(c, "k3"));
+	g_assert_cmpuint(
+		cq_queue_config_workspace(c, "t")->guaranteed_accelerators, ==,
+		72);
+	g_assert_true(c->services[0].standby);
+	cq_queue_config_destroy(c);
+}
+
+static void test_bad_configs(void)
+{
+	static const char *const bad[] = {
+		"",
+		"{}",
+		"{\"version\":\"7\",\"routes\":[]}",
+		"{\"version\":7,\"routes\":{}}",
+		"{\"version\":7,\"routes\":[{}]}",
+		"{\"version\":7,\"routes\":[{\"name\":5}]}",
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		struct cq_error err = CQ_ERROR_INIT;
+
+		g_assert_null(
+			cq_platform_config_parse(bad[i], strlen(bad[i]), &err));
+		g_assert_cmpint(err.code, ==, CQ_ERR_INVALID);
+	}
+}
+
+static const char listing_json[] =
+	"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\","
+	"\"version\":\"v1\",\"slots\":8,\"state\":\"draining\","
+	"\"coldRemainingMs\":40,\"remainingMs\":1500,\"born\":1700000000123,"
+	"\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpus\":8},"
+	"\"labels\":[\"a\",\"r1-3\",7],\"clockMs\":5,\"seq\":4}";
+
+static void test_listing(void)
+{
+	struct cq_executor_listing l;
+
+	g_assert_true(cq_platform_listing_parse(
+		"i-1", listing_json, strlen(listing_json), &l, NULL));
+	g_assert_cmpstr(l.id, ==, "i-1");
+	g_assert_cmpint(l.state, ==, CQ_LISTING_DRAINING);
+	g_assert_cmpstr(l.rack, ==, "r1-3");
+	g_assert_cmpuint(l.label_count, ==, 2);
+	g_assert_cmpuint(l.accelerators, ==, 8);
+	g_assert_cmpuint(l.remaining_ms, ==, 1500);
+	g_assert_cmpint(l.born_unix_ms, ==, 1700000000123);
+}
+
+/* Each field that a listing needs: missing, and of another type. */
+static void test_bad_listings(void)
+{
+	static const char *const fields[] = { "service", "address", "zone",
+					      "state", "capacity" };
+	struct cq_executor_listing l;
+	size_t i;
+
+	g_assert_false(cq_platform_listing_parse("i", "\xff\xfe", 2, &l, NULL));
+	g_assert_false(cq_platform_listing_parse("i", "[]", 2, &l, NULL));
+	for (i = 0; i < G_N_ELEMENTS(fields); i++) {
+		char *quoted = g_strdup_printf("\"%s\":", fields[i]);
+		char **parts = g_strsplit(listing_json, quoted, 2);
+		char *missing =
+			g_strdup_printf("%s\"odd\":%s", parts[0], parts[1]);
+		char *other = g_strdup_printf("%s\"%s\":null,\"odd\":%s",
+					      parts[0], fields[i], parts[1]);
+
+		g_assert_false(cq_platform_listing_parse(
+			"i", missing, strlen(missing), &l, NULL));
+		g_assert_false(cq_platform_listing_parse(
+			"i", other, strlen(other), &l, NULL));
+		g_free(missing);
+		g_free(other);
+		g_strfreev(parts);
+		g_free(quoted);
+	}
+}
+
+static const char submission_json[] =
+	"{\"spec\":\"text\",\"maxRuns\":4,\"firstRunMs\":1700000000000,"
+	"\"intervalMs\":500,\"steps\":[{\"count\":4,\"cpu\":500,"
+	"\"memMb\":256,\"estimatedMs\":900,\"dataRack\":\"r1-3\"},"
+	"{\"count\":2,\"gpus\":8,\"gang\":true,\"sameRack\":true,"
+	"\"after\":[0],\"checkpointing\":true,\"fillCount\":true,"
+	"\"maxPerServer\":1,\"unknown\":{}}]}";
+
+static void test_submission(void)
+{
+	struct cq_workload *w = cq_platform_submission_parse(
+		submission_json, strlen(submission_json), NULL);
+
+	g_assert_nonnull(w);
+	g_assert_cmpstr(w->spec, ==, "text");
+	g_assert_cmpuint(w->occurrences, ==, 4);
+	g_assert_cmpint(w->first_run_ms, ==, 1700000000000);
+	g_assert_cmpint(w->interval_ms, ==, 500);
+	g_assert_cmpuint(w->step_count, ==, 2);
+	g_assert_cmpuint(w->steps[0].tasks, ==, 4);
+	g_assert_cmpstr(w->steps[0].data_rack, ==, "r1-3");
+	g_assert_cmpuint(w->steps[1].after, ==, 1);
+	g_assert_true(w->steps[1].gang && w->steps[1].same_rack);
+	g_assert_true(w->steps[1].checkpointing && w->steps[1].fills);
+	g_assert_cmpuint(w->steps[1].max_per_worker, ==, 1);
+	cq_workload_destroy(w);
+}
+
+static void test_bad_submissions(void)
+{
+	static const char *const bad[] = {
+		"",
+		"[]",
+		"{\"steps\":[{\"count\":-1}]}",
+		"{\"steps\":[{\"count\":\"4\"}]}",
+		"{\"steps\":[{\"count\":1,\"after\":[99]}]}",
+		"{\"steps\":[{\"count\":1,\"image\":7}]}",
+		"{\"steps\":[],\"maxRuns\":-4}",
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		struct cq_error err = CQ_ERROR_INIT;
+
+		g_assert_null(cq_platform_submission_parse(
+			bad[i], strlen(bad[i]), &err));
+		g_assert_cmpint(err.code, ==, CQ_ERR_INVALID);
+		g_assert_cmpstr(err.message, !=, "");
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform/settings", test_settings);
+	g_test_add_func("/platform/bad_settings", test_bad_settings);
+	g_test_add_func("/platform/config", test_config);
+	g_test_add_func("/platform/bad_configs", test_bad_configs);
+	g_test_add_func("/platform/listing", test_listing);
+	g_test_add_func("/platform/bad_listings", test_bad_listings);
+	g_test_add_func("/platform/submission", test_submission);
+	g_test_add_func("/platform/bad_submissions", test_bad_submissions);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_platform_http.c
@@ -0,0 +1,394 @@
+/*
+ * Contract of the adapters to the platform: what each call sends, and what
+ * each way of answering becomes. The other side is a scripted HTTP server.
+ */
+#include <ev.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "chestnutquay/http_client.h"
+#include "chestnutquay/http_server.h"
+#include "platform/executor_http.h"
+#include "platform/kv_store.h"
+#include "tests/support/wait_for.h"
+
+#define CALL_TIMEOUT_MS 300
+
+struct world {
+	struct ev_loop *loop;
+	struct cq_http_server *server;
+	struct cq_http_client *client;
+	struct cq_kv_store *kv;
+	struct cq_executor_http *executor;
+	char address[32];
+	/* What the server answers, and what it was sent last. */
+	uint32_t status;
+	const char *body;
+	const char *second_body; /* of the next answers; NULL: the same */
+	bool silent;
+	char *sent;
+	int requests;
+	/* What the caller was told. */
+	bool done;
+	struct cq_store_result result;
+	char *entries;
+	struct cq_executor_report report;
+	char *lists;
+};
+
+static void on_request(void *ctx, struct cq_http_exchange *exchange)
+{
+	struct world *w = ctx;
+	const char *after = cq_http_exchange_query(exchange, "after");
+	const char *key = cq_http_exchange_query(exchange, "key");
+	const char *prefix = cq_http_exchange_query(exchange, "prefix");
+	const char *expected =
+		cq_http_exchange_header(exchange, "X-Expect-Instance");
+	size_t len;
+
+	w->requests++;
+	g_free(w->sent);
+	w->sent = g_strdup_printf(
+		"%s %s%s%s%s%s%s%s %s%s%s", cq_http_exchange_method(exchange),
+		cq_http_exchange_path(exchange), key ? " key=" : "",
+		key ? key : "", prefix ? " prefix=" : "", prefix ? prefix : "",
+		after ? " after=" : "", after ? after : "",
+		cq_http_exchange_body(exchange, &len), expected ? " for " : "",
+		expected ? expected : "");
+	if (w->silent)
+		return;
+	cq_http_exchange_respond_json(exchange, w->status, w->body);
+	if (w->second_body)
+		w->body = w->second_body;
+}
+
+static void world_open(struct world *w)
+{
+	static const struct cq_http_server_handler handler = { on_request,
+							       NULL };
+	struct cq_http_server_options options;
+
+	*w = (struct world){ .loop = ev_loop_new(0), .status = 200 };
+	cq_http_server_options_init(&options, "127.0.0.1", 0);
+	w->server = cq_http_server_create(w->loop, &options, &handler, w, NULL);
+	g_assert_nonnull(w->server);
+	g_snprintf(w->address, sizeof(w->address), "127.0.0.1:%u",
+		   cq_http_server_port(w->server));
+	w->client = cq_http_client_create(w->loop, 4, 4);
+	w->kv = cq_kv_store_create(w->client, w->address);
+	w->executor = cq_executor_http_create(w->client);
+}
+
+static void world_close(struct world *w)
+{
+	cq_kv_store_destroy(w->kv);
+	cq_executor_http_destroy(w->executor);
+	cq_http_client_destroy(w->client);
+	cq_http_server_destroy(w->server);
+	ev_loop_destroy(w->loop);
+	g_free(w->sent);
+	g_free(w->entries);
+	g_free(w->lists);
+}
+
+static void on_result(void *ctx, const struct cq_store_result *result)
+{
+	struct world *w = ctx;
+	GString *text = g_string_new("");
+	size_t i;
+
+	w->done = true;
+	w->result = *result;
+	for (i = 0; i < result->entry_count; i++)
+		g_string_append_printf(text, "%s=%s@%d,%d;",
+				       result->entries[i].key,
+				       result->entries[i].value
+					       ? result->entries[i].value
+					       : "-",
+				       (int)result->entries[i].revision,
+				       (int)result->entries[i].lease_id);
+	g_free(w->entries);
+	w->entries = g_string_free(text, FALSE);
+}
+
+static void on_report(void *ctx, const struct cq_executor_report *report)
+{
+	struct world *w = ctx;
+	GString *text = g_string_new("");
+	size_t i;
+
+	w->done = true;
+	w->report = *report;
+	for (i = 0; i < report->running_count; i++)
+		g_string_append_printf(
+			text, "%s %u %s %u %u;", report->running[i].task,
+			report->running[i].run, report->running[i].checkpoint,
+			report->running[i].percent, report->running[i].load);
+	for (i = 0; i < report->ended_count; i++)
+		g_string_append_printf(text, "%d %s %u %s %s;",
+				       (int)report->ended[i].number,
+				       report->ended[i].task,
+				       report->ended[i].run,
+				       cq_run_end_string(report->ended[i].how),
+				       report->ended[i].checkpoint);
+	g_free(w->lists);
+	w->lists = g_string_free(text, FALSE);
+}
+
+static bool is_done(void *ctx)
+{
+	return ((struct world *)ctx)->done;
+}
+
+static void await(struct world *w)
+{
+	g_assert_true(wait_for(w->loop, is_done, w));
+	w->done = false;
+}
+
+static const struct cq_store *store_of(struct world *w)
+{
+	return cq_kv_store_get(w->kv);
+}
+
+static void test_store_calls(void)
+{
+	struct world w;
+	const struct cq_store_check checks[] = { { "a", 4 }, { "b", 0 } };
+	const struct cq_store_put puts[] = { { "a", "one", 77 } };
+	const char *const deletes[] = { "b" };
+	const struct cq_store_txn txn = {
+		checks, 2, puts, 1, deletes, 1,
+	};
+	const struct cq_store *s;
+
+	world_open(&w);
+	s = store_of(&w);
+	w.body = "{\"key\":\"my/x\",\"value\":\"b25l\",\"revision\":412,"
+		 "\"created\":1,\"lease\":77,\"atRev\":530}";
+	s->ops->get(s->self, "my/x", CALL_TIMEOUT_MS, on_result, &w);
+	await(&w);
+	g_assert_cmpstr(w.sent, ==, "GET /kv-key key=my/x ");
+	g_assert_cmpstr(w.entries, ==, "my/x=one@412,77;");
+	w.body = "{\"events\":[{\"key\":\"m/a\",\"value\":\"b25l\","
+		 "\"revision\":5},{\"key\":\"m/b\",\"revision\":6,"
+		 "\"deleted\":true}],\"atRev\":6}";
+	s->ops->watch(s->self, "m/", 4, 100, on_result, &w);
+	await(&w);
+	g_assert_cmpstr(w.sent, ==, "GET /kv-watch prefix=m/ after=4 ");
+	g_assert_cmpstr(w.entries, ==, "m/a=one@5,0;m/b=-@6,0;");
+	g_assert_cmpint(w.result.revision, ==, 6);
+	w.body = "{\"revision\":9}";
+	s->ops->commit(s->self, &txn, CALL_TIMEOUT_MS, on_result, &w);
+	await(&w);
+	g_assert_cmpstr(
+		w.sent, ==,
+		"POST /kv-txn {\"expect\":[{\"key\":\"a\",\"revision\":4},"
+		"{\"key\":\"b\",\"revision\":0}],\"puts\":[{\"key\":\"a\","
+		"\"value\":\"b25l\",\"lease\":77}],\"deletes\":[\"b\"]}");
+	g_assert_cmpint(w.result.revision, ==, 9);
+	w.body = "{\"lease\":5,\"ttlMs\":1000}";
+	s->ops->lease_grant(s->self, 1000, CALL_TIMEOUT_MS, on_result, &w);
+	await(&w);
+	g_assert_cmpstr(w.sent, ==, "POST /kv-lease {\"ttlMs\":1000}");
+	g_assert_cmpint(w.result.lease_id, ==, 5);
+	s->ops->lease_keepalive(s->self, 5, CALL_TIMEOUT_MS, on_result, &w);
+	await(&w);
+	g_assert_cmpstr(w.sent, ==, "POST /kv-keep/5 {}");
+	s->ops->lease_revoke(s->self, 5, CALL_TIMEOUT_MS, on_result, &w);
+	await(&w);
+	g_assert_cmpstr(w.sent, ==, "DELETE /kv-lease-end/5 ");
+	world_close(&w);
+}
+
+/* All pages of a list, and the revision of the first. */
+static void test_store_pages(void)
+{
+	struct world w;
+	const struct cq_store *s;
+
+	world_open(&w);
+	s = store_of(&w);
+	w.body = "{\"items\":[{\"key\":\"m/a\",\"value\":\"b25l\","
+		 "\"revision\":5}],\"hasMore\":true,\"atRev\":9}";
+	w.second_body = "{\"items\":[{\"key\":\"m/b\",\"value\":\"b25l\","
+			"\"revision\":10}],\"hasMore\":false,\"atRev\":12}";
+	s->ops->list(s->self, "m/", CALL_TIMEOUT_MS, on_result, &w);
+	await(&w);
+	g_assert_cmpstr(w.sent, ==, "GET /kv-range prefix=m/ after=m/a ");
+	g_assert_cmpstr(w.entries, ==, "m/a=one@5,0;m/b=one@10,0;");
+	g_assert_cmpint(w.result.revision, ==, 9);
+	g_assert_cmpint(w.requests, ==, 2);
+	world_close(&w);
+}
+
+static void test_store_answers(void)
+{
+	static const struct {
+		uint32_t status;
+		const char *body;
+		enum cq_store_status expected;
+	} cases[] = {
+		{ 200, "{\"revision\":3}", CQ_STORE_OK },
+		{ 200, "{}", CQ_STORE_UNKNOWN },
+		{ 200, "nonsense", CQ_STORE_UNKNOWN },
+		{ 412, "{\"items\":[]}", CQ_STORE_CONFLICT },
+		{ 404, "", CQ_STORE_NOT_FOUND },
+		{ 410, "", CQ_STORE_COMPACTED },
+		{ 429, "", CQ_STORE_UNAVAILABLE },
+		{ 503, "", CQ_STORE_UNAVAILABLE },
+		{ 403, "", CQ_STORE_INVALID },
+		{ 500, "", CQ_STORE_UNKNOWN },
+	};
+	struct world w;
+	const struct cq_store *s;
+	size_t i;
+
+	world_open(&w);
+	s = store_of(&w);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		w.status = cases[i].status;
+		w.body = cases[i].body;
+		s->ops->put(s->self, "a", "x", 0, 0, CALL_TIMEOUT_MS, on_result,
+			    &w);
+		await(&w);
+		g_assert_cmpint(w.result.status, ==, cases[i].expected);
+	}
+	w.silent = true;
+	s->ops->put(s->self, "a", "x", 0, 0, CALL_TIMEOUT_MS, on_result, &w);
+	await(&w);
+	g_assert_cmpint(w.result.status, ==, CQ_STORE_UNKNOWN);
+	world_close(&w);
+}
+
+static void test_store_cancel(void)
+{
+	struct world w;
+	const struct cq_store *s;
+
+	world_open(&w);
+	s = store_of(&w);
+	w.silent = true;
+	s->ops->cancel(s->self, s->ops->get(s->self, "a", CALL_TIMEOUT_MS,
+					    on_result, &w));
+	wait_turns(w.loop, 20);
+	g_assert_false(w.done);
+	world_close(&w);
+}
+
+static void test_executor_calls(void)
+{
+	struct world w;
+	const struct cq_executor *e;
+	struct cq_executor_target target = { .id = "i-1", .fence = 7 };
+	const struct cq_executor_start start = {
+		.task = "t.0.0.1",
+		.run = 2,
+		.spec = "s",
+		.lease_end_ms = 486000,
+		.checkpoint = "0bb8",
+	};
+	const struct cq_executor_hold hold = { 486000, 57, 1000 };
+
+	world_open(&w);
+	e = cq_executor_http_get(w.executor);
+	target.address = w.address;
+	w.body = "{\"clockMs\":482113,\"born\":17}";
+	e->ops->start(e->self, &target, &start, CALL_TIMEOUT_MS, on_report, &w);
+	await(&w);
+	g_assert_cmpstr(w.sent, ==,
+			"POST /run-start {\"task\":\"t.0.0.1\",\"run\":2,"
+			"\"spec\":\"s\",\"deadlineMs\":486000,"
+			"\"checkpoint\":\"0bb8\",\"fencingToken\":7} for i-1");
+	g_assert_cmpint(w.report.answer, ==, CQ_EXECUTOR_OK);
+	g_assert_cmpint(w.report.clock_ms, ==, 482113);
+	g_assert_cmpint(w.report.born_unix_ms, ==, 17);
+	e->ops->stop(e->self, &target, "t.0.0.1", 2, CALL_TIMEOUT_MS, on_report,
+		     &w);
+	await(&w);
+	g_assert_cmpstr(w.sent, ==,
+			"POST /run-stop {\"task\":\"t.0.0.1\",\"run\":2,"
+			"\"fencingToken\":7} for i-1");
+	e->ops->pace(e->self, &target, "t.0.0.1", 2, 40, CALL_TIMEOUT_MS,
+		     on_report, &w);
+	await(&w);
+	g_assert_cmpstr(w.sent, ==,
+			"POST /pace {\"task\":\"t.0.0.1\",\"run\":2,"
+			"\"percent\":40,\"fencingToken\":7} for i-1");
+	w.body = "{\"clockMs\":1,\"running\":[[\"a.0.0.1\",2,\"0b\",41,7],"
+		 "[5],[\"b.0.0.0\",1,\"\",100]],\"finished\":[[58,"
+		 "\"a.0.0.9\",1,\"done\",\"\"],[59,\"x\",1,\"odd\",\"\"]]}";
+	e->ops->hold(e->self, &target, &hold, CALL_TIMEOUT_MS, on_report, &w);
+	await(&w);
+	g_assert_cmpstr(w.sent, ==,
+			"POST /hold {\"lastSeen\":57,\"deadlineMs\":486000,"
+			"\"waitMs\":1000,\"fencingToken\":7} for i-1");
+	/* Rows that cannot be read are left out; the others hold. */
+	g_assert_cmpstr(w.lists, ==,
+			"a.0.0.1 2 0b 41 7;b.0.0.0 1  100 0;"
+			"58 a.0.0.9 1 done ;");
+	world_close(&w);
+}
+
+static void test_executor_answers(void)
+{
+	static const struct {
+		uint32_t status;
+		const char *body;
+		enum cq_executor_answer expected;
+	} cases[] = {
+		{ 200, "{\"clockMs\":1}", CQ_EXECUTOR_OK },
+		{ 200, "{}", CQ_EXECUTOR_UNKNOWN },
+		{ 409, "{\"clockMs\":1,\"reason\":\"fence\"}",
+		  CQ_EXECUTOR_FENCED },
+		{ 409, "{\"reason\":\"old\"}", CQ_EXECUTOR_OLD_RUN },
+		{ 409, "{\"reason\":\"late\"}", CQ_EXECUTOR_LATE },
+		{ 409, "{\"reason\":\"room\"}", CQ_EXECUTOR_NO_ROOM },
+		{ 409, "{\"reason\":\"ticket\"}", CQ_EXECUTOR_NO_TICKET },
+		{ 409, "{\"reason\":\"odd\"}", CQ_EXECUTOR_INVALID },
+		{ 400, "", CQ_EXECUTOR_INVALID },
+		{ 421, "", CQ_EXECUTOR_OTHER_LIFE },
+		{ 429, "", CQ_EXECUTOR_UNHEALTHY },
+		{ 503, "", CQ_EXECUTOR_UNHEALTHY },
+		{ 500, "", CQ_EXECUTOR_UNKNOWN },
+	};
+	struct cq_executor_target target = { .id = "i-1", .fence = 7 };
+	const struct cq_executor *e;
+	struct world w;
+	size_t i;
+
+	world_open(&w);
+	e = cq_executor_http_get(w.executor);
+	target.address = w.address;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		w.status = cases[i].status;
+		w.body = cases[i].body;
+		e->ops->stop(e->self, &target, "t", 1, CALL_TIMEOUT_MS,
+			     on_report, &w);
+		await(&w);
+		g_assert_cmpint(w.report.answer, ==, cases[i].expected);
+	}
+	w.silent = true;
+	e->ops->stop(e->self, &target, "t", 1, CALL_TIMEOUT_MS, on_report, &w);
+	await(&w);
+	g_assert_cmpint(w.report.answer, ==, CQ_EXECUTOR_UNKNOWN);
+	target.address = "127.0.0.1:1";
+	e->ops->stop(e->self, &target, "t", 1, CALL_TIMEOUT_MS, on_report, &w);
+	await(&w);
+	g_assert_cmpint(w.report.answer, ==, CQ_EXECUTOR_NOT_SENT);
+	world_close(&w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform_http/store_calls", test_store_calls);
+	g_test_add_func("/platform_http/store_pages", test_store_pages);
+	g_test_add_func("/platform_http/store_answers", test_store_answers);
+	g_test_add_func("/platform_http/store_cancel", test_store_cancel);
+	g_test_add_func("/platform_http/executor_calls", test_executor_calls);
+	g_test_add_func("/platform_http/executor_answers",
+			test_executor_answers);
+	return g_test_run();
+}
