Refuse at once while the store is out of reach

Cause: a host cut off from the store held requests for 0.4 to 2.9 s before it refused them. It now refuses at once until a watch is answered again, and asks with short watches meanwhile.

--- a/include/chestnutquay/follower.h
+++ b/include/chestnutquay/follower.h
@@ -38,6 +38,8 @@
 		   const struct cq_follower_ops *ops, void *ctx);
 void cq_follower_destroy(struct cq_follower *f);
 bool cq_follower_synced(const struct cq_follower *f);
+/* The last call that ended was answered. */
+bool cq_follower_reachable(const struct cq_follower *f);
 /* When the last answered call was sent; INT64_MIN if none was answered. */
 int64_t cq_follower_contact_ns(const struct cq_follower *f);
 
--- a/include/chestnutquay/gateway.h
+++ b/include/chestnutquay/gateway.h
@@ -66,6 +66,9 @@
 	const struct cq_clock *clock;
 	struct cq_metrics *metrics;
 	uint32_t store_timeout_ms;
+	/* Whether the store answered lately; requests are refused if not. */
+	bool (*store_reachable)(void *ctx);
+	void *ctx;
 };
 
 struct cq_gateway;
--- a/src/coordination/follower.c
+++ b/src/coordination/follower.c
@@ -9,6 +9,8 @@
 /* Waits between calls that the store refused, doubled each time. */
 #define RETRY_MIN_S 0.1
 #define RETRY_MAX_S 0.8
+/* Wait of a watch that finds out whether the store answers again. */
+#define PROBE_WAIT_MS 1
 
 struct cq_follower {
 	struct ev_loop *loop;
@@ -85,6 +87,11 @@
 	return f->synced;
 }
 
+bool cq_follower_reachable(const struct cq_follower *f)
+{
+	return f->reachable;
+}
+
 int64_t cq_follower_contact_ns(const struct cq_follower *f)
 {
 	return f->contact_ns;
@@ -94,9 +101,9 @@
 {
 	f->sent_ns = cq_clock_now_ns(f->clock);
 	if (f->revision)
-		f->call = f->store->ops->watch(f->store->self, f->prefix,
-					       f->revision, f->wait_ms,
-					       on_watch, f);
+		f->call = f->store->ops->watch(
+			f->store->self, f->prefix, f->revision,
+			f->reachable ? f->wait_ms : PROBE_WAIT_MS, on_watch, f);
 	else
 		f->call = f->store->ops->list(f->store->self, f->prefix,
 					      f->call_timeout_ms, on_list, f);
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -46,6 +46,8 @@
 	const struct cq_queue_config *config;
 	GHashTable *tickets; /* call -> struct ticket, owned */
 	uint32_t store_timeout_ms;
+	bool (*store_reachable)(void *ctx);
+	void *ctx;
 	struct cq_counter
 		*results[CQ_GATEWAY_COUNT + 1][CQ_GATEWAY_UNKNOWN + 1];
 	struct cq_histogram *latency[CQ_GATEWAY_COUNT + 1];
@@ -125,6 +127,8 @@
 	g->clock = options->clock;
 	g->store = store;
 	g->store_timeout_ms = options->store_timeout_ms;
+	g->store_reachable = options->store_reachable;
+	g->ctx = options->ctx;
 	g->tickets = g_hash_table_new_full(NULL, NULL, NULL, ticket_free);
 	for (verb = 0; verb <= CQ_GATEWAY_COUNT; verb++) {
 		char labels[96];
@@ -215,6 +219,11 @@
 	int64_t now_ns = cq_clock_now_ns(t->g->clock);
 	int64_t limit_ns = t->deadline_ns;
 
+	if (status == CQ_STORE_UNAVAILABLE &&
+	    !t->g->store_reachable(t->g->ctx)) {
+		give_up(t);
+		return;
+	}
 	if (status == CQ_STORE_UNAVAILABLE)
 		limit_ns = MIN(limit_ns, t->received_ns + REFUSED_STORE_NS);
 	if (now_ns + (int64_t)(RETRY_S * CQ_NS_PER_S) >= limit_ns) {
@@ -552,6 +561,10 @@
 			      "there is no configuration yet");
 		return;
 	}
+	if (!t->g->store_reachable(t->g->ctx)) {
+		give_up(t);
+		return;
+	}
 	queue = cq_queue_config_match(config, request->authority,
 				      request->path);
 	if (!queue) {
--- a/src/programs/hostd/main.c
+++ b/src/programs/hostd/main.c
@@ -29,6 +29,13 @@
 	return cq_metrics_format(h->metrics);
 }
 
+static bool store_reachable(void *ctx)
+{
+	const struct hostd *h = ctx;
+
+	return !h->operators || cq_follower_reachable(h->operators);
+}
+
 static const struct cq_front_http_ops front_ops = { is_ready, format_metrics };
 
 static bool open_front(struct hostd *h, struct cq_error *err)
@@ -38,6 +45,8 @@
 		.clock = h->clock,
 		.metrics = h->metrics,
 		.store_timeout_ms = STORE_TIMEOUT_MS,
+		.store_reachable = store_reachable,
+		.ctx = h,
 	};
 	const struct cq_front_http_options front = {
 		.loop = h->loop,
