--- a/src/coordination/dispatcher_plan.c
+++ b/src/coordination/dispatcher_plan.c
@@ -185,12 +185,19 @@
 	GPtrArray *out = g_ptr_array_new();
 	guint i;
 
-	if (cq_placement_make_room(p, &victims, out))
-		for (i = 0; i < out->len; i++) {
-			cq_counter_add(d->preemptions, 1);
-			order_stop(d, g_ptr_array_index(out, i),
-				   "more urgent work needs the room");
-		}
+	if (cq_placement_make_room(p, &victims, out) && out->len)
+		cq_log_event(CQ_LOG_INFO, "room_made", "{s:s,s:i,s:i,s:i,s:I}",
+			     "id", ready->stage->batch->workload->id, "step",
+			     (int)ready->stage->step_index, "priority",
+			     (int)ready->queue->priority, "stops",
+			     (int)out->len, "waited_ms",
+			     (json_int_t)((p->now_ns - ready->stage->ready_ns) /
+					  CQ_NS_PER_MS));
+	for (i = 0; i < out->len; i++) {
+		cq_counter_add(d->preemptions, 1);
+		order_stop(d, g_ptr_array_index(out, i),
+			   "more urgent work needs the room");
+	}
 	g_ptr_array_unref(out);
 }
 
