--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -561,10 +561,6 @@
 			      "there is no configuration yet");
 		return;
 	}
-	if (!t->g->store_reachable(t->g->ctx)) {
-		give_up(t);
-		return;
-	}
 	queue = cq_queue_config_match(config, request->authority,
 				      request->path);
 	if (!queue) {
@@ -589,6 +585,10 @@
 			      "the id is not 16 hexadecimal digits");
 		return;
 	}
+	if (!t->g->store_reachable(t->g->ctx)) {
+		give_up(t);
+		return;
+	}
 	start(t, request, workspace ? workspace->name : "");
 }
 
