Limit store calls by their usual round trip

Cause: an answer of the store that was lost cost 0.6 to 0.9 s, so two lost renewals in a row ended the leader's lease (four elections in 5 s of lost answers) and a submission took until its deadline. Calls that may be repeated without harm are now limited to four usual round trips, at least 120 ms, doubled with each timeout.

--- a/include/chestnutquay/journal.h
+++ b/include/chestnutquay/journal.h
@@ -14,6 +14,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "chestnutquay/clock.h"
 #include "chestnutquay/store.h"
 
 /* Records in one transaction; with the head key at most 32 entries. */
@@ -36,10 +37,11 @@
 
 struct cq_journal_options {
 	struct ev_loop *loop;
+	const struct cq_clock *clock;
 	const char *head_key;
 	int64_t epoch;
 	int64_t head_revision; /* left by the election */
-	uint32_t call_timeout_ms;
+	uint32_t call_timeout_ms; /* the longest */
 };
 
 struct cq_journal;
--- /dev/null
+++ b/include/chestnutquay/round_trip.h
@@ -0,0 +1,23 @@
+/*
+ * Time limit of the next call to a server, from how long its last answers
+ * took. A call that may be repeated without harm is repeated soon after its
+ * answer was lost, and not too early while the server is slow.
+ */
+#ifndef CHESTNUTQUAY_ROUND_TRIP_H
+#define CHESTNUTQUAY_ROUND_TRIP_H
+
+#include <stdint.h>
+
+struct cq_round_trip {
+	uint32_t min_ms, max_ms; /* of a time limit */
+	int64_t smoothed_ns;	 /* of the answers; 0: none yet */
+	uint32_t timeouts;	 /* in a row */
+};
+
+void cq_round_trip_init(struct cq_round_trip *r, uint32_t min_ms,
+			uint32_t max_ms);
+uint32_t cq_round_trip_limit_ms(const struct cq_round_trip *r);
+void cq_round_trip_answered(struct cq_round_trip *r, int64_t took_ns);
+void cq_round_trip_timed_out(struct cq_round_trip *r);
+
+#endif
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -53,6 +53,7 @@
 {
 	const struct cq_journal_options journal = {
 		.loop = d->loop,
+		.clock = d->clock,
 		.head_key = CQ_KEY_HEAD,
 		.epoch = d->epoch,
 		.head_revision = head_revision,
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -6,12 +6,14 @@
 
 #include "chestnutquay/dispatcher.h"
 #include "chestnutquay/log.h"
+#include "chestnutquay/round_trip.h"
 
 /* Of a request whose caller does not say how long it waits. */
 #define DEFAULT_DEADLINE_MS 3000
 /* Answers leave this long before the caller's deadline. */
 #define ANSWER_MARGIN_NS (INT64_C(150) * CQ_NS_PER_MS)
-#define RETRY_S 0.06
+#define RETRY_S 0.03
+#define MIN_CALL_TIMEOUT_MS 150
 /*
  * A store that refuses calls is asked this long before the caller is sent to
  * another host.
@@ -30,6 +32,7 @@
 	char *record;	  /* SUBMIT, CANCEL: value to be written */
 	int64_t revision; /* CANCEL: of the record that was read */
 	int64_t received_ns;
+	int64_t sent_ns; /* the store call under way */
 	int64_t deadline_ns;
 	bool maybe_stored;
 	enum cq_batch_state state; /* STATE: of the progress record */
@@ -45,7 +48,7 @@
 	const struct cq_store *store;
 	const struct cq_queue_config *config;
 	GHashTable *tickets; /* call -> struct ticket, owned */
-	uint32_t store_timeout_ms;
+	struct cq_round_trip round_trip;
 	bool (*store_reachable)(void *ctx);
 	void *ctx;
 	struct cq_counter
@@ -78,7 +81,8 @@
 static void give_up(struct ticket *t);
 static void retry_later(struct ticket *t, enum cq_store_status status);
 static void on_retry(struct ev_loop *loop, ev_timer *timer, int events);
-static uint32_t call_timeout_ms(const struct ticket *t);
+static uint32_t call_timeout_ms(struct ticket *t);
+static void note_result(struct ticket *t, const struct cq_store_result *result);
 static void step_submit(struct ticket *t);
 static void on_submitted(void *ctx, const struct cq_store_result *result);
 static void step_state(struct ticket *t);
@@ -126,7 +130,8 @@
 	g->loop = options->loop;
 	g->clock = options->clock;
 	g->store = store;
-	g->store_timeout_ms = options->store_timeout_ms;
+	cq_round_trip_init(&g->round_trip, MIN_CALL_TIMEOUT_MS,
+			   options->store_timeout_ms);
 	g->store_reachable = options->store_reachable;
 	g->ctx = options->ctx;
 	g->tickets = g_hash_table_new_full(NULL, NULL, NULL, ticket_free);
@@ -244,12 +249,25 @@
 	t->step(t);
 }
 
-static uint32_t call_timeout_ms(const struct ticket *t)
+/* Of the call that is about to be sent. */
+static uint32_t call_timeout_ms(struct ticket *t)
 {
 	int64_t left_ms =
 		(t->deadline_ns - cq_clock_now_ns(t->g->clock)) / CQ_NS_PER_MS;
 
-	return (uint32_t)CLAMP(left_ms, 1, t->g->store_timeout_ms);
+	return (uint32_t)CLAMP(left_ms, 1,
+			       cq_round_trip_limit_ms(&t->g->round_trip));
+}
+
+static void note_result(struct ticket *t, const struct cq_store_result *result)
+{
+	int64_t now_ns = cq_clock_now_ns(t->g->clock);
+
+	t->store_call = NULL;
+	if (result->status == CQ_STORE_UNKNOWN)
+		cq_round_trip_timed_out(&t->g->round_trip);
+	else
+		cq_round_trip_answered(&t->g->round_trip, now_ns - t->sent_ns);
 }
 
 static void set_key(struct ticket *t, const char *prefix)
@@ -271,7 +289,7 @@
 {
 	struct ticket *t = ctx;
 
-	t->store_call = NULL;
+	note_result(t, result);
 	switch (result->status) {
 	case CQ_STORE_OK:
 		answer_simple(t, CQ_GATEWAY_ACCEPTED, "stored");
@@ -321,7 +339,7 @@
 {
 	struct ticket *t = ctx;
 
-	t->store_call = NULL;
+	note_result(t, result);
 	if (result->status == CQ_STORE_OK && result->entry_count == 1 &&
 	    cq_batch_state_of(result->entries[0].value,
 			      result->entries[0].value_len, &t->state)) {
@@ -354,7 +372,7 @@
 	struct cq_workload *w;
 	bool cancelled;
 
-	t->store_call = NULL;
+	note_result(t, result);
 	if (result->status == CQ_STORE_NOT_FOUND) {
 		answer_simple(t, CQ_GATEWAY_NO_JOB, "no such job");
 		return;
@@ -387,7 +405,7 @@
 	struct ticket *t = ctx;
 	struct cq_workload *w;
 
-	t->store_call = NULL;
+	note_result(t, result);
 	if (result->status == CQ_STORE_NOT_FOUND) {
 		answer_simple(t, CQ_GATEWAY_NO_JOB, "no such job");
 		return;
@@ -427,7 +445,7 @@
 {
 	struct ticket *t = ctx;
 
-	t->store_call = NULL;
+	note_result(t, result);
 	if (result->status == CQ_STORE_OK) {
 		answer_simple(t, CQ_GATEWAY_ACCEPTED, "cancelled");
 		return;
@@ -459,7 +477,7 @@
 	};
 	json_t *counts = NULL;
 
-	t->store_call = NULL;
+	note_result(t, result);
 	if (result->status == CQ_STORE_OK && result->entry_count == 1)
 		counts = json_loadb(result->entries[0].value,
 				    result->entries[0].value_len, 0, NULL);
--- a/src/coordination/journal.c
+++ b/src/coordination/journal.c
@@ -6,14 +6,18 @@
 
 #include "chestnutquay/leader.h"
 #include "chestnutquay/log.h"
+#include "chestnutquay/round_trip.h"
 
 #define RETRY_MIN_S 0.05
 #define RETRY_MAX_S 0.5
+/* Transactions may be repeated without harm, so this may be short. */
+#define MIN_CALL_TIMEOUT_MS 120
 /* Changes of this long are written together. */
 #define COLLECT_S 0.004
 
 struct cq_journal {
 	struct ev_loop *loop;
+	const struct cq_clock *clock;
 	const struct cq_store *store;
 	const struct cq_journal_ops *ops;
 	void *ctx;
@@ -21,7 +25,8 @@
 	int64_t epoch;
 	int64_t head_revision;
 	uint64_t sequence; /* of the transaction under way, or the last */
-	uint32_t call_timeout_ms;
+	struct cq_round_trip round_trip;
+	int64_t sent_ns;
 	struct cq_journal_record records[CQ_JOURNAL_MAX_RECORDS];
 	uint32_t record_count; /* 0: none under way */
 	struct cq_store_call *call;
@@ -47,13 +52,15 @@
 	struct cq_journal *j = g_new0(struct cq_journal, 1);
 
 	j->loop = options->loop;
+	j->clock = options->clock;
 	j->store = store;
 	j->ops = ops;
 	j->ctx = ctx;
 	j->head_key = g_strdup(options->head_key);
 	j->epoch = options->epoch;
 	j->head_revision = options->head_revision;
-	j->call_timeout_ms = options->call_timeout_ms;
+	cq_round_trip_init(&j->round_trip, MIN_CALL_TIMEOUT_MS,
+			   options->call_timeout_ms);
 	j->retry_s = RETRY_MIN_S;
 	ev_timer_init(&j->timer, on_timer, 0., 0.);
 	j->timer.data = j;
@@ -142,8 +149,10 @@
 		else
 			deletes[txn.delete_count++] = record->key;
 	}
+	j->sent_ns = cq_clock_now_ns(j->clock);
 	j->call = j->store->ops->commit(j->store->self, &txn,
-					j->call_timeout_ms, on_done, j);
+					cq_round_trip_limit_ms(&j->round_trip),
+					on_done, j);
 	g_free(head);
 }
 
@@ -200,6 +209,11 @@
 	struct cq_journal *j = ctx;
 
 	j->call = NULL;
+	if (result->status == CQ_STORE_UNKNOWN)
+		cq_round_trip_timed_out(&j->round_trip);
+	else
+		cq_round_trip_answered(&j->round_trip,
+				       cq_clock_now_ns(j->clock) - j->sent_ns);
 	switch (result->status) {
 	case CQ_STORE_OK:
 		finish(j, result->revision);
@@ -218,6 +232,11 @@
 		     cq_store_status_string(result->status), "error",
 		     result->message ? result->message : "", "records",
 		     (int)j->record_count);
+	/* The wait for the answer was long enough. */
+	if (result->status == CQ_STORE_UNKNOWN) {
+		send_txn(j);
+		return;
+	}
 	schedule(j, j->retry_s * g_random_double_range(0.7, 1.3));
 	j->retry_s = MIN(j->retry_s * 2, RETRY_MAX_S);
 }
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -7,12 +7,15 @@
 
 #include "chestnutquay/follower.h"
 #include "chestnutquay/log.h"
+#include "chestnutquay/round_trip.h"
 
 /* The leader stops ordering this long before the store ends its lease. */
 #define DEADLINE_MARGIN_NS (INT64_C(50) * CQ_NS_PER_MS)
 /* Renewals in the time of one lease. */
 #define RENEWALS_PER_LEASE 4
 #define RETRY_S 0.15
+#define RENEWAL_RETRY_S 0.05
+#define MIN_RENEWAL_TIMEOUT_MS 120
 /* Candidates wait up to this long, so that one of them is usually first. */
 #define CAMPAIGN_JITTER_S 0.04
 
@@ -47,6 +50,7 @@
 	int64_t expected_revision; /* of the holder key, when it stands */
 	int64_t epoch;
 	int64_t lease_id;
+	struct cq_round_trip round_trip; /* of renewals */
 	int64_t sent_ns;
 	int64_t deadline_ns;
 };
@@ -124,6 +128,8 @@
 	l->head_key = g_strdup(options->head_key);
 	l->lease_ms = options->lease_ms;
 	l->call_timeout_ms = options->call_timeout_ms;
+	cq_round_trip_init(&l->round_trip, MIN_RENEWAL_TIMEOUT_MS,
+			   options->call_timeout_ms);
 	ev_timer_init(&l->timer, on_timer, 0., 0.);
 	l->timer.data = l;
 	l->follower = cq_follower_create(&follower, store, &follower_ops, l);
@@ -393,7 +399,8 @@
 {
 	l->sent_ns = cq_clock_now_ns(l->clock);
 	l->call = l->store->ops->lease_keepalive(
-		l->store->self, l->lease_id, l->call_timeout_ms, on_renewal, l);
+		l->store->self, l->lease_id,
+		cq_round_trip_limit_ms(&l->round_trip), on_renewal, l);
 }
 
 static void on_renewal(void *ctx, const struct cq_store_result *result)
@@ -403,6 +410,11 @@
 		(double)l->lease_ms / CQ_MS_PER_S / RENEWALS_PER_LEASE;
 
 	l->call = NULL;
+	if (result->status == CQ_STORE_UNKNOWN)
+		cq_round_trip_timed_out(&l->round_trip);
+	else
+		cq_round_trip_answered(&l->round_trip,
+				       cq_clock_now_ns(l->clock) - l->sent_ns);
 	if (result->status == CQ_STORE_NOT_FOUND) {
 		step_down(l, "the store lease has ended");
 		return;
@@ -419,7 +431,7 @@
 		     "left_ms",
 		     (json_int_t)((l->deadline_ns - cq_clock_now_ns(l->clock)) /
 				  CQ_NS_PER_MS));
-	schedule(l, RETRY_S);
+	schedule(l, RENEWAL_RETRY_S);
 }
 
 static void step_down(struct cq_leader *l, const char *why)
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -71,6 +71,7 @@
 	mem_store_write(w->store, HEAD, head);
 	g_free(head);
 	options.loop = w->loop;
+	options.clock = cq_clock_system();
 	options.head_revision = mem_store_revision(w->store);
 	w->journal =
 		cq_journal_create(&options, mem_store_get(w->store), &ops, w);
