--- a/include/chestnutquay/round_trip.h
+++ b/include/chestnutquay/round_trip.h
@@ -6,6 +6,7 @@
 #ifndef CHESTNUTQUAY_ROUND_TRIP_H
 #define CHESTNUTQUAY_ROUND_TRIP_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct cq_round_trip {
@@ -17,7 +18,11 @@
 void cq_round_trip_init(struct cq_round_trip *r, uint32_t min_ms,
 			uint32_t max_ms);
 uint32_t cq_round_trip_limit_ms(const struct cq_round_trip *r);
-void cq_round_trip_answered(struct cq_round_trip *r, int64_t took_ns);
-void cq_round_trip_timed_out(struct cq_round_trip *r);
+/*
+ * A call has ended. Returns true if it got no answer although it waited for
+ * its whole limit; one that failed sooner says nothing about the server's pace.
+ */
+bool cq_round_trip_ended(struct cq_round_trip *r, int64_t took_ns,
+			 bool answered);
 
 #endif
--- a/src/base/round_trip.c
+++ b/src/base/round_trip.c
@@ -28,17 +28,20 @@
 	return limit_ms > r->max_ms ? r->max_ms : (uint32_t)limit_ms;
 }
 
-void cq_round_trip_answered(struct cq_round_trip *r, int64_t took_ns)
+bool cq_round_trip_ended(struct cq_round_trip *r, int64_t took_ns,
+			 bool answered)
 {
+	if (!answered) {
+		if (took_ns < cq_round_trip_limit_ms(r) * CQ_NS_PER_MS)
+			return false;
+		if (r->timeouts < MAX_DOUBLINGS)
+			r->timeouts++;
+		return true;
+	}
 	if (!r->smoothed_ns)
 		r->smoothed_ns = took_ns;
 	else
 		r->smoothed_ns += (took_ns - r->smoothed_ns) / SMOOTHING;
 	r->timeouts = 0;
-}
-
-void cq_round_trip_timed_out(struct cq_round_trip *r)
-{
-	if (r->timeouts < MAX_DOUBLINGS)
-		r->timeouts++;
+	return false;
 }
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -264,10 +264,8 @@
 	int64_t now_ns = cq_clock_now_ns(t->g->clock);
 
 	t->store_call = NULL;
-	if (result->status == CQ_STORE_UNKNOWN)
-		cq_round_trip_timed_out(&t->g->round_trip);
-	else
-		cq_round_trip_answered(&t->g->round_trip, now_ns - t->sent_ns);
+	cq_round_trip_ended(&t->g->round_trip, now_ns - t->sent_ns,
+			    result->status != CQ_STORE_UNKNOWN);
 }
 
 static void set_key(struct ticket *t, const char *prefix)
--- a/src/coordination/journal.c
+++ b/src/coordination/journal.c
@@ -207,13 +207,12 @@
 static void on_done(void *ctx, const struct cq_store_result *result)
 {
 	struct cq_journal *j = ctx;
+	bool timed_out;
 
 	j->call = NULL;
-	if (result->status == CQ_STORE_UNKNOWN)
-		cq_round_trip_timed_out(&j->round_trip);
-	else
-		cq_round_trip_answered(&j->round_trip,
-				       cq_clock_now_ns(j->clock) - j->sent_ns);
+	timed_out = cq_round_trip_ended(&j->round_trip,
+					cq_clock_now_ns(j->clock) - j->sent_ns,
+					result->status != CQ_STORE_UNKNOWN);
 	switch (result->status) {
 	case CQ_STORE_OK:
 		finish(j, result->revision);
@@ -233,7 +232,7 @@
 		     result->message ? result->message : "", "records",
 		     (int)j->record_count);
 	/* The wait for the answer was long enough. */
-	if (result->status == CQ_STORE_UNKNOWN) {
+	if (timed_out) {
 		send_txn(j);
 		return;
 	}
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -410,11 +410,9 @@
 		(double)l->lease_ms / CQ_MS_PER_S / RENEWALS_PER_LEASE;
 
 	l->call = NULL;
-	if (result->status == CQ_STORE_UNKNOWN)
-		cq_round_trip_timed_out(&l->round_trip);
-	else
-		cq_round_trip_answered(&l->round_trip,
-				       cq_clock_now_ns(l->clock) - l->sent_ns);
+	cq_round_trip_ended(&l->round_trip,
+			    cq_clock_now_ns(l->clock) - l->sent_ns,
+			    result->status != CQ_STORE_UNKNOWN);
 	if (result->status == CQ_STORE_NOT_FOUND) {
 		step_down(l, "the store lease has ended");
 		return;
