--- a/include/chestnutquay/log.h
+++ b/include/chestnutquay/log.h
@@ -27,6 +27,8 @@
 bool cq_log_open(const char *program, const char *host, enum cq_log_level level,
 		 struct cq_error *err);
 void cq_log_close(void);
+/* Before cq_log_open(): lines go to standard output and never block. */
+void cq_log_to_stdout(void);
 
 /* Parses "error", "warn", "info" or "debug"; false for anything else. */
 bool cq_log_level_parse(const char *text, enum cq_log_level *level);
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,6 +1,7 @@
 #include "chestnutquay/log.h"
 
 #include <assert.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <jansson.h>
 #include <log4c.h>
@@ -9,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "chestnutquay/clock.h"
 
@@ -48,6 +50,7 @@
 static char *program_name;
 static char *host_name;
 static GHashTable *rates;
+static FILE *stream; /* NULL: standard error */
 
 static const char *format_line(const log4c_layout_t *layout,
 			       const log4c_logging_event_t *event)
@@ -60,7 +63,7 @@
 		       const log4c_logging_event_t *event)
 {
 	(void)appender;
-	return fputs(event->evt_rendered_msg, stderr);
+	return fputs(event->evt_rendered_msg, stream ? stream : stderr);
 }
 
 static int to_priority(enum cq_log_level level)
@@ -78,6 +81,16 @@
 	return LOG4C_PRIORITY_DEBUG;
 }
 
+void cq_log_to_stdout(void)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	/* A reader that falls behind loses lines and never stops the loop. */
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	stream = stdout;
+}
+
 bool cq_log_open(const char *program, const char *host, enum cq_log_level level,
 		 struct cq_error *err)
 {
@@ -106,7 +119,7 @@
 	program_name = g_strdup(program);
 	host_name = g_strdup(host);
 	rates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	setvbuf(stderr, NULL, _IOLBF, 0);
+	setvbuf(stream ? stream : stderr, NULL, _IOLBF, 0);
 	return true;
 }
 
--- a/src/programs/hostd/main.c
+++ b/src/programs/hostd/main.c
@@ -92,6 +92,7 @@
 		fprintf(stderr, "%s: %s\n", PROGRAM, err.message);
 		return CQ_EXIT_USAGE;
 	}
+	cq_log_to_stdout();
 	if (!cq_log_open(PROGRAM, h.settings.host, CQ_LOG_INFO, &err)) {
 		fprintf(stderr, "%s: %s\n", PROGRAM, err.message);
 		return EXIT_FAILURE;
