--- /dev/null
+++ b/tests/property/prop_dispatcher.cc
@@ -0,0 +1,268 @@
+/*
+ * Property of the dispatcher over generated histories of jobs, leaders, ends
+ * and faults of workers and store: no task runs twice at one time or again
+ * after an end that was acknowledged, and once the faults are over every job
+ * comes to its end.
+ */
+#include <rapidcheck.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <cstring>
+#include <ostream>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "chestnutquay/log.h"
+#include "tests/support/dispatch_world.h"
+#include "tests/support/wait_for.h"
+}
+
+namespace
+{
+
+constexpr uint32_t kLeaseMs = 10000;
+constexpr int kWorkers = 3;
+constexpr int kHealRounds = 400;
+
+enum class kind {
+	submit,
+	submit_gang,
+	cancel,
+	end_all,
+	fail_first,
+	cut,
+	heal,
+	reboot,
+	orders_vanish,
+	orders_lost,
+	orders_late,
+	run_late_orders,
+	next_leader,
+	changes_lost,
+	changes_vanish,
+	changes_late,
+	run_late_changes,
+	store_down,
+	store_up,
+	compact,
+	unlist,
+	relist,
+	count
+};
+
+const char *const kKindNames[] = {
+	"submit",	    "submit_gang",  "cancel",	      "end_all",
+	"fail_first",	    "cut",	    "heal",	      "reboot",
+	"orders_vanish",    "orders_lost",  "orders_late",    "run_late_orders",
+	"next_leader",	    "changes_lost", "changes_vanish", "changes_late",
+	"run_late_changes", "store_down",   "store_up",	      "compact",
+	"unlist",	    "relist",
+};
+
+struct event {
+	kind what;
+	int worker;
+	int turns; /* of the loop until the next one */
+};
+
+std::ostream &operator<<(std::ostream &os, const event &e)
+{
+	return os << kKindNames[static_cast<int>(e.what)] << " worker "
+		  << e.worker << " then " << e.turns << " turns";
+}
+
+void showValue(const event &e, std::ostream &os)
+{
+	os << e;
+}
+
+rc::Gen<event> gen_event()
+{
+	return rc::gen::construct<event>(
+		rc::gen::map(rc::gen::inRange(0, static_cast<int>(kind::count)),
+			     [](int i) { return static_cast<kind>(i); }),
+		rc::gen::inRange(0, kWorkers), rc::gen::inRange(0, 8));
+}
+
+class run
+{
+      public:
+	run()
+	    : w_(dispatch_world_create(kLeaseMs)),
+	      workers_(dispatch_world_workers(w_)),
+	      store_(dispatch_world_store(w_))
+	{
+		for (int k = 0; k < kWorkers; k++)
+			dispatch_world_add_worker(w_, k);
+		dispatch_world_lead(w_);
+	}
+
+	~run()
+	{
+		dispatch_world_destroy(w_);
+	}
+
+	run(const run &) = delete;
+	run &operator=(const run &) = delete;
+
+	void apply(const event &e)
+	{
+		const std::string id = "worker" + std::to_string(e.worker);
+
+		switch (e.what) {
+		case kind::submit:
+			dispatch_world_submit(w_, ++jobs_, 3, 2, false);
+			break;
+		case kind::submit_gang:
+			dispatch_world_submit(w_, ++jobs_, 2, 6, true);
+			break;
+		case kind::cancel:
+			if (jobs_)
+				dispatch_world_cancel(w_, jobs_);
+			break;
+		case kind::end_all:
+			mem_executor_end_all(workers_);
+			break;
+		case kind::fail_first:
+			mem_executor_end(workers_, "0000000000000001.0.0.0",
+					 CQ_RUN_FAILED);
+			break;
+		case kind::cut:
+			mem_executor_cut(workers_, id.c_str(), true);
+			break;
+		case kind::heal:
+			mem_executor_cut(workers_, id.c_str(), false);
+			break;
+		case kind::reboot:
+			mem_executor_reboot(workers_, id.c_str());
+			break;
+		case kind::orders_vanish:
+			mem_executor_fail_orders(workers_, MEM_EXECUTOR_VANISH,
+						 2);
+			break;
+		case kind::orders_lost:
+			mem_executor_fail_orders(workers_, MEM_EXECUTOR_LOSE,
+						 2);
+			break;
+		case kind::orders_late:
+			mem_executor_fail_orders(workers_, MEM_EXECUTOR_LATE,
+						 2);
+			break;
+		case kind::run_late_orders:
+			mem_executor_run_late(workers_);
+			break;
+		case kind::next_leader:
+			dispatch_world_lead(w_);
+			break;
+		case kind::changes_lost:
+			mem_store_fail_changes(store_, MEM_STORE_LOSE, 1);
+			break;
+		case kind::changes_vanish:
+			mem_store_fail_changes(store_, MEM_STORE_VANISH, 1);
+			break;
+		case kind::changes_late:
+			mem_store_fail_changes(store_, MEM_STORE_LATE, 1);
+			break;
+		case kind::run_late_changes:
+			mem_store_run_late(store_);
+			break;
+		case kind::store_down:
+			mem_store_fail_all(store_, MEM_STORE_REFUSE);
+			break;
+		case kind::store_up:
+			mem_store_fail_all(store_, MEM_STORE_FINE);
+			break;
+		case kind::compact:
+			mem_store_compact(store_);
+			break;
+		case kind::unlist:
+			dispatch_world_list(w_, e.worker, false);
+			break;
+		case kind::relist:
+			dispatch_world_list(w_, e.worker, true);
+			break;
+		case kind::count:
+			break;
+		}
+		wait_turns(dispatch_world_loop(w_), e.turns);
+	}
+
+	void heal()
+	{
+		mem_store_fail_all(store_, MEM_STORE_FINE);
+		mem_store_fail_changes(store_, MEM_STORE_FINE, 0);
+		mem_executor_fail_orders(workers_, MEM_EXECUTOR_FINE, 0);
+		for (int k = 0; k < kWorkers; k++) {
+			const std::string id = "worker" + std::to_string(k);
+
+			mem_executor_cut(workers_, id.c_str(), false);
+			dispatch_world_list(w_, k, true);
+		}
+		if (dispatch_world_superseded(w_))
+			dispatch_world_lead(w_);
+	}
+
+	bool all_ended()
+	{
+		for (int k = 1; k <= jobs_; k++) {
+			const char *state = dispatch_world_state(w_, k);
+
+			if (strcmp(state, "completed") != 0 &&
+			    strcmp(state, "failed") != 0 &&
+			    strcmp(state, "cancelled") != 0)
+				return false;
+		}
+		return true;
+	}
+
+	bool finish()
+	{
+		for (int round = 0; round < kHealRounds; round++) {
+			if (all_ended())
+				return true;
+			mem_executor_end_all(workers_);
+			mem_executor_run_late(workers_);
+			wait_turns(dispatch_world_loop(w_), 20);
+		}
+		return all_ended();
+	}
+
+	std::string breaches() const
+	{
+		return mem_executor_breaches(workers_);
+	}
+
+      private:
+	struct dispatch_world *w_;
+	struct mem_executor *workers_;
+	struct mem_store *store_;
+	int jobs_ = 0;
+};
+
+} // namespace
+
+int main()
+{
+	/* To see what the dispatcher decided in a reproduced case. */
+	if (std::getenv("CQ_TEST_LOG"))
+		cq_log_open("prop_dispatcher", "test", CQ_LOG_INFO, nullptr);
+	const bool ok = rc::check("no task runs twice, every job ends", [] {
+		const auto events = *rc::gen::resize(
+			40,
+			rc::gen::container<std::vector<event>>(gen_event()));
+		run r;
+
+		for (const auto &e : events)
+			r.apply(e);
+		r.heal();
+		const bool ended = r.finish();
+
+		RC_LOG() << "breaches: " << r.breaches() << std::endl;
+		RC_ASSERT(r.breaches() == "");
+		RC_ASSERT(ended);
+	});
+
+	return ok ? 0 : 1;
+}
