Read long lists patiently, meet new lives of workers, let larger hosts lead

A new life of a worker took an acknowledgement of the old one for its own ends, and runs ordered meanwhile were counted as lost (found by prop_dispatcher: 'started after an end done was acknowledged'). The last ends of a worker were never acknowledged. A refused renewal was repeated every 50 ms.

--- a/include/chestnutquay/follower.h
+++ b/include/chestnutquay/follower.h
@@ -28,8 +28,9 @@
 	struct ev_loop *loop;
 	const struct cq_clock *clock;
 	const char *prefix;
-	uint32_t wait_ms;	  /* of one watch call */
-	uint32_t call_timeout_ms; /* of one list page */
+	uint32_t wait_ms; /* of one watch call */
+	/* Of one list page, which may hold a megabyte. */
+	uint32_t list_timeout_ms;
 };
 
 struct cq_follower *
--- a/include/chestnutquay/leader.h
+++ b/include/chestnutquay/leader.h
@@ -35,6 +35,8 @@
 	uint32_t lease_ms;
 	uint32_t call_timeout_ms;
 	uint32_t watch_wait_ms;
+	/* Before it stands, so that hosts that can carry more are first. */
+	uint32_t stand_delay_ms;
 };
 
 struct cq_leader *cq_leader_create(const struct cq_leader_options *options,
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -24,6 +24,7 @@
 	bool hold_failed; /* the last hold got no good answer */
 	int64_t hold_sent_ns;
 	int64_t next_hold_ns;
+	int64_t held_ns; /* last good answer to a hold */
 	int64_t last_answer_ns;
 	/* The worker's clock showed clock_ms at clock_ns or a little before. */
 	int64_t clock_ms;
@@ -32,6 +33,8 @@
 	int64_t lapse_ns;      /* all runs have surely lapsed by then */
 	uint64_t seen;	       /* last end taken over */
 	uint64_t acknowledged; /* ends up to here are in the store */
+	uint64_t told;	       /* of them, what the worker was told */
+	uint64_t telling;      /* by the hold in flight */
 	GArray *unacknowledged;
 };
 
@@ -104,7 +107,7 @@
 void link_tick(struct link *link, int64_t now_ns);
 /* The store holds more than before. */
 void link_acknowledge(struct link *link);
-/* Another life of the worker has begun; its runs are lost. */
+/* Another life of the worker has begun. */
 void link_new_life(struct link *link, int64_t born_unix_ms);
 /* The worker answered; clock_ms is -1 if it did not tell its clock. */
 void link_note_answer(struct link *link, int64_t clock_ms);
--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -12,6 +12,8 @@
 #define HOLD_TIMEOUT_MS 1000
 /* Between holds of a worker that does not answer. */
 #define HOLD_RETRY_NS (INT64_C(500) * CQ_NS_PER_MS)
+/* Holds that follow each other sooner reach the same life of a worker. */
+#define HOLD_GAP_NS (INT64_C(100) * CQ_NS_PER_MS)
 /* Leases granted are shorter than the longest by this much. */
 #define LEASE_MARGIN_MS 500
 /* A worker's steady clock may be slow by 2 %. */
@@ -129,9 +131,12 @@
 	}
 }
 
+/*
+ * The counts of the worker start anew. Its former runs are missing in the next
+ * report; one that was ordered meanwhile may be of the new life.
+ */
 void link_new_life(struct link *link, int64_t born_unix_ms)
 {
-	lose_runs(link, "the worker has started again");
 	cq_log_event(CQ_LOG_INFO, "worker_new_life", "{s:s,s:I,s:I}", "worker",
 		     link->worker->listing.id, "born", (json_int_t)born_unix_ms,
 		     "before", (json_int_t)link->worker->listing.born_unix_ms);
@@ -144,6 +149,7 @@
 	link->lease_end_ms = 0;
 	link->seen = 0;
 	link->acknowledged = 0;
+	link->told = 0;
 	g_array_set_size(link->unacknowledged, 0);
 }
 
@@ -152,6 +158,7 @@
 	if (!link->worker->listing.address[0])
 		return false;
 	return link->worker->runs->len || link->unacknowledged->len ||
+	       link->acknowledged > link->told ||
 	       (link->worker->listed && !link->fenced) ||
 	       (link->worker->listed && link->hold_failed);
 }
@@ -192,12 +199,16 @@
 	struct cq_dispatcher *d = link->d;
 	struct cq_executor_target target = link_target(link);
 	struct cq_executor_hold hold = {
-		.acknowledged = link->acknowledged,
+		/* After a gap, a new life might take it for its own ends. */
+		.acknowledged = now_ns - link->held_ns > HOLD_GAP_NS
+					? 0
+					: link->acknowledged,
 	};
 	struct hold_call *call = g_new0(struct hold_call, 1);
 
 	/* Ends that wait for the store would come again at once. */
-	if (link->fenced && !link->hold_failed && !link->unacknowledged->len)
+	if (link->fenced && !link->hold_failed && link->worker->runs->len &&
+	    !link->unacknowledged->len)
 		hold.wait_ms = is_shared(link->worker) ? HOLD_WAIT_SHARED_MS
 						       : HOLD_WAIT_MS;
 	/* A worker that is silent gets no longer lease, so that it lapses. */
@@ -206,6 +217,7 @@
 	call->d = d;
 	g_strlcpy(call->worker, link->worker->listing.id, sizeof(call->worker));
 	link->hold_in_flight = true;
+	link->telling = hold.acknowledged;
 	link->hold_sent_ns = now_ns;
 	cq_counter_add(d->holds, 1);
 	d->executor->ops->hold(d->executor->self, &target, &hold,
@@ -368,6 +380,8 @@
 		dispatcher_plan_soon(d);
 	link->fenced = true;
 	link->hold_failed = false;
+	link->held_ns = now_ns;
+	link->told = link->telling;
 	link_note_answer(link, report->clock_ms);
 	take_ends(link, report);
 	take_running(link, report);
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -6,6 +6,8 @@
 #include "coordination/dispatcher_internal.h"
 
 #define WATCH_WAIT_MS 2000
+/* A page of a megabyte takes most of a second at 10 Mbit/s. */
+#define LIST_TIMEOUT_MS 6000
 /* Between writes of the numbers of waiting jobs. */
 #define PENDING_INTERVAL_NS (INT64_C(500) * CQ_NS_PER_MS)
 
@@ -64,7 +66,7 @@
 		.clock = d->clock,
 		.prefix = d->worker_prefix,
 		.wait_ms = WATCH_WAIT_MS,
-		.call_timeout_ms = d->store_timeout_ms,
+		.list_timeout_ms = LIST_TIMEOUT_MS,
 	};
 
 	d->written = g_array_new(FALSE, TRUE, sizeof(struct written));
@@ -155,7 +157,7 @@
 static void read_progress(struct cq_dispatcher *d)
 {
 	d->list_call = d->store->ops->list(d->store->self, CQ_KEY_PROGRESS,
-					   d->store_timeout_ms, on_progress, d);
+					   LIST_TIMEOUT_MS, on_progress, d);
 }
 
 static void on_progress(void *ctx, const struct cq_store_result *result)
@@ -166,7 +168,7 @@
 		.clock = d->clock,
 		.prefix = CQ_KEY_WORKLOADS,
 		.wait_ms = WATCH_WAIT_MS,
-		.call_timeout_ms = d->store_timeout_ms,
+		.list_timeout_ms = LIST_TIMEOUT_MS,
 	};
 	size_t i;
 
--- a/src/coordination/follower.c
+++ b/src/coordination/follower.c
@@ -20,7 +20,7 @@
 	void *ctx;
 	char *prefix;
 	uint32_t wait_ms;
-	uint32_t call_timeout_ms;
+	uint32_t list_timeout_ms;
 	GHashTable *revisions; /* key -> int64_t, owned */
 	struct cq_store_call *call;
 	ev_timer retry;
@@ -58,7 +58,7 @@
 	f->ctx = ctx;
 	f->prefix = g_strdup(options->prefix);
 	f->wait_ms = options->wait_ms;
-	f->call_timeout_ms = options->call_timeout_ms;
+	f->list_timeout_ms = options->list_timeout_ms;
 	f->revisions =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->retry_s = RETRY_MIN_S;
@@ -106,7 +106,7 @@
 			f->reachable ? f->wait_ms : PROBE_WAIT_MS, on_watch, f);
 	else
 		f->call = f->store->ops->list(f->store->self, f->prefix,
-					      f->call_timeout_ms, on_list, f);
+					      f->list_timeout_ms, on_list, f);
 }
 
 static void on_retry(struct ev_loop *loop, ev_timer *timer, int events)
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -40,6 +40,7 @@
 	char *head_key;
 	uint32_t lease_ms;
 	uint32_t call_timeout_ms;
+	double stand_delay_s;
 	struct cq_follower *follower;
 	struct cq_store_call *call;
 	ev_timer timer;
@@ -57,6 +58,7 @@
 
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events);
 static void schedule(struct cq_leader *l, double after_s);
+static void stand_soon(struct cq_leader *l);
 static void consider(struct cq_leader *l);
 static bool may_stand(const struct cq_leader *l);
 static void send_grant(struct cq_leader *l);
@@ -113,7 +115,7 @@
 		.clock = options->clock,
 		.prefix = options->holder_prefix,
 		.wait_ms = options->watch_wait_ms,
-		.call_timeout_ms = options->call_timeout_ms,
+		.list_timeout_ms = options->call_timeout_ms,
 	};
 
 	l->loop = options->loop;
@@ -127,6 +129,7 @@
 	l->holder_key = g_strdup_printf("%sholder", options->holder_prefix);
 	l->head_key = g_strdup(options->head_key);
 	l->lease_ms = options->lease_ms;
+	l->stand_delay_s = options->stand_delay_ms / (double)CQ_MS_PER_S;
 	l->call_timeout_ms = options->call_timeout_ms;
 	cq_round_trip_init(&l->round_trip, MIN_RENEWAL_TIMEOUT_MS,
 			   options->call_timeout_ms);
@@ -182,6 +185,13 @@
 	ev_timer_start(l->loop, &l->timer);
 }
 
+/* Hosts that can carry more stand first. */
+static void stand_soon(struct cq_leader *l)
+{
+	schedule(l, l->stand_delay_s +
+			    g_random_double_range(0, CAMPAIGN_JITTER_S));
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct cq_leader *l = timer->data;
@@ -429,7 +439,8 @@
 		     "left_ms",
 		     (json_int_t)((l->deadline_ns - cq_clock_now_ns(l->clock)) /
 				  CQ_NS_PER_MS));
-	schedule(l, RENEWAL_RETRY_S);
+	schedule(l, result->status == CQ_STORE_UNKNOWN ? RENEWAL_RETRY_S
+						       : RETRY_S);
 }
 
 static void step_down(struct cq_leader *l, const char *why)
@@ -485,10 +496,13 @@
 	if (l->step == STEP_LEAD)
 		step_down(l, "the holder key is gone");
 	else if (l->step == STEP_FOLLOW)
-		schedule(l, g_random_double_range(0, CAMPAIGN_JITTER_S));
+		stand_soon(l);
 }
 
 static void on_holder_synced(void *ctx)
 {
-	consider(ctx);
+	struct cq_leader *l = ctx;
+
+	if (l->step == STEP_FOLLOW)
+		stand_soon(l);
 }
--- a/src/programs/hostd/dispatch.c
+++ b/src/programs/hostd/dispatch.c
@@ -5,6 +5,10 @@
 #define LEASE_MS 1500
 #define CALL_TIMEOUT_MS 600
 #define WATCH_WAIT_MS 2000
+/* What leads without delay; with half of it, after half of the delay. */
+#define AMPLE_MILLICORES 250
+#define AMPLE_MBPS 100
+#define STAND_DELAY_MS 300
 
 static bool may_order(void *ctx)
 {
@@ -58,6 +62,16 @@
 
 static const struct cq_leader_ops leader_ops = { on_elected, on_deposed };
 
+/* Small hosts stand later, so that they lead only if there is no other. */
+static uint32_t stand_delay_ms(const struct cq_platform_settings *settings)
+{
+	uint32_t carries = MIN(
+		settings->cpu_millicores * STAND_DELAY_MS / AMPLE_MILLICORES,
+		settings->link_mbps * STAND_DELAY_MS / AMPLE_MBPS);
+
+	return carries < STAND_DELAY_MS ? STAND_DELAY_MS - carries : 0;
+}
+
 void hostd_dispatch_open(struct hostd *h)
 {
 	char *identity = g_strdup_printf("%s/%s", h->settings.host,
@@ -71,6 +85,7 @@
 		.lease_ms = MAX(LEASE_MS, h->settings.store_min_ttl_ms),
 		.call_timeout_ms = CALL_TIMEOUT_MS,
 		.watch_wait_ms = WATCH_WAIT_MS,
+		.stand_delay_ms = stand_delay_ms(&h->settings),
 	};
 
 	h->leader = cq_leader_create(&options, h->store, &leader_ops, h);
--- a/src/programs/hostd/intent.c
+++ b/src/programs/hostd/intent.c
@@ -8,7 +8,7 @@
 
 /* A watch that hears nothing is asked anew, so a silent one is found soon. */
 #define WATCH_WAIT_MS 1000
-#define LIST_TIMEOUT_MS 900
+#define LIST_TIMEOUT_MS 2500
 /* Without an answer of the store this long, the host is not ready. */
 #define FRESH_NS (INT64_C(2500) * CQ_NS_PER_MS)
 
@@ -87,7 +87,7 @@
 		.clock = h->clock,
 		.prefix = CQ_PLATFORM_OPERATOR_PREFIX,
 		.wait_ms = WATCH_WAIT_MS,
-		.call_timeout_ms = LIST_TIMEOUT_MS,
+		.list_timeout_ms = LIST_TIMEOUT_MS,
 	};
 
 	h->evacuated =
--- a/tests/support/mem_executor.c
+++ b/tests/support/mem_executor.c
@@ -5,6 +5,8 @@
 
 /* Between the reading of a stale hold's lists and its answer. */
 #define STALE_S 0.012
+/* A worker that starts again answers nothing for so long. */
+#define REBOOT_S 0.15
 
 /* Ends that a worker still lists, and the answer of a hold. */
 struct ended {
@@ -22,6 +24,7 @@
 struct worker {
 	char *id;
 	bool cut;
+	double up_at_s; /* it answers nothing before */
 	int64_t born_ms;
 	int64_t fence;
 	GPtrArray *runs;
@@ -41,6 +44,7 @@
 	bool lists;
 	struct mem_order *order; /* carried out when it completes */
 	bool lost;		 /* and its answer does not arrive */
+	int64_t born_ms;	 /* life that it was sent to; 0: none */
 	GArray *running, *ended; /* read when sent, if holds are stale */
 };
 
@@ -134,6 +138,11 @@
 	return g_hash_table_lookup(m->workers, id);
 }
 
+static bool is_up(const struct worker *w)
+{
+	return w && !w->cut && ev_time() >= w->up_at_s;
+}
+
 static struct run *find_run(const struct worker *w, const char *task)
 {
 	guint i;
@@ -339,8 +348,15 @@
 	g_ptr_array_set_free_func(m->pending, NULL);
 	g_ptr_array_remove_fast(m->pending, p);
 	g_ptr_array_set_free_func(m->pending, pending_free);
-	if (p->order)
+	/* Calls to a life that has ended are broken off. */
+	if (w && p->born_ms && p->born_ms != w->born_ms) {
+		report.answer = CQ_EXECUTOR_UNKNOWN;
+		p->lost = true;
+	}
+	if (p->order && !p->lost)
 		report.answer = carry_out(m, p->order);
+	else if (p->order && report.answer != CQ_EXECUTOR_UNKNOWN)
+		carry_out(m, p->order);
 	if (p->lost)
 		report.answer = CQ_EXECUTOR_UNKNOWN;
 	if (w && w->cut && p->answer == CQ_EXECUTOR_OK)
@@ -372,6 +388,8 @@
 	p->done = done;
 	p->ctx = ctx;
 	p->worker = g_strdup(worker);
+	if (find(m, worker))
+		p->born_ms = find(m, worker)->born_ms;
 	ev_timer_init(&p->timer, on_due, 0., 0.);
 	p->timer.data = p;
 	ev_timer_start(m->loop, &p->timer);
@@ -395,7 +413,7 @@
 	enum mem_executor_fault fault = next_fault(m);
 	struct pending *p;
 
-	if (!w || w->cut || fault == MEM_EXECUTOR_NOT_SENT) {
+	if (!is_up(w) || fault == MEM_EXECUTOR_NOT_SENT) {
 		answer(m, target->id, CQ_EXECUTOR_NOT_SENT, done, ctx);
 		return;
 	}
@@ -462,7 +480,7 @@
 	struct pending *p;
 
 	(void)timeout_ms;
-	if (!w || w->cut) {
+	if (!is_up(w)) {
 		answer(m, target->id, CQ_EXECUTOR_NOT_SENT, done, ctx);
 		return;
 	}
@@ -569,6 +587,7 @@
 	g_ptr_array_unref(w->ended);
 	g_hash_table_destroy(w->barred);
 	start_life(w);
+	w->up_at_s = ev_time() + REBOOT_S;
 }
 
 int64_t mem_executor_born(const struct mem_executor *m, const char *id)
