Count failures that came before the limit was known

Ends are now taken over only once the configuration is known, and a job is checked again before its tasks are placed.

--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -135,6 +135,11 @@
  */
 bool cq_task_end(struct cq_task *task, enum cq_run_end how,
 		 const char *checkpoint, uint32_t max_attempts);
+/*
+ * Ends that came while the limit was not known count too: the batch fails if
+ * a task has failed max_attempts times. Returns true if it failed by it.
+ */
+bool cq_batch_check_attempts(struct cq_batch *batch, uint32_t max_attempts);
 /* Keeps a newer checkpoint of the present run. */
 void cq_task_checkpoint(struct cq_task *task, const char *checkpoint);
 /* The next run number of a gang or task; never one that was used. */
--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -279,6 +279,27 @@
 			stop_members(d, &batch->stages[i], reason);
 }
 
+static void log_job_end(struct cq_dispatcher *d, struct cq_batch *batch)
+{
+	batch->ended_ns = dispatcher_now_ns(d);
+	cq_log_event(CQ_LOG_INFO, "job_ended", "{s:s,s:s,s:I}", "id",
+		     batch->workload->id, "state",
+		     cq_batch_state_string(batch->state), "took_ms",
+		     (json_int_t)((batch->ended_ns - batch->accepted_ns) /
+				  CQ_NS_PER_MS));
+}
+
+bool dispatcher_check_attempts(struct cq_dispatcher *d, struct cq_batch *batch,
+			       const struct cq_queue *queue)
+{
+	if (!cq_batch_check_attempts(batch, queue->max_attempts))
+		return false;
+	log_job_end(d, batch);
+	dispatcher_stop_batch(d, batch, "the job has ended");
+	dispatcher_mark_dirty(d, batch);
+	return true;
+}
+
 void dispatcher_end_run(struct cq_dispatcher *d, struct cq_task *task,
 			enum cq_run_end how, const char *checkpoint)
 {
@@ -301,13 +322,7 @@
 	note_health(d, worker, how);
 	if (cq_task_end(task, how, checkpoint,
 			queue ? queue->max_attempts : 0)) {
-		batch->ended_ns = dispatcher_now_ns(d);
-		cq_log_event(
-			CQ_LOG_INFO, "job_ended", "{s:s,s:s,s:I}", "id",
-			batch->workload->id, "state",
-			cq_batch_state_string(batch->state), "took_ms",
-			(json_int_t)((batch->ended_ns - batch->accepted_ns) /
-				     CQ_NS_PER_MS));
+		log_job_end(d, batch);
 		/* The members of a gang that is done end by themselves. */
 		if (batch->state != CQ_BATCH_COMPLETED)
 			dispatcher_stop_batch(d, batch, "the job has ended");
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -89,6 +89,9 @@
 /* A run ended; books it, and ends what depends on it. */
 void dispatcher_end_run(struct cq_dispatcher *d, struct cq_task *task,
 			enum cq_run_end how, const char *checkpoint);
+/* The batch has failed if a task failed as often as its queue allows. */
+bool dispatcher_check_attempts(struct cq_dispatcher *d, struct cq_batch *batch,
+			       const struct cq_queue *queue);
 /* All runs of the batch are to end. */
 void dispatcher_stop_batch(struct cq_dispatcher *d, struct cq_batch *batch,
 			   const char *reason);
@@ -97,7 +100,7 @@
 void dispatcher_store_open(struct cq_dispatcher *d, int64_t head_revision);
 void dispatcher_store_close(struct cq_dispatcher *d);
 void dispatcher_write_pending(struct cq_dispatcher *d);
-/* All accepted workloads and their progress have been read. */
+/* The configuration, all workloads and their progress have been read. */
 bool dispatcher_loaded(const struct cq_dispatcher *d);
 
 /* dispatcher_links.c */
--- a/src/coordination/dispatcher_plan.c
+++ b/src/coordination/dispatcher_plan.c
@@ -108,7 +108,8 @@
 		const struct cq_queue *queue = dispatcher_queue(d, batch);
 
 		if (cq_batch_state_is_terminal(batch->state) || !queue ||
-		    queue->advised)
+		    queue->advised ||
+		    dispatcher_check_attempts(d, batch, queue))
 			continue;
 		for (i = 0; i < batch->stage_count; i++) {
 			struct ready_stage r = { &batch->stages[i], queue, 0 };
@@ -274,7 +275,7 @@
 	gpointer value;
 	guint i;
 
-	if (!d->config || !dispatcher_loaded(d) || !d->ops->may_order(d->ctx))
+	if (!dispatcher_loaded(d) || !d->ops->may_order(d->ctx))
 		goto done;
 	g_hash_table_iter_init(&iter, d->pool->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -89,7 +89,7 @@
 
 bool dispatcher_loaded(const struct cq_dispatcher *d)
 {
-	return d->workloads && cq_follower_synced(d->workloads);
+	return d->config && d->workloads && cq_follower_synced(d->workloads);
 }
 
 static void on_worker(void *ctx, const struct cq_store_entry *entry)
--- a/src/state/batch.c
+++ b/src/state/batch.c
@@ -278,6 +278,30 @@
 	return cq_batch_state_is_terminal(batch->state);
 }
 
+bool cq_batch_check_attempts(struct cq_batch *batch, uint32_t max_attempts)
+{
+	uint32_t i, k;
+
+	if (cq_batch_state_is_terminal(batch->state))
+		return false;
+	for (i = 0; i < batch->stage_count; i++) {
+		const struct cq_stage *stage = &batch->stages[i];
+
+		if (!stage->started || cq_stage_done(stage))
+			continue;
+		for (k = 0; k < stage->step->tasks; k++) {
+			const struct cq_task *task = &stage->tasks[k];
+
+			if (task->done || !failed_too_often(task, max_attempts))
+				continue;
+			batch->state = CQ_BATCH_FAILED;
+			batch->version++;
+			return true;
+		}
+	}
+	return false;
+}
+
 uint32_t cq_stage_next_run(const struct cq_stage *stage, uint32_t floor_run)
 {
 	uint32_t run = floor_run;
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -193,6 +193,32 @@
 	cq_pool_destroy(pool);
 }
 
+/*
+ * Failures that were counted while the limit was not known, as by a leader
+ * that has no configuration yet, count once it is.
+ */
+static void test_attempts_checked_later(void)
+{
+	struct cq_pool *pool = cq_pool_create();
+	struct cq_pool_worker *worker = add_worker(pool, "a");
+	struct cq_batch *batch = cq_batch_create(workload(1));
+	struct cq_stage *stage = cq_batch_stage(batch, 0, 0);
+	uint32_t run;
+
+	for (run = 1; run <= 2; run++) {
+		g_assert_false(cq_batch_check_attempts(batch, 2));
+		cq_task_assign(&stage->tasks[0], worker, run);
+		g_assert_false(
+			cq_task_end(&stage->tasks[0], CQ_RUN_FAILED, "", 0));
+	}
+	g_assert_false(cq_batch_check_attempts(batch, 3));
+	g_assert_true(cq_batch_check_attempts(batch, 2));
+	g_assert_cmpint(batch->state, ==, CQ_BATCH_FAILED);
+	g_assert_false(cq_batch_check_attempts(batch, 2));
+	cq_batch_destroy(batch);
+	cq_pool_destroy(pool);
+}
+
 /* One end done stands for the whole gang. */
 static void test_gang_done(void)
 {
@@ -317,6 +343,8 @@
 	g_test_add_func("/batch/names", test_names);
 	g_test_add_func("/batch/order", test_order);
 	g_test_add_func("/batch/gang_failures", test_gang_failures);
+	g_test_add_func("/batch/attempts_checked_later",
+			test_attempts_checked_later);
 	g_test_add_func("/batch/gang_done", test_gang_done);
 	g_test_add_func("/batch/long_running", test_long_running);
 	g_test_add_func("/batch/restore", test_restore);
