--- a/include/chestnutquay/journal.h
+++ b/include/chestnutquay/journal.h
@@ -40,7 +40,7 @@
 	const struct cq_clock *clock;
 	const char *head_key;
 	int64_t epoch;
-	int64_t head_revision; /* left by the election */
+	int64_t head_revision;	  /* left by the election */
 	uint32_t call_timeout_ms; /* the longest */
 };
 
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -6,7 +6,7 @@
 
 #include "chestnutquay/dispatcher.h"
 #include "chestnutquay/log.h"
-#include "chestnutquay/round_trip.h"
+#include "coordination/gateway_internal.h"
 
 /* Of a request whose caller does not say how long it waits. */
 #define DEFAULT_DEADLINE_MS 3000
@@ -21,41 +21,6 @@
 #define REFUSED_STORE_NS (INT64_C(400) * CQ_NS_PER_MS)
 #define RETRY_AFTER_S 1
 
-struct ticket {
-	struct cq_gateway *g;
-	enum cq_gateway_verb verb;
-	cq_gateway_done_fn *done;
-	void *call;
-	char id[CQ_WORKLOAD_ID_BYTES];
-	char queue[CQ_QUEUE_NAME_BYTES];
-	char *key;	  /* of the store call under way */
-	char *record;	  /* SUBMIT, CANCEL: value to be written */
-	int64_t revision; /* CANCEL: of the record that was read */
-	int64_t received_ns;
-	int64_t sent_ns; /* the store call under way */
-	int64_t deadline_ns;
-	bool maybe_stored;
-	enum cq_batch_state state; /* STATE: of the progress record */
-	bool has_state;
-	struct cq_store_call *store_call;
-	ev_timer retry;
-	void (*step)(struct ticket *t);
-};
-
-struct cq_gateway {
-	struct ev_loop *loop;
-	const struct cq_clock *clock;
-	const struct cq_store *store;
-	const struct cq_queue_config *config;
-	GHashTable *tickets; /* call -> struct ticket, owned */
-	struct cq_round_trip round_trip;
-	bool (*store_reachable)(void *ctx);
-	void *ctx;
-	struct cq_counter
-		*results[CQ_GATEWAY_COUNT + 1][CQ_GATEWAY_UNKNOWN + 1];
-	struct cq_histogram *latency[CQ_GATEWAY_COUNT + 1];
-};
-
 static const char *const verb_strings[] = {
 	[CQ_GATEWAY_SUBMIT] = "submit",
 	[CQ_GATEWAY_STATE] = "state",
@@ -75,26 +40,9 @@
 };
 
 static void ticket_free(void *data);
-static void answer(struct ticket *t, const struct cq_gateway_answer *a);
-static void answer_simple(struct ticket *t, enum cq_gateway_result result,
-			  const char *message);
+void ticket_answer(struct ticket *t, const struct cq_gateway_answer *a);
 static void give_up(struct ticket *t);
-static void retry_later(struct ticket *t, enum cq_store_status status);
 static void on_retry(struct ev_loop *loop, ev_timer *timer, int events);
-static uint32_t call_timeout_ms(struct ticket *t);
-static void note_result(struct ticket *t, const struct cq_store_result *result);
-static void step_submit(struct ticket *t);
-static void on_submitted(void *ctx, const struct cq_store_result *result);
-static void step_state(struct ticket *t);
-static void on_progress(void *ctx, const struct cq_store_result *result);
-static void step_workload(struct ticket *t);
-static void on_workload(void *ctx, const struct cq_store_result *result);
-static void step_cancel_read(struct ticket *t);
-static void on_cancel_read(void *ctx, const struct cq_store_result *result);
-static void step_cancel_write(struct ticket *t);
-static void on_cancel_written(void *ctx, const struct cq_store_result *result);
-static void step_count(struct ticket *t);
-static void on_count(void *ctx, const struct cq_store_result *result);
 static bool read_id(struct ticket *t, const char *path,
 		    const struct cq_queue *queue);
 
@@ -177,7 +125,7 @@
 	g_hash_table_remove(g->tickets, call);
 }
 
-static void answer(struct ticket *t, const struct cq_gateway_answer *a)
+void ticket_answer(struct ticket *t, const struct cq_gateway_answer *a)
 {
 	struct cq_gateway *g = t->g;
 	int64_t took_ns = cq_clock_now_ns(g->clock) - t->received_ns;
@@ -196,7 +144,7 @@
 	ticket_free(t);
 }
 
-static void answer_simple(struct ticket *t, enum cq_gateway_result result,
+void ticket_answer_simple(struct ticket *t, enum cq_gateway_result result,
 			  const char *message)
 {
 	const struct cq_gateway_answer a = {
@@ -205,21 +153,23 @@
 		.retry_after_s = RETRY_AFTER_S,
 	};
 
-	answer(t, &a);
+	ticket_answer(t, &a);
 }
 
 static void give_up(struct ticket *t)
 {
 	if (t->maybe_stored)
-		answer_simple(t, CQ_GATEWAY_UNKNOWN,
-			      "the store did not answer; it may have been "
-			      "stored");
+		ticket_answer_simple(
+			t, CQ_GATEWAY_UNKNOWN,
+			"the store did not answer; it may have been "
+			"stored");
 	else
-		answer_simple(t, CQ_GATEWAY_UNAVAILABLE,
-			      "the store cannot be reached from this host");
+		ticket_answer_simple(
+			t, CQ_GATEWAY_UNAVAILABLE,
+			"the store cannot be reached from this host");
 }
 
-static void retry_later(struct ticket *t, enum cq_store_status status)
+void ticket_retry_later(struct ticket *t, enum cq_store_status status)
 {
 	int64_t now_ns = cq_clock_now_ns(t->g->clock);
 	int64_t limit_ns = t->deadline_ns;
@@ -250,7 +200,7 @@
 }
 
 /* Of the call that is about to be sent. */
-static uint32_t call_timeout_ms(struct ticket *t)
+uint32_t ticket_timeout_ms(struct ticket *t)
 {
 	int64_t left_ms =
 		(t->deadline_ns - cq_clock_now_ns(t->g->clock)) / CQ_NS_PER_MS;
@@ -259,7 +209,7 @@
 			       cq_round_trip_limit_ms(&t->g->round_trip));
 }
 
-static void note_result(struct ticket *t, const struct cq_store_result *result)
+void ticket_note_result(struct ticket *t, const struct cq_store_result *result)
 {
 	int64_t now_ns = cq_clock_now_ns(t->g->clock);
 
@@ -268,227 +218,6 @@
 			    result->status != CQ_STORE_UNKNOWN);
 }
 
-static void set_key(struct ticket *t, const char *prefix)
-{
-	g_free(t->key);
-	t->key = g_strconcat(prefix, t->id, NULL);
-}
-
-static void step_submit(struct ticket *t)
-{
-	const struct cq_store *store = t->g->store;
-
-	set_key(t, CQ_KEY_WORKLOADS);
-	t->store_call = store->ops->put(store->self, t->key, t->record, 0, 0,
-					call_timeout_ms(t), on_submitted, t);
-}
-
-static void on_submitted(void *ctx, const struct cq_store_result *result)
-{
-	struct ticket *t = ctx;
-
-	note_result(t, result);
-	switch (result->status) {
-	case CQ_STORE_OK:
-		answer_simple(t, CQ_GATEWAY_ACCEPTED, "stored");
-		return;
-	case CQ_STORE_CONFLICT:
-		answer_simple(t, CQ_GATEWAY_ACCEPTED, "was stored before");
-		return;
-	case CQ_STORE_INVALID:
-		cq_log_event(CQ_LOG_ERROR, "store_refused_workload",
-			     "{s:s,s:s}", "id", t->id, "error",
-			     result->message);
-		answer_simple(t, CQ_GATEWAY_INVALID,
-			      "the store refused the record");
-		return;
-	case CQ_STORE_UNKNOWN:
-		t->maybe_stored = true;
-		break;
-	case CQ_STORE_NOT_FOUND:
-	case CQ_STORE_UNAVAILABLE:
-	case CQ_STORE_COMPACTED:
-		break;
-	}
-	retry_later(t, result->status);
-}
-
-static void step_state(struct ticket *t)
-{
-	const struct cq_store *store = t->g->store;
-
-	set_key(t, CQ_KEY_PROGRESS);
-	t->store_call = store->ops->get(store->self, t->key, call_timeout_ms(t),
-					on_progress, t);
-}
-
-static void answer_state(struct ticket *t, enum cq_batch_state state)
-{
-	const struct cq_gateway_answer a = {
-		.result = CQ_GATEWAY_FOUND,
-		.state = state,
-		.message = cq_batch_state_string(state),
-	};
-
-	answer(t, &a);
-}
-
-static void on_progress(void *ctx, const struct cq_store_result *result)
-{
-	struct ticket *t = ctx;
-
-	note_result(t, result);
-	if (result->status == CQ_STORE_OK && result->entry_count == 1 &&
-	    cq_batch_state_of(result->entries[0].value,
-			      result->entries[0].value_len, &t->state)) {
-		t->has_state = true;
-		if (cq_batch_state_is_terminal(t->state)) {
-			answer_state(t, t->state);
-			return;
-		}
-	} else if (result->status != CQ_STORE_NOT_FOUND) {
-		retry_later(t, result->status);
-		return;
-	}
-	t->step = step_workload;
-	step_workload(t);
-}
-
-/* The record of the workload shows whether it exists and is cancelled. */
-static void step_workload(struct ticket *t)
-{
-	const struct cq_store *store = t->g->store;
-
-	set_key(t, CQ_KEY_WORKLOADS);
-	t->store_call = store->ops->get(store->self, t->key, call_timeout_ms(t),
-					on_workload, t);
-}
-
-static void on_workload(void *ctx, const struct cq_store_result *result)
-{
-	struct ticket *t = ctx;
-	struct cq_workload *w;
-	bool cancelled;
-
-	note_result(t, result);
-	if (result->status == CQ_STORE_NOT_FOUND) {
-		answer_simple(t, CQ_GATEWAY_NO_JOB, "no such job");
-		return;
-	}
-	if (result->status != CQ_STORE_OK || result->entry_count != 1) {
-		retry_later(t, result->status);
-		return;
-	}
-	w = cq_workload_parse(result->entries[0].value,
-			      result->entries[0].value_len, NULL);
-	cancelled = w && w->cancelled;
-	cq_workload_destroy(w);
-	if (cancelled)
-		answer_state(t, CQ_BATCH_CANCELLED);
-	else
-		answer_state(t, t->has_state ? t->state : CQ_BATCH_QUEUED);
-}
-
-static void step_cancel_read(struct ticket *t)
-{
-	const struct cq_store *store = t->g->store;
-
-	set_key(t, CQ_KEY_WORKLOADS);
-	t->store_call = store->ops->get(store->self, t->key, call_timeout_ms(t),
-					on_cancel_read, t);
-}
-
-static void on_cancel_read(void *ctx, const struct cq_store_result *result)
-{
-	struct ticket *t = ctx;
-	struct cq_workload *w;
-
-	note_result(t, result);
-	if (result->status == CQ_STORE_NOT_FOUND) {
-		answer_simple(t, CQ_GATEWAY_NO_JOB, "no such job");
-		return;
-	}
-	w = result->status == CQ_STORE_OK && result->entry_count == 1
-		    ? cq_workload_parse(result->entries[0].value,
-					result->entries[0].value_len, NULL)
-		    : NULL;
-	if (!w) {
-		retry_later(t, result->status);
-		return;
-	}
-	if (w->cancelled) {
-		cq_workload_destroy(w);
-		answer_simple(t, CQ_GATEWAY_ACCEPTED, "was cancelled before");
-		return;
-	}
-	w->cancelled = true;
-	g_free(t->record);
-	t->record = cq_workload_format(w);
-	t->revision = result->entries[0].revision;
-	cq_workload_destroy(w);
-	t->step = step_cancel_write;
-	step_cancel_write(t);
-}
-
-static void step_cancel_write(struct ticket *t)
-{
-	const struct cq_store *store = t->g->store;
-
-	t->store_call = store->ops->put(store->self, t->key, t->record,
-					t->revision, 0, call_timeout_ms(t),
-					on_cancel_written, t);
-}
-
-static void on_cancel_written(void *ctx, const struct cq_store_result *result)
-{
-	struct ticket *t = ctx;
-
-	note_result(t, result);
-	if (result->status == CQ_STORE_OK) {
-		answer_simple(t, CQ_GATEWAY_ACCEPTED, "cancelled");
-		return;
-	}
-	/* Somebody else changed it, or an unanswered try was executed. */
-	t->step = step_cancel_read;
-	if (result->status == CQ_STORE_CONFLICT) {
-		step_cancel_read(t);
-		return;
-	}
-	t->maybe_stored |= result->status == CQ_STORE_UNKNOWN;
-	retry_later(t, result->status);
-}
-
-static void step_count(struct ticket *t)
-{
-	const struct cq_store *store = t->g->store;
-
-	t->store_call = store->ops->get(store->self, CQ_KEY_PENDING,
-					call_timeout_ms(t), on_count, t);
-}
-
-static void on_count(void *ctx, const struct cq_store_result *result)
-{
-	struct ticket *t = ctx;
-	struct cq_gateway_answer a = {
-		.result = CQ_GATEWAY_FOUND,
-		.message = "counted",
-	};
-	json_t *counts = NULL;
-
-	note_result(t, result);
-	if (result->status == CQ_STORE_OK && result->entry_count == 1)
-		counts = json_loadb(result->entries[0].value,
-				    result->entries[0].value_len, 0, NULL);
-	else if (result->status != CQ_STORE_NOT_FOUND) {
-		retry_later(t, result->status);
-		return;
-	}
-	a.pending =
-		(uint64_t)json_integer_value(json_object_get(counts, t->queue));
-	json_decref(counts);
-	answer(t, &a);
-}
-
 /* The id is what follows the queue's prefix. */
 static bool read_id(struct ticket *t, const char *path,
 		    const struct cq_queue *queue)
@@ -529,7 +258,7 @@
 	struct cq_error err = CQ_ERROR_INIT;
 
 	if (!w) {
-		answer_simple(t, CQ_GATEWAY_INVALID, body_error);
+		ticket_answer_simple(t, CQ_GATEWAY_INVALID, body_error);
 		return;
 	}
 	g_strlcpy(w->id, t->id, sizeof(w->id));
@@ -537,12 +266,12 @@
 	g_strlcpy(w->workspace, workspace, sizeof(w->workspace));
 	w->accepted_ms = cq_clock_unix_ms(t->g->clock);
 	if (!cq_workload_check(w, &err)) {
-		answer_simple(t, CQ_GATEWAY_INVALID, err.message);
+		ticket_answer_simple(t, CQ_GATEWAY_INVALID, err.message);
 		return;
 	}
 	t->record = cq_workload_format(w);
-	t->step = step_submit;
-	step_submit(t);
+	t->step = gateway_step_submit;
+	gateway_step_submit(t);
 }
 
 static void start(struct ticket *t, const struct cq_gateway_request *request,
@@ -554,13 +283,13 @@
 			     request->body_error);
 		return;
 	case CQ_GATEWAY_STATE:
-		t->step = step_state;
+		t->step = gateway_step_state;
 		break;
 	case CQ_GATEWAY_CANCEL:
-		t->step = step_cancel_read;
+		t->step = gateway_step_cancel;
 		break;
 	case CQ_GATEWAY_COUNT:
-		t->step = step_count;
+		t->step = gateway_step_count;
 		break;
 	}
 	t->step(t);
@@ -573,14 +302,14 @@
 	const struct cq_queue *queue;
 
 	if (!config) {
-		answer_simple(t, CQ_GATEWAY_UNAVAILABLE,
-			      "there is no configuration yet");
+		ticket_answer_simple(t, CQ_GATEWAY_UNAVAILABLE,
+				     "there is no configuration yet");
 		return;
 	}
 	queue = cq_queue_config_match(config, request->authority,
 				      request->path);
 	if (!queue) {
-		answer_simple(t, CQ_GATEWAY_NO_QUEUE, "no such queue");
+		ticket_answer_simple(t, CQ_GATEWAY_NO_QUEUE, "no such queue");
 		return;
 	}
 	g_strlcpy(t->queue, queue->name, sizeof(t->queue));
@@ -588,17 +317,18 @@
 		workspace =
 			cq_queue_config_workspace_of_key(config, request->key);
 	if (!workspace && !queue->allow_anonymous) {
-		answer_simple(t, CQ_GATEWAY_DENIED, "unknown key");
+		ticket_answer_simple(t, CQ_GATEWAY_DENIED, "unknown key");
 		return;
 	}
 	if (t->verb == CQ_GATEWAY_STATE &&
 	    !request->path[strlen(queue->prefix)])
 		t->verb = CQ_GATEWAY_COUNT;
 	else if (!read_id(t, request->path, queue)) {
-		answer_simple(t,
-			      t->verb == CQ_GATEWAY_SUBMIT ? CQ_GATEWAY_INVALID
-							   : CQ_GATEWAY_NO_JOB,
-			      "the id is not 16 hexadecimal digits");
+		ticket_answer_simple(t,
+				     t->verb == CQ_GATEWAY_SUBMIT
+					     ? CQ_GATEWAY_INVALID
+					     : CQ_GATEWAY_NO_JOB,
+				     "the id is not 16 hexadecimal digits");
 		return;
 	}
 	if (!t->g->store_reachable(t->g->ctx)) {
