--- a/tests/support/mem_executor.c
+++ b/tests/support/mem_executor.c
@@ -1,75 +1,12 @@
-#include "mem_executor.h"
-
-#include <glib.h>
 #include <string.h>
 
+#include "mem_executor_internal.h"
+
 /* Between the reading of a stale hold's lists and its answer. */
 #define STALE_S 0.012
 /* A worker that starts again answers nothing for so long. */
 #define REBOOT_S 0.15
 
-/* Ends that a worker still lists, and the answer of a hold. */
-struct ended {
-	uint64_t number;
-	char *task;
-	uint32_t run;
-	enum cq_run_end how;
-};
-
-struct run {
-	char *task;
-	uint32_t run;
-};
-
-struct worker {
-	char *id;
-	bool cut;
-	double up_at_s; /* it answers nothing before */
-	int64_t born_ms;
-	int64_t fence;
-	GPtrArray *runs;
-	GPtrArray *ended;
-	GHashTable *barred; /* task -> highest run stopped or ended here */
-	uint64_t next_end;
-};
-
-struct pending {
-	struct mem_executor *m;
-	ev_timer timer;
-	cq_executor_done_fn *done;
-	void *ctx;
-	enum cq_executor_answer answer;
-	char *worker; /* hold: lists are read when it completes */
-	uint64_t acknowledged;
-	bool lists;
-	struct mem_order *order; /* carried out when it completes */
-	bool lost;		 /* and its answer does not arrive */
-	int64_t born_ms;	 /* life that it was sent to; 0: none */
-	GArray *running, *ended; /* read when sent, if holds are stale */
-};
-
-struct mem_order {
-	char *worker, *task;
-	uint32_t run;
-	int64_t fence;
-	bool stop;
-};
-
-struct mem_executor {
-	struct cq_executor executor;
-	struct ev_loop *loop;
-	GHashTable *workers; /* id -> struct worker */
-	GPtrArray *pending;
-	GPtrArray *late;
-	GHashTable *acknowledged; /* tasks with an acknowledged end "done" */
-	GString *breaches;
-	enum mem_executor_fault fault;
-	int fault_count;
-	uint32_t starts;
-	bool stale_holds;
-	int64_t clock_ms;
-};
-
 static void run_free(void *data)
 {
 	struct run *run = data;
@@ -106,14 +43,12 @@
 	g_free(w);
 }
 
-static void free_lists(struct pending *p);
-
 static void pending_free(void *data)
 {
 	struct pending *p = data;
 
 	ev_timer_stop(p->m->loop, &p->timer);
-	free_lists(p);
+	mem_executor_free_lists(p);
 	if (p->order)
 		order_free(p->order);
 	g_free(p->worker);
@@ -133,7 +68,7 @@
 	return order;
 }
 
-static struct worker *find(const struct mem_executor *m, const char *id)
+struct worker *mem_executor_find(const struct mem_executor *m, const char *id)
 {
 	return g_hash_table_lookup(m->workers, id);
 }
@@ -156,7 +91,8 @@
 	return NULL;
 }
 
-static struct worker *where(const struct mem_executor *m, const char *task)
+struct worker *mem_executor_find_run(const struct mem_executor *m,
+				     const char *task)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -183,8 +119,8 @@
 	}
 }
 
-static void note_end(struct mem_executor *m, struct worker *w, struct run *run,
-		     enum cq_run_end how)
+void mem_executor_note_end(struct mem_executor *m, struct worker *w,
+			   struct run *run, enum cq_run_end how)
 {
 	struct ended *ended = g_new0(struct ended, 1);
 
@@ -205,7 +141,7 @@
 					       int64_t fence)
 {
 	const struct run *present = find_run(w, task);
-	struct worker *other = where(m, task);
+	struct worker *other = mem_executor_find_run(m, task);
 	struct run *added;
 
 	if (fence < w->fence)
@@ -244,7 +180,7 @@
 		return CQ_EXECUTOR_FENCED;
 	w->fence = fence;
 	if (present && present->run == run)
-		note_end(m, w, present, CQ_RUN_STOPPED);
+		mem_executor_note_end(m, w, present, CQ_RUN_STOPPED);
 	else
 		g_hash_table_insert(w->barred, g_strdup(task),
 				    GUINT_TO_POINTER(run));
@@ -254,7 +190,7 @@
 static enum cq_executor_answer carry_out(struct mem_executor *m,
 					 const struct mem_order *order)
 {
-	struct worker *w = find(m, order->worker);
+	struct worker *w = mem_executor_find(m, order->worker);
 
 	if (!w || w->cut)
 		return CQ_EXECUTOR_UNKNOWN;
@@ -281,62 +217,11 @@
 	}
 }
 
-/* What the worker would report now. */
-static void take_lists(struct pending *p, const struct worker *w)
-{
-	guint i;
-
-	p->running =
-		g_array_new(FALSE, TRUE, sizeof(struct cq_executor_running));
-	p->ended = g_array_new(FALSE, TRUE, sizeof(struct cq_executor_ended));
-	for (i = 0; i < w->runs->len; i++) {
-		const struct run *run = g_ptr_array_index(w->runs, i);
-		const struct cq_executor_running row = {
-			.task = g_strdup(run->task),
-			.run = run->run,
-			.checkpoint = "",
-			.percent = 100,
-		};
-
-		g_array_append_val(p->running, row);
-	}
-	for (i = 0; i < w->ended->len; i++) {
-		const struct ended *end = g_ptr_array_index(w->ended, i);
-		const struct cq_executor_ended row = {
-			.number = end->number,
-			.task = g_strdup(end->task),
-			.run = end->run,
-			.how = end->how,
-			.checkpoint = "",
-		};
-
-		g_array_append_val(p->ended, row);
-	}
-}
-
-static void free_lists(struct pending *p)
-{
-	guint i;
-
-	if (!p->running)
-		return;
-	for (i = 0; i < p->running->len; i++)
-		g_free((char *)g_array_index(p->running,
-					     struct cq_executor_running, i)
-			       .task);
-	for (i = 0; i < p->ended->len; i++)
-		g_free((char *)g_array_index(p->ended, struct cq_executor_ended,
-					     i)
-			       .task);
-	g_array_unref(p->running);
-	g_array_unref(p->ended);
-}
-
 static void on_due(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct pending *p = timer->data;
 	struct mem_executor *m = p->m;
-	struct worker *w = p->worker ? find(m, p->worker) : NULL;
+	struct worker *w = p->worker ? mem_executor_find(m, p->worker) : NULL;
 	struct cq_executor_report report = {
 		.answer = p->answer,
 		.clock_ms = -1,
@@ -367,7 +252,7 @@
 	}
 	if (p->lists && report.answer == CQ_EXECUTOR_OK && w) {
 		if (!p->running)
-			take_lists(p, w);
+			mem_executor_take_lists(p, w);
 		report.running = (void *)p->running->data;
 		report.running_count = p->running->len;
 		report.ended = (void *)p->ended->data;
@@ -388,8 +273,8 @@
 	p->done = done;
 	p->ctx = ctx;
 	p->worker = g_strdup(worker);
-	if (find(m, worker))
-		p->born_ms = find(m, worker)->born_ms;
+	if (mem_executor_find(m, worker))
+		p->born_ms = mem_executor_find(m, worker)->born_ms;
 	ev_timer_init(&p->timer, on_due, 0., 0.);
 	p->timer.data = p;
 	ev_timer_start(m->loop, &p->timer);
@@ -409,7 +294,7 @@
 		  const struct cq_executor_target *target, const char *task,
 		  uint32_t run, bool stop, cq_executor_done_fn *done, void *ctx)
 {
-	struct worker *w = find(m, target->id);
+	struct worker *w = mem_executor_find(m, target->id);
 	enum mem_executor_fault fault = next_fault(m);
 	struct pending *p;
 
@@ -440,7 +325,7 @@
 
 	for (i = 0; i < m->late->len; i++) {
 		const struct mem_order *late = g_ptr_array_index(m->late, i);
-		struct worker *w = find(m, late->worker);
+		struct worker *w = mem_executor_find(m, late->worker);
 
 		if (!w)
 			continue;
@@ -476,7 +361,7 @@
 		     cq_executor_done_fn *done, void *ctx)
 {
 	struct mem_executor *m = self;
-	struct worker *w = find(m, target->id);
+	struct worker *w = mem_executor_find(m, target->id);
 	struct pending *p;
 
 	(void)timeout_ms;
@@ -493,7 +378,7 @@
 	p = answer(m, target->id, CQ_EXECUTOR_OK, done, ctx);
 	p->lists = true;
 	if (m->stale_holds)
-		take_lists(p, w);
+		mem_executor_take_lists(p, w);
 	if (!m->stale_holds && (!hold->wait_ms || w->ended->len))
 		return;
 	ev_timer_stop(m->loop, &p->timer);
@@ -581,7 +466,7 @@
 
 void mem_executor_reboot(struct mem_executor *m, const char *id)
 {
-	struct worker *w = find(m, id);
+	struct worker *w = mem_executor_find(m, id);
 
 	g_ptr_array_unref(w->runs);
 	g_ptr_array_unref(w->ended);
@@ -590,11 +475,6 @@
 	w->up_at_s = ev_time() + REBOOT_S;
 }
 
-int64_t mem_executor_born(const struct mem_executor *m, const char *id)
-{
-	return find(m, id)->born_ms;
-}
-
 void mem_executor_stale_holds(struct mem_executor *m, bool stale)
 {
 	m->stale_holds = stale;
@@ -609,60 +489,16 @@
 
 void mem_executor_cut(struct mem_executor *m, const char *id, bool cut)
 {
-	find(m, id)->cut = cut;
+	mem_executor_find(m, id)->cut = cut;
 }
 
 bool mem_executor_end(struct mem_executor *m, const char *task,
 		      enum cq_run_end how)
 {
-	struct worker *w = where(m, task);
+	struct worker *w = mem_executor_find_run(m, task);
 
 	if (!w)
 		return false;
-	note_end(m, w, find_run(w, task), how);
+	mem_executor_note_end(m, w, find_run(w, task), how);
 	return true;
 }
-
-void mem_executor_end_all(struct mem_executor *m)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, m->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct worker *w = value;
-
-		while (w->runs->len)
-			note_end(m, w, g_ptr_array_index(w->runs, 0),
-				 CQ_RUN_DONE);
-	}
-}
-
-uint32_t mem_executor_running(const struct mem_executor *m)
-{
-	GHashTableIter iter;
-	gpointer value;
-	uint32_t count = 0;
-
-	g_hash_table_iter_init(&iter, m->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		count += ((struct worker *)value)->runs->len;
-	return count;
-}
-
-const char *mem_executor_where(const struct mem_executor *m, const char *task)
-{
-	const struct worker *w = where(m, task);
-
-	return w ? w->id : NULL;
-}
-
-uint32_t mem_executor_starts(const struct mem_executor *m)
-{
-	return m->starts;
-}
-
-const char *mem_executor_breaches(const struct mem_executor *m)
-{
-	return m->breaches->str;
-}
--- /dev/null
+++ b/tests/support/mem_executor_lists.c
@@ -0,0 +1,105 @@
+/* What runs on the workers, for reports and for tests. */
+#include <string.h>
+
+#include "mem_executor_internal.h"
+
+/* What the worker would report now. */
+void mem_executor_take_lists(struct pending *p, const struct worker *w)
+{
+	guint i;
+
+	p->running =
+		g_array_new(FALSE, TRUE, sizeof(struct cq_executor_running));
+	p->ended = g_array_new(FALSE, TRUE, sizeof(struct cq_executor_ended));
+	for (i = 0; i < w->runs->len; i++) {
+		const struct run *run = g_ptr_array_index(w->runs, i);
+		const struct cq_executor_running row = {
+			.task = g_strdup(run->task),
+			.run = run->run,
+			.checkpoint = "",
+			.percent = 100,
+		};
+
+		g_array_append_val(p->running, row);
+	}
+	for (i = 0; i < w->ended->len; i++) {
+		const struct ended *end = g_ptr_array_index(w->ended, i);
+		const struct cq_executor_ended row = {
+			.number = end->number,
+			.task = g_strdup(end->task),
+			.run = end->run,
+			.how = end->how,
+			.checkpoint = "",
+		};
+
+		g_array_append_val(p->ended, row);
+	}
+}
+
+void mem_executor_free_lists(struct pending *p)
+{
+	guint i;
+
+	if (!p->running)
+		return;
+	for (i = 0; i < p->running->len; i++)
+		g_free((char *)g_array_index(p->running,
+					     struct cq_executor_running, i)
+			       .task);
+	for (i = 0; i < p->ended->len; i++)
+		g_free((char *)g_array_index(p->ended, struct cq_executor_ended,
+					     i)
+			       .task);
+	g_array_unref(p->running);
+	g_array_unref(p->ended);
+}
+
+uint32_t mem_executor_running(const struct mem_executor *m)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, m->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += ((struct worker *)value)->runs->len;
+	return count;
+}
+
+const char *mem_executor_where(const struct mem_executor *m, const char *task)
+{
+	const struct worker *w = mem_executor_find_run(m, task);
+
+	return w ? w->id : NULL;
+}
+
+uint32_t mem_executor_starts(const struct mem_executor *m)
+{
+	return m->starts;
+}
+
+const char *mem_executor_breaches(const struct mem_executor *m)
+{
+	return m->breaches->str;
+}
+
+int64_t mem_executor_born(const struct mem_executor *m, const char *id)
+{
+	return mem_executor_find(m, id)->born_ms;
+}
+
+void mem_executor_end_all(struct mem_executor *m)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *w = value;
+
+		while (w->runs->len)
+			mem_executor_note_end(m, w,
+					      g_ptr_array_index(w->runs, 0),
+					      CQ_RUN_DONE);
+	}
+}
--- a/tests/support/mem_store.c
+++ b/tests/support/mem_store.c
@@ -1,54 +1,6 @@
-#include "mem_store.h"
-
-#include <glib.h>
 #include <string.h>
 
-struct item {
-	char *value;
-	int64_t revision;
-	int64_t lease_id;
-};
-
-struct event {
-	char *key;
-	char *value; /* NULL: deleted */
-	int64_t revision;
-};
-
-struct mem_call {
-	struct mem_store *store;
-	ev_timer timer;
-	cq_store_done_fn *done;
-	void *ctx;
-	struct cq_store_result result;
-	GArray *entries; /* struct cq_store_entry, strings owned */
-	/* A watch that waits. */
-	char *prefix;
-	int64_t after;
-};
-
-/* A change kept for later. */
-struct late_change {
-	GArray *checks, *puts; /* strings owned */
-	GPtrArray *deletes;
-};
-
-struct mem_store {
-	struct cq_store store;
-	struct ev_loop *loop;
-	GTree *items;	    /* key -> struct item */
-	GPtrArray *history; /* struct event */
-	GPtrArray *calls;   /* struct mem_call, open */
-	GPtrArray *late;    /* struct late_change */
-	int64_t revision;
-	int64_t compacted; /* history up to here is gone */
-	int64_t next_lease;
-	GHashTable *leases; /* set of ids */
-	enum mem_store_fault change_fault, fault;
-	int fault_count;
-	double delay_s;
-	uint32_t change_count, call_count;
-};
+#include "mem_store_internal.h"
 
 static void item_free(void *data)
 {
@@ -377,8 +329,8 @@
 	return (struct cq_store_call *)call;
 }
 
-static bool checks_hold(const struct mem_store *s,
-			const struct cq_store_txn *txn)
+bool mem_store_checks_hold(const struct mem_store *s,
+			   const struct cq_store_txn *txn)
 {
 	size_t i;
 
@@ -392,7 +344,7 @@
 	return true;
 }
 
-static void execute(struct mem_store *s, const struct cq_store_txn *txn)
+void mem_store_execute(struct mem_store *s, const struct cq_store_txn *txn)
 {
 	size_t i;
 
@@ -407,75 +359,6 @@
 	wake_watches(s);
 }
 
-static void keep_late(struct mem_store *s, const struct cq_store_txn *txn)
-{
-	struct late_change *late = g_new0(struct late_change, 1);
-	size_t i;
-
-	late->checks = g_array_new(FALSE, TRUE, sizeof(struct cq_store_check));
-	late->puts = g_array_new(FALSE, TRUE, sizeof(struct cq_store_put));
-	late->deletes = g_ptr_array_new_with_free_func(g_free);
-	for (i = 0; i < txn->check_count; i++) {
-		struct cq_store_check check = txn->checks[i];
-
-		check.key = g_strdup(check.key);
-		g_array_append_val(late->checks, check);
-	}
-	for (i = 0; i < txn->put_count; i++) {
-		struct cq_store_put put = txn->puts[i];
-
-		put.key = g_strdup(put.key);
-		put.value = g_strdup(put.value);
-		g_array_append_val(late->puts, put);
-	}
-	for (i = 0; i < txn->delete_count; i++)
-		g_ptr_array_add(late->deletes, g_strdup(txn->deletes[i]));
-	g_ptr_array_add(s->late, late);
-}
-
-static void late_free(void *data)
-{
-	struct late_change *late = data;
-	guint i;
-
-	for (i = 0; i < late->checks->len; i++)
-		g_free((char *)g_array_index(late->checks,
-					     struct cq_store_check, i)
-			       .key);
-	for (i = 0; i < late->puts->len; i++) {
-		const struct cq_store_put *put =
-			&g_array_index(late->puts, struct cq_store_put, i);
-
-		g_free((char *)put->key);
-		g_free((char *)put->value);
-	}
-	g_array_unref(late->checks);
-	g_array_unref(late->puts);
-	g_ptr_array_unref(late->deletes);
-	g_free(late);
-}
-
-void mem_store_run_late(struct mem_store *s)
-{
-	guint i;
-
-	for (i = 0; i < s->late->len; i++) {
-		const struct late_change *late = g_ptr_array_index(s->late, i);
-		const struct cq_store_txn txn = {
-			.checks = (void *)late->checks->data,
-			.check_count = late->checks->len,
-			.puts = (void *)late->puts->data,
-			.put_count = late->puts->len,
-			.deletes = (void *)late->deletes->pdata,
-			.delete_count = late->deletes->len,
-		};
-
-		if (checks_hold(s, &txn))
-			execute(s, &txn);
-	}
-	g_ptr_array_set_size(s->late, 0);
-}
-
 static enum mem_store_fault next_change_fault(struct mem_store *s)
 {
 	if (s->fault_count <= 0)
@@ -503,7 +386,7 @@
 	if (fault == MEM_STORE_VANISH)
 		return complete(call, CQ_STORE_UNKNOWN);
 	if (fault == MEM_STORE_LATE) {
-		keep_late(s, txn);
+		mem_store_keep_late(s, txn);
 		return complete(call, CQ_STORE_UNKNOWN);
 	}
 	for (i = 0; i < txn->put_count; i++)
@@ -512,7 +395,7 @@
 			    s->leases,
 			    GINT_TO_POINTER((gint)txn->puts[i].lease_id)))
 			return complete(call, CQ_STORE_NOT_FOUND);
-	if (!checks_hold(s, txn)) {
+	if (!mem_store_checks_hold(s, txn)) {
 		for (i = 0; i < txn->check_count; i++) {
 			const struct item *item =
 				g_tree_lookup(s->items, txn->checks[i].key);
@@ -523,7 +406,7 @@
 		}
 		return complete(call, CQ_STORE_CONFLICT);
 	}
-	execute(s, txn);
+	mem_store_execute(s, txn);
 	call->result.revision = s->revision;
 	if (fault == MEM_STORE_AHEAD)
 		call->result.revision = ++s->revision;
@@ -625,7 +508,7 @@
 	s->items = g_tree_new_full(compare_keys, NULL, g_free, item_free);
 	s->history = g_ptr_array_new_with_free_func(event_free);
 	s->calls = g_ptr_array_new_with_free_func(call_free);
-	s->late = g_ptr_array_new_with_free_func(late_free);
+	s->late = g_ptr_array_new_with_free_func(mem_store_late_free);
 	s->leases = g_hash_table_new(NULL, NULL);
 	s->revision = 1;
 	return s;
