--- /dev/null
+++ b/tests/standins/fake-platform/store.c
@@ -0,0 +1,199 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake_platform.h"
+
+#define MAX_ENTRIES 32
+
+/* A checked exchange: the answer's form depends on the path. */
+static json_t *item_of(const struct cq_store_entry *entry)
+{
+	json_t *item = json_pack("{s:s,s:I,s:I}", "key", entry->key, "revision",
+				 (json_int_t)entry->revision, "lease",
+				 (json_int_t)entry->lease_id);
+	char *value;
+
+	if (!entry->value) {
+		json_object_set_new(item, "deleted", json_true());
+		return item;
+	}
+	value = g_base64_encode((const guchar *)entry->value, entry->value_len);
+	json_object_set_new(item, "value", json_string(value));
+	g_free(value);
+	return item;
+}
+
+static json_t *items_of(const struct cq_store_result *result)
+{
+	json_t *items = json_array();
+	size_t i;
+
+	for (i = 0; i < result->entry_count; i++)
+		json_array_append_new(items, item_of(&result->entries[i]));
+	return items;
+}
+
+static uint32_t status_of(enum cq_store_status status)
+{
+	switch (status) {
+	case CQ_STORE_OK:
+		return 200;
+	case CQ_STORE_CONFLICT:
+		return 412;
+	case CQ_STORE_NOT_FOUND:
+		return 404;
+	case CQ_STORE_COMPACTED:
+		return 410;
+	default:
+		return 503;
+	}
+}
+
+static void on_result(void *ctx, const struct cq_store_result *result)
+{
+	struct cq_http_exchange *exchange = fake_call_end(ctx);
+	const char *path;
+	uint32_t status = status_of(result->status);
+	json_t *body;
+
+	if (!exchange)
+		return;
+	path = cq_http_exchange_path(exchange);
+	if (!strcmp(path, "/kv-key") && status == 200)
+		body = item_of(&result->entries[0]);
+	else if (!strcmp(path, "/kv-watch"))
+		body = json_pack("{s:o}", "events", items_of(result));
+	else
+		body = json_pack("{s:o,s:b}", "items", items_of(result),
+				 "hasMore", 0);
+	json_object_set_new(body, "atRev",
+			    json_integer((json_int_t)result->revision));
+	if (!strcmp(path, "/kv-txn"))
+		json_object_set_new(body, "revision",
+				    json_integer((json_int_t)result->revision));
+	json_object_set_new(body, "ttlMs", json_integer(1000));
+	if (result->lease_id)
+		json_object_set_new(body, "lease",
+				    json_integer((json_int_t)result->lease_id));
+	fake_respond(exchange, status, body);
+}
+
+static int64_t number(const json_t *object, const char *field)
+{
+	return json_integer_value(json_object_get(object, field));
+}
+
+static const char *text(const json_t *object, const char *field)
+{
+	const char *value = json_string_value(json_object_get(object, field));
+
+	return value ? value : "";
+}
+
+static void commit(const struct cq_store *s, const json_t *root,
+		   struct cq_http_exchange *exchange)
+{
+	const json_t *expect = json_object_get(root, "expect");
+	const json_t *rows = json_object_get(root, "puts");
+	const json_t *gone = json_object_get(root, "deletes");
+	struct cq_store_check checks[MAX_ENTRIES];
+	struct cq_store_put puts[MAX_ENTRIES];
+	const char *deletes[MAX_ENTRIES];
+	char *values[MAX_ENTRIES] = { NULL };
+	struct cq_store_txn txn = { checks, 0, puts, 0, deletes, 0 };
+	size_t i;
+
+	if (json_array_size(expect) + json_array_size(rows) +
+		    json_array_size(gone) >
+	    MAX_ENTRIES) {
+		fake_respond(exchange, 400, json_object());
+		return;
+	}
+	for (i = 0; i < json_array_size(expect); i++) {
+		const json_t *row = json_array_get(expect, i);
+
+		checks[txn.check_count++] =
+			(struct cq_store_check){ text(row, "key"),
+						 number(row, "revision") };
+	}
+	for (i = 0; i < json_array_size(rows); i++) {
+		const json_t *row = json_array_get(rows, i);
+		gsize len;
+		guchar *bytes = g_base64_decode(text(row, "value"), &len);
+
+		values[i] = g_strndup((const char *)bytes, len);
+		g_free(bytes);
+		puts[txn.put_count++] =
+			(struct cq_store_put){ text(row, "key"), values[i],
+					       number(row, "lease") };
+	}
+	for (i = 0; i < json_array_size(gone); i++)
+		deletes[txn.delete_count++] =
+			json_string_value(json_array_get(gone, i));
+	s->ops->commit(s->self, &txn, 0, on_result, fake_call(exchange));
+	for (i = 0; i < txn.put_count; i++)
+		g_free(values[i]);
+}
+
+static int64_t query_number(const struct cq_http_exchange *exchange,
+			    const char *name)
+{
+	const char *value = cq_http_exchange_query(exchange, name);
+
+	return value ? g_ascii_strtoll(value, NULL, 10) : 0;
+}
+
+static void control(struct fake_platform *p, struct cq_http_exchange *exchange)
+{
+	const char *path = cq_http_exchange_path(exchange);
+	const char *key = cq_http_exchange_query(exchange, "key");
+	size_t len;
+	const char *body = cq_http_exchange_body(exchange, &len);
+
+	if (!strcmp(path, "/control/put") && key)
+		mem_store_write(p->store, key, len ? body : NULL);
+	fake_respond(exchange, 200,
+		     json_pack("{s:i,s:i,s:s}", "running",
+			       (int)mem_executor_running(p->executor), "starts",
+			       (int)mem_executor_starts(p->executor),
+			       "breaches", mem_executor_breaches(p->executor)));
+}
+
+void fake_store_request(void *ctx, struct cq_http_exchange *exchange)
+{
+	struct fake_platform *p = ctx;
+	const struct cq_store *s = mem_store_get(p->store);
+	const char *path = cq_http_exchange_path(exchange);
+	const char *key = cq_http_exchange_query(exchange, "key");
+	const char *prefix = cq_http_exchange_query(exchange, "prefix");
+	size_t len;
+	const char *body = cq_http_exchange_body(exchange, &len);
+	json_t *root = json_loadb(body, len, 0, NULL);
+
+	if (g_str_has_prefix(path, "/control/"))
+		control(p, exchange);
+	else if (!strcmp(path, "/kv-key") && key)
+		s->ops->get(s->self, key, 0, on_result, fake_call(exchange));
+	else if (!strcmp(path, "/kv-range") && prefix)
+		s->ops->list(s->self, prefix, 0, on_result,
+			     fake_call(exchange));
+	else if (!strcmp(path, "/kv-watch") && prefix)
+		s->ops->watch(s->self, prefix, query_number(exchange, "after"),
+			      (uint32_t)query_number(exchange, "waitMs"),
+			      on_result, fake_call(exchange));
+	else if (!strcmp(path, "/kv-txn"))
+		commit(s, root, exchange);
+	else if (!strcmp(path, "/kv-lease"))
+		s->ops->lease_grant(s->self, (uint32_t)number(root, "ttlMs"), 0,
+				    on_result, fake_call(exchange));
+	else if (g_str_has_prefix(path, "/kv-keep/"))
+		s->ops->lease_keepalive(s->self, atoll(strrchr(path, '/') + 1),
+					0, on_result, fake_call(exchange));
+	else if (g_str_has_prefix(path, "/kv-lease-end/"))
+		s->ops->lease_revoke(s->self, atoll(strrchr(path, '/') + 1), 0,
+				     on_result, fake_call(exchange));
+	else
+		fake_respond(exchange, 400, json_object());
+	json_decref(root);
+}
--- a/tests/support/mem_executor.c
+++ b/tests/support/mem_executor.c
@@ -164,6 +164,7 @@
 	added = g_new0(struct run, 1);
 	added->task = g_strdup(task);
 	added->run = run;
+	added->since_s = ev_time();
 	g_ptr_array_add(w->runs, added);
 	m->starts++;
 	return CQ_EXECUTOR_OK;
--- a/tests/support/mem_executor.h
+++ b/tests/support/mem_executor.h
@@ -46,6 +46,8 @@
 		      enum cq_run_end how);
 /* Ends all runs "done". */
 void mem_executor_end_all(struct mem_executor *m);
+/* Ends those "done" that have run for so long. */
+void mem_executor_end_older(struct mem_executor *m, double age_s);
 
 uint32_t mem_executor_running(const struct mem_executor *m);
 /* Id of the worker that runs the task; NULL: none. */
--- a/tests/support/mem_executor_internal.h
+++ b/tests/support/mem_executor_internal.h
@@ -17,6 +17,7 @@
 struct run {
 	char *task;
 	uint32_t run;
+	double since_s;
 };
 
 struct worker {
--- a/tests/support/mem_executor_lists.c
+++ b/tests/support/mem_executor_lists.c
@@ -88,18 +88,27 @@
 	return mem_executor_find(m, id)->born_ms;
 }
 
-void mem_executor_end_all(struct mem_executor *m)
+void mem_executor_end_older(struct mem_executor *m, double age_s)
 {
+	double until_s = ev_time() - age_s;
 	GHashTableIter iter;
 	gpointer value;
+	guint i;
 
 	g_hash_table_iter_init(&iter, m->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct worker *w = value;
 
-		while (w->runs->len)
-			mem_executor_note_end(m, w,
-					      g_ptr_array_index(w->runs, 0),
-					      CQ_RUN_DONE);
+		for (i = w->runs->len; i-- > 0;) {
+			struct run *run = g_ptr_array_index(w->runs, i);
+
+			if (run->since_s <= until_s)
+				mem_executor_note_end(m, w, run, CQ_RUN_DONE);
+		}
 	}
 }
+
+void mem_executor_end_all(struct mem_executor *m)
+{
+	mem_executor_end_older(m, 0);
+}
--- a/tests/support/mem_store.c
+++ b/tests/support/mem_store.c
@@ -431,6 +431,32 @@
 	return mem_commit(self, &txn, timeout_ms, done, ctx);
 }
 
+static void add_lease(struct mem_store *s, uint32_t ttl_ms)
+{
+	struct lease *lease = g_new0(struct lease, 1);
+
+	lease->ttl_s = ttl_ms / 1000.0;
+	lease->end_s = ev_time() + lease->ttl_s;
+	g_hash_table_insert(s->leases, GINT_TO_POINTER((gint)s->next_lease),
+			    lease);
+}
+
+void mem_store_expire_due(struct mem_store *s)
+{
+	GList *ids = g_hash_table_get_keys(s->leases);
+	double now_s = ev_time();
+	GList *at;
+
+	for (at = ids; at; at = at->next) {
+		const struct lease *lease =
+			g_hash_table_lookup(s->leases, at->data);
+
+		if (lease->end_s < now_s)
+			mem_store_expire(s, GPOINTER_TO_INT(at->data));
+	}
+	g_list_free(ids);
+}
+
 static struct cq_store_call *mem_lease_grant(void *self, uint32_t ttl_ms,
 					     uint32_t timeout_ms,
 					     cq_store_done_fn *done, void *ctx)
@@ -438,12 +464,11 @@
 	struct mem_store *s = self;
 	struct mem_call *call = call_create(s, done, ctx);
 
-	(void)ttl_ms;
 	(void)timeout_ms;
 	if (answered_by_fault(call))
 		return (struct cq_store_call *)call;
 	call->result.lease_id = ++s->next_lease;
-	g_hash_table_add(s->leases, GINT_TO_POINTER((gint)s->next_lease));
+	add_lease(s, ttl_ms);
 	return complete(call, CQ_STORE_OK);
 }
 
@@ -454,15 +479,16 @@
 {
 	struct mem_store *s = self;
 	struct mem_call *call = call_create(s, done, ctx);
+	struct lease *lease;
 
 	(void)timeout_ms;
 	if (answered_by_fault(call))
 		return (struct cq_store_call *)call;
-	return complete(call,
-			g_hash_table_contains(s->leases,
-					      GINT_TO_POINTER((gint)lease_id))
-				? CQ_STORE_OK
-				: CQ_STORE_NOT_FOUND);
+	lease = g_hash_table_lookup(s->leases, GINT_TO_POINTER((gint)lease_id));
+	if (!lease)
+		return complete(call, CQ_STORE_NOT_FOUND);
+	lease->end_s = ev_time() + lease->ttl_s;
+	return complete(call, CQ_STORE_OK);
 }
 
 static struct cq_store_call *mem_lease_revoke(void *self, int64_t lease_id,
@@ -509,7 +535,7 @@
 	s->history = g_ptr_array_new_with_free_func(event_free);
 	s->calls = g_ptr_array_new_with_free_func(call_free);
 	s->late = g_ptr_array_new_with_free_func(mem_store_late_free);
-	s->leases = g_hash_table_new(NULL, NULL);
+	s->leases = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	s->revision = 1;
 	return s;
 }
--- a/tests/support/mem_store.h
+++ b/tests/support/mem_store.h
@@ -42,6 +42,8 @@
 int64_t mem_store_revision(const struct mem_store *s);
 /* Ends the lease and removes its keys. */
 void mem_store_expire(struct mem_store *s, int64_t lease_id);
+/* Ends leases that were not renewed within their time. */
+void mem_store_expire_due(struct mem_store *s);
 /* The lease of a key; 0: none. */
 int64_t mem_store_lease_of(const struct mem_store *s, const char *key);
 /* Drops the history and cuts all watches. */
--- a/tests/support/mem_store_internal.h
+++ b/tests/support/mem_store_internal.h
@@ -36,6 +36,11 @@
 	GPtrArray *deletes;
 };
 
+struct lease {
+	double ttl_s;
+	double end_s;
+};
+
 struct mem_store {
 	struct cq_store store;
 	struct ev_loop *loop;
@@ -46,7 +51,7 @@
 	int64_t revision;
 	int64_t compacted; /* history up to here is gone */
 	int64_t next_lease;
-	GHashTable *leases; /* set of ids */
+	GHashTable *leases; /* id -> struct lease */
 	enum mem_store_fault change_fault, fault;
 	int fault_count;
 	double delay_s;
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -314,13 +314,15 @@
 
 static void test_bad_records(void)
 {
-	static const char *const bad[] = {
+	static const char bad_task[] =
+		"{\"state\":\"running\",\"stages\":[{\"n\":0,"
+		"\"tasks\":[[9]]}]}";
+	const char *const bad[] = {
 		"",
 		"{}",
 		"{\"state\":\"odd\"}",
 		"{\"state\":\"running\",\"stages\":[{\"n\":9}]}",
-		"{\"state\":\"running\",\"stages\":[{\"n\":0,\"tasks\":[[9]]}]"
-		"}",
+		bad_task,
 	};
 	struct cq_pool *pool = cq_pool_create();
 	size_t i;
