--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -24,6 +24,7 @@
 	GHashTable *evacuated;
 	uint32_t max_lease_ms;
 	int64_t epoch;
+	int64_t estimate_ms;
 	bool allowed, superseded;
 	char state[32];
 	/* What is waited for. */
@@ -210,6 +211,16 @@
 	return w->superseded;
 }
 
+void dispatch_world_set_priority(struct dispatch_world *w, uint32_t priority)
+{
+	w->queue.priority = priority;
+}
+
+void dispatch_world_set_estimate(struct dispatch_world *w, int64_t estimate_ms)
+{
+	w->estimate_ms = estimate_ms;
+}
+
 static struct cq_workload *workload(int k, uint32_t tasks,
 				    uint32_t accelerators, bool gang)
 {
@@ -242,7 +253,11 @@
 void dispatch_world_submit(struct dispatch_world *w, int k, uint32_t tasks,
 			   uint32_t accelerators, bool gang)
 {
-	write_job(w, workload(k, tasks, accelerators, gang));
+	struct cq_workload *job = workload(k, tasks, accelerators, gang);
+
+	job->accepted_ms = cq_clock_unix_ms(cq_clock_system());
+	job->steps[0].estimate_ms = w->estimate_ms;
+	write_job(w, job);
 }
 
 void dispatch_world_cancel(struct dispatch_world *w, int k)
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -34,6 +34,10 @@
 void dispatch_world_allow(struct dispatch_world *w, bool allowed);
 bool dispatch_world_superseded(const struct dispatch_world *w);
 
+/* Of the queue; 0, urgent, at first. */
+void dispatch_world_set_priority(struct dispatch_world *w, uint32_t priority);
+/* Estimate of the tasks of jobs submitted from now on. */
+void dispatch_world_set_estimate(struct dispatch_world *w, int64_t estimate_ms);
 /* Accepts job K (its id is K in 16 digits) with one step. */
 void dispatch_world_submit(struct dispatch_world *w, int k, uint32_t tasks,
 			   uint32_t accelerators, bool gang);
--- a/tests/unit/test_dispatcher.c
+++ b/tests/unit/test_dispatcher.c
@@ -294,6 +294,28 @@
 	close_world(w);
 }
 
+/*
+ * Bursts of urgent work find room: work that can wait leaves a quarter of the
+ * accelerators free, work that is late does not.
+ */
+static void test_headroom(void)
+{
+	struct dispatch_world *w = open_world(LONG_LEASE_MS, 4);
+
+	dispatch_world_set_priority(w, 1);
+	dispatch_world_set_estimate(w, 100000);
+	dispatch_world_submit(w, 1, 16, 1, false);
+	g_assert_true(dispatch_world_await_running(w, 16));
+	dispatch_world_submit(w, 2, 16, 1, false);
+	wait_turns(dispatch_world_loop(w), 60);
+	g_assert_cmpstr(dispatch_world_state(w, 2), ==, "");
+	dispatch_world_set_estimate(w, 1);
+	dispatch_world_submit(w, 3, 16, 1, false);
+	g_assert_true(dispatch_world_await_running(w, 32));
+	g_assert_cmpstr(dispatch_world_state(w, 3), ==, "running");
+	close_world(w);
+}
+
 /* Nothing is ordered while the leader's lease may have ended. */
 static void test_not_allowed(void)
 {
@@ -347,6 +369,7 @@
 	g_test_add_func("/dispatcher/gang_member_fails",
 			test_gang_member_fails);
 	g_test_add_func("/dispatcher/evacuated", test_evacuated);
+	g_test_add_func("/dispatcher/headroom", test_headroom);
 	g_test_add_func("/dispatcher/not_allowed", test_not_allowed);
 	g_test_add_func("/dispatcher/foreign_entries", test_foreign_entries);
 	return g_test_run();
