--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -66,7 +66,6 @@
 	bool stop_answered;
 	int64_t stop_sent_ns;
 	int64_t stop_answered_ns;
-	int64_t requested_stop_ns;
 	uint32_t pace_percent;
 	uint32_t load; /* see cq_executor_running */
 	int64_t pace_changed_ns;
--- a/include/chestnutquay/dispatcher.h
+++ b/include/chestnutquay/dispatcher.h
@@ -48,7 +48,6 @@
 	int64_t head_revision;
 	uint32_t store_timeout_ms;
 	uint32_t max_lease_ms; /* of a worker's runs */
-	uint32_t run_stop_ms;
 };
 
 struct cq_dispatcher;
--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -77,7 +77,6 @@
 	d->created_ns = cq_clock_now_ns(options->clock);
 	d->store_timeout_ms = options->store_timeout_ms;
 	d->max_lease_ms = options->max_lease_ms;
-	d->run_stop_ms = options->run_stop_ms;
 	d->run_floor = (uint32_t)(options->epoch - 1) * RUNS_PER_EPOCH;
 	d->pool = cq_pool_create();
 	d->batches = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -51,7 +51,6 @@
 	int64_t created_ns;
 	uint32_t store_timeout_ms;
 	uint32_t max_lease_ms;
-	uint32_t run_stop_ms;
 	uint32_t run_floor; /* runs of this epoch have higher numbers */
 
 	const struct cq_queue_config *config;
--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -207,7 +207,6 @@
 		return;
 	}
 	task->stopping = true;
-	task->requested_stop_ns = dispatcher_now_ns(d);
 	if (d->ops->may_order(d->ctx) && task->worker->listing.address[0])
 		send_stop(d, task);
 }
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -40,7 +40,6 @@
 };
 
 static void ticket_free(void *data);
-void ticket_answer(struct ticket *t, const struct cq_gateway_answer *a);
 static void give_up(struct ticket *t);
 static void on_retry(struct ev_loop *loop, ev_timer *timer, int events);
 static bool read_id(struct ticket *t, const char *path,
--- a/src/programs/hostd/dispatch.c
+++ b/src/programs/hostd/dispatch.c
@@ -40,7 +40,6 @@
 		.head_revision = head_revision,
 		.store_timeout_ms = CALL_TIMEOUT_MS,
 		.max_lease_ms = h->settings.max_lease_ms,
-		.run_stop_ms = h->settings.run_stop_ms,
 	};
 
 	h->executor = cq_executor_http_create(h->worker_client);
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -182,7 +182,6 @@
 		.parse_listing = parse_listing,
 		.store_timeout_ms = 100,
 		.max_lease_ms = w->max_lease_ms,
-		.run_stop_ms = 100,
 	};
 	char *head;
 
