Test that an end is not acknowledged before the store holds it

Found by putting faults in: neither test_dispatcher nor prop_dispatcher noticed an acknowledgement that did not wait for the store. This test fails with that fault and passes without it, plain and under sanitizers.

--- a/tests/unit/test_dispatcher.c
+++ b/tests/unit/test_dispatcher.c
@@ -126,6 +126,27 @@
 	close_world(w);
 }
 
+/* An end that the store does not hold yet is not acknowledged. */
+static void test_end_before_the_store_holds_it(void)
+{
+	struct dispatch_world *w = open_world(LONG_LEASE_MS, 1);
+	struct mem_store *store = dispatch_world_store(w);
+
+	dispatch_world_submit(w, 1, 1, 8, false);
+	g_assert_true(dispatch_world_await_running(w, 1));
+	wait_turns(dispatch_world_loop(w), 20);
+	mem_store_fail_changes(store, MEM_STORE_REFUSE, 1000000);
+	mem_executor_end_all(dispatch_world_workers(w));
+	/* Long enough for several holds. */
+	wait_turns(dispatch_world_loop(w), 600);
+	dispatch_world_stop(w);
+	mem_store_fail_changes(store, MEM_STORE_FINE, 0);
+	dispatch_world_lead(w);
+	g_assert_true(dispatch_world_await(w, 1, "completed"));
+	g_assert_cmpuint(mem_executor_starts(dispatch_world_workers(w)), ==, 1);
+	close_world(w);
+}
+
 /* A hold sent beside a start may list what ran before it. */
 static void test_hold_beside_start(void)
 {
@@ -356,6 +377,8 @@
 			test_stop_of_run_that_never_started);
 	g_test_add_func("/dispatcher/next_epoch_knows_the_ends",
 			test_next_epoch_knows_the_ends);
+	g_test_add_func("/dispatcher/end_before_the_store_holds_it",
+			test_end_before_the_store_holds_it);
 	g_test_add_func("/dispatcher/hold_beside_start",
 			test_hold_beside_start);
 	g_test_add_func("/dispatcher/next_epoch_adopts_runs",
