Probe an endpoint that has failed, so that it gets work again

An endpoint with a failed call is passed over while others have free slots, and only an answer of its own cleared that: at low load it stayed without work for good. Seen in the pool's state of a failing run (e1 healthy, not picked in 75 calls); the new unit test fails without the change. The pool now probes such an endpoint a second later. The script now waits until e1 answers before it breaks it; all later checks are as they were.

Ruled out: leaked slots and calls on trial (the state showed 8 free slots and no open call).

--- a/src/coordination/endpoint_pool.c
+++ b/src/coordination/endpoint_pool.c
@@ -9,6 +9,8 @@
 #define TRIAL_ANSWERS 3
 /* Silence means this many times the mean service time without an answer. */
 #define SILENCE_FACTOR 8
+/* An endpoint whose last call failed is probed after this time. */
+#define RECHECK_NS CQ_NS_PER_S
 /* Connections older than this are no longer in the client's pool. */
 #define SUSPECT_CONNECTIONS_NS (35 * CQ_NS_PER_S)
 
@@ -24,6 +26,7 @@
 	enum cq_pool_health health;
 	uint32_t broken_in_row;
 	uint32_t errors_in_row;
+	int64_t failed_ns; /* last broken call or error */
 	uint32_t trial_answers;
 	uint32_t trial_calls; /* open calls that started on trial */
 	bool suspected;	      /* ejected for owing an answer only */
@@ -293,6 +296,7 @@
 	e->broken_in_row = 0;
 	if (status >= 500) {
 		e->errors_in_row++;
+		e->failed_ns = now_ns;
 		if (e->errors_in_row >= pool->options.error_limit ||
 		    e->health == CQ_POOL_TRIAL)
 			eject(pool, e, now_ns);
@@ -309,6 +313,7 @@
 			struct cq_pool_endpoint *e, int64_t now_ns)
 {
 	e->broken_in_row++;
+	e->failed_ns = now_ns;
 	e->fresh_until_ns = now_ns + SUSPECT_CONNECTIONS_NS;
 	if (e->broken_in_row >= pool->options.broken_limit ||
 	    e->health == CQ_POOL_TRIAL)
@@ -394,28 +399,53 @@
 	note_broken(pool, e, now_ns);
 }
 
+static bool owes_answer(const struct cq_pool_endpoint *e, int64_t silence_ns,
+			int64_t now_ns)
+{
+	return e->calls && now_ns - e->busy_since_ns >= silence_ns;
+}
+
+/* Others get the work until it answers again, so that a probe has to ask. */
+static bool needs_recheck(const struct cq_pool_endpoint *e, int64_t now_ns)
+{
+	return e->health == CQ_POOL_HEALTHY &&
+	       (e->broken_in_row || e->errors_in_row) &&
+	       now_ns - e->failed_ns >= RECHECK_NS;
+}
+
+/* Ejects it until a probe, which may start at once, has been answered. */
+static void suspect(struct cq_endpoint_pool *pool, struct cq_pool_endpoint *e,
+		    int64_t now_ns)
+{
+	eject(pool, e, now_ns);
+	if (e->health != CQ_POOL_EJECTED)
+		return;
+	e->probe_at_ns = now_ns;
+	e->suspected = true;
+}
+
 void cq_endpoint_pool_tick(struct cq_endpoint_pool *pool,
 			   int64_t mean_service_ns, int64_t now_ns)
 {
-	int64_t silence = MAX(pool->options.min_silence_ns,
-			      SILENCE_FACTOR * mean_service_ns);
+	int64_t silence_ns = MAX(pool->options.min_silence_ns,
+				 SILENCE_FACTOR * mean_service_ns);
 	guint i;
 
 	for (i = 0; i < pool->order->len; i++) {
 		struct cq_pool_endpoint *e = pool->order->pdata[i];
 
-		if (!e->calls || e->health == CQ_POOL_EJECTED ||
-		    e->health == CQ_POOL_PROBING ||
-		    now_ns - e->busy_since_ns < silence)
-			continue;
-		e->fresh_until_ns = now_ns + SUSPECT_CONNECTIONS_NS;
-		e->busy_since_ns = now_ns;
-		eject(pool, e, now_ns);
-		/* A long request is no fault: ask at once. */
-		if (e->health != CQ_POOL_EJECTED)
+		if (e->health == CQ_POOL_EJECTED ||
+		    e->health == CQ_POOL_PROBING)
 			continue;
-		e->probe_at_ns = now_ns;
-		e->suspected = true;
+		if (owes_answer(e, silence_ns, now_ns)) {
+			e->fresh_until_ns = now_ns + SUSPECT_CONNECTIONS_NS;
+			e->busy_since_ns = now_ns;
+			/* A long request is no fault: ask at once. */
+			suspect(pool, e, now_ns);
+		} else if (needs_recheck(e, now_ns)) {
+			e->failed_ns = now_ns;
+			suspect(pool, e, now_ns);
+		}
 	}
 }
 
--- a/tests/scripts/test_endpoint_faults.sh
+++ b/tests/scripts/test_endpoint_faults.sh
@@ -39,6 +39,12 @@
 wait_for 30 "the return" metric_is 'cq_endpoints_ejected{}' 0
 
 echo "== an endpoint fails fast: others answer"
+# One that is still distrusted would be found by a probe, not by a call.
+answered_by_1() {
+	call $a before -H "$W" -H "$C" -d x
+	grep -q -i '^cq-endpoint: e1' "$work/head"
+}
+wait_for 10 "endpoint 1 at work" answered_by_1
 faults '{"endpoints":[1],"fail_fast":true}'
 call_until_500() {
 	[ "$(call $a single -H "$W" -H "$C" -d x)" = "500 - -" ]
--- a/tests/unit/test_endpoint.c
+++ b/tests/unit/test_endpoint.c
@@ -439,6 +439,26 @@
 	g_assert_cmpint(cq_pool_endpoint_health(e), ==, CQ_POOL_HEALTHY);
 }
 
+/*
+ * Guards against an endpoint that stays without work after one failure, since
+ * the others have free slots and only an answer of its own would clear it.
+ */
+static void test_pool_recheck(struct pool_fixture *f, gconstpointer data)
+{
+	struct cq_pool_endpoint *e = cq_endpoint_pool_find(f->pool, "e3");
+
+	(void)data;
+	end_call(f, "e3", CQ_ENDPOINT_BROKEN, 0, false);
+	g_assert_cmpuint(picks_of(f, "e3"), ==, 0);
+	cq_endpoint_pool_tick(f->pool, 20 * CQ_NS_PER_MS, f->now_ns);
+	g_assert_null(cq_endpoint_pool_next_probe(f->pool, f->now_ns));
+	f->now_ns += 2 * CQ_NS_PER_S;
+	cq_endpoint_pool_tick(f->pool, 20 * CQ_NS_PER_MS, f->now_ns);
+	g_assert_true(cq_endpoint_pool_next_probe(f->pool, f->now_ns) == e);
+	end_probe(f, e, 200);
+	g_assert_cmpuint(picks_of(f, "e3"), >, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -451,5 +471,6 @@
 	ADD("/pool/cap", test_pool_cap);
 	ADD("/pool/recovery", test_pool_recovery);
 	ADD("/pool/silence", test_pool_silence);
+	ADD("/pool/recheck", test_pool_recheck);
 	return g_test_run();
 }
