Fault soak: real hosts, faults from outside, and a check of the promises

make soak SEED=N starts the stand-in of the platform and hosts as processes of their own, with a loopback proxy on each host's link to the store and on each worker's address. Seeded storms and calms: links delayed, held one way, silenced or reset, the store away or slow, hosts stopped, killed and terminated, all killed at once, workers that start again or are silent beyond their leases, workers that leave, configurations in succession. Callers hand in, ask for and cancel jobs over kept connections. The check: accepted jobs known and ended, no refused job ran, final states stay, no task twice, no start on a worker that everybody knows to be leaving, no host back at an older configuration, no host ends by itself. The report has a timeline of the run.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 #   make lint       clang-format, clang-tidy, cppcheck
 #   make bench      every figure, one JSON object a line
 #   make demo       the whole system on loopback
+#   make soak SEED=N [SECONDS=N HOSTS=N WORKERS=N]   the fault soak
+#   make soak-regressions   the seeds of the soak that ever failed
 #   make install    programs, library and headers to $(DESTDIR)$(PREFIX)
 #   make generate   regenerates src/protocol/gen (needs protobuf-c-compiler)
 #
@@ -77,7 +79,7 @@
 FUZZ_BIN := $(FUZZ_SRC:tests/fuzz/%.c=build-fuzz/%)
 
 .PHONY: all hostd check lint format bench demo deps generate install clean tests \
-	fuzz
+	fuzz soak soak-regressions
 .SECONDARY:
 all: $(LIB) $(PROGRAMS) $(HOSTD) $(STANDINS)
 
@@ -164,6 +166,19 @@
 	$(MAKE) all
 	scripts/demo.sh $(B)
 
+SEED ?= 1
+SECONDS ?= 36
+HOSTS ?= 4
+WORKERS ?= 6
+soak: all
+	CQ_BUILD=$(B) scripts/soak.sh $(SEED) $(SECONDS) $(HOSTS) $(WORKERS)
+
+soak-regressions: all
+	@sed 's/#.*//;/^ *$$/d' tests/soak-seeds.txt | while read -r line; do \
+		echo "soak $$line"; \
+		CQ_BUILD=$(B) scripts/soak.sh $$line </dev/null || exit 1; \
+	done
+
 C_FILES = $(shell git ls-files '*.c' '*.h' '*.cc' | grep -v protocol/gen)
 TIDY_FILES = $(shell git ls-files 'src/*.c' 'platform/*.c' 'bench/*.c' \
 	'tests/*.c' | \
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,83 @@
+#!/bin/sh
+# Fault soak: hosts as real processes against the stand-in of the platform, with
+# faults from outside. Prints a report; the exit code is 1 if a promise was
+# broken. Ends only the processes that it started.
+#
+#   scripts/soak.sh SEED [SECONDS [HOSTS [WORKERS]]]
+#
+# CQ_BUILD names the build directory, CQ_SOAK_LOGS one for the hosts' logs, and
+# CQ_SOAK_NET the second number of the loopback addresses, so that several runs
+# fit beside each other.
+set -u
+cd "$(dirname "$0")/.." || exit 2
+bin=${CQ_BUILD:-build}/bin
+seed=${1:?usage: soak.sh SEED [SECONDS [HOSTS [WORKERS]]]}
+seconds=${2:-36}
+hosts=${3:-4}
+workers=${4:-6}
+task_ms=700
+net=${CQ_SOAK_NET:-40}
+work=$(mktemp -d)
+logs=${CQ_SOAK_LOGS:-$work}
+mkdir -p "$logs"
+supervisors=
+platform_pid=
+
+cleanup() {
+	rm -f "$work/up"
+	for file in "$work"/host-*.pid; do
+		[ -f "$file" ] && kill -9 "$(cat "$file")" 2>/dev/null
+	done
+	[ -n "$platform_pid" ] && kill "$platform_pid" 2>/dev/null
+	for pid in $supervisors; do
+		wait "$pid" 2>/dev/null
+	done
+	rm -rf "$work"
+}
+trap cleanup EXIT
+trap 'exit 130' INT TERM
+
+settings() {
+	cat >"$work/host-$1.json" <<EOF
+{"nodeName":"host$1","zone":"z$(($1 % 2))",
+ "listen":{"front":"127.$net.2.$(($1 + 1)):8521",
+ "ready":"127.$net.2.$(($1 + 1)):8523"},"bounds":{"graceS":2},
+ "limits":{"cpuShare":0.25,"cores":1,"memoryMb":256},
+ "platform":{"address":"127.$net.3.$(($1 + 1)):7001"}}
+EOF
+}
+
+# Starts host $1 again whenever it has ended, as the platform does.
+supervise() {
+	while [ -e "$work/up" ]; do
+		CHESTNUTQUAY_NODE_FILE=$work/host-$1.json "$bin/cq-hostd" \
+			>>"$logs/host-$1.log" 2>&1 &
+		echo $! >"$work/host-$1.new"
+		mv "$work/host-$1.new" "$work/host-$1.pid"
+		wait $!
+		echo "exit code $?" >>"$logs/host-$1.exits"
+		rm -f "$work/host-$1.pid"
+		sleep 0.2
+	done
+}
+
+touch "$work/up"
+"$bin/cq-fake-platform" "127.$net.1.1" 7001 "$workers" "$task_ms" \
+	"127.$net.1.2" >"$logs/platform.log" 2>&1 &
+platform_pid=$!
+host=0
+while [ "$host" -lt "$hosts" ]; do
+	settings "$host"
+	supervise "$host" 2>/dev/null &
+	supervisors="$supervisors $!"
+	host=$((host + 1))
+done
+"$bin/cq-soak" "$work" "$seed" "$seconds" "$hosts" "$workers" "$net"
+status=$?
+# Killed or terminated ones aside, a host does not end by itself.
+if grep -q -v -x -e 'exit code 0' -e 'exit code 137' "$logs"/host-*.exits 2>/dev/null; then
+	echo "a host ended by itself:"
+	grep -v -x -e 'exit code 0' -e 'exit code 137' "$logs"/host-*.exits
+	status=1
+fi
+exit $status
--- a/tests/standins/fake-platform/fake_platform.h
+++ b/tests/standins/fake-platform/fake_platform.h
@@ -12,20 +12,28 @@
 #include "tests/support/mem_executor.h"
 #include "tests/support/mem_store.h"
 
+#define FAKE_MAX_WORKERS 64
+
+struct fake_platform;
+
+struct fake_worker {
+	struct fake_platform *platform;
+	struct cq_http_server *server;
+	int index;
+	char id[32];
+};
+
 struct fake_platform {
 	struct ev_loop *loop;
 	struct mem_store *store;
 	struct mem_executor *executor;
 	struct cq_http_server *store_server;
 	const char *ip;
+	const char *worker_ip; /* in the workers' entries; NULL: ip */
+	uint16_t store_port;
 	double task_s;
 	ev_timer tick;
-};
-
-struct fake_worker {
-	struct fake_platform *platform;
-	struct cq_http_server *server;
-	char id[32];
+	struct fake_worker workers[FAKE_MAX_WORKERS];
 };
 
 /* Answers with the object, which is released. */
@@ -41,6 +49,9 @@
 struct cq_http_exchange *fake_call_end(void *call);
 void fake_aborted(void *ctx, struct cq_http_exchange *exchange);
 
+/* Writes the worker's entry to the store. */
+void fake_worker_register(struct fake_worker *w, const char *state);
+
 /* store.c: the store's calls, and /control for scripts. */
 void fake_store_request(void *ctx, struct cq_http_exchange *exchange);
 /* worker.c */
--- a/tests/standins/fake-platform/main.c
+++ b/tests/standins/fake-platform/main.c
@@ -1,9 +1,14 @@
 /*
- * cq-fake-platform IP STORE-PORT WORKERS TASK-MS: the platform on loopback.
+ * cq-fake-platform IP STORE-PORT WORKERS TASK-MS [WORKER-IP]: the platform on
+ * loopback. With WORKER-IP, worker k listens on port STORE-PORT + 1 + k, and
+ * its entry names that port of WORKER-IP, where a proxy may stand.
  *
  * Prints "ready" once it listens. Workers register themselves in the store.
  * POST /control/put?key=K writes as an operator; GET /control/state tells the
- * number of runs, of starts, and what was done against the rules.
+ * number of runs, of starts, and what was done against the rules; GET
+ * /control/tasks the starts and ends "done" of each task; POST
+ * /control/bar?worker=W and /control/allow?worker=W say whether a start on W is
+ * against the rules; POST /control/reboot?worker=W gives it a new life.
  */
 #include "fake_platform.h"
 
@@ -13,7 +18,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MAX_WORKERS 64
 #define TICK_S 0.02
 
 void fake_respond(struct cq_http_exchange *exchange, uint32_t status,
@@ -78,21 +82,31 @@
 	static const struct cq_http_server_handler handler = {
 		fake_worker_request, fake_aborted
 	};
-	char *key, *value;
+	uint16_t port = p->worker_ip ? (uint16_t)(p->store_port + 1 + k) : 0;
 
 	w->platform = p;
 	g_snprintf(w->id, sizeof(w->id), "i-%d", k);
-	w->server = listen_on(p, 0, &handler, w);
+	w->index = k;
+	w->server = listen_on(p, port, &handler, w);
 	mem_executor_add(p->executor, w->id);
+	fake_worker_register(w, "ready");
+}
+
+void fake_worker_register(struct fake_worker *w, const char *state)
+{
+	struct fake_platform *p = w->platform;
+	char *key, *value;
+
 	key = g_strdup_printf("servers/%s", w->id);
 	value = g_strdup_printf(
 		"{\"service\":\"s\",\"address\":\"%s:%u\","
 		"\"zone\":\"z%d\",\"version\":\"v1\",\"slots\":8,"
-		"\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":1,"
+		"\"state\":\"%s\",\"coldRemainingMs\":0,\"seq\":1,"
 		"\"capacity\":{\"cpu\":64000,\"memMb\":65536,\"gpus\":8},"
 		"\"labels\":[\"a\",\"r%d-1\"],\"born\":%ld}",
-		p->ip, cq_http_server_port(w->server), k % 2, k % 2,
-		(long)mem_executor_born(p->executor, w->id));
+		p->worker_ip ? p->worker_ip : p->ip,
+		cq_http_server_port(w->server), w->index % 2, state,
+		w->index % 2, (long)mem_executor_born(p->executor, w->id));
 	mem_store_write(p->store, key, value);
 	g_free(key);
 	g_free(value);
@@ -105,6 +119,7 @@
 	(void)loop;
 	(void)events;
 	mem_executor_end_older(p->executor, p->task_s);
+	mem_executor_lapse_due(p->executor);
 	mem_store_expire_due(p->store);
 }
 
@@ -120,24 +135,27 @@
 	static const struct cq_http_server_handler handler = {
 		fake_store_request, fake_aborted
 	};
-	struct fake_worker workers[MAX_WORKERS];
 	struct fake_platform p = { .loop = ev_default_loop(0) };
 	ev_signal term;
 	int count, k;
 
-	if (argc != 5) {
-		fprintf(stderr, "usage: %s IP STORE-PORT WORKERS TASK-MS\n",
+	if (argc != 5 && argc != 6) {
+		fprintf(stderr,
+			"usage: %s IP STORE-PORT WORKERS TASK-MS [WORKER-IP]\n",
 			argv[0]);
 		return 2;
 	}
 	p.ip = argv[1];
-	count = MIN(atoi(argv[3]), MAX_WORKERS);
+	p.store_port = (uint16_t)atoi(argv[2]);
+	p.worker_ip = argc == 6 ? argv[5] : NULL;
+	count = MIN(atoi(argv[3]), FAKE_MAX_WORKERS);
 	p.task_s = atoi(argv[4]) / 1000.0;
 	p.store = mem_store_create(p.loop);
 	p.executor = mem_executor_create(p.loop);
-	p.store_server = listen_on(&p, (uint16_t)atoi(argv[2]), &handler, &p);
+	mem_executor_real_leases(p.executor);
+	p.store_server = listen_on(&p, p.store_port, &handler, &p);
 	for (k = 0; k < count; k++)
-		add_worker(&p, &workers[k], k);
+		add_worker(&p, &p.workers[k], k);
 	ev_timer_init(&p.tick, on_tick, TICK_S, TICK_S);
 	p.tick.data = &p;
 	ev_timer_start(p.loop, &p.tick);
--- a/tests/standins/fake-platform/store.c
+++ b/tests/standins/fake-platform/store.c
@@ -6,7 +6,6 @@
 
 #define MAX_ENTRIES 32
 
-/* A checked exchange: the answer's form depends on the path. */
 static json_t *item_of(const struct cq_store_entry *entry)
 {
 	json_t *item = json_pack("{s:s,s:I,s:I}", "key", entry->key, "revision",
@@ -144,20 +143,57 @@
 	return value ? g_ascii_strtoll(value, NULL, 10) : 0;
 }
 
+static void add_task(void *ctx, const char *task, uint32_t starts,
+		     uint32_t done)
+{
+	json_array_append_new(ctx, json_pack("[s,i,i]", task, (int)starts,
+					     (int)done));
+}
+
+static void control_worker(struct fake_platform *p, const char *verb,
+			   const char *id)
+{
+	struct fake_worker *w = NULL;
+	int k;
+
+	for (k = 0; k < FAKE_MAX_WORKERS; k++)
+		if (!strcmp(p->workers[k].id, id))
+			w = &p->workers[k];
+	if (!w)
+		return;
+	if (!strcmp(verb, "/control/drain"))
+		fake_worker_register(w, "draining");
+	else if (!strcmp(verb, "/control/bar"))
+		mem_executor_bar(p->executor, id, true);
+	else if (!strcmp(verb, "/control/reboot"))
+		mem_executor_reboot(p->executor, id);
+	if (strcmp(verb, "/control/allow") && strcmp(verb, "/control/reboot"))
+		return;
+	mem_executor_bar(p->executor, id, false);
+	fake_worker_register(w, "ready");
+}
+
 static void control(struct fake_platform *p, struct cq_http_exchange *exchange)
 {
 	const char *path = cq_http_exchange_path(exchange);
 	const char *key = cq_http_exchange_query(exchange, "key");
+	const char *worker = cq_http_exchange_query(exchange, "worker");
 	size_t len;
 	const char *body = cq_http_exchange_body(exchange, &len);
+	json_t *tasks = json_array();
 
+	if (worker)
+		control_worker(p, path, worker);
+	if (!strcmp(path, "/control/tasks"))
+		mem_executor_each_task(p->executor, add_task, tasks);
 	if (!strcmp(path, "/control/put") && key)
 		mem_store_write(p->store, key, len ? body : NULL);
 	fake_respond(exchange, 200,
-		     json_pack("{s:i,s:i,s:s}", "running",
+		     json_pack("{s:i,s:i,s:s,s:o}", "running",
 			       (int)mem_executor_running(p->executor), "starts",
 			       (int)mem_executor_starts(p->executor),
-			       "breaches", mem_executor_breaches(p->executor)));
+			       "breaches", mem_executor_breaches(p->executor),
+			       "tasks", tasks));
 }
 
 void fake_store_request(void *ctx, struct cq_http_exchange *exchange)
--- a/tests/standins/fake-platform/worker.c
+++ b/tests/standins/fake-platform/worker.c
@@ -106,6 +106,7 @@
 			     fake_call(exchange));
 	} else if (!strcmp(path, "/hold")) {
 		const struct cq_executor_hold hold = {
+			.lease_end_ms = number(root, "deadlineMs"),
 			.acknowledged = (uint64_t)number(root, "lastSeen"),
 			.wait_ms = (uint32_t)number(root, "waitMs"),
 		};
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -50,6 +50,8 @@
 	listing->accelerators = 8;
 	fields = sscanf(text, "%15s %15s %ld", listing->data_centre,
 			listing->rack, &born);
+	if (g_str_has_suffix(text, " draining"))
+		listing->state = CQ_LISTING_DRAINING;
 	g_free(text);
 	if (fields != 3)
 		return cq_error_set(err, CQ_ERROR_PROTOCOL, CQ_ERR_INVALID,
@@ -132,19 +134,30 @@
 	return g_strdup_printf("worker%d", k);
 }
 
-void dispatch_world_list(struct dispatch_world *w, int k, bool listed)
+static void write_entry(struct dispatch_world *w, int k, const char *suffix)
 {
 	char *id = worker_id(k);
 	char *key = g_strconcat(WORKERS, id, NULL);
-	char *value = g_strdup_printf("dc%d r%d %ld", k % 2, k % 2,
-				      (long)mem_executor_born(w->workers, id));
+	char *value = g_strdup_printf("dc%d r%d %ld%s", k % 2, k % 2,
+				      (long)mem_executor_born(w->workers, id),
+				      suffix ? suffix : "");
 
-	mem_store_write(w->store, key, listed ? value : NULL);
+	mem_store_write(w->store, key, suffix ? value : NULL);
 	g_free(value);
 	g_free(key);
 	g_free(id);
 }
 
+void dispatch_world_list(struct dispatch_world *w, int k, bool listed)
+{
+	write_entry(w, k, listed ? "" : NULL);
+}
+
+void dispatch_world_drain(struct dispatch_world *w, int k)
+{
+	write_entry(w, k, " draining");
+}
+
 void dispatch_world_add_worker(struct dispatch_world *w, int k)
 {
 	char *id = worker_id(k);
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -24,6 +24,7 @@
 void dispatch_world_add_worker(struct dispatch_world *w, int k);
 /* Writes the worker's entry anew, or removes it. */
 void dispatch_world_list(struct dispatch_world *w, int k, bool listed);
+void dispatch_world_drain(struct dispatch_world *w, int k);
 void dispatch_world_evacuate(struct dispatch_world *w, const char *dc,
 			     bool out);
 
--- a/tests/support/mem_executor.c
+++ b/tests/support/mem_executor.c
@@ -48,6 +48,7 @@
 	struct pending *p = data;
 
 	ev_timer_stop(p->m->loop, &p->timer);
+	p->m->open_holds -= p->counted;
 	mem_executor_free_lists(p);
 	if (p->order)
 		order_free(p->order);
@@ -68,6 +69,22 @@
 	return order;
 }
 
+struct task_count *mem_executor_count(struct mem_executor *m, const char *task)
+{
+	struct task_count *count = g_hash_table_lookup(m->counts, task);
+
+	if (count)
+		return count;
+	count = g_new0(struct task_count, 1);
+	g_hash_table_insert(m->counts, g_strdup(task), count);
+	return count;
+}
+
+int64_t mem_executor_clock_ms(struct mem_executor *m)
+{
+	return m->real_leases ? g_get_monotonic_time() / 1000 : ++m->clock_ms;
+}
+
 struct worker *mem_executor_find(const struct mem_executor *m, const char *id)
 {
 	return g_hash_table_lookup(m->workers, id);
@@ -129,6 +146,8 @@
 	ended->task = g_strdup(run->task);
 	ended->run = run->run;
 	ended->how = how;
+	if (how == CQ_RUN_DONE)
+		mem_executor_count(m, run->task)->done++;
 	g_ptr_array_add(w->ended, ended);
 	g_hash_table_insert(w->barred, g_strdup(run->task),
 			    GUINT_TO_POINTER(run->run));
@@ -161,12 +180,18 @@
 				       "%s run %u started after an end done "
 				       "was acknowledged\n",
 				       task, run);
+	if (w->is_barred)
+		g_string_append_printf(m->breaches,
+				       "%s run %u started on %s, which "
+				       "everybody knows to be leaving\n",
+				       task, run, w->id);
 	added = g_new0(struct run, 1);
 	added->task = g_strdup(task);
 	added->run = run;
 	added->since_s = ev_time();
 	g_ptr_array_add(w->runs, added);
 	m->starts++;
+	mem_executor_count(m, task)->starts++;
 	return CQ_EXECUTOR_OK;
 }
 
@@ -195,6 +220,8 @@
 
 	if (!w || w->cut)
 		return CQ_EXECUTOR_UNKNOWN;
+	if (order->fence >= w->fence)
+		w->lease_end_ms = MAX(w->lease_end_ms, order->lease_end_ms);
 	if (order->stop)
 		return carry_out_stop(m, w, order->task, order->run,
 				      order->fence);
@@ -248,7 +275,7 @@
 	if (w && w->cut && p->answer == CQ_EXECUTOR_OK)
 		report.answer = CQ_EXECUTOR_UNKNOWN;
 	if (report.answer <= CQ_EXECUTOR_INVALID && w) {
-		report.clock_ms = ++m->clock_ms;
+		report.clock_ms = mem_executor_clock_ms(m);
 		report.born_unix_ms = w->born_ms;
 	}
 	if (p->lists && report.answer == CQ_EXECUTOR_OK && w) {
@@ -293,7 +320,8 @@
 
 static void order(struct mem_executor *m,
 		  const struct cq_executor_target *target, const char *task,
-		  uint32_t run, bool stop, cq_executor_done_fn *done, void *ctx)
+		  uint32_t run, int64_t lease_end_ms, bool stop,
+		  cq_executor_done_fn *done, void *ctx)
 {
 	struct worker *w = mem_executor_find(m, target->id);
 	enum mem_executor_fault fault = next_fault(m);
@@ -312,6 +340,7 @@
 	}
 	p = answer(m, target->id, CQ_EXECUTOR_OK, done, ctx);
 	p->order = order_create(target, task, run, stop);
+	p->order->lease_end_ms = lease_end_ms;
 	p->lost = fault == MEM_EXECUTOR_LOSE;
 	if (!m->stale_holds)
 		return;
@@ -345,7 +374,8 @@
 		      uint32_t timeout_ms, cq_executor_done_fn *done, void *ctx)
 {
 	(void)timeout_ms;
-	order(self, target, start->task, start->run, false, done, ctx);
+	order(self, target, start->task, start->run, start->lease_end_ms, false,
+	      done, ctx);
 }
 
 static void mem_stop(void *self, const struct cq_executor_target *target,
@@ -353,7 +383,7 @@
 		     cq_executor_done_fn *done, void *ctx)
 {
 	(void)timeout_ms;
-	order(self, target, task, run, true, done, ctx);
+	order(self, target, task, run, 0, true, done, ctx);
 }
 
 /* A hold with a wait completes when an end comes, or after the wait. */
@@ -375,9 +405,13 @@
 		return;
 	}
 	w->fence = target->fence;
+	w->lease_end_ms = MAX(w->lease_end_ms, hold->lease_end_ms);
 	acknowledge(m, w, hold->acknowledged);
 	p = answer(m, target->id, CQ_EXECUTOR_OK, done, ctx);
 	p->lists = true;
+	p->counted = !hold->wait_ms;
+	m->open_holds += p->counted;
+	m->most_holds = MAX(m->most_holds, m->open_holds);
 	if (m->stale_holds)
 		mem_executor_take_lists(p, w);
 	if (!m->stale_holds && (!hold->wait_ms || w->ended->len))
@@ -419,6 +453,8 @@
 	m->late = g_ptr_array_new_with_free_func(order_free);
 	m->acknowledged =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	m->counts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->breaches = g_string_new("");
 	m->clock_ms = 1000;
 	return m;
@@ -430,6 +466,7 @@
 	g_ptr_array_unref(m->late);
 	g_hash_table_destroy(m->workers);
 	g_hash_table_destroy(m->acknowledged);
+	g_hash_table_destroy(m->counts);
 	g_string_free(m->breaches, TRUE);
 	g_free(m);
 }
@@ -451,6 +488,7 @@
 	w->barred =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->next_end = 0;
+	w->lease_end_ms = 0;
 	w->fence = 0;
 	w->born_ms++;
 }
--- a/tests/support/mem_executor.h
+++ b/tests/support/mem_executor.h
@@ -48,11 +48,27 @@
 void mem_executor_end_all(struct mem_executor *m);
 /* Ends those "done" that have run for so long. */
 void mem_executor_end_older(struct mem_executor *m, double age_s);
+/*
+ * From now on the clocks of the workers are the machine's, and a lease that
+ * was granted counts. To be called before the first order.
+ */
+void mem_executor_real_leases(struct mem_executor *m);
+/* Ends all that runs where the lease has lapsed. */
+void mem_executor_lapse_due(struct mem_executor *m);
+/* From now on a start on the worker is a breach, until it is allowed again. */
+void mem_executor_bar(struct mem_executor *m, const char *id, bool barred);
 
 uint32_t mem_executor_running(const struct mem_executor *m);
 /* Id of the worker that runs the task; NULL: none. */
 const char *mem_executor_where(const struct mem_executor *m, const char *task);
 uint32_t mem_executor_starts(const struct mem_executor *m);
+/* Largest number of holds without a wait that were open at one time. */
+uint32_t mem_executor_most_holds(const struct mem_executor *m);
+/* Calls fn for each task that was ever started. */
+void mem_executor_each_task(const struct mem_executor *m,
+			    void (*fn)(void *ctx, const char *task,
+				       uint32_t starts, uint32_t done),
+			    void *ctx);
 /* What was done against the rules, one line each; "" if nothing. */
 const char *mem_executor_breaches(const struct mem_executor *m);
 
--- a/tests/support/mem_executor_lists.c
+++ b/tests/support/mem_executor_lists.c
@@ -78,6 +78,11 @@
 	return m->starts;
 }
 
+uint32_t mem_executor_most_holds(const struct mem_executor *m)
+{
+	return m->most_holds;
+}
+
 const char *mem_executor_breaches(const struct mem_executor *m)
 {
 	return m->breaches->str;
@@ -112,3 +117,51 @@
 {
 	mem_executor_end_older(m, 0);
 }
+
+void mem_executor_real_leases(struct mem_executor *m)
+{
+	m->real_leases = true;
+}
+
+void mem_executor_lapse_due(struct mem_executor *m)
+{
+	int64_t now_ms = mem_executor_clock_ms(m);
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, m->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *w = value;
+
+		for (i = w->runs->len; now_ms >= w->lease_end_ms && i-- > 0;)
+			mem_executor_note_end(m, w,
+					      g_ptr_array_index(w->runs, i),
+					      CQ_RUN_LAPSED);
+	}
+}
+
+void mem_executor_bar(struct mem_executor *m, const char *id, bool barred)
+{
+	struct worker *w = mem_executor_find(m, id);
+
+	if (w)
+		w->is_barred = barred;
+}
+
+void mem_executor_each_task(const struct mem_executor *m,
+			    void (*fn)(void *ctx, const char *task,
+				       uint32_t starts, uint32_t done),
+			    void *ctx)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->counts);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct task_count *count = value;
+
+		fn(ctx, key, count->starts, count->done);
+	}
+}
