Close the callers' server before the gateway

Cause: at a planned stop, the gateway was freed first; closing the server then dropped its open requests at the freed gateway.

--- a/src/programs/hostd/main.c
+++ b/src/programs/hostd/main.c
@@ -65,8 +65,9 @@
 	hostd_lifecycle_close(h);
 	hostd_dispatch_close(h);
 	hostd_intent_close(h);
-	cq_gateway_destroy(h->gateway);
+	/* Its open requests are dropped at the gateway. */
 	cq_front_http_destroy(h->front);
+	cq_gateway_destroy(h->gateway);
 	cq_kv_store_destroy(h->kv);
 	cq_http_client_destroy(h->worker_client);
 	cq_http_client_destroy(h->store_client);
