Do not repeat a start after its worker began to drain

Cause: a start without an answer was repeated as long as the run was not proven done or impossible, whatever its worker said meanwhile. The unit test fails without the change. Now such a run is left alone until the worker has reported once more, and stopped if it is not there; the task starts elsewhere. Evacuated data centres were not affected: their runs are stopped when the evacuation begins.

--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -6,6 +6,7 @@
 #include "coordination/dispatcher_internal.h"
 
 #define ORDER_TIMEOUT_MS 600
+#define ORDER_TIMEOUT_NS (ORDER_TIMEOUT_MS * CQ_NS_PER_MS)
 /* Between repeats of an order that got no answer. */
 #define REPEAT_NS (INT64_C(200) * CQ_NS_PER_MS)
 /* A stop that was answered, but whose end is not listed. */
@@ -310,9 +311,13 @@
 			send_stop(d, task);
 		return;
 	}
-	if (task->phase == CQ_RUN_ORDERED && !task->start_in_flight &&
-	    now_ns - task->ordered_ns > REPEAT_NS)
+	if (task->phase != CQ_RUN_ORDERED || task->start_in_flight ||
+	    now_ns - task->ordered_ns <= REPEAT_NS)
+		return;
+	if (may_start(d, task))
 		order_start(d, task);
+	else if (link->held_ns > task->ordered_ns + ORDER_TIMEOUT_NS)
+		order_stop(d, task, "the worker takes no starts any more");
 }
 
 static bool may_start(const struct cq_dispatcher *d, const struct cq_task *task)
--- a/tests/unit/test_dispatcher.c
+++ b/tests/unit/test_dispatcher.c
@@ -109,6 +109,44 @@
 	close_world(w);
 }
 
+/*
+ * A start that got no answer is not repeated once its worker drains: the run is
+ * given up, and the task starts elsewhere.
+ */
+static void test_no_repeat_while_draining(void)
+{
+	struct dispatch_world *w = open_world(LONG_LEASE_MS, 1);
+	struct mem_executor *workers = dispatch_world_workers(w);
+
+	mem_executor_fail_orders(workers, MEM_EXECUTOR_VANISH, 1);
+	dispatch_world_submit(w, 1, 1, 8, false);
+	g_assert_true(dispatch_world_await(w, 1, "running"));
+	dispatch_world_drain(w, 0);
+	wait_turns(dispatch_world_loop(w), 10);
+	mem_executor_bar(workers, "worker0", true);
+	dispatch_world_add_worker(w, 1);
+	g_assert_true(dispatch_world_await_running(w, 1));
+	g_assert_nonnull(mem_executor_where(workers,
+					    "0000000000000001.0.0.0"));
+	close_world(w);
+}
+
+/*
+ * The load of a leader elected over a large fleet: it contacts all workers, a
+ * few at a time, so that it still renews its own lease.
+ */
+static void test_large_fleet_is_contacted_in_turn(void)
+{
+	struct dispatch_world *w = open_world(LONG_LEASE_MS, 600);
+	struct mem_executor *workers = dispatch_world_workers(w);
+
+	dispatch_world_submit(w, 1, 600, 8, false);
+	g_assert_true(dispatch_world_await_running(w, 600));
+	g_assert_cmpuint(mem_executor_most_holds(workers), >, 0);
+	g_assert_cmpuint(mem_executor_most_holds(workers), <=, 64);
+	close_world(w);
+}
+
 /* Ends that a worker lists are not acknowledged before the jobs are known. */
 static void test_next_epoch_knows_the_ends(void)
 {
@@ -375,6 +413,10 @@
 			test_unanswered_starts);
 	g_test_add_func("/dispatcher/stop_of_run_that_never_started",
 			test_stop_of_run_that_never_started);
+	g_test_add_func("/dispatcher/no_repeat_while_draining",
+			test_no_repeat_while_draining);
+	g_test_add_func("/dispatcher/large_fleet_is_contacted_in_turn",
+			test_large_fleet_is_contacted_in_turn);
 	g_test_add_func("/dispatcher/next_epoch_knows_the_ends",
 			test_next_epoch_knows_the_ends);
 	g_test_add_func("/dispatcher/end_before_the_store_holds_it",
