Show a job's end only from its progress record

Ends now come from the progress record alone, which is written once; the flag counts only while there is none. One read of the store less for each look at a running job.

--- a/src/coordination/gateway_internal.h
+++ b/src/coordination/gateway_internal.h
@@ -23,7 +23,6 @@
 	int64_t deadline_ns;
 	bool maybe_stored;
 	enum cq_batch_state state; /* STATE: of the progress record */
-	bool has_state;
 	struct cq_store_call *store_call;
 	ev_timer retry;
 	void (*step)(struct ticket *t);
--- a/src/coordination/gateway_steps.c
+++ b/src/coordination/gateway_steps.c
@@ -91,12 +91,10 @@
 	if (result->status == CQ_STORE_OK && result->entry_count == 1 &&
 	    cq_batch_state_of(result->entries[0].value,
 			      result->entries[0].value_len, &t->state)) {
-		t->has_state = true;
-		if (cq_batch_state_is_terminal(t->state)) {
-			answer_state(t, t->state);
-			return;
-		}
-	} else if (result->status != CQ_STORE_NOT_FOUND) {
+		answer_state(t, t->state);
+		return;
+	}
+	if (result->status != CQ_STORE_NOT_FOUND) {
 		ticket_retry_later(t, result->status);
 		return;
 	}
@@ -104,7 +102,7 @@
 	step_workload(t);
 }
 
-/* The record of the workload shows whether it exists and is cancelled. */
+/* Without progress, the record of the workload shows whether it exists. */
 static void step_workload(struct ticket *t)
 {
 	const struct cq_store *store = t->g->store;
@@ -133,10 +131,7 @@
 			      result->entries[0].value_len, NULL);
 	cancelled = w && w->cancelled;
 	cq_workload_destroy(w);
-	if (cancelled)
-		answer_state(t, CQ_BATCH_CANCELLED);
-	else
-		answer_state(t, t->has_state ? t->state : CQ_BATCH_QUEUED);
+	answer_state(t, cancelled ? CQ_BATCH_CANCELLED : CQ_BATCH_QUEUED);
 }
 
 void gateway_step_cancel(struct ticket *t)
--- a/tests/scripts/test_hostd.sh
+++ b/tests/scripts/test_hostd.sh
@@ -71,6 +71,7 @@
 call 1 POST /jobs/00000000000000a4 "$job" >/dev/null
 wait_for 10 "job a4" is_running 3
 echo "cancel: $(call 2 DELETE /jobs/00000000000000a4)"
+wait_for 10 "the cancelled job" has_state 1 00000000000000a4 cancelled
 echo "cancelled: $(call 1 GET /jobs/00000000000000a4)"
 wait_for 10 "stops" is_running 0
 
