Contact a large fleet a few workers at a time

Played on a scaled site with logs: after the leader's kill there were 20 elections in 28 s. A new leader sent its first hold to all workers at once; the answers and the time-outs of its own overload kept its loop from renewing its lease in 1.5 s, and the next leader did the same. Ruled out: the plan (39 ms at most with 3,010 workers), the tick (37 ms).

First holds, and those to workers that did not answer, now go out while at most 48 are under way (192 for workers that run something).

--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -67,6 +67,7 @@
 	GArray *written; /* struct written, of the transaction under way */
 	char *pending;	 /* last value written for CQ_KEY_PENDING */
 	int64_t next_pending_ns;
+	uint32_t first_holds; /* under way */
 	ev_timer tick;
 	ev_timer plan;
 
--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -14,6 +14,13 @@
 #define HOLD_RETRY_NS (INT64_C(500) * CQ_NS_PER_MS)
 /* Holds that follow each other sooner reach the same life of a worker. */
 #define HOLD_GAP_NS (INT64_C(100) * CQ_NS_PER_MS)
+/*
+ * First holds under way at one time, to workers that run nothing and to those
+ * that run something. A new leader contacts thousands of workers, and must
+ * still renew its own lease in time.
+ */
+#define MAX_FIRST_HOLDS_IDLE 48
+#define MAX_FIRST_HOLDS 192
 /* Leases granted are shorter than the longest by this much. */
 #define LEASE_MARGIN_MS 500
 /* A worker's steady clock may be slow by 2 %. */
@@ -39,11 +46,13 @@
 				uint32_t run);
 static void lose_runs(struct link *link, const char *reason);
 static bool needs_hold(const struct link *link);
+static bool must_wait_for_others(const struct link *link);
 static void control_pace(struct link *link);
 
 struct hold_call {
 	struct cq_dispatcher *d;
 	char worker[CQ_EXECUTOR_NAME_BYTES];
+	bool first;
 };
 
 struct link *link_create(struct cq_dispatcher *d, struct cq_pool_worker *worker)
@@ -163,6 +172,20 @@
 	       (link->worker->listed && link->hold_failed);
 }
 
+/* The worker has not answered this leader, or not the last time. */
+static bool is_first_hold(const struct link *link)
+{
+	return !link->fenced || link->hold_failed;
+}
+
+static bool must_wait_for_others(const struct link *link)
+{
+	uint32_t limit = link->worker->runs->len ? MAX_FIRST_HOLDS
+						 : MAX_FIRST_HOLDS_IDLE;
+
+	return is_first_hold(link) && link->d->first_holds >= limit;
+}
+
 void link_tick(struct link *link, int64_t now_ns)
 {
 	if (!link)
@@ -173,6 +196,7 @@
 	/* Ends must not be taken over before the jobs are known. */
 	if (!dispatcher_loaded(link->d) || link->hold_in_flight ||
 	    now_ns < link->next_hold_ns || !needs_hold(link) ||
+	    must_wait_for_others(link) ||
 	    !link->d->ops->may_order(link->d->ctx))
 		return;
 	send_hold(link, now_ns);
@@ -207,14 +231,16 @@
 	struct hold_call *call = g_new0(struct hold_call, 1);
 
 	/* Ends that wait for the store would come again at once. */
-	if (link->fenced && !link->hold_failed && link->worker->runs->len &&
+	if (!is_first_hold(link) && link->worker->runs->len &&
 	    !link->unacknowledged->len)
 		hold.wait_ms = is_shared(link->worker) ? HOLD_WAIT_SHARED_MS
 						       : HOLD_WAIT_MS;
 	/* A worker that is silent gets no longer lease, so that it lapses. */
-	if (link->fenced && !link->hold_failed && link->worker->runs->len)
+	if (!is_first_hold(link) && link->worker->runs->len)
 		hold.lease_end_ms = link_grant(link);
 	call->d = d;
+	call->first = is_first_hold(link);
+	d->first_holds += call->first;
 	g_strlcpy(call->worker, link->worker->listing.id, sizeof(call->worker));
 	link->hold_in_flight = true;
 	link->telling = hold.acknowledged;
@@ -348,6 +374,7 @@
 	struct link *link = worker ? worker->link : NULL;
 	int64_t now_ns = dispatcher_now_ns(d);
 
+	d->first_holds -= call->first;
 	g_free(call);
 	if (!link)
 		return;
