--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -65,6 +65,16 @@
 "$bin/cq-fake-platform" "127.$net.1.1" 7001 "$workers" "$task_ms" \
 	"127.$net.1.2" >"$logs/platform.log" 2>&1 &
 platform_pid=$!
+tries=0
+until grep -q -x ready "$logs/platform.log"; do
+	tries=$((tries + 1))
+	if [ "$tries" -gt 200 ] || ! kill -0 "$platform_pid" 2>/dev/null; then
+		echo "the stand-in of the platform did not start:"
+		cat "$logs/platform.log"
+		exit 1
+	fi
+	sleep 0.05
+done
 host=0
 while [ "$host" -lt "$hosts" ]; do
 	settings "$host"
