One way to end an order's call

The answers to starts and stops were handled by two copies of a dozen lines. No change of behaviour otherwise.

--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -29,6 +29,8 @@
 static struct cq_task *find_ordered(const struct order_call *call);
 static void note_answer(const struct order_call *call,
 			const struct cq_executor_report *report);
+static struct cq_task *end_call(struct order_call *call, const char *order,
+				const struct cq_executor_report *report);
 static void on_start(void *ctx, const struct cq_executor_report *report);
 static void start_refused(struct cq_dispatcher *d, struct cq_task *task,
 			  enum cq_executor_answer answer);
@@ -78,6 +80,28 @@
 		link_note_answer(worker->link, report->clock_ms);
 }
 
+/* The task that the order was for; NULL if it has another run by now. */
+static struct cq_task *end_call(struct order_call *call, const char *order,
+				const struct cq_executor_report *report)
+{
+	struct cq_dispatcher *d = call->d;
+	struct cq_task *task = find_ordered(call);
+
+	note_answer(call, report);
+	if (report->answer != CQ_EXECUTOR_OK)
+		cq_log_event(CQ_LOG_INFO, "order_answered",
+			     "{s:s,s:s,s:i,s:s,s:s,s:s}", "order", order,
+			     "task", call->task, "run", (int)call->run,
+			     "worker", call->worker, "answer",
+			     cq_executor_answer_string(report->answer), "error",
+			     report->message);
+	g_free(call);
+	if (report->answer != CQ_EXECUTOR_FENCED)
+		return task;
+	d->ops->superseded(d->ctx);
+	return NULL;
+}
+
 void order_start(struct cq_dispatcher *d, struct cq_task *task)
 {
 	struct link *link = task->worker->link;
@@ -128,20 +152,8 @@
 {
 	struct order_call *call = ctx;
 	struct cq_dispatcher *d = call->d;
-	struct cq_task *task = find_ordered(call);
+	struct cq_task *task = end_call(call, "start", report);
 
-	note_answer(call, report);
-	if (report->answer != CQ_EXECUTOR_OK)
-		cq_log_event(CQ_LOG_INFO, "start_answered",
-			     "{s:s,s:i,s:s,s:s,s:s}", "task", call->task, "run",
-			     (int)call->run, "worker", call->worker, "answer",
-			     cq_executor_answer_string(report->answer), "error",
-			     report->message);
-	g_free(call);
-	if (report->answer == CQ_EXECUTOR_FENCED) {
-		d->ops->superseded(d->ctx);
-		return;
-	}
 	if (!task)
 		return;
 	task->start_in_flight = false;
@@ -216,20 +228,8 @@
 {
 	struct order_call *call = ctx;
 	struct cq_dispatcher *d = call->d;
-	struct cq_task *task = find_ordered(call);
+	struct cq_task *task = end_call(call, "stop", report);
 
-	note_answer(call, report);
-	if (report->answer != CQ_EXECUTOR_OK)
-		cq_log_event(CQ_LOG_INFO, "stop_answered",
-			     "{s:s,s:i,s:s,s:s,s:s}", "task", call->task, "run",
-			     (int)call->run, "worker", call->worker, "answer",
-			     cq_executor_answer_string(report->answer), "error",
-			     report->message);
-	g_free(call);
-	if (report->answer == CQ_EXECUTOR_FENCED) {
-		d->ops->superseded(d->ctx);
-		return;
-	}
 	if (!task)
 		return;
 	task->stop_in_flight = false;
--- a/tests/unit/test_dispatcher.c
+++ b/tests/unit/test_dispatcher.c
@@ -126,8 +126,7 @@
 	mem_executor_bar(workers, "worker0", true);
 	dispatch_world_add_worker(w, 1);
 	g_assert_true(dispatch_world_await_running(w, 1));
-	g_assert_nonnull(mem_executor_where(workers,
-					    "0000000000000001.0.0.0"));
+	g_assert_nonnull(mem_executor_where(workers, "0000000000000001.0.0.0"));
 	close_world(w);
 }
 
