--- a/tests/support/mem_executor.c
+++ b/tests/support/mem_executor.c
@@ -146,6 +146,7 @@
 	ended->task = g_strdup(run->task);
 	ended->run = run->run;
 	ended->how = how;
+	ended->starts = mem_executor_count(m, run->task)->starts;
 	if (how == CQ_RUN_DONE)
 		mem_executor_count(m, run->task)->done++;
 	g_ptr_array_add(w->ended, ended);
@@ -228,6 +229,19 @@
 	return carry_out_start(m, w, order->task, order->run, order->fence);
 }
 
+/* An end "done" must not be taken over once the task was started again. */
+static void check_acknowledged(struct mem_executor *m, const struct worker *w,
+			       const struct ended *ended)
+{
+	if (!m->real_leases || ended->how != CQ_RUN_DONE || ended->lapsed ||
+	    mem_executor_count(m, ended->task)->starts == ended->starts)
+		return;
+	g_string_append_printf(m->breaches,
+			       "%s run %u on %s ended done, was started again, "
+			       "and then that end was acknowledged\n",
+			       ended->task, ended->run, w->id);
+}
+
 static void acknowledge(struct mem_executor *m, struct worker *w,
 			uint64_t number)
 {
@@ -238,6 +252,7 @@
 
 		if (ended->number > number)
 			continue;
+		check_acknowledged(m, w, ended);
 		if (ended->how == CQ_RUN_DONE)
 			g_hash_table_add(m->acknowledged,
 					 g_strdup(ended->task));
--- a/tests/support/mem_executor_internal.h
+++ b/tests/support/mem_executor_internal.h
@@ -12,6 +12,8 @@
 	char *task;
 	uint32_t run;
 	enum cq_run_end how;
+	uint32_t starts; /* of the task, when it ended */
+	bool lapsed;	 /* the lease lapsed before it was acknowledged */
 };
 
 struct run {
--- a/tests/support/mem_executor_lists.c
+++ b/tests/support/mem_executor_lists.c
@@ -134,9 +134,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct worker *w = value;
 
-		for (i = w->runs->len; now_ms >= w->lease_end_ms && i-- > 0;)
-			mem_executor_note_end(m, w,
-					      g_ptr_array_index(w->runs, i),
+		if (now_ms < w->lease_end_ms)
+			continue;
+		for (i = 0; i < w->ended->len; i++)
+			((struct ended *)w->ended->pdata[i])->lapsed = true;
+		for (i = w->runs->len; i-- > 0;)
+			mem_executor_note_end(m, w, w->runs->pdata[i],
 					      CQ_RUN_LAPSED);
 	}
 }
