Order of the waiting stages in a module of its own; useless work goes last

The order of stages and the headroom stood in the dispatcher's plan, where only runs over a store could test them. They are now src/state/stage_order.c, pure functions with a test that names the loads. New: within a priority, a stage that would miss even its late limit (three times the objective, from its due time) steps back behind those that are still of use.

--- /dev/null
+++ b/tests/unit/test_stage_order.c
@@ -0,0 +1,166 @@
+/*
+ * The order of waiting stages, for the loads that it answers: more work than
+ * the workers can do (some of it too late to be of use), timed jobs that were
+ * handed in long before they are due, and bulk work before urgent work comes.
+ */
+#include <glib.h>
+
+#include "chestnutquay/clock.h"
+#include "chestnutquay/stage_order.h"
+
+#define NOW_NS (INT64_C(100) * CQ_NS_PER_S)
+#define UNIX_MS INT64_C(1700000000000)
+
+static const struct cq_queue urgent = { .priority = 0, .stretch = 2 };
+static const struct cq_queue middle = { .priority = 1, .stretch = 2 };
+
+/* A job of one step, accepted age_s seconds ago. */
+static struct cq_batch *job(const char *id, int age_s, int64_t estimate_ms)
+{
+	struct cq_workload *w = cq_workload_create();
+	struct cq_batch *batch;
+
+	g_strlcpy(w->id, id, sizeof(w->id));
+	w->steps = g_new0(struct cq_workload_step, 1);
+	w->step_count = 1;
+	w->steps[0].tasks = 2;
+	w->steps[0].accelerators = 4;
+	w->steps[0].estimate_ms = estimate_ms;
+	batch = cq_batch_create(w);
+	batch->accepted_ns = NOW_NS - age_s * CQ_NS_PER_S;
+	return batch;
+}
+
+static struct cq_ready_stage ready(struct cq_batch *batch,
+				   const struct cq_queue *queue)
+{
+	struct cq_ready_stage r;
+
+	cq_ready_stage_init(&r, &batch->stages[0], queue, NOW_NS, UNIX_MS);
+	return r;
+}
+
+static bool goes_first(const struct cq_ready_stage *left,
+		       const struct cq_ready_stage *right)
+{
+	g_assert_cmpint(cq_ready_stage_compare(left, right, NOW_NS), ==,
+			-cq_ready_stage_compare(right, left, NOW_NS));
+	return cq_ready_stage_compare(left, right, NOW_NS) < 0;
+}
+
+/* Priority first, then the objective: a short job before a long one. */
+static void test_objective(void)
+{
+	struct cq_batch *batches[] = { job("a", 0, 9000), job("b", 0, 2000),
+				       job("c", 5, 9000) };
+	struct cq_ready_stage a = ready(batches[0], &middle);
+	struct cq_ready_stage b = ready(batches[1], &middle);
+	struct cq_ready_stage c = ready(batches[2], &urgent);
+	size_t i;
+
+	g_assert_true(goes_first(&b, &a));
+	g_assert_true(goes_first(&c, &b));
+	g_assert_cmpint(a.objective_ns, ==, NOW_NS + 18 * CQ_NS_PER_S);
+	for (i = 0; i < G_N_ELEMENTS(batches); i++)
+		cq_batch_destroy(batches[i]);
+}
+
+/* Overload: what is of no use any more does not take the room of the rest. */
+static void test_overload(void)
+{
+	struct cq_batch *batches[] = { job("old", 30, 4000),
+				       job("late", 15, 4000),
+				       job("new", 0, 4000) };
+	struct cq_ready_stage old = ready(batches[0], &middle);
+	struct cq_ready_stage late = ready(batches[1], &middle);
+	struct cq_ready_stage new = ready(batches[2], &middle);
+	size_t i;
+
+	g_assert_true(cq_ready_stage_is_hopeless(&old, NOW_NS));
+	/* Past its objective, but an end is still of use. */
+	g_assert_cmpint(late.objective_ns, <, NOW_NS);
+	g_assert_false(cq_ready_stage_is_hopeless(&late, NOW_NS));
+	g_assert_true(goes_first(&late, &new));
+	g_assert_true(goes_first(&new, &old));
+	for (i = 0; i < G_N_ELEMENTS(batches); i++)
+		cq_batch_destroy(batches[i]);
+}
+
+/* An occurrence is of use for as long after its due time as a job is at once.
+ */
+static void test_due_time(void)
+{
+	struct cq_batch *timed = job("timed", 60, 4000);
+	struct cq_ready_stage r = ready(timed, &middle);
+
+	g_assert_true(cq_ready_stage_is_hopeless(&r, NOW_NS));
+	timed->workload->first_run_ms = UNIX_MS - 1000;
+	r = ready(timed, &middle);
+	g_assert_false(cq_ready_stage_is_hopeless(&r, NOW_NS));
+	g_assert_cmpint(r.late_ns, ==, NOW_NS + 23 * CQ_NS_PER_S);
+	cq_batch_destroy(timed);
+}
+
+/* A job's second step is hopeless only if what is left of it is too late. */
+static void test_steps(void)
+{
+	struct cq_workload *w = cq_workload_create();
+	struct cq_batch *batch;
+	struct cq_ready_stage first;
+	struct cq_ready_stage second;
+
+	w->steps = g_new0(struct cq_workload_step, 2);
+	w->step_count = 2;
+	w->steps[0].tasks = 1;
+	w->steps[0].estimate_ms = 8000;
+	w->steps[1].tasks = 1;
+	w->steps[1].estimate_ms = 1000;
+	w->steps[1].after = 1;
+	batch = cq_batch_create(w);
+	batch->accepted_ns = NOW_NS - 51 * CQ_NS_PER_S;
+	cq_ready_stage_init(&first, &batch->stages[0], &middle, NOW_NS,
+			    UNIX_MS);
+	cq_ready_stage_init(&second, &batch->stages[1], &middle, NOW_NS,
+			    UNIX_MS);
+	g_assert_cmpint(first.chain_ms, ==, 9000);
+	g_assert_cmpint(second.left_ms, ==, 1000);
+	g_assert_true(cq_ready_stage_is_hopeless(&first, NOW_NS));
+	g_assert_false(cq_ready_stage_is_hopeless(&second, NOW_NS));
+	cq_batch_destroy(batch);
+}
+
+/* Bulk work takes at most three quarters until its objective comes near. */
+static void test_headroom(void)
+{
+	struct cq_pool *pool = cq_pool_create();
+	struct cq_executor_listing listing = { .id = "w", .accelerators = 16 };
+	struct cq_batch *fresh = job("fresh", 0, 4000);
+	struct cq_batch *pressed = job("pressed", 3, 4000);
+	struct cq_ready_stage f = ready(fresh, &middle);
+	struct cq_ready_stage u = ready(fresh, &urgent);
+	struct cq_ready_stage p = ready(pressed, &middle);
+	struct cq_pool_worker *worker = cq_pool_add(pool, listing.id);
+
+	cq_pool_update(worker, &listing);
+	worker->usable = true;
+	worker->free_accelerators = 12;
+	g_assert_true(cq_ready_stage_leaves_headroom(&f, pool, NOW_NS));
+	worker->free_accelerators = 11;
+	g_assert_false(cq_ready_stage_leaves_headroom(&f, pool, NOW_NS));
+	g_assert_true(cq_ready_stage_leaves_headroom(&u, pool, NOW_NS));
+	g_assert_true(cq_ready_stage_leaves_headroom(&p, pool, NOW_NS));
+	cq_batch_destroy(fresh);
+	cq_batch_destroy(pressed);
+	cq_pool_destroy(pool);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stage_order/objective", test_objective);
+	g_test_add_func("/stage_order/overload", test_overload);
+	g_test_add_func("/stage_order/due_time", test_due_time);
+	g_test_add_func("/stage_order/steps", test_steps);
+	g_test_add_func("/stage_order/headroom", test_headroom);
+	return g_test_run();
+}
