Fuzz target of the platform's documents; two corrections of the soak

Traced: the run ended on a silent worker, the lease lapsed (9.5 s), the leader counted it as lost 9.7 s after its last contact and started the task elsewhere; RULES: such an end is never taken note of. The stand-in now leaves those out.

--- a/Makefile
+++ b/Makefile
@@ -136,9 +136,10 @@
 	$(Q)$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
 
 FUZZ_CC = clang $(CPPFLAGS) -std=gnu11 -g -O1 $(PKG_CFLAGS)
-FUZZ_LIB_OBJ := $(LIB_SRC:%.c=build-fuzz/%.o)
+FUZZ_LIB_OBJ := $(LIB_SRC:%.c=build-fuzz/%.o) \
+	$(patsubst %.c,build-fuzz/%.o,$(wildcard platform/*.c))
 
-build-fuzz/src/%.o: src/%.c
+build-fuzz/%.o: %.c
 	@mkdir -p $(@D)
 	$(Q)$(FUZZ_CC) -fsanitize=fuzzer-no-link,address -MMD -MP -c $< -o $@
 
--- a/tests/standins/soak/timeline.c
+++ b/tests/standins/soak/timeline.c
@@ -39,14 +39,15 @@
 struct soak_timeline *soak_timeline_create(const struct soak_options *options)
 {
 	struct soak_timeline *t = g_new0(struct soak_timeline, 1);
-	int rows;
+	size_t cells;
 
 	t->hosts = options->hosts;
 	t->workers = options->workers;
 	t->columns = options->seconds + EXTRA_COLUMNS;
-	rows = row_of(t, SOAK_ROW_PLATFORM, 0) + 1;
-	t->marks = g_malloc((gsize)(rows * t->columns));
-	memset(t->marks, '.', (gsize)(rows * t->columns));
+	cells = (size_t)(row_of(t, SOAK_ROW_PLATFORM, 0) + 1) *
+		(size_t)t->columns;
+	t->marks = g_malloc(cells);
+	memset(t->marks, '.', cells);
 	t->counts = g_new0(int, G_N_ELEMENTS(count_names) * (gsize)t->columns);
 	return t;
 }
--- a/tests/support/mem_executor.c
+++ b/tests/support/mem_executor.c
@@ -253,7 +253,7 @@
 		if (ended->number > number)
 			continue;
 		check_acknowledged(m, w, ended);
-		if (ended->how == CQ_RUN_DONE)
+		if (ended->how == CQ_RUN_DONE && !ended->lapsed)
 			g_hash_table_add(m->acknowledged,
 					 g_strdup(ended->task));
 		g_ptr_array_remove_index(w->ended, i);
