Silent workers do not hold up the first contact with the others

A hold without an answer for 250 ms no longer counts. The unit test (20 of 200 workers answer) fails without the change.

--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -23,6 +23,7 @@
 	bool hold_in_flight;
 	bool hold_failed; /* the last hold got no good answer */
 	int64_t hold_sent_ns;
+	bool counted; /* in first_holds of the dispatcher */
 	int64_t next_hold_ns;
 	int64_t held_ns; /* last good answer to a hold */
 	int64_t last_answer_ns;
@@ -67,7 +68,7 @@
 	GArray *written; /* struct written, of the transaction under way */
 	char *pending;	 /* last value written for CQ_KEY_PENDING */
 	int64_t next_pending_ns;
-	uint32_t first_holds; /* under way */
+	uint32_t first_holds; /* under way, and not silent for long */
 	ev_timer tick;
 	ev_timer plan;
 
--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -21,6 +21,8 @@
  */
 #define MAX_FIRST_HOLDS_IDLE 48
 #define MAX_FIRST_HOLDS 192
+/* One without an answer for so long does not keep others waiting. */
+#define FIRST_HOLD_COUNTS_NS (INT64_C(250) * CQ_NS_PER_MS)
 /* Leases granted are shorter than the longest by this much. */
 #define LEASE_MARGIN_MS 500
 /* A worker's steady clock may be slow by 2 %. */
@@ -47,12 +49,12 @@
 static void lose_runs(struct link *link, const char *reason);
 static bool needs_hold(const struct link *link);
 static bool must_wait_for_others(const struct link *link);
+static void uncount(struct link *link);
 static void control_pace(struct link *link);
 
 struct hold_call {
 	struct cq_dispatcher *d;
 	char worker[CQ_EXECUTOR_NAME_BYTES];
-	bool first;
 };
 
 struct link *link_create(struct cq_dispatcher *d, struct cq_pool_worker *worker)
@@ -74,6 +76,7 @@
 {
 	if (!link)
 		return;
+	uncount(link);
 	g_array_unref(link->unacknowledged);
 	g_free(link);
 }
@@ -178,6 +181,12 @@
 	return !link->fenced || link->hold_failed;
 }
 
+static void uncount(struct link *link)
+{
+	link->d->first_holds -= link->counted;
+	link->counted = false;
+}
+
 static bool must_wait_for_others(const struct link *link)
 {
 	uint32_t limit = link->worker->runs->len ? MAX_FIRST_HOLDS
@@ -190,6 +199,8 @@
 {
 	if (!link)
 		return;
+	if (now_ns - link->hold_sent_ns > FIRST_HOLD_COUNTS_NS)
+		uncount(link);
 	if (link->worker->runs->len && now_ns > link->lapse_ns &&
 	    (link->hold_failed || !link->worker->listing.address[0]))
 		lose_runs(link, "the lease has lapsed");
@@ -239,8 +250,8 @@
 	if (!is_first_hold(link) && link->worker->runs->len)
 		hold.lease_end_ms = link_grant(link);
 	call->d = d;
-	call->first = is_first_hold(link);
-	d->first_holds += call->first;
+	link->counted = is_first_hold(link);
+	d->first_holds += link->counted;
 	g_strlcpy(call->worker, link->worker->listing.id, sizeof(call->worker));
 	link->hold_in_flight = true;
 	link->telling = hold.acknowledged;
@@ -374,10 +385,10 @@
 	struct link *link = worker ? worker->link : NULL;
 	int64_t now_ns = dispatcher_now_ns(d);
 
-	d->first_holds -= call->first;
 	g_free(call);
 	if (!link)
 		return;
+	uncount(link);
 	link->hold_in_flight = false;
 	if (report->answer != CQ_EXECUTOR_OK) {
 		if (!link->hold_failed)
--- a/tests/support/mem_executor.c
+++ b/tests/support/mem_executor.c
@@ -364,6 +364,11 @@
 	ev_timer_start(m->loop, &p->timer);
 }
 
+void mem_executor_cut_timeout(struct mem_executor *m, double timeout_s)
+{
+	m->cut_timeout_s = timeout_s;
+}
+
 void mem_executor_run_late(struct mem_executor *m)
 {
 	guint i;
@@ -412,7 +417,10 @@
 
 	(void)timeout_ms;
 	if (!is_up(w)) {
-		answer(m, target->id, CQ_EXECUTOR_NOT_SENT, done, ctx);
+		p = answer(m, target->id, CQ_EXECUTOR_NOT_SENT, done, ctx);
+		ev_timer_stop(m->loop, &p->timer);
+		ev_timer_set(&p->timer, m->cut_timeout_s, 0.);
+		ev_timer_start(m->loop, &p->timer);
 		return;
 	}
 	if (target->fence < w->fence) {
--- a/tests/support/mem_executor.h
+++ b/tests/support/mem_executor.h
@@ -40,6 +40,8 @@
 void mem_executor_stale_holds(struct mem_executor *m, bool stale);
 /* The worker does not answer at all. */
 void mem_executor_cut(struct mem_executor *m, const char *id, bool cut);
+/* From now on, holds of workers that are cut end after so long. */
+void mem_executor_cut_timeout(struct mem_executor *m, double timeout_s);
 void mem_executor_run_late(struct mem_executor *m);
 /* Ends a run on whatever worker it is; false if it runs nowhere. */
 bool mem_executor_end(struct mem_executor *m, const char *task,
--- a/tests/support/mem_executor_internal.h
+++ b/tests/support/mem_executor_internal.h
@@ -78,6 +78,7 @@
 	int fault_count;
 	uint32_t starts;
 	bool stale_holds;
+	double cut_timeout_s;
 	bool real_leases;
 	uint32_t open_holds; /* without a wait */
 	uint32_t most_holds;
--- a/tests/unit/test_dispatcher.c
+++ b/tests/unit/test_dispatcher.c
@@ -146,6 +146,25 @@
 	close_world(w);
 }
 
+/* The same while most workers are cut off: they do not hold up the others. */
+static void test_silent_workers_do_not_hold_up_others(void)
+{
+	struct dispatch_world *w = open_world(LONG_LEASE_MS, 0);
+	struct mem_executor *workers = dispatch_world_workers(w);
+	char id[32];
+	int k;
+
+	mem_executor_cut_timeout(workers, 60);
+	for (k = 0; k < 200; k++) {
+		dispatch_world_add_worker(w, k);
+		g_snprintf(id, sizeof(id), "worker%d", k);
+		mem_executor_cut(workers, id, k >= 20);
+	}
+	dispatch_world_submit(w, 1, 20, 8, false);
+	g_assert_true(dispatch_world_await_running(w, 20));
+	close_world(w);
+}
+
 /* Ends that a worker lists are not acknowledged before the jobs are known. */
 static void test_next_epoch_knows_the_ends(void)
 {
@@ -416,6 +435,8 @@
 			test_no_repeat_while_draining);
 	g_test_add_func("/dispatcher/large_fleet_is_contacted_in_turn",
 			test_large_fleet_is_contacted_in_turn);
+	g_test_add_func("/dispatcher/silent_workers_do_not_hold_up_others",
+			test_silent_workers_do_not_hold_up_others);
 	g_test_add_func("/dispatcher/next_epoch_knows_the_ends",
 			test_next_epoch_knows_the_ends);
 	g_test_add_func("/dispatcher/end_before_the_store_holds_it",
