Urgent work within a workspace's guarantee goes first and displaces what is lent

Cause: the plan ordered urgent jobs of all workspaces by their objectives and nothing urgent gave way, so a burst of one workspace could hold all accelerators while another waited for what belongs to it (RECLAIM of the platform's rules; found by reading, the row in docs/platform.md said so). test_dispatcher guarantee_beside_burst failed before.

The plan is now a state module without I/O (stage_plan), with the rank of each stage (stage_rank) in the place of the queue's priority; the dispatcher only carries it out.

Ruled out: counting a guarantee as a quota over all priorities, since only urgent jobs are owed it; skipping a job that goes beyond the guarantee and counting later, smaller ones, since a workspace would displace its own runs.

--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -84,6 +84,7 @@
 	uint32_t gang_failed_run; /* last run that counted as failed */
 	bool started;		  /* a task was started once */
 	int64_t ready_ns;	  /* when its turn came; 0: not yet */
+	uint32_t rank;		  /* see stage_rank.h; lower ones go first */
 };
 
 struct cq_batch {
--- a/include/chestnutquay/placement.h
+++ b/include/chestnutquay/placement.h
@@ -40,25 +40,15 @@
  */
 uint32_t cq_placement_find(const struct cq_placement *p, GArray *assignments);
 
-/* Which runs may be stopped for others. */
-struct cq_placement_victims {
-	/* Priority of the queue of a batch; higher numbers give way. */
-	uint32_t (*priority)(void *ctx, const struct cq_batch *batch);
-	void *ctx;
-	uint32_t own_priority;
-	/* Runs that would lose more core-seconds of work are not stopped. */
-	double max_loss_core_s;
-};
-
 /*
- * The cheapest runs of lower priority that have to end so that the waiting
- * tasks of the stage fit. Runs that are being stopped count as gone. Reserves
+ * The cheapest runs of a higher rank that have to end so that the waiting
+ * tasks of the stage fit. Runs that would lose more than the given core-seconds
+ * of work are not stopped; runs that are being stopped count as gone. Reserves
  * the workers for the stage and adds the victims (struct cq_task) to the
  * array; none if what is being stopped is enough. False if even stopping all
  * of them would not make room.
  */
 bool cq_placement_make_room(const struct cq_placement *p,
-			    const struct cq_placement_victims *victims,
-			    GPtrArray *out);
+			    double most_loss_core_s, GPtrArray *out);
 
 #endif
--- a/include/chestnutquay/stage_order.h
+++ b/include/chestnutquay/stage_order.h
@@ -29,8 +29,8 @@
 /* Even its late limit would be missed if it started at now_ns. */
 bool cq_ready_stage_is_hopeless(const struct cq_ready_stage *r, int64_t now_ns);
 /*
- * Below zero if left goes first: by priority; within it, those that are
- * hopeless after the others, then by objective.
+ * Below zero if left goes first: by rank; within it, those that are hopeless
+ * after the others, then by objective.
  */
 int cq_ready_stage_compare(const struct cq_ready_stage *left,
 			   const struct cq_ready_stage *right, int64_t now_ns);
--- a/src/coordination/dispatcher_plan.c
+++ b/src/coordination/dispatcher_plan.c
@@ -1,30 +1,20 @@
-/* Which stages start now, in which order, and what gives way to them. */
+/* Carries out what the plan of the ready stages decides. */
 #include <jansson.h>
 #include <string.h>
 
 #include "chestnutquay/log.h"
-#include "chestnutquay/placement.h"
-#include "chestnutquay/stage_order.h"
+#include "chestnutquay/stage_plan.h"
+#include "chestnutquay/stage_rank.h"
 #include "coordination/dispatcher_internal.h"
 
-/* A gang that is not urgent waits this long before it stops others. */
-#define GANG_PATIENCE_NS (INT64_C(500) * CQ_NS_PER_MS)
-/* It stops only runs that lose less. */
-#define GANG_LOSS_CORE_S 15.0
-
 static bool worker_usable(const struct cq_dispatcher *d,
 			  const struct cq_pool_worker *worker, int64_t now_ns);
 static void collect_ready(struct cq_dispatcher *d, GArray *ready);
-static bool is_due(const struct cq_dispatcher *d, const struct cq_stage *stage);
-static gint by_rank(gconstpointer a, gconstpointer b, gpointer now_ns);
-static void assign(struct cq_dispatcher *d, const struct cq_ready_stage *ready,
-		   GArray *assignments);
-static void make_room(struct cq_dispatcher *d, const struct cq_placement *p,
-		      const struct cq_ready_stage *ready);
-static bool may_preempt(const struct cq_ready_stage *r, int64_t now_ns);
-static void start_stage(struct cq_dispatcher *d, const struct cq_ready_stage *r,
-			GArray *assignments, int64_t now_ns);
-static uint32_t priority_of(void *ctx, const struct cq_batch *batch);
+static void start_stage(void *ctx, const struct cq_ready_stage *ready,
+			const GArray *assignments);
+static void displace_runs(void *ctx, const struct cq_ready_stage *ready,
+			  const GPtrArray *tasks);
+static void prepare_workers(struct cq_dispatcher *d, int64_t now_ns);
 
 static bool worker_usable(const struct cq_dispatcher *d,
 			  const struct cq_pool_worker *worker, int64_t now_ns)
@@ -39,22 +29,12 @@
 				       worker->listing.data_centre));
 }
 
-/* Occurrences are due at a time of day. */
-static bool is_due(const struct cq_dispatcher *d, const struct cq_stage *stage)
-{
-	const struct cq_workload *w = stage->batch->workload;
-	int64_t due_ms =
-		w->first_run_ms + (int64_t)stage->occurrence * w->interval_ms;
-
-	return !w->first_run_ms || cq_clock_unix_ms(d->clock) >= due_ms;
-}
-
 static void collect_ready(struct cq_dispatcher *d, GArray *ready)
 {
 	int64_t now_ns = dispatcher_now_ns(d);
+	int64_t unix_ms = cq_clock_unix_ms(d->clock);
 	GHashTableIter iter;
 	gpointer value;
-	uint32_t i;
 
 	g_hash_table_iter_init(&iter, d->batches);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -65,30 +45,14 @@
 		    queue->advised ||
 		    dispatcher_check_attempts(d, batch, queue))
 			continue;
-		for (i = 0; i < batch->stage_count; i++) {
-			struct cq_stage *stage = &batch->stages[i];
-			struct cq_ready_stage r;
-
-			if (!cq_stage_waiting(stage) ||
-			    !cq_stage_unblocked(stage) || !is_due(d, stage))
-				continue;
-			if (!stage->ready_ns)
-				stage->ready_ns = now_ns;
-			cq_ready_stage_init(&r, stage, queue, now_ns,
-					    cq_clock_unix_ms(d->clock));
-			g_array_append_val(ready, r);
-		}
+		cq_stage_plan_collect(batch, queue, now_ns, unix_ms, ready);
 	}
 }
 
-static gint by_rank(gconstpointer a, gconstpointer b, gpointer now_ns)
-{
-	return cq_ready_stage_compare(a, b, *(const int64_t *)now_ns);
-}
-
-static void assign(struct cq_dispatcher *d, const struct cq_ready_stage *ready,
-		   GArray *assignments)
+static void start_stage(void *ctx, const struct cq_ready_stage *ready,
+			const GArray *assignments)
 {
+	struct cq_dispatcher *d = ctx;
 	struct cq_stage *stage = ready->stage;
 	int64_t now_ns = dispatcher_now_ns(d);
 	uint32_t gang_run = cq_stage_next_run(stage, d->run_floor);
@@ -114,84 +78,36 @@
 	dispatcher_mark_dirty(d, stage->batch);
 }
 
-static uint32_t priority_of(void *ctx, const struct cq_batch *batch)
-{
-	const struct cq_queue *queue = dispatcher_queue(ctx, batch);
-
-	return queue ? queue->priority : 0;
-}
-
-static void make_room(struct cq_dispatcher *d, const struct cq_placement *p,
-		      const struct cq_ready_stage *ready)
+static void displace_runs(void *ctx, const struct cq_ready_stage *ready,
+			  const GPtrArray *tasks)
 {
-	const struct cq_placement_victims victims = {
-		.priority = priority_of,
-		.ctx = d,
-		.own_priority = ready->queue->priority,
-		.max_loss_core_s = ready->queue->priority ? GANG_LOSS_CORE_S
-							  : G_MAXDOUBLE,
-	};
-	GPtrArray *out = g_ptr_array_new();
+	struct cq_dispatcher *d = ctx;
+	const struct cq_stage *stage = ready->stage;
+	int64_t waited_ns = dispatcher_now_ns(d) - stage->ready_ns;
 	guint i;
 
-	if (cq_placement_make_room(p, &victims, out) && out->len)
-		cq_log_event(CQ_LOG_INFO, "room_made", "{s:s,s:i,s:i,s:i,s:I}",
-			     "id", ready->stage->batch->workload->id, "step",
-			     (int)ready->stage->step_index, "priority",
-			     (int)ready->queue->priority, "stops",
-			     (int)out->len, "waited_ms",
-			     (json_int_t)((p->now_ns - ready->stage->ready_ns) /
-					  CQ_NS_PER_MS));
-	for (i = 0; i < out->len; i++) {
+	cq_log_event(CQ_LOG_INFO, "room_made", "{s:s,s:i,s:i,s:i,s:I}", "id",
+		     stage->batch->workload->id, "step", (int)stage->step_index,
+		     "rank", (int)stage->rank, "stops", (int)tasks->len,
+		     "waited_ms", (json_int_t)(waited_ns / CQ_NS_PER_MS));
+	for (i = 0; i < tasks->len; i++) {
 		cq_counter_add(d->preemptions, 1);
-		order_stop(d, g_ptr_array_index(out, i),
+		order_stop(d, g_ptr_array_index(tasks, i),
 			   "more urgent work needs the room");
 	}
-	g_ptr_array_unref(out);
 }
 
-/* Urgent work at once; gangs of the middle once they have waited. */
-static bool may_preempt(const struct cq_ready_stage *r, int64_t now_ns)
-{
-	if (!cq_stage_waiting(r->stage))
-		return false;
-	return r->queue->priority == 0 ||
-	       (r->stage->step->gang &&
-		now_ns - r->stage->ready_ns > GANG_PATIENCE_NS);
-}
+static const struct cq_stage_plan_ops plan_ops = {
+	.start = start_stage,
+	.displace = displace_runs,
+};
 
-static void start_stage(struct cq_dispatcher *d, const struct cq_ready_stage *r,
-			GArray *assignments, int64_t now_ns)
+/* Which workers may get runs in this plan. */
+static void prepare_workers(struct cq_dispatcher *d, int64_t now_ns)
 {
-	const struct cq_placement p = {
-		.pool = d->pool,
-		.stage = r->stage,
-		.service = r->queue->service,
-		.now_ns = now_ns,
-		.pack_racks = r->queue->priority > 0,
-	};
-
-	g_array_set_size(assignments, 0);
-	if (!cq_ready_stage_leaves_headroom(r, d->pool, now_ns))
-		return;
-	if (cq_placement_find(&p, assignments))
-		assign(d, r, assignments);
-	if (may_preempt(r, now_ns))
-		make_room(d, &p, r);
-}
-
-void dispatcher_plan(struct cq_dispatcher *d)
-{
-	GArray *ready = g_array_new(FALSE, TRUE, sizeof(struct cq_ready_stage));
-	GArray *assignments =
-		g_array_new(FALSE, TRUE, sizeof(struct cq_assignment));
-	int64_t now_ns = dispatcher_now_ns(d);
 	GHashTableIter iter;
 	gpointer value;
-	guint i;
 
-	if (!dispatcher_loaded(d) || !d->ops->may_order(d->ctx))
-		goto done;
 	g_hash_table_iter_init(&iter, d->pool->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct cq_pool_worker *worker = value;
@@ -199,13 +115,23 @@
 		worker->usable = worker_usable(d, worker, now_ns);
 		worker->reserved_for = NULL;
 	}
-	cq_placement_prepare(d->pool);
+}
+
+void dispatcher_plan(struct cq_dispatcher *d)
+{
+	const struct cq_stage_plan plan = {
+		.policy = &cq_stage_policy_default,
+		.pool = d->pool,
+		.now_ns = dispatcher_now_ns(d),
+	};
+	GArray *ready;
+
+	if (!dispatcher_loaded(d) || !d->ops->may_order(d->ctx))
+		return;
+	ready = g_array_new(FALSE, TRUE, sizeof(struct cq_ready_stage));
+	prepare_workers(d, plan.now_ns);
 	collect_ready(d, ready);
-	g_array_sort_with_data(ready, by_rank, &now_ns);
-	for (i = 0; i < ready->len; i++)
-		start_stage(d, &g_array_index(ready, struct cq_ready_stage, i),
-			    assignments, now_ns);
-done:
+	cq_stage_ranks_update(d->config, d->batches);
+	cq_stage_plan_run(&plan, ready, &plan_ops, d);
 	g_array_unref(ready);
-	g_array_unref(assignments);
 }
--- a/src/state/placement_victims.c
+++ b/src/state/placement_victims.c
@@ -24,16 +24,16 @@
 		     const struct cq_workload_step *step);
 static GPtrArray *possible_victims(const struct cq_pool_worker *worker,
 				   const struct cq_placement *p,
-				   const struct cq_placement_victims *v,
+				   double most_loss_core_s,
 				   struct placement_room *room);
 static void evaluate(struct candidate *c, const struct cq_placement *p,
-		     const struct cq_placement_victims *v, uint32_t wanted);
+		     double most_loss_core_s, uint32_t wanted);
 static gint by_cost_per_task(gconstpointer a, gconstpointer b);
 static void candidate_clear(void *data);
 static uint32_t waiting_tasks(const struct cq_stage *stage);
 static GArray *evaluate_all(const GPtrArray *workers,
 			    const struct cq_placement *p,
-			    const struct cq_placement_victims *v);
+			    double most_loss_core_s);
 static double cheapest(const GArray *candidates, uint32_t wanted,
 		       guint *needed);
 static void take(const GArray *candidates, guint needed,
@@ -94,7 +94,7 @@
 /* Runs that may be stopped, cheapest first; what is being stopped is room. */
 static GPtrArray *possible_victims(const struct cq_pool_worker *worker,
 				   const struct cq_placement *p,
-				   const struct cq_placement_victims *v,
+				   double most_loss_core_s,
 				   struct placement_room *room)
 {
 	GPtrArray *others = g_ptr_array_new();
@@ -107,10 +107,9 @@
 
 		if (task->stopping)
 			add_room(room, step);
-		else if (v->priority(v->ctx, task->stage->batch) >
-				 v->own_priority &&
+		else if (task->stage->rank > p->stage->rank &&
 			 !step->max_unavailable &&
-			 cost_of(task, now_ns) <= v->max_loss_core_s)
+			 cost_of(task, now_ns) <= most_loss_core_s)
 			g_ptr_array_add(others, task);
 	}
 	g_ptr_array_sort_with_data(others, by_cost, &now_ns);
@@ -119,13 +118,14 @@
 
 /* As many tasks as wanted, or as fit, for the fewest victims. */
 static void evaluate(struct candidate *c, const struct cq_placement *p,
-		     const struct cq_placement_victims *v, uint32_t wanted)
+		     double most_loss_core_s, uint32_t wanted)
 {
 	const struct cq_workload_step *step = p->stage->step;
 	struct placement_room room = { c->worker->free_cpu_millicores,
 				       c->worker->free_memory_mb,
 				       c->worker->free_accelerators };
-	GPtrArray *others = possible_victims(c->worker, p, v, &room);
+	GPtrArray *others =
+		possible_victims(c->worker, p, most_loss_core_s, &room);
 	guint used = 0;
 	guint i;
 
@@ -178,7 +178,7 @@
 
 static GArray *evaluate_all(const GPtrArray *workers,
 			    const struct cq_placement *p,
-			    const struct cq_placement_victims *v)
+			    double most_loss_core_s)
 {
 	GArray *candidates = g_array_new(FALSE, TRUE, sizeof(struct candidate));
 	uint32_t wanted = waiting_tasks(p->stage);
@@ -191,7 +191,7 @@
 			.victims = g_ptr_array_new(),
 		};
 
-		evaluate(&c, p, v, wanted);
+		evaluate(&c, p, most_loss_core_s, wanted);
 		g_array_append_val(candidates, c);
 	}
 	g_array_sort(candidates, by_cost_per_task);
@@ -234,8 +234,7 @@
 }
 
 bool cq_placement_make_room(const struct cq_placement *p,
-			    const struct cq_placement_victims *victims,
-			    GPtrArray *out)
+			    double most_loss_core_s, GPtrArray *out)
 {
 	GPtrArray *workers = placement_workers(p);
 	GPtrArray *racks = placement_racks(workers);
@@ -250,8 +249,8 @@
 		g_ptr_array_add(racks, g_ptr_array_ref(workers));
 	}
 	for (i = 0; i < racks->len; i++) {
-		GArray *candidates =
-			evaluate_all(g_ptr_array_index(racks, i), p, victims);
+		GArray *candidates = evaluate_all(g_ptr_array_index(racks, i),
+						  p, most_loss_core_s);
 		guint needed;
 		double cost = cheapest(candidates, wanted, &needed);
 
--- a/src/state/stage_order.c
+++ b/src/state/stage_order.c
@@ -81,8 +81,8 @@
 	bool left_hopeless = cq_ready_stage_is_hopeless(left, now_ns);
 	bool right_hopeless = cq_ready_stage_is_hopeless(right, now_ns);
 
-	if (left->queue->priority != right->queue->priority)
-		return left->queue->priority < right->queue->priority ? -1 : 1;
+	if (left->stage->rank != right->stage->rank)
+		return left->stage->rank < right->stage->rank ? -1 : 1;
 	if (left_hopeless != right_hopeless)
 		return left_hopeless ? 1 : -1;
 	if (left->objective_ns != right->objective_ns)
--- /dev/null
+++ b/src/state/stage_plan.c
@@ -0,0 +1,128 @@
+#include "chestnutquay/stage_plan.h"
+
+#include "chestnutquay/clock.h"
+#include "chestnutquay/stage_rank.h"
+
+/* A gang that is not urgent waits this long before it stops others. */
+#define GANG_PATIENCE_NS (INT64_C(500) * CQ_NS_PER_MS)
+/* It stops only runs that lose less. */
+#define GANG_LOSS_CORE_S 15.0
+#define STOPS_NOTHING (-1.0)
+
+static bool is_due(const struct cq_stage *stage, int64_t unix_ms);
+static gint by_rank(gconstpointer a, gconstpointer b, gpointer plan);
+static double most_loss_core_s(const struct cq_ready_stage *r, int64_t now_ns);
+static void make_room(const struct cq_stage_plan *plan,
+		      const struct cq_placement *p,
+		      const struct cq_ready_stage *r,
+		      const struct cq_stage_plan_ops *ops, void *ctx);
+static void plan_stage(const struct cq_stage_plan *plan,
+		       const struct cq_ready_stage *r, GArray *assignments,
+		       const struct cq_stage_plan_ops *ops, void *ctx);
+
+const struct cq_stage_policy cq_stage_policy_default = {
+	.name = "product",
+	.compare = cq_ready_stage_compare,
+	.may_start = cq_ready_stage_leaves_headroom,
+	.most_loss_core_s = most_loss_core_s,
+};
+
+/* Occurrences are due at a time of day. */
+static bool is_due(const struct cq_stage *stage, int64_t unix_ms)
+{
+	const struct cq_workload *w = stage->batch->workload;
+
+	return !w->first_run_ms ||
+	       unix_ms >= w->first_run_ms +
+				  (int64_t)stage->occurrence * w->interval_ms;
+}
+
+void cq_stage_plan_collect(struct cq_batch *batch, const struct cq_queue *queue,
+			   int64_t now_ns, int64_t unix_ms, GArray *ready)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->stage_count; i++) {
+		struct cq_stage *stage = &batch->stages[i];
+		struct cq_ready_stage r;
+
+		if (!cq_stage_waiting(stage) || !cq_stage_unblocked(stage) ||
+		    !is_due(stage, unix_ms))
+			continue;
+		if (!stage->ready_ns)
+			stage->ready_ns = now_ns;
+		cq_ready_stage_init(&r, stage, queue, now_ns, unix_ms);
+		g_array_append_val(ready, r);
+	}
+}
+
+static gint by_rank(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct cq_stage_plan *plan = data;
+
+	return plan->policy->compare(a, b, plan->now_ns);
+}
+
+/* Urgent work at any price; gangs of the middle once they have waited. */
+static double most_loss_core_s(const struct cq_ready_stage *r, int64_t now_ns)
+{
+	if (r->stage->rank <= CQ_RANK_URGENT)
+		return G_MAXDOUBLE;
+	if (r->stage->step->gang &&
+	    now_ns - r->stage->ready_ns > GANG_PATIENCE_NS)
+		return GANG_LOSS_CORE_S;
+	return STOPS_NOTHING;
+}
+
+static void make_room(const struct cq_stage_plan *plan,
+		      const struct cq_placement *p,
+		      const struct cq_ready_stage *r,
+		      const struct cq_stage_plan_ops *ops, void *ctx)
+{
+	double loss_core_s = plan->policy->most_loss_core_s(r, plan->now_ns);
+	GPtrArray *tasks;
+
+	if (loss_core_s < 0)
+		return;
+	tasks = g_ptr_array_new();
+	if (cq_placement_make_room(p, loss_core_s, tasks) && tasks->len)
+		ops->displace(ctx, r, tasks);
+	g_ptr_array_unref(tasks);
+}
+
+static void plan_stage(const struct cq_stage_plan *plan,
+		       const struct cq_ready_stage *r, GArray *assignments,
+		       const struct cq_stage_plan_ops *ops, void *ctx)
+{
+	const struct cq_placement p = {
+		.pool = plan->pool,
+		.stage = r->stage,
+		.service = r->queue->service,
+		.now_ns = plan->now_ns,
+		.pack_racks = r->stage->rank > CQ_RANK_URGENT,
+	};
+
+	g_array_set_size(assignments, 0);
+	if (!plan->policy->may_start(r, plan->pool, plan->now_ns))
+		return;
+	if (cq_placement_find(&p, assignments))
+		ops->start(ctx, r, assignments);
+	if (cq_stage_waiting(r->stage))
+		make_room(plan, &p, r, ops, ctx);
+}
+
+void cq_stage_plan_run(const struct cq_stage_plan *plan, GArray *ready,
+		       const struct cq_stage_plan_ops *ops, void *ctx)
+{
+	GArray *assignments =
+		g_array_new(FALSE, TRUE, sizeof(struct cq_assignment));
+	guint i;
+
+	cq_placement_prepare(plan->pool);
+	g_array_sort_with_data(ready, by_rank, (gpointer)plan);
+	for (i = 0; i < ready->len; i++)
+		plan_stage(plan,
+			   &g_array_index(ready, struct cq_ready_stage, i),
+			   assignments, ops, ctx);
+	g_array_unref(assignments);
+}
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -11,6 +11,7 @@
 #include "tests/support/wait_for.h"
 
 #define WORKERS "w/"
+#define MAX_WORKSPACES 4
 
 struct dispatch_world {
 	struct ev_loop *loop;
@@ -21,6 +22,8 @@
 	struct cq_queue queue;
 	struct cq_service service;
 	struct cq_queue_config config;
+	struct cq_workspace_keys workspaces[MAX_WORKSPACES];
+	const char *workspace; /* of jobs submitted from now on */
 	GHashTable *evacuated;
 	uint32_t max_lease_ms;
 	int64_t epoch;
@@ -99,7 +102,9 @@
 		.queue_count = 1,
 		.services = &w->service,
 		.service_count = 1,
+		.workspaces = w->workspaces,
 	};
+	w->workspace = "";
 	return w;
 }
 
@@ -228,6 +233,23 @@
 	w->queue.priority = priority;
 }
 
+void dispatch_world_set_workspace(struct dispatch_world *w, const char *name,
+				  uint32_t guaranteed)
+{
+	struct cq_workspace_keys *workspace = w->workspaces;
+	uint32_t i;
+
+	for (i = 0; i < w->config.workspace_count; i++, workspace++)
+		if (!strcmp(workspace->name, name))
+			break;
+	g_assert_cmpuint(i, <, MAX_WORKSPACES);
+	if (i == w->config.workspace_count)
+		w->config.workspace_count++;
+	g_strlcpy(workspace->name, name, sizeof(workspace->name));
+	workspace->guaranteed_accelerators = guaranteed;
+	w->workspace = workspace->name;
+}
+
 void dispatch_world_set_estimate(struct dispatch_world *w, int64_t estimate_ms)
 {
 	w->estimate_ms = estimate_ms;
@@ -267,6 +289,7 @@
 {
 	struct cq_workload *job = workload(k, tasks, accelerators, gang);
 
+	g_strlcpy(job->workspace, w->workspace, sizeof(job->workspace));
 	job->accepted_ms = cq_clock_unix_ms(cq_clock_system());
 	job->steps[0].estimate_ms = w->estimate_ms;
 	write_job(w, job);
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -37,6 +37,12 @@
 
 /* Of the queue; 0, urgent, at first. */
 void dispatch_world_set_priority(struct dispatch_world *w, uint32_t priority);
+/*
+ * Jobs submitted from now on are the workspace's; as many accelerators belong
+ * to its urgent jobs. Without a call: a workspace without a guarantee.
+ */
+void dispatch_world_set_workspace(struct dispatch_world *w, const char *name,
+				  uint32_t guaranteed);
 /* Estimate of the tasks of jobs submitted from now on. */
 void dispatch_world_set_estimate(struct dispatch_world *w, int64_t estimate_ms);
 /* Accepts job K (its id is K in 16 digits) with one step. */
--- a/tests/unit/test_dispatcher.c
+++ b/tests/unit/test_dispatcher.c
@@ -393,6 +393,34 @@
 	close_world(w);
 }
 
+/*
+ * A burst of urgent jobs of one workspace has taken every accelerator. Another
+ * workspace gets what belongs to it; beyond that it waits.
+ */
+static void test_guarantee_beside_burst(void)
+{
+	struct dispatch_world *w = open_world(LONG_LEASE_MS, 4);
+	struct mem_executor *workers = dispatch_world_workers(w);
+
+	dispatch_world_set_workspace(w, "burst", 8);
+	dispatch_world_submit(w, 1, 1, 8, true);
+	g_assert_true(dispatch_world_await_running(w, 1));
+	dispatch_world_submit(w, 2, 3, 8, true);
+	g_assert_true(dispatch_world_await_running(w, 4));
+	dispatch_world_set_workspace(w, "calm", 16);
+	dispatch_world_submit(w, 3, 2, 8, true);
+	g_assert_true(dispatch_world_await(w, 3, "running"));
+	g_assert_true(dispatch_world_await_running(w, 3));
+	dispatch_world_submit(w, 4, 1, 8, true);
+	dispatch_world_submit(w, 5, 1, 8, true);
+	wait_turns(dispatch_world_loop(w), 60);
+	g_assert_cmpstr(dispatch_world_state(w, 1), ==, "running");
+	/* One of them has the accelerators that nobody needs. */
+	g_assert_cmpuint(mem_executor_running(workers), ==, 4);
+	g_assert_cmpuint(mem_executor_starts(workers), ==, 7);
+	close_world(w);
+}
+
 /* Nothing is ordered while the leader's lease may have ended. */
 static void test_not_allowed(void)
 {
@@ -455,6 +483,8 @@
 			test_gang_member_fails);
 	g_test_add_func("/dispatcher/evacuated", test_evacuated);
 	g_test_add_func("/dispatcher/headroom", test_headroom);
+	g_test_add_func("/dispatcher/guarantee_beside_burst",
+			test_guarantee_beside_burst);
 	g_test_add_func("/dispatcher/not_allowed", test_not_allowed);
 	g_test_add_func("/dispatcher/foreign_entries", test_foreign_entries);
 	return g_test_run();
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -48,21 +48,19 @@
 	cq_pool_destroy(w->pool);
 }
 
-/* The queue's name is its priority. */
-static struct cq_stage *stage(struct world *w, const char *priority,
-			      uint32_t tasks, uint32_t accelerators,
-			      uint32_t memory_mb)
+static struct cq_stage *stage(struct world *w, uint32_t rank, uint32_t tasks,
+			      uint32_t accelerators, uint32_t memory_mb)
 {
 	struct cq_workload *job = cq_workload_create();
 	struct cq_batch *batch;
 
-	g_strlcpy(job->queue, priority, sizeof(job->queue));
 	job->steps = g_new0(struct cq_workload_step, 1);
 	job->step_count = 1;
 	job->steps[0].tasks = tasks;
 	job->steps[0].accelerators = accelerators;
 	job->steps[0].memory_mb = memory_mb;
 	batch = cq_batch_create(job);
+	batch->stages[0].rank = rank;
 	g_ptr_array_add(w->batches, batch);
 	return &batch->stages[0];
 }
@@ -127,9 +125,9 @@
 
 	world_open(&w, 4, 6);
 	for (k = 0; k < 5; k++)
-		g_assert_cmpuint(start(&w, stage(&w, "2", 16, 1, 59000), true),
+		g_assert_cmpuint(start(&w, stage(&w, 2, 16, 1, 59000), true),
 				 ==, 16);
-	gang = stage(&w, "1", 6, 8, 210000);
+	gang = stage(&w, 1, 6, 8, 210000);
 	step_of(gang)->gang = true;
 	step_of(gang)->same_rack = true;
 	g_assert_cmpuint(start(&w, gang, true), ==, 6);
@@ -145,17 +143,17 @@
 
 	world_open(&w, 2, 2);
 	/* One task in each rack. */
-	small = stage(&w, "2", 2, 8, 1000);
+	small = stage(&w, 2, 2, 8, 1000);
 	cq_task_assign(&small->tasks[0], cq_pool_find(w.pool, "r0-0"), 1);
 	cq_task_assign(&small->tasks[1], cq_pool_find(w.pool, "r1-0"), 1);
-	gang = stage(&w, "1", 2, 8, 1000);
+	gang = stage(&w, 1, 2, 8, 1000);
 	step_of(gang)->gang = true;
 	step_of(gang)->same_rack = true;
 	g_assert_cmpuint(start(&w, gang, true), ==, 0);
 	/* A gang that no rack could ever hold is spread. */
 	cq_task_end(&small->tasks[0], CQ_RUN_DONE, NULL, 0);
 	cq_task_end(&small->tasks[1], CQ_RUN_DONE, NULL, 0);
-	gang = stage(&w, "1", 4, 8, 1000);
+	gang = stage(&w, 1, 4, 8, 1000);
 	step_of(gang)->gang = true;
 	step_of(gang)->same_rack = true;
 	g_assert_cmpuint(start(&w, gang, true), ==, 4);
@@ -169,7 +167,7 @@
 	struct cq_stage *gang;
 
 	world_open(&w, 1, 2);
-	gang = stage(&w, "1", 3, 8, 1000);
+	gang = stage(&w, 1, 3, 8, 1000);
 	step_of(gang)->gang = true;
 	g_assert_cmpuint(start(&w, gang, false), ==, 0);
 	g_assert_cmpint(cq_pool_find(w.pool, "r0-0")->free_accelerators, ==, 8);
@@ -183,10 +181,10 @@
 	struct cq_pool_worker *worker;
 
 	world_open(&w, 1, 3);
-	s = stage(&w, "1", 6, 1, 1000);
+	s = stage(&w, 1, 6, 1, 1000);
 	step_of(s)->max_per_worker = 1;
 	g_assert_cmpuint(start(&w, s, false), ==, 3);
-	s = stage(&w, "1", 1, 1, 1000);
+	s = stage(&w, 1, 1, 1, 1000);
 	g_strlcpy(step_of(s)->required_label, "big", CQ_WORKLOAD_NAME_BYTES);
 	g_assert_cmpuint(start(&w, s, false), ==, 0);
 	worker = cq_pool_find(w.pool, "r0-1");
@@ -197,22 +195,11 @@
 	world_close(&w);
 }
 
-static uint32_t priority_of(void *ctx, const struct cq_batch *batch)
-{
-	(void)ctx;
-	return (uint32_t)g_ascii_strtoull(batch->workload->queue, NULL, 10);
-}
-
 static bool make_room(struct world *w, struct cq_stage *s, GPtrArray *out)
 {
 	const struct cq_placement p = placement(w, s, false);
-	const struct cq_placement_victims victims = {
-		.priority = priority_of,
-		.own_priority = priority_of(NULL, s->batch),
-		.max_loss_core_s = G_MAXDOUBLE,
-	};
 
-	return cq_placement_make_room(&p, &victims, out);
+	return cq_placement_make_room(&p, G_MAXDOUBLE, out);
 }
 
 /* Work that can be resumed gives way before a gang that would start anew. */
@@ -223,15 +210,15 @@
 	GPtrArray *out = g_ptr_array_new();
 
 	world_open(&w, 1, 2);
-	gang = stage(&w, "1", 2, 4, 1000);
+	gang = stage(&w, 1, 2, 4, 1000);
 	step_of(gang)->gang = true;
 	step_of(gang)->cpu_millicores = 50000;
 	step_of(gang)->max_per_worker = 2;
 	g_assert_cmpuint(start(&w, gang, false), ==, 2);
-	resumable = stage(&w, "2", 8, 1, 1000);
+	resumable = stage(&w, 2, 8, 1, 1000);
 	step_of(resumable)->checkpointing = true;
 	g_assert_cmpuint(start(&w, resumable, false), ==, 8);
-	urgent = stage(&w, "0", 1, 8, 1000);
+	urgent = stage(&w, 0, 1, 8, 1000);
 	g_assert_cmpuint(start(&w, urgent, false), ==, 0);
 	g_assert_true(make_room(&w, urgent, out));
 	g_assert_cmpuint(out->len, ==, 8);
@@ -250,9 +237,9 @@
 	uint32_t i;
 
 	world_open(&w, 1, 1);
-	small = stage(&w, "2", 8, 1, 1000);
+	small = stage(&w, 2, 8, 1, 1000);
 	g_assert_cmpuint(start(&w, small, false), ==, 8);
-	urgent = stage(&w, "0", 1, 4, 1000);
+	urgent = stage(&w, 0, 1, 4, 1000);
 	g_assert_true(make_room(&w, urgent, out));
 	g_assert_cmpuint(out->len, ==, 4);
 	for (i = 0; i < out->len; i++)
@@ -261,10 +248,10 @@
 	g_assert_true(make_room(&w, urgent, out));
 	g_assert_cmpuint(out->len, ==, 0);
 	/* The room is kept for the urgent stage. */
-	g_assert_cmpuint(start(&w, stage(&w, "2", 1, 0, 10), false), ==, 0);
-	/* Nothing gives way to work of the same priority. */
+	g_assert_cmpuint(start(&w, stage(&w, 2, 1, 0, 10), false), ==, 0);
+	/* Nothing gives way to work of the same rank. */
 	cq_pool_find(w.pool, "r0-0")->reserved_for = NULL;
-	g_assert_false(make_room(&w, stage(&w, "2", 1, 8, 1000), out));
+	g_assert_false(make_room(&w, stage(&w, 2, 1, 8, 1000), out));
 	g_ptr_array_unref(out);
 	world_close(&w);
 }
@@ -278,8 +265,8 @@
 	guint i;
 
 	world_open(&w, 2, 2);
-	g_assert_cmpuint(start(&w, stage(&w, "2", 32, 1, 1000), false), ==, 32);
-	urgent = stage(&w, "0", 2, 8, 1000);
+	g_assert_cmpuint(start(&w, stage(&w, 2, 32, 1, 1000), false), ==, 32);
+	urgent = stage(&w, 0, 2, 8, 1000);
 	step_of(urgent)->gang = true;
 	step_of(urgent)->same_rack = true;
 	g_assert_true(make_room(&w, urgent, out));
--- a/tests/unit/test_stage_order.c
+++ b/tests/unit/test_stage_order.c
@@ -36,6 +36,7 @@
 {
 	struct cq_ready_stage r;
 
+	batch->stages[0].rank = 1 + queue->priority;
 	cq_ready_stage_init(&r, &batch->stages[0], queue, NOW_NS, UNIX_MS);
 	return r;
 }
@@ -48,7 +49,7 @@
 	return cq_ready_stage_compare(left, right, NOW_NS) < 0;
 }
 
-/* Priority first, then the objective: a short job before a long one. */
+/* Rank first, then the objective: a short job before a long one. */
 static void test_objective(void)
 {
 	struct cq_batch *batches[] = { job("a", 0, 9000), job("b", 0, 2000),
