--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "chestnutquay/log.h"
+#include "chestnutquay/pace.h"
 #include "coordination/dispatcher_internal.h"
 
 /* A hold waits this long for an end. */
@@ -27,13 +28,6 @@
 #define LEASE_MARGIN_MS 500
 /* A worker's steady clock may be slow by 2 %. */
 #define SLOW_CLOCK_FACTOR 1.0205
-/* Shares of a server's target at which tasks beside it are slowed, and
- * allowed more again. */
-#define TAIL_HIGH 0.75
-#define TAIL_LOW 0.45
-#define PACE_STEP_PERCENT 25
-#define PACE_LOWER_NS (INT64_C(400) * CQ_NS_PER_MS)
-#define PACE_RAISE_NS (INT64_C(2) * CQ_NS_PER_S)
 
 static void send_hold(struct link *link, int64_t now_ns);
 static void on_hold(void *ctx, const struct cq_executor_report *report);
@@ -460,27 +454,10 @@
 	}
 }
 
-/* The worst tail on the worker as a share of its target; 0: no server. */
-static double worst_tail(const struct cq_pool_worker *worker)
-{
-	double worst = 0;
-	guint i;
-
-	for (i = 0; i < worker->runs->len; i++) {
-		const struct cq_task *task = g_ptr_array_index(worker->runs, i);
-
-		if (task->stage->step->target_ms)
-			worst = MAX(worst,
-				    (double)task->load /
-					    task->stage->step->target_ms);
-	}
-	return worst;
-}
-
 /* Slows tasks that fill while a server beside them is near its target. */
 static void control_pace(struct link *link)
 {
-	double tail = worst_tail(link->worker);
+	double tail = cq_pace_worst_tail(link->worker);
 	int64_t now_ns = dispatcher_now_ns(link->d);
 	guint i;
 
@@ -488,16 +465,12 @@
 		return;
 	for (i = 0; i < link->worker->runs->len; i++) {
 		struct cq_task *task = g_ptr_array_index(link->worker->runs, i);
-		int64_t age_ns = now_ns - task->pace_changed_ns;
-		uint32_t percent = task->pace_percent;
+		uint32_t percent;
 
 		if (!task->stage->step->fills ||
 		    task->phase != CQ_RUN_CONFIRMED)
 			continue;
-		if (tail >= TAIL_HIGH && age_ns > PACE_LOWER_NS)
-			percent = tail >= 1 ? 0 : percent / 2;
-		else if (tail < TAIL_LOW && age_ns > PACE_RAISE_NS)
-			percent = MIN(100, percent + PACE_STEP_PERCENT);
+		percent = cq_pace_next(task, tail, now_ns);
 		if (percent != task->pace_percent)
 			order_pace(link->d, task, percent);
 	}
