Urgent work waits for cheaper room before it stops costly runs

Cause: urgent work stopped whatever was in its way at once.

Now the work that may be thrown away grows with the wait: 1.5 s a core at first, 3 s more a second; within a workspace's guarantee anything after 2 s. The workers stay reserved meanwhile, so that bulk work does not take the room that comes free. The search for victims counts a gang once and uses the room of all its members, where it summed the loss of the whole gang for each.

--- a/include/chestnutquay/placement.h
+++ b/include/chestnutquay/placement.h
@@ -41,14 +41,14 @@
 uint32_t cq_placement_find(const struct cq_placement *p, GArray *assignments);
 
 /*
- * The cheapest runs of a higher rank that have to end so that the waiting
- * tasks of the stage fit. Runs that would lose more than the given core-seconds
- * of work are not stopped; runs that are being stopped count as gone. Reserves
- * the workers for the stage and adds the victims (struct cq_task) to the
- * array; none if what is being stopped is enough. False if even stopping all
- * of them would not make room.
+ * The runs of a higher rank that have to end so that the waiting tasks of the
+ * stage fit, with little work thrown away; runs that are being stopped count as
+ * gone. Adds the victims (struct cq_task) to the array; none if what is being
+ * stopped is enough, or if more would be lost than most_loss_s seconds of each
+ * core that the stage gets. The workers are reserved for the stage either way,
+ * so that room adds up. False if even stopping all of them would not make room.
  */
-bool cq_placement_make_room(const struct cq_placement *p,
-			    double most_loss_core_s, GPtrArray *out);
+bool cq_placement_make_room(const struct cq_placement *p, double most_loss_s,
+			    GPtrArray *out);
 
 #endif
--- a/include/chestnutquay/stage_plan.h
+++ b/include/chestnutquay/stage_plan.h
@@ -22,11 +22,10 @@
 	bool (*may_start)(const struct cq_ready_stage *r,
 			  const struct cq_pool *pool, int64_t now_ns);
 	/*
-	 * Runs that would lose more core-seconds are not stopped for the stage;
-	 * below zero: none is.
+	 * The work that may be thrown away to make room for the stage, in
+	 * seconds of each core that it gets; below zero: nothing is stopped.
 	 */
-	double (*most_loss_core_s)(const struct cq_ready_stage *r,
-				   int64_t now_ns);
+	double (*most_loss_s)(const struct cq_ready_stage *r, int64_t now_ns);
 };
 
 /* The policy of the product, see docs/policies.md. */
--- a/src/state/placement_victims.c
+++ b/src/state/placement_victims.c
@@ -15,29 +15,40 @@
 	struct cq_pool_worker *worker;
 	GPtrArray *victims;
 	uint32_t tasks;
-	double cost;
+	double loss_core_s;
+	bool taken;
 };
 
-static double cost_of(const struct cq_task *task, int64_t now_ns);
-static gint by_cost(gconstpointer a, gconstpointer b, gpointer data);
+/* What one search for victims has to know. */
+struct search {
+	const struct cq_placement *p;
+	/* Gangs of which a victim was chosen: all of their runs will end. */
+	GHashTable *given_up;
+};
+
+static double cores_of(const struct cq_workload_step *step);
+static double loss_of(const struct search *search, const struct cq_task *task);
+static bool is_given_up(const struct search *search,
+			const struct cq_task *task);
+static gint by_loss(gconstpointer a, gconstpointer b, gpointer search);
 static void add_room(struct placement_room *room,
 		     const struct cq_workload_step *step);
-static GPtrArray *possible_victims(const struct cq_pool_worker *worker,
-				   const struct cq_placement *p,
-				   double most_loss_core_s,
+static GPtrArray *possible_victims(const struct search *search,
+				   const struct cq_pool_worker *worker,
 				   struct placement_room *room);
-static void evaluate(struct candidate *c, const struct cq_placement *p,
-		     double most_loss_core_s, uint32_t wanted);
-static gint by_cost_per_task(gconstpointer a, gconstpointer b);
+static void evaluate(const struct search *search, struct candidate *c,
+		     uint32_t wanted);
 static void candidate_clear(void *data);
 static uint32_t waiting_tasks(const struct cq_stage *stage);
-static GArray *evaluate_all(const GPtrArray *workers,
-			    const struct cq_placement *p,
-			    double most_loss_core_s);
-static double cheapest(const GArray *candidates, uint32_t wanted,
-		       guint *needed);
-static void take(const GArray *candidates, guint needed,
-		 const struct cq_stage *stage, GPtrArray *out);
+static GArray *evaluate_all(const struct search *search,
+			    const GPtrArray *workers, uint32_t wanted);
+static struct candidate *cheapest(const GArray *candidates);
+static bool give_up_gangs(const struct search *search,
+			  const struct candidate *c);
+static double choose(const struct search *search, const GPtrArray *workers,
+		     uint32_t wanted, GArray **chosen);
+static void take(const GArray *chosen, const struct cq_stage *stage,
+		 GPtrArray *out);
 
 uint32_t placement_fits_in(const struct placement_room *room,
 			   const struct cq_workload_step *step)
@@ -57,30 +68,39 @@
 	return (uint32_t)MAX(0, tasks);
 }
 
+static bool is_given_up(const struct search *search, const struct cq_task *task)
+{
+	return g_hash_table_contains(search->given_up, task->stage);
+}
+
+static double cores_of(const struct cq_workload_step *step)
+{
+	return step->cpu_millicores / 1000.0 +
+	       (double)step->accelerators * CORES_PER_ACCELERATOR;
+}
+
 /* Core-seconds that a stop of the run throws away. */
-static double cost_of(const struct cq_task *task, int64_t now_ns)
+static double loss_of(const struct search *search, const struct cq_task *task)
 {
 	const struct cq_workload_step *step = task->stage->step;
-	double cores = step->cpu_millicores / 1000.0 +
-		       (double)step->accelerators * CORES_PER_ACCELERATOR;
-	double age_s = task->started_ns ? (double)(now_ns - task->started_ns) /
-						  (double)CQ_NS_PER_S
+	int64_t age_ns = search->p->now_ns - task->started_ns;
+	double age_s = task->started_ns ? (double)age_ns / (double)CQ_NS_PER_S
 					: 0;
 	uint32_t members = step->gang ? task->stage->active_count : 1;
 
+	if (is_given_up(search, task))
+		return 0;
 	if (step->checkpointing)
 		age_s = MIN(age_s, CHECKPOINT_LOSS_S);
-	return cores * (age_s + RESTART_LOSS_S) * members;
+	return cores_of(step) * (age_s + RESTART_LOSS_S) * members;
 }
 
-static gint by_cost(gconstpointer a, gconstpointer b, gpointer data)
+static gint by_loss(gconstpointer a, gconstpointer b, gpointer search)
 {
-	const int64_t *now_ns = data;
-	const struct cq_task *left = *(const struct cq_task *const *)a;
-	const struct cq_task *right = *(const struct cq_task *const *)b;
-	double difference = cost_of(left, *now_ns) - cost_of(right, *now_ns);
+	double left = loss_of(search, *(const struct cq_task *const *)a);
+	double right = loss_of(search, *(const struct cq_task *const *)b);
 
-	return difference < 0 ? -1 : difference > 0;
+	return left < right ? -1 : left > right;
 }
 
 static void add_room(struct placement_room *room,
@@ -92,43 +112,40 @@
 }
 
 /* Runs that may be stopped, cheapest first; what is being stopped is room. */
-static GPtrArray *possible_victims(const struct cq_pool_worker *worker,
-				   const struct cq_placement *p,
-				   double most_loss_core_s,
+static GPtrArray *possible_victims(const struct search *search,
+				   const struct cq_pool_worker *worker,
 				   struct placement_room *room)
 {
 	GPtrArray *others = g_ptr_array_new();
-	int64_t now_ns = p->now_ns;
 	guint i;
 
 	for (i = 0; i < worker->runs->len; i++) {
 		struct cq_task *task = g_ptr_array_index(worker->runs, i);
-		const struct cq_workload_step *step = task->stage->step;
 
 		if (task->stopping)
-			add_room(room, step);
-		else if (task->stage->rank > p->stage->rank &&
-			 !step->max_unavailable &&
-			 cost_of(task, now_ns) <= most_loss_core_s)
+			add_room(room, task->stage->step);
+		else if (task->stage->rank > search->p->stage->rank &&
+			 !task->stage->step->max_unavailable)
 			g_ptr_array_add(others, task);
 	}
-	g_ptr_array_sort_with_data(others, by_cost, &now_ns);
+	g_ptr_array_sort_with_data(others, by_loss, (gpointer)search);
 	return others;
 }
 
 /* As many tasks as wanted, or as fit, for the fewest victims. */
-static void evaluate(struct candidate *c, const struct cq_placement *p,
-		     double most_loss_core_s, uint32_t wanted)
+static void evaluate(const struct search *search, struct candidate *c,
+		     uint32_t wanted)
 {
-	const struct cq_workload_step *step = p->stage->step;
+	const struct cq_workload_step *step = search->p->stage->step;
 	struct placement_room room = { c->worker->free_cpu_millicores,
 				       c->worker->free_memory_mb,
 				       c->worker->free_accelerators };
-	GPtrArray *others =
-		possible_victims(c->worker, p, most_loss_core_s, &room);
+	GPtrArray *others = possible_victims(search, c->worker, &room);
 	guint used = 0;
 	guint i;
 
+	g_ptr_array_set_size(c->victims, 0);
+	c->loss_core_s = 0;
 	c->tasks = MIN(wanted, placement_fits_in(&room, step));
 	for (i = 0; i < others->len && c->tasks < wanted; i++) {
 		struct cq_task *task = g_ptr_array_index(others, i);
@@ -144,20 +161,11 @@
 	}
 	g_ptr_array_set_size(c->victims, (gint)used);
 	for (i = 0; i < used; i++)
-		c->cost += cost_of(g_ptr_array_index(c->victims, i), p->now_ns);
+		c->loss_core_s +=
+			loss_of(search, g_ptr_array_index(c->victims, i));
 	g_ptr_array_unref(others);
 }
 
-static gint by_cost_per_task(gconstpointer a, gconstpointer b)
-{
-	const struct candidate *left = a;
-	const struct candidate *right = b;
-	double l = left->tasks ? left->cost / left->tasks : G_MAXDOUBLE;
-	double r = right->tasks ? right->cost / right->tasks : G_MAXDOUBLE;
-
-	return l < r ? -1 : l > r;
-}
-
 static void candidate_clear(void *data)
 {
 	struct candidate *c = data;
@@ -176,12 +184,10 @@
 	return waiting;
 }
 
-static GArray *evaluate_all(const GPtrArray *workers,
-			    const struct cq_placement *p,
-			    double most_loss_core_s)
+static GArray *evaluate_all(const struct search *search,
+			    const GPtrArray *workers, uint32_t wanted)
 {
 	GArray *candidates = g_array_new(FALSE, TRUE, sizeof(struct candidate));
-	uint32_t wanted = waiting_tasks(p->stage);
 	guint i;
 
 	g_array_set_clear_func(candidates, candidate_clear);
@@ -191,57 +197,117 @@
 			.victims = g_ptr_array_new(),
 		};
 
-		evaluate(&c, p, most_loss_core_s, wanted);
+		evaluate(search, &c, wanted);
 		g_array_append_val(candidates, c);
 	}
-	g_array_sort(candidates, by_cost_per_task);
 	return candidates;
 }
 
-/* Cost of the first candidates that hold the tasks; -1 if all do not. */
-static double cheapest(const GArray *candidates, uint32_t wanted, guint *needed)
+/* The one with the least loss a task; NULL if none takes a task. */
+static struct candidate *cheapest(const GArray *candidates)
 {
-	uint32_t found = 0;
-	double cost = 0;
+	struct candidate *best = NULL;
 	guint i;
 
-	for (i = 0; i < candidates->len && found < wanted; i++) {
-		const struct candidate *c =
+	for (i = 0; i < candidates->len; i++) {
+		struct candidate *c =
 			&g_array_index(candidates, struct candidate, i);
 
-		found += c->tasks;
-		cost += c->cost;
+		if (!c->taken && c->tasks &&
+		    (!best || c->loss_core_s * best->tasks <
+				      best->loss_core_s * c->tasks))
+			best = c;
+	}
+	return best;
+}
+
+/* True if a gang was added: its runs elsewhere are room for nothing. */
+static bool give_up_gangs(const struct search *search,
+			  const struct candidate *c)
+{
+	bool added = false;
+	guint i;
+
+	for (i = 0; i < c->victims->len; i++) {
+		struct cq_task *task = g_ptr_array_index(c->victims, i);
+
+		if (!task->stage->step->gang || is_given_up(search, task))
+			continue;
+		g_hash_table_add(search->given_up, task->stage);
+		added = true;
+	}
+	return added;
+}
+
+/*
+ * The loss of the workers that hold the tasks, chosen one after the other by
+ * what each adds; below zero if all of them do not. The chosen ones are marked
+ * taken.
+ */
+static double choose(const struct search *search, const GPtrArray *workers,
+		     uint32_t wanted, GArray **chosen)
+{
+	GArray *candidates;
+	double loss_core_s = 0;
+	guint i;
+
+	g_hash_table_remove_all(search->given_up);
+	candidates = evaluate_all(search, workers, wanted);
+	*chosen = candidates;
+	while (wanted) {
+		struct candidate *c = cheapest(candidates);
+
+		if (!c)
+			return -1;
+		if (c->tasks > wanted)
+			evaluate(search, c, wanted);
+		c->taken = true;
+		wanted -= c->tasks;
+		loss_core_s += c->loss_core_s;
+		if (!wanted || !give_up_gangs(search, c))
+			continue;
+		for (i = 0; i < candidates->len; i++) {
+			struct candidate *other =
+				&g_array_index(candidates, struct candidate, i);
+
+			if (!other->taken)
+				evaluate(search, other, wanted);
+		}
 	}
-	*needed = i;
-	return found < wanted ? -1 : cost;
+	return loss_core_s;
 }
 
-static void take(const GArray *candidates, guint needed,
-		 const struct cq_stage *stage, GPtrArray *out)
+static void take(const GArray *chosen, const struct cq_stage *stage,
+		 GPtrArray *out)
 {
 	guint i, k;
 
-	for (i = 0; i < needed; i++) {
+	for (i = 0; i < chosen->len; i++) {
 		const struct candidate *c =
-			&g_array_index(candidates, struct candidate, i);
+			&g_array_index(chosen, struct candidate, i);
 
-		if (!c->tasks)
+		if (!c->taken)
 			continue;
 		c->worker->reserved_for = stage;
-		for (k = 0; k < c->victims->len; k++)
+		for (k = 0; out && k < c->victims->len; k++)
 			g_ptr_array_add(out, g_ptr_array_index(c->victims, k));
 	}
 }
 
-bool cq_placement_make_room(const struct cq_placement *p,
-			    double most_loss_core_s, GPtrArray *out)
+bool cq_placement_make_room(const struct cq_placement *p, double most_loss_s,
+			    GPtrArray *out)
 {
+	const struct search search = {
+		.p = p,
+		.given_up = g_hash_table_new(NULL, NULL),
+	};
 	GPtrArray *workers = placement_workers(p);
 	GPtrArray *racks = placement_racks(workers);
 	uint32_t wanted = waiting_tasks(p->stage);
+	double most_loss_core_s =
+		most_loss_s * wanted * cores_of(p->stage->step);
 	GArray *best = NULL;
-	guint best_needed = 0;
-	double best_cost = -1;
+	double best_loss = -1;
 	guint i;
 
 	if (!placement_one_rack(p, racks)) {
@@ -249,25 +315,25 @@
 		g_ptr_array_add(racks, g_ptr_array_ref(workers));
 	}
 	for (i = 0; i < racks->len; i++) {
-		GArray *candidates = evaluate_all(g_ptr_array_index(racks, i),
-						  p, most_loss_core_s);
-		guint needed;
-		double cost = cheapest(candidates, wanted, &needed);
+		GArray *chosen;
+		double loss = choose(&search, g_ptr_array_index(racks, i),
+				     wanted, &chosen);
 
-		if (cost < 0 || (best && cost >= best_cost)) {
-			g_array_unref(candidates);
+		if (loss < 0 || (best && loss >= best_loss)) {
+			g_array_unref(chosen);
 			continue;
 		}
 		if (best)
 			g_array_unref(best);
-		best = candidates;
-		best_cost = cost;
-		best_needed = needed;
+		best = chosen;
+		best_loss = loss;
 	}
 	if (best) {
-		take(best, best_needed, p->stage, out);
+		take(best, p->stage,
+		     best_loss <= most_loss_core_s ? out : NULL);
 		g_array_unref(best);
 	}
+	g_hash_table_destroy(search.given_up);
 	g_ptr_array_unref(racks);
 	g_ptr_array_unref(workers);
 	return best != NULL;
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -3,15 +3,22 @@
 #include "chestnutquay/clock.h"
 #include "chestnutquay/stage_rank.h"
 
+/*
+ * Work that may be thrown away for urgent work: little at first, since room
+ * often comes free by itself before the job is late.
+ */
+#define URGENT_LOSS_S 1.5
+#define URGENT_LOSS_PER_S 3.0
+/* After it, work within a guarantee gets its room at any price. */
+#define GUARANTEE_PATIENCE_NS (INT64_C(2) * CQ_NS_PER_S)
 /* A gang that is not urgent waits this long before it stops others. */
 #define GANG_PATIENCE_NS (INT64_C(500) * CQ_NS_PER_MS)
-/* It stops only runs that lose less. */
-#define GANG_LOSS_CORE_S 15.0
+#define GANG_LOSS_S 0.2
 #define STOPS_NOTHING (-1.0)
 
 static bool is_due(const struct cq_stage *stage, int64_t unix_ms);
 static gint by_rank(gconstpointer a, gconstpointer b, gpointer plan);
-static double most_loss_core_s(const struct cq_ready_stage *r, int64_t now_ns);
+static double most_loss_s(const struct cq_ready_stage *r, int64_t now_ns);
 static void make_room(const struct cq_stage_plan *plan,
 		      const struct cq_placement *p,
 		      const struct cq_ready_stage *r,
@@ -24,7 +31,7 @@
 	.name = "product",
 	.compare = cq_ready_stage_compare,
 	.may_start = cq_ready_stage_leaves_headroom,
-	.most_loss_core_s = most_loss_core_s,
+	.most_loss_s = most_loss_s,
 };
 
 /* Occurrences are due at a time of day. */
@@ -63,14 +70,18 @@
 	return plan->policy->compare(a, b, plan->now_ns);
 }
 
-/* Urgent work at any price; gangs of the middle once they have waited. */
-static double most_loss_core_s(const struct cq_ready_stage *r, int64_t now_ns)
+static double most_loss_s(const struct cq_ready_stage *r, int64_t now_ns)
 {
-	if (r->stage->rank <= CQ_RANK_URGENT)
+	int64_t waited_ns = now_ns - r->stage->ready_ns;
+
+	if (r->stage->rank == CQ_RANK_GUARANTEED &&
+	    waited_ns > GUARANTEE_PATIENCE_NS)
 		return G_MAXDOUBLE;
-	if (r->stage->step->gang &&
-	    now_ns - r->stage->ready_ns > GANG_PATIENCE_NS)
-		return GANG_LOSS_CORE_S;
+	if (r->stage->rank <= CQ_RANK_URGENT)
+		return URGENT_LOSS_S + URGENT_LOSS_PER_S * (double)waited_ns /
+					       (double)CQ_NS_PER_S;
+	if (r->stage->step->gang && waited_ns > GANG_PATIENCE_NS)
+		return GANG_LOSS_S;
 	return STOPS_NOTHING;
 }
 
@@ -79,13 +90,13 @@
 		      const struct cq_ready_stage *r,
 		      const struct cq_stage_plan_ops *ops, void *ctx)
 {
-	double loss_core_s = plan->policy->most_loss_core_s(r, plan->now_ns);
+	double loss_s = plan->policy->most_loss_s(r, plan->now_ns);
 	GPtrArray *tasks;
 
-	if (loss_core_s < 0)
+	if (loss_s < 0)
 		return;
 	tasks = g_ptr_array_new();
-	if (cq_placement_make_room(p, loss_core_s, tasks) && tasks->len)
+	if (cq_placement_make_room(p, loss_s, tasks) && tasks->len)
 		ops->displace(ctx, r, tasks);
 	g_ptr_array_unref(tasks);
 }
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -228,6 +228,38 @@
 	world_close(&w);
 }
 
+/*
+ * Two urgent tasks need a worker each. Two gangs of two lie on two workers
+ * each, next to smaller work: giving up one gang makes room for both.
+ */
+static void test_one_gang_gives_way(void)
+{
+	struct world w;
+	struct cq_stage *gangs[2];
+	GPtrArray *out = g_ptr_array_new();
+	uint32_t i, k;
+
+	world_open(&w, 1, 4);
+	for (i = 0; i < 2; i++) {
+		gangs[i] = stage(&w, 1, 2, 8, 1000);
+		step_of(gangs[i])->gang = true;
+		for (k = 0; k < 2; k++) {
+			char id[8];
+
+			g_snprintf(id, sizeof(id), "r0-%u", 2 * k + i);
+			cq_task_assign(&gangs[i]->tasks[k],
+				       cq_pool_find(w.pool, id), 1);
+			gangs[i]->tasks[k].started_ns = NOW_NS - CQ_NS_PER_S;
+		}
+	}
+	g_assert_true(make_room(&w, stage(&w, 0, 2, 8, 1000), out));
+	g_assert_cmpuint(out->len, ==, 2);
+	g_assert_true(((struct cq_task *)g_ptr_array_index(out, 0))->stage ==
+		      ((struct cq_task *)g_ptr_array_index(out, 1))->stage);
+	g_ptr_array_unref(out);
+	world_close(&w);
+}
+
 /* What is being stopped already is room; nothing more is stopped. */
 static void test_stopping_counts_as_room(void)
 {
@@ -292,6 +324,8 @@
 	g_test_add_func("/placement/constraints", test_constraints);
 	g_test_add_func("/placement/cheapest_gives_way",
 			test_cheapest_gives_way);
+	g_test_add_func("/placement/one_gang_gives_way",
+			test_one_gang_gives_way);
 	g_test_add_func("/placement/stopping_counts_as_room",
 			test_stopping_counts_as_room);
 	g_test_add_func("/placement/room_in_one_rack", test_room_in_one_rack);
--- /dev/null
+++ b/tests/unit/test_stage_plan.c
@@ -0,0 +1,281 @@
+/*
+ * What a plan starts and stops, for the loads that it answers: urgent jobs
+ * that come while costly gangs hold the workers, guarantees that have to be
+ * met in time, and servers that must stay available.
+ */
+#include <glib.h>
+
+#include "chestnutquay/clock.h"
+#include "chestnutquay/stage_plan.h"
+#include "chestnutquay/stage_rank.h"
+
+#define NOW_NS (INT64_C(100) * CQ_NS_PER_S)
+#define MS CQ_NS_PER_MS
+#define RANK_BULK 3
+
+static struct cq_queue urgent = { .service = "s", .stretch = 1.5 };
+static struct cq_queue bulk = { .service = "s", .priority = 2, .stretch = 3 };
+
+struct world {
+	struct cq_pool *pool;
+	GPtrArray *batches;
+	uint32_t started;
+	uint32_t displaced;
+};
+
+static void on_start(void *ctx, const struct cq_ready_stage *r,
+		     const GArray *assignments)
+{
+	struct world *w = ctx;
+	guint i;
+
+	(void)r;
+	for (i = 0; i < assignments->len; i++) {
+		const struct cq_assignment *a =
+			&g_array_index(assignments, struct cq_assignment, i);
+
+		cq_task_assign(a->task, a->worker, 1);
+	}
+	w->started += assignments->len;
+}
+
+static void on_displace(void *ctx, const struct cq_ready_stage *r,
+			const GPtrArray *tasks)
+{
+	struct world *w = ctx;
+
+	(void)r;
+	w->displaced += tasks->len;
+}
+
+static const struct cq_stage_plan_ops ops = { on_start, on_displace };
+
+static void world_open(struct world *w, int workers)
+{
+	int k;
+
+	*w = (struct world){ .pool = cq_pool_create() };
+	w->batches = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)cq_batch_destroy);
+	for (k = 0; k < workers; k++) {
+		struct cq_executor_listing listing = {
+			.service = "s",
+			.rack = "r",
+			.accelerators = 8,
+		};
+		struct cq_pool_worker *worker;
+
+		g_snprintf(listing.id, sizeof(listing.id), "w%d", k);
+		worker = cq_pool_add(w->pool, listing.id);
+		cq_pool_update(worker, &listing);
+		worker->usable = true;
+	}
+}
+
+static void world_close(struct world *w)
+{
+	g_ptr_array_unref(w->batches);
+	cq_pool_destroy(w->pool);
+}
+
+/* A job of one step, accepted at NOW_NS; its tasks take whole workers. */
+static struct cq_stage *job(struct world *w, uint32_t rank, uint32_t tasks)
+{
+	struct cq_workload *workload = cq_workload_create();
+	struct cq_batch *batch;
+
+	g_snprintf(workload->id, sizeof(workload->id), "%016u",
+		   w->batches->len);
+	workload->steps = g_new0(struct cq_workload_step, 1);
+	workload->step_count = 1;
+	workload->steps[0].tasks = tasks;
+	workload->steps[0].accelerators = 8;
+	workload->steps[0].gang = true;
+	workload->steps[0].estimate_ms = 4000;
+	batch = cq_batch_create(workload);
+	batch->accepted_ns = NOW_NS;
+	batch->stages[0].rank = rank;
+	g_ptr_array_add(w->batches, batch);
+	return &batch->stages[0];
+}
+
+/* The stage has run on the workers from the given one on for so long. */
+static void running(struct world *w, struct cq_stage *stage, int first_worker,
+		    int64_t age_ns)
+{
+	uint32_t i;
+
+	for (i = 0; i < stage->step->tasks; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "w%u", first_worker + i);
+		cq_task_assign(&stage->tasks[i], cq_pool_find(w->pool, id), 1);
+		stage->tasks[i].phase = CQ_RUN_CONFIRMED;
+		stage->tasks[i].started_ns = NOW_NS - age_ns;
+	}
+}
+
+static const struct cq_queue *queue_of(const struct cq_stage *stage)
+{
+	return stage->rank <= CQ_RANK_URGENT ? &urgent : &bulk;
+}
+
+/* One plan for the stages so long after they became ready. */
+static void plan_all(struct world *w, struct cq_stage **stages, int count,
+		     int64_t waited_ns)
+{
+	const struct cq_stage_plan p = {
+		.policy = &cq_stage_policy_default,
+		.pool = w->pool,
+		.now_ns = NOW_NS + waited_ns,
+	};
+	GArray *ready = g_array_new(FALSE, TRUE, sizeof(struct cq_ready_stage));
+	GHashTableIter iter;
+	gpointer value;
+	int i;
+
+	g_hash_table_iter_init(&iter, w->pool->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct cq_pool_worker *)value)->reserved_for = NULL;
+	w->started = 0;
+	w->displaced = 0;
+	for (i = 0; i < count; i++) {
+		stages[i]->ready_ns = NOW_NS;
+		cq_stage_plan_collect(stages[i]->batch, queue_of(stages[i]),
+				      p.now_ns, 0, ready);
+	}
+	cq_stage_plan_run(&p, ready, &ops, w);
+	g_array_unref(ready);
+}
+
+static void plan(struct world *w, struct cq_stage *stage, int64_t waited_ns)
+{
+	plan_all(w, &stage, 1, waited_ns);
+}
+
+static void plan_both(struct world *w, struct cq_stage *first,
+		      struct cq_stage *second)
+{
+	struct cq_stage *stages[] = { first, second };
+
+	plan_all(w, stages, 2, 0);
+}
+
+/*
+ * A gang of three that has run for 10 s is worth more than a single urgent task
+ * that has just come. The longer that waits, the more may be lost for it, and
+ * nothing else takes the room that comes free meanwhile.
+ */
+static void test_costly_gang(void)
+{
+	struct world w;
+	struct cq_stage *gang, *task;
+
+	world_open(&w, 2);
+	gang = job(&w, RANK_BULK, 2);
+	running(&w, gang, 0, 10 * CQ_NS_PER_S);
+	task = job(&w, CQ_RANK_URGENT, 1);
+	plan(&w, task, 0);
+	g_assert_cmpuint(w.displaced, ==, 0);
+	plan(&w, task, 1000 * MS);
+	g_assert_cmpuint(w.displaced, ==, 0);
+	plan(&w, task, 30000 * MS);
+	g_assert_cmpuint(w.displaced, >, 0);
+	world_close(&w);
+}
+
+/* A gang of two waits beside a busy worker and one that comes free. */
+static void test_room_adds_up(void)
+{
+	struct world w;
+	struct cq_stage *old, *gang, *late;
+
+	world_open(&w, 2);
+	old = job(&w, RANK_BULK, 1);
+	running(&w, old, 0, 30 * CQ_NS_PER_S);
+	gang = job(&w, CQ_RANK_URGENT, 2);
+	late = job(&w, RANK_BULK, 1);
+	plan_both(&w, gang, late);
+	g_assert_cmpuint(w.started, ==, 0);
+	g_assert_cmpuint(w.displaced, ==, 0);
+	cq_task_end(&old->tasks[0], CQ_RUN_DONE, NULL, 2);
+	plan_both(&w, gang, late);
+	g_assert_cmpuint(w.started, ==, 2);
+	g_assert_cmpuint(gang->active_count, ==, 2);
+	world_close(&w);
+}
+
+static void test_work_that_has_just_begun(void)
+{
+	struct world w;
+	struct cq_stage *gang;
+
+	world_open(&w, 2);
+	gang = job(&w, RANK_BULK, 2);
+	running(&w, gang, 0, 100 * MS);
+	plan(&w, job(&w, CQ_RANK_URGENT, 2), 0);
+	g_assert_cmpuint(w.displaced, ==, 2);
+	world_close(&w);
+}
+
+/* What belongs to a workspace is there within 2 s, whatever it costs. */
+static void test_guarantee_in_time(void)
+{
+	struct world w;
+	struct cq_stage *gang, *task;
+
+	world_open(&w, 4);
+	gang = job(&w, RANK_BULK, 4);
+	running(&w, gang, 0, 30 * CQ_NS_PER_S);
+	task = job(&w, CQ_RANK_GUARANTEED, 1);
+	plan(&w, task, 1900 * MS);
+	g_assert_cmpuint(w.displaced, ==, 0);
+	plan(&w, task, 2001 * MS);
+	g_assert_cmpuint(w.displaced, >, 0);
+	world_close(&w);
+}
+
+/* Servers with a bound on those away are not stopped for others. */
+static void test_servers_stay(void)
+{
+	struct world w;
+	struct cq_stage *server;
+
+	world_open(&w, 2);
+	server = job(&w, RANK_BULK, 2);
+	server->batch->workload->steps[0].long_running = true;
+	server->batch->workload->steps[0].max_unavailable = 1;
+	running(&w, server, 0, 100 * MS);
+	plan(&w, job(&w, CQ_RANK_GUARANTEED, 1), 5000 * MS);
+	g_assert_cmpuint(w.displaced, ==, 0);
+	world_close(&w);
+}
+
+/* Free room is used before anything is stopped. */
+static void test_free_room_first(void)
+{
+	struct world w;
+	struct cq_stage *gang;
+
+	world_open(&w, 3);
+	gang = job(&w, RANK_BULK, 2);
+	running(&w, gang, 0, 100 * MS);
+	plan(&w, job(&w, CQ_RANK_GUARANTEED, 1), 0);
+	g_assert_cmpuint(w.started, ==, 1);
+	g_assert_cmpuint(w.displaced, ==, 0);
+	world_close(&w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stage_plan/costly_gang", test_costly_gang);
+	g_test_add_func("/stage_plan/room_adds_up", test_room_adds_up);
+	g_test_add_func("/stage_plan/work_that_has_just_begun",
+			test_work_that_has_just_begun);
+	g_test_add_func("/stage_plan/guarantee_in_time",
+			test_guarantee_in_time);
+	g_test_add_func("/stage_plan/servers_stay", test_servers_stay);
+	g_test_add_func("/stage_plan/free_room_first", test_free_room_first);
+	return g_test_run();
+}
--- a/tests/unit/test_stage_rank.c
+++ b/tests/unit/test_stage_rank.c
@@ -39,9 +39,8 @@
 	struct cq_executor_listing listing = { .accelerators = 1000 };
 
 	w->accepted = 0;
-	w->batches =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-				      (GDestroyNotify)cq_batch_destroy);
+	w->batches = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   (GDestroyNotify)cq_batch_destroy);
 	w->pool = cq_pool_create();
 	w->worker = cq_pool_add(w->pool, "w");
 	cq_pool_update(w->worker, &listing);
