Offline replay of job lists through the plan of stages

make replay: the product's batches, pool, ranks, order, placement and displacement in virtual time over job lists of both deployments, beside first come first served, earliest deadline and credit density, and an upper bound (two flows of divisible work; no job earns what it could not earn alone). test_replay holds the policy above each of the three under five loads, without a missed guarantee and below the bound.

The random numbers of the benchmarks are the product's generator now, instead of a second copy of it.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   make check      every test
 #   make lint       clang-format, clang-tidy, cppcheck
 #   make bench      every figure, one JSON object a line
+#   make replay     placement policies on job lists, as tables
 #   make demo       the whole system on loopback
 #   make soak SEED=N [SECONDS=N HOSTS=N WORKERS=N]   the fault soak
 #   make soak-regressions   the seeds of the soak that ever failed
@@ -78,7 +79,7 @@
 	$(wildcard tests/fuzz/fuzz_*.c))
 FUZZ_BIN := $(FUZZ_SRC:tests/fuzz/%.c=build-fuzz/%)
 
-.PHONY: all hostd check lint format bench demo deps generate install clean tests \
+.PHONY: all hostd check lint format bench replay demo deps generate install clean tests \
 	fuzz soak soak-regressions
 .SECONDARY:
 all: $(LIB) $(PROGRAMS) $(HOSTD) $(STANDINS)
@@ -163,6 +164,10 @@
 	@$(MAKE) --no-print-directory all $(BENCH_BIN) >&2
 	@scripts/run-bench.sh $(B)
 
+replay:
+	@$(MAKE) --no-print-directory $(B)/bench/bench_replay >&2
+	@scripts/replay.sh $(B)
+
 demo: deps
 	$(MAKE) all
 	scripts/demo.sh $(B)
--- /dev/null
+++ b/bench/bench_replay.c
@@ -0,0 +1,165 @@
+/*
+ * Replays job lists of both deployments through the plan of stages in virtual
+ * time, beside three baselines and an upper bound. Prints one JSON object a
+ * line, or Markdown tables with the argument "table"; with the numbers of a
+ * deployment and of a load after it, only that table.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../tests/support/replay.h"
+#include "../tests/support/replay_bound.h"
+#include "../tests/support/replay_policies.h"
+
+#define SEEDS 10
+#define BAR_CELLS 40
+
+static const struct cq_stage_policy *const policies[] = {
+	&cq_stage_policy_default,
+	&replay_first_come,
+	&replay_earliest_deadline,
+	&replay_credit_density,
+};
+#define POLICIES (sizeof(policies) / sizeof(policies[0]))
+
+static const struct replay_deployment *const deployments[] = { &replay_garba,
+							       &replay_tapa };
+
+/* Sums over the seeds of one load. */
+struct row {
+	struct replay_result result;
+	double worth;
+};
+
+static void add_share(struct replay_share *sum, const struct replay_share *one)
+{
+	sum->owed += one->owed;
+	sum->earned += one->earned;
+}
+
+static void add_result(struct row *row, const struct replay_result *one)
+{
+	int i;
+
+	row->worth += replay_worth(one) / SEEDS;
+	add_share(&row->result.all, &one->all);
+	add_share(&row->result.largest, &one->largest);
+	for (i = 0; i < REPLAY_CLASSES; i++)
+		add_share(&row->result.classes[i], &one->classes[i]);
+	for (i = 0; i < REPLAY_WORKSPACES; i++)
+		add_share(&row->result.workspaces[i], &one->workspaces[i]);
+	for (i = 0; i < REPLAY_MAX_DATA_CENTRES; i++)
+		add_share(&row->result.data_centres[i], &one->data_centres[i]);
+	row->result.thrown_away_core_s += one->thrown_away_core_s / SEEDS;
+	row->result.stops += one->stops;
+	row->result.unfinished += one->unfinished;
+	row->result.guarantee_misses += one->guarantee_misses;
+}
+
+static double share(const struct replay_share *s)
+{
+	return s->owed > 0 ? s->earned / s->owed : 1;
+}
+
+static double worst(const struct replay_share *shares, int count)
+{
+	double least = 1;
+	int i;
+
+	for (i = 0; i < count; i++)
+		least = share(&shares[i]) < least ? share(&shares[i]) : least;
+	return least;
+}
+
+static void bar(double value)
+{
+	int i;
+
+	for (i = 0; i < (int)(value * BAR_CELLS + 0.5); i++)
+		putchar('#');
+}
+
+static void print_row(const char *policy, const struct row *row)
+{
+	const struct replay_result *r = &row->result;
+
+	printf("| %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.0f | "
+	       "%u | `",
+	       policy, row->worth, share(&r->classes[1]), share(&r->classes[0]),
+	       share(&r->classes[2]), share(&r->largest),
+	       worst(r->workspaces, REPLAY_WORKSPACES),
+	       worst(r->data_centres, REPLAY_MAX_DATA_CENTRES),
+	       r->thrown_away_core_s, r->guarantee_misses);
+	bar(row->worth);
+	printf("` |\n");
+}
+
+static void print_json(const struct replay_deployment *deployment,
+		       const struct replay_load *load, const char *policy,
+		       double worth)
+{
+	printf("{\"bench\":\"replay\",\"metric\":\"worth.%s.%s.%s\",\"unit\":"
+	       "\"share\",\"value\":%.4f,\"baseline\":null,\"target\":null,"
+	       "\"better\":\"higher\"}\n",
+	       deployment->name, load->name, policy, worth);
+}
+
+static double mean_bound(const struct replay_deployment *deployment,
+			 const struct replay_load *load)
+{
+	double sum = 0;
+	uint64_t seed;
+
+	for (seed = 1; seed <= SEEDS; seed++)
+		sum += replay_bound(deployment, load, seed);
+	return sum / SEEDS;
+}
+
+static void play(const struct replay_deployment *deployment,
+		 const struct replay_load *load, bool table)
+{
+	double bound = mean_bound(deployment, load);
+	size_t i;
+
+	if (table) {
+		printf("\n%s, %s (upper bound %.3f)\n\n", deployment->name,
+		       load->name, bound);
+		printf("| Policy | worth | urgent | middle | bulk | largest "
+		       "tenth | worst workspace | worst data centre | "
+		       "core-seconds thrown away | guarantee misses | worth |\n"
+		       "|---|---|---|---|---|---|---|---|---|---|---|\n");
+	} else {
+		print_json(deployment, load, "bound", bound);
+	}
+	for (i = 0; i < POLICIES; i++) {
+		struct row row = { 0 };
+		uint64_t seed;
+
+		for (seed = 1; seed <= SEEDS; seed++) {
+			struct replay_result one;
+
+			replay_run(deployment, load, seed, policies[i], &one);
+			add_result(&row, &one);
+		}
+		if (table)
+			print_row(policies[i]->name, &row);
+		else
+			print_json(deployment, load, policies[i]->name,
+				   row.worth);
+	}
+	fflush(stdout);
+}
+
+int main(int argc, char **argv)
+{
+	bool table = argc > 1 && !strcmp(argv[1], "table");
+	size_t d, l;
+
+	for (d = 0; d < sizeof(deployments) / sizeof(deployments[0]); d++)
+		for (l = 0; l < replay_load_count; l++)
+			if (argc < 4 || (d == strtoul(argv[2], NULL, 10) &&
+					 l == strtoul(argv[3], NULL, 10)))
+				play(deployments[d], &replay_loads[l], table);
+	return 0;
+}
--- a/bench/decisions_plan_time.c
+++ b/bench/decisions_plan_time.c
@@ -207,7 +207,7 @@
 struct plan_time measure_plan_time(uint32_t workers, uint32_t rounds,
 				   uint64_t seed)
 {
-	struct scene scene = { .random = { seed } };
+	struct scene scene = { .random = { { seed } } };
 	struct plan_time result = { 0 };
 	double *times = g_new0(double, rounds);
 	size_t before_bytes;
--- a/bench/decisions_workload.c
+++ b/bench/decisions_workload.c
@@ -1,7 +1,5 @@
 #include "decisions_workload.h"
 
-#include <math.h>
-
 #include "chestnutquay/clock.h"
 
 #define GB (UINT64_C(1) << 30)
@@ -106,33 +104,6 @@
 	.shares = { 0.35, 0.3, 0.22, 0.13 },
 };
 
-double random_unit(struct random_source *random)
-{
-	uint64_t z;
-
-	random->state += UINT64_C(0x9e3779b97f4a7c15);
-	z = random->state;
-	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-	z ^= z >> 31;
-	return (double)(z >> 11) / (double)(UINT64_C(1) << 53);
-}
-
-uint32_t random_below(struct random_source *random, uint32_t limit)
-{
-	return (uint32_t)(random_unit(random) * limit);
-}
-
-double random_lognormal(struct random_source *random, double median,
-			double sigma)
-{
-	double u = 1.0 - random_unit(random);
-	double v = random_unit(random);
-	double normal = sqrt(-2.0 * log(u)) * cos(2.0 * M_PI * v);
-
-	return median * exp(sigma * normal);
-}
-
 const char *deployment_name(const struct deployment *deployment)
 {
 	return deployment->name;
@@ -250,7 +221,7 @@
 void deployment_jobs(const struct deployment *deployment, struct sim *sim,
 		     double load, uint64_t seed)
 {
-	struct random_source random = { seed };
+	struct random_source random = { { seed } };
 	double work = load * SPAN_S * 50 * 8;
 	uint32_t i;
 
--- a/bench/decisions_workload.h
+++ b/bench/decisions_workload.h
@@ -5,17 +5,7 @@
 #define CQ_BENCH_DECISIONS_WORKLOAD_H
 
 #include "../tests/support/fleet_sim.h"
-
-/* splitmix64; the same sequence on every machine. */
-struct random_source {
-	uint64_t state;
-};
-
-double random_unit(struct random_source *random);
-uint32_t random_below(struct random_source *random, uint32_t limit);
-/* exp of a normal variable with the given median and spread. */
-double random_lognormal(struct random_source *random, double median,
-			double sigma);
+#include "../tests/support/random_source.h"
 
 struct deployment;
 
--- /dev/null
+++ b/tests/unit/test_replay.c
@@ -0,0 +1,120 @@
+/*
+ * The plan of stages under the heavy loads of both deployments (overload,
+ * bursts of urgent and of bulk jobs, a data centre that leaves): against
+ * schedulers that stop nothing, and against what cannot be exceeded.
+ */
+#include <glib.h>
+
+#include "chestnutquay/clock.h"
+#include "tests/support/replay.h"
+#include "tests/support/replay_bound.h"
+#include "tests/support/replay_policies.h"
+
+#define SEEDS 2
+
+struct place {
+	const struct replay_deployment *deployment;
+	const struct replay_load *load;
+};
+
+static double mean_worth(const struct place *at,
+			 const struct cq_stage_policy *policy)
+{
+	double sum = 0;
+	uint64_t seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		struct replay_result result;
+
+		replay_run(at->deployment, at->load, seed, policy, &result);
+		g_assert_cmpuint(result.unfinished, ==, 0);
+		sum += replay_worth(&result);
+	}
+	return sum / SEEDS;
+}
+
+/* Each workspace gets what belongs to it, whatever the load. */
+static void test_guarantees(gconstpointer data)
+{
+	const struct place *at = data;
+	struct replay_result result;
+
+	replay_run(at->deployment, at->load, 1, &cq_stage_policy_default,
+		   &result);
+	g_assert_cmpuint(result.guarantee_misses, ==, 0);
+	g_assert_cmpuint(result.unfinished, ==, 0);
+	g_assert_cmpfloat(replay_worth(&result), <=,
+			  replay_bound(at->deployment, at->load, 1) + 1e-9);
+}
+
+static void test_against_baselines(gconstpointer data)
+{
+	const struct place *at = data;
+	double own = mean_worth(at, &cq_stage_policy_default);
+
+	g_assert_cmpfloat(own, >, mean_worth(at, &replay_first_come));
+	g_assert_cmpfloat(own, >, mean_worth(at, &replay_earliest_deadline));
+	g_assert_cmpfloat(own, >, mean_worth(at, &replay_credit_density));
+}
+
+/* The same seed plays the same way. */
+static void test_repeats(void)
+{
+	struct replay_result first, second;
+
+	replay_run(&replay_garba, &replay_loads[0], 3, &cq_stage_policy_default,
+		   &first);
+	replay_run(&replay_garba, &replay_loads[0], 3, &cq_stage_policy_default,
+		   &second);
+	g_assert_cmpfloat(first.all.earned, ==, second.all.earned);
+	g_assert_cmpuint(first.stops, ==, second.stops);
+}
+
+/* A bound above what is owed, or below what a light load earns, is none. */
+static void test_bound(void)
+{
+	struct replay_load light = { .name = "light",
+				     .share = 0.1,
+				     .burst_class = -1 };
+	struct replay_load flood = { .name = "flood",
+				     .share = 12,
+				     .burst_class = -1 };
+	double most = replay_bound(&replay_garba, &flood, 1);
+
+	g_assert_cmpfloat(replay_bound(&replay_garba, &light, 1), >, 0.999);
+	g_assert_cmpfloat(most, <, 0.9);
+	g_assert_cmpfloat(most, >, 0.05);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct replay_deployment *const deployments[] = {
+		&replay_garba, &replay_tapa
+	};
+	static struct place places[2][8];
+	size_t d, l;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/replay/repeats", test_repeats);
+	g_test_add_func("/replay/bound", test_bound);
+	g_assert_cmpuint(replay_load_count, <=, G_N_ELEMENTS(places[0]));
+	for (d = 0; d < G_N_ELEMENTS(deployments); d++)
+		for (l = 0; l < replay_load_count; l++) {
+			struct place *at = &places[d][l];
+			char *name;
+
+			at->deployment = deployments[d];
+			at->load = &replay_loads[l];
+			name = g_strdup_printf("/replay/guarantees/%s/%s",
+					       at->deployment->name,
+					       at->load->name);
+			g_test_add_data_func(name, at, test_guarantees);
+			g_free(name);
+			name = g_strdup_printf(
+				"/replay/against_baselines/%s/%s",
+				at->deployment->name, at->load->name);
+			g_test_add_data_func(name, at, test_against_baselines);
+			g_free(name);
+		}
+	return g_test_run();
+}
