--- a/tests/support/replay_bound.c
+++ b/tests/support/replay_bound.c
@@ -11,7 +11,8 @@
 
 #include "chestnutquay/clock.h"
 
-#define SLOT_NS (CQ_NS_PER_S / 2)
+#define SLOT_MS INT64_C(500)
+#define SLOT_NS (SLOT_MS * CQ_NS_PER_MS)
 #define SLOTS 256
 /* Runs end on a data centre that leaves: their longest time. */
 #define LONGEST_RUN_S 18.0
@@ -152,7 +153,6 @@
 static void set_room(struct network *n, const struct replay_deployment *d,
 		     const struct replay_load *load)
 {
-	int64_t slot_ms = SLOT_NS / CQ_NS_PER_MS;
 	double one = 0; /* data centre */
 	uint32_t k;
 	int s;
@@ -166,7 +166,7 @@
 			    now_s > load->leave_s + LONGEST_RUN_S;
 
 		n->left[s] = (int64_t)(one * (d->data_centres - left) *
-				       (double)slot_ms) +
+				       (double)SLOT_MS) +
 			     1;
 	}
 }
@@ -220,8 +220,7 @@
 	memset(d, 0, sizeof(*d));
 	d->worth = job->arrival_ns + quickest <= until_ns ? worth : 0;
 	d->work = (int64_t)(job->accelerator_s * 1000) + 1;
-	d->most =
-		(int64_t)(width * speed * (double)(SLOT_NS / CQ_NS_PER_MS)) + 1;
+	d->most = (int64_t)(width * speed * (double)SLOT_MS) + 1;
 	d->first = (int)(job->arrival_ns / SLOT_NS);
 	d->last = MIN(SLOTS - 1, (int)(until_ns / SLOT_NS));
 }
--- a/tests/unit/test_pace.c
+++ b/tests/unit/test_pace.c
@@ -91,7 +91,7 @@
 		filler->pace_percent = percent;
 		filler->pace_changed_ns = now_ns;
 	}
-	*paced = sum / (double)(PLAY_NS / REPORT_NS);
+	*paced = sum * (double)REPORT_NS / (double)PLAY_NS;
 	return longest_ns;
 }
 
