Workers are kept only for urgent work that waits for cheaper room

Ruled out: no room kept at all, since bulk work would take what comes free beside an urgent gang (test_stage_plan room_adds_up fails).

--- a/include/chestnutquay/placement.h
+++ b/include/chestnutquay/placement.h
@@ -27,6 +27,11 @@
 	 * free for gangs.
 	 */
 	bool pack_racks;
+	/*
+	 * Workers are kept for the stage while the runs there are worth too
+	 * much to be stopped, so that the room that comes free adds up.
+	 */
+	bool keeps_room;
 };
 
 /* To be called before the placements of one plan. */
@@ -43,10 +48,10 @@
 /*
  * The runs of a higher rank that have to end so that the waiting tasks of the
  * stage fit, with little work thrown away; runs that are being stopped count as
- * gone. Adds the victims (struct cq_task) to the array; none if what is being
- * stopped is enough, or if more would be lost than most_loss_s seconds of each
- * core that the stage gets. The workers are reserved for the stage either way,
- * so that room adds up. False if even stopping all of them would not make room.
+ * gone. Adds the victims (struct cq_task) to the array, none if what is being
+ * stopped is enough, and reserves the workers for the stage. If more would be
+ * lost than most_loss_s seconds of each core that the stage gets, nothing is
+ * stopped. False if no room is being made or kept.
  */
 bool cq_placement_make_room(const struct cq_placement *p, double most_loss_s,
 			    GPtrArray *out);
--- a/src/state/placement_victims.c
+++ b/src/state/placement_victims.c
@@ -308,6 +308,7 @@
 		most_loss_s * wanted * cores_of(p->stage->step);
 	GArray *best = NULL;
 	double best_loss = -1;
+	bool affordable, kept;
 	guint i;
 
 	if (!placement_one_rack(p, racks)) {
@@ -328,13 +329,14 @@
 		best = chosen;
 		best_loss = loss;
 	}
-	if (best) {
-		take(best, p->stage,
-		     best_loss <= most_loss_core_s ? out : NULL);
+	affordable = best && best_loss <= most_loss_core_s;
+	kept = affordable || (best && p->keeps_room);
+	if (kept)
+		take(best, p->stage, affordable ? out : NULL);
+	if (best)
 		g_array_unref(best);
-	}
 	g_hash_table_destroy(search.given_up);
 	g_ptr_array_unref(racks);
 	g_ptr_array_unref(workers);
-	return best != NULL;
+	return kept;
 }
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -111,6 +111,7 @@
 		.service = r->queue->service,
 		.now_ns = plan->now_ns,
 		.pack_racks = r->stage->rank > CQ_RANK_URGENT,
+		.keeps_room = r->stage->rank <= CQ_RANK_URGENT,
 	};
 
 	g_array_set_size(assignments, 0);
