An address that is none is an error instead of all addresses

Cause: the HTTP server, the link between peers and two stand-ins ignored what inet_pton() says of the address; the zeroed one means all addresses of the machine. The product's own settings are checked before; the settings of the platform and the arguments of stand-ins were not.

test_transport no_address failed before. soak.sh checks CQ_SOAK_NET.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -17,6 +17,12 @@
 workers=${4:-6}
 task_ms=1500
 net=${CQ_SOAK_NET:-40}
+case $net in
+'' | *[!0-9]*)
+	echo "soak.sh: CQ_SOAK_NET is '$net', not a number" >&2
+	exit 2
+	;;
+esac
 work=$(mktemp -d)
 logs=${CQ_SOAK_LOGS:-$work}
 mkdir -p "$logs"
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -423,17 +423,23 @@
 		      const struct cq_http_server_handler *handler, void *ctx,
 		      struct cq_error *err)
 {
-	struct cq_http_server *server = g_new0(struct cq_http_server, 1);
+	struct cq_http_server *server;
 	struct sockaddr_in address = { .sin_family = AF_INET,
 				       .sin_port = htons(options->port) };
 	const union MHD_DaemonInfo *info;
 
 	assert(handler->request);
+	if (inet_pton(AF_INET, options->ip, &address.sin_addr) != 1) {
+		cq_error_set(err, CQ_ERROR_TRANSPORT, CQ_ERR_INVALID,
+			     "cannot listen on '%s': not an IPv4 address",
+			     options->ip);
+		return NULL;
+	}
+	server = g_new0(struct cq_http_server, 1);
 	server->loop = loop;
 	server->options = *options;
 	server->handler = *handler;
 	server->ctx = ctx;
-	inet_pton(AF_INET, options->ip, &address.sin_addr);
 	server->daemon = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, options->port, NULL,
 		NULL, on_request, server, MHD_OPTION_SOCK_ADDR, &address,
--- a/src/transport/peer_net.c
+++ b/src/transport/peer_net.c
@@ -162,12 +162,14 @@
 {
 	struct sockaddr_in address = { .sin_family = AF_INET,
 				       .sin_port = htons(port) };
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	int on = 1;
+	int fd;
 
+	if (inet_pton(AF_INET, ip, &address.sin_addr) != 1)
+		return -1;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return -1;
-	inet_pton(AF_INET, ip, &address.sin_addr);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (!bind(fd, (struct sockaddr *)&address, sizeof(address)) &&
 	    !listen(fd, 256))
@@ -185,7 +187,8 @@
 
 	if (!cq_address_parse(address, ip, &port, NULL))
 		return -1;
-	inet_pton(AF_INET, ip, &to.sin_addr);
+	if (inet_pton(AF_INET, ip, &to.sin_addr) != 1)
+		return -1;
 	to.sin_port = htons(port);
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
--- a/tests/standins/fake-endpoint/endpoint.c
+++ b/tests/standins/fake-endpoint/endpoint.c
@@ -56,9 +56,11 @@
 	struct sockaddr_in address = { .sin_family = AF_INET,
 				       .sin_port = htons(endpoint->port) };
 	int on = 1;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int fd;
 
-	inet_pton(AF_INET, endpoint->ip, &address.sin_addr);
+	if (inet_pton(AF_INET, endpoint->ip, &address.sin_addr) != 1)
+		return false;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
 	    listen(fd, 512)) {
--- a/tests/standins/soak/proxy.c
+++ b/tests/standins/soak/proxy.c
@@ -240,7 +240,8 @@
 	struct sockaddr_in address = { .sin_family = AF_INET,
 				       .sin_port = htons(port) };
 
-	inet_pton(AF_INET, ip, &address.sin_addr);
+	if (inet_pton(AF_INET, ip, &address.sin_addr) != 1)
+		g_error("'%s' is not an IPv4 address", ip);
 	return address;
 }
 
--- a/tests/unit/test_transport.c
+++ b/tests/unit/test_transport.c
@@ -205,6 +205,27 @@
 	g_assert_nonnull(strstr(err.message, "cannot listen"));
 }
 
+/* An address that is none must not mean all addresses. */
+static void test_no_address(struct fixture *f, gconstpointer data)
+{
+	static const char *const wrong[] = { "", "127.127.77.1.1", "localhost",
+					     "1.2.3" };
+	struct cq_http_server_handler handler = { handle, aborted };
+	size_t i;
+
+	(void)data;
+	for (i = 0; i < G_N_ELEMENTS(wrong); i++) {
+		struct cq_http_server_options options;
+		struct cq_error err = CQ_ERROR_INIT;
+
+		cq_http_server_options_init(&options, wrong[i], 0);
+		g_assert_null(cq_http_server_create(f->loop, &options, &handler,
+						    f, &err));
+		g_assert_cmpint(err.code, ==, CQ_ERR_INVALID);
+		g_assert_nonnull(strstr(err.message, "IPv4 address"));
+	}
+}
+
 struct dripper {
 	int fd;
 	ev_timer timer;
@@ -535,6 +556,7 @@
 	HTTP_TEST("timeout_is_unknown", test_timeout_is_unknown);
 	HTTP_TEST("refused_is_not_sent", test_refused_is_not_sent);
 	HTTP_TEST("address_in_use", test_address_in_use);
+	HTTP_TEST("no_address", test_no_address);
 	HTTP_TEST("cancel", test_cancel);
 	g_test_add_func("/transport/http/slow-sender", test_slow_sender);
 	g_test_add_func("/transport/frame/table", test_frame_table);
