Search for victims looks again only at workers of a gang that was given up

Each gang that was given up had all workers evaluated anew: a wide urgent job over 3,000 workers would evaluate tens of thousands in one plan, and the plan runs on the loop that renews the leader's lease. Further: a comment that misled, leftover declarations and two bare numbers in the replay.

--- a/src/state/placement_victims.c
+++ b/src/state/placement_victims.c
@@ -45,6 +45,8 @@
 static struct candidate *cheapest(const GArray *candidates);
 static bool give_up_gangs(const struct search *search,
 			  const struct candidate *c);
+static bool holds_given_up(const struct search *search,
+			   const struct cq_pool_worker *worker);
 static double choose(const struct search *search, const GPtrArray *workers,
 		     uint32_t wanted, GArray **chosen);
 static void take(const GArray *chosen, const struct cq_stage *stage,
@@ -221,7 +223,7 @@
 	return best;
 }
 
-/* True if a gang was added: its runs elsewhere are room for nothing. */
+/* True if a gang was added: its other runs make room at no further loss. */
 static bool give_up_gangs(const struct search *search,
 			  const struct candidate *c)
 {
@@ -239,6 +241,17 @@
 	return added;
 }
 
+static bool holds_given_up(const struct search *search,
+			   const struct cq_pool_worker *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++)
+		if (is_given_up(search, g_ptr_array_index(worker->runs, i)))
+			return true;
+	return false;
+}
+
 /*
  * The loss of the workers that hold the tasks, chosen one after the other by
  * what each adds; below zero if all of them do not. The chosen ones are marked
@@ -270,7 +283,8 @@
 			struct candidate *other =
 				&g_array_index(candidates, struct candidate, i);
 
-			if (!other->taken)
+			if (!other->taken &&
+			    holds_given_up(search, other->worker))
 				evaluate(search, other, wanted);
 		}
 	}
--- a/tests/support/replay.c
+++ b/tests/support/replay.c
@@ -53,13 +53,6 @@
 	struct replay_result *result;
 };
 
-static void add_workers(struct replay *r);
-static void collect(struct replay *r, GArray *ready);
-static struct replay_job *job_of(const struct replay *r,
-				 const struct cq_batch *batch);
-static struct progress *progress_of(const struct replay *r,
-				    const struct cq_batch *batch);
-
 static struct replay_job *job_of(const struct replay *r,
 				 const struct cq_batch *batch)
 {
--- a/tests/support/replay_bound.c
+++ b/tests/support/replay_bound.c
@@ -158,7 +158,7 @@
 	int s;
 
 	for (k = 0; k < d->workers; k++)
-		one += d->accelerators * d->speeds[k % 3];
+		one += d->accelerators * d->speeds[k % G_N_ELEMENTS(d->speeds)];
 	for (s = 0; s < SLOTS; s++) {
 		double now_s =
 			(double)s * (double)SLOT_NS / (double)CQ_NS_PER_S;
@@ -219,7 +219,7 @@
 	}
 	memset(d, 0, sizeof(*d));
 	d->worth = job->arrival_ns + quickest <= until_ns ? worth : 0;
-	d->work = (int64_t)(job->accelerator_s * 1000) + 1;
+	d->work = (int64_t)(job->accelerator_s * CQ_MS_PER_S) + 1;
 	d->most = (int64_t)(width * speed * (double)SLOT_MS) + 1;
 	d->first = (int)(job->arrival_ns / SLOT_NS);
 	d->last = MIN(SLOTS - 1, (int)(until_ns / SLOT_NS));
