--- a/tests/unit/test_platform_documents.c
+++ b/tests/unit/test_platform_documents.c
@@ -174,6 +174,94 @@
 	}
 }
 
+/* Text that opens and closes depth arrays. */
+static char *nested_arrays(guint depth)
+{
+	char *text = g_malloc(2 * depth + 1);
+
+	memset(text, '[', depth);
+	memset(text + depth, ']', depth);
+	text[2 * depth] = '\0';
+	return text;
+}
+
+/* listing_json with the text of a field's value replaced. */
+static char *replace_text(const char *old_text, const char *new_text)
+{
+	char **parts = g_strsplit(listing_json, old_text, 2);
+	char *json;
+
+	g_assert_nonnull(parts[1]);
+	json = g_strconcat(parts[0], new_text, parts[1], NULL);
+	g_strfreev(parts);
+	return json;
+}
+
+/*
+ * Guards against an entry of another writer that is taken for a worker: one
+ * that no connection can reach, or whose room exceeds what the sums of a rack
+ * can hold.
+ */
+static void test_odd_listings(void)
+{
+	static const struct {
+		const char *name, *old_text, *new_text;
+	} cases[] = {
+		{ "port 0", "10.0.0.9:80", "10.0.0.9:0" },
+		{ "port out of range", "10.0.0.9:80", "10.0.0.9:70000" },
+		{ "negative port", "10.0.0.9:80", "10.0.0.9:-80" },
+		{ "no port", "10.0.0.9:80", "10.0.0.9" },
+		{ "name in place of the IP", "10.0.0.9:80", "worker-9:80" },
+		{ "path", "10.0.0.9:80", "10.0.0.9:80/x" },
+		{ "user", "10.0.0.9:80", "a@10.0.0.9:80" },
+		{ "number beyond 64 bits", "\"gpus\":8",
+		  "\"gpus\":99999999999999999999" },
+		{ "real beyond the range", "\"gpus\":8", "\"gpus\":1e400" },
+		{ "number beyond 32 bits", "\"gpus\":8",
+		  "\"gpus\":4294967296" },
+		{ "negative number", "\"gpus\":8", "\"gpus\":-1" },
+		{ "more accelerators than a host has", "\"gpus\":8",
+		  "\"gpus\":4294967295" },
+		{ "more processors than a host has", "\"cpu\":16000",
+		  "\"cpu\":4294967295" },
+		{ "more memory than a host has", "\"memMb\":32768",
+		  "\"memMb\":4294967295" },
+		{ "negative start", "\"born\":1700000000123", "\"born\":-5" },
+		{ "start that is not whole", "\"born\":1700000000123",
+		  "\"born\":1.5" },
+	};
+	char *deep = nested_arrays(100000);
+	struct cq_executor_registration l;
+	size_t i;
+
+	g_assert_false(cq_platform_registration_parse("i", deep, strlen(deep),
+						      &l, NULL));
+	g_free(deep);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *json = replace_text(cases[i].old_text, cases[i].new_text);
+
+		g_test_message("%s", cases[i].name);
+		g_assert_false(cq_platform_registration_parse(
+			"i", json, strlen(json), &l, NULL));
+		g_free(json);
+	}
+}
+
+/* Guards against losing an entry for a nested field that is not read. */
+static void test_nested_unknown_field(void)
+{
+	char *deep = nested_arrays(1000);
+	char *field = g_strdup_printf("\"clockMs\":%s", deep);
+	char *json = replace_text("\"clockMs\":5", field);
+	struct cq_executor_registration l;
+
+	g_assert_true(cq_platform_registration_parse("i", json, strlen(json),
+						     &l, NULL));
+	g_free(json);
+	g_free(field);
+	g_free(deep);
+}
+
 static const char submission_json[] =
 	"{\"spec\":\"text\",\"maxRuns\":4,\"firstRunMs\":1700000000000,"
 	"\"intervalMs\":500,\"steps\":[{\"count\":4,\"cpu\":500,"
@@ -234,6 +322,8 @@
 	g_test_add_func("/platform/bad_configs", test_bad_configs);
 	g_test_add_func("/platform/listing", test_listing);
 	g_test_add_func("/platform/bad_listings", test_bad_listings);
+	g_test_add_func("/platform/listing/odd", test_odd_listings);
+	g_test_add_func("/platform/listing/nested", test_nested_unknown_field);
 	g_test_add_func("/platform/submission", test_submission);
 	g_test_add_func("/platform/bad_submissions", test_bad_submissions);
 	return g_test_run();
