http_client: divide the addresses of a client among multi handles

The limit of 1,200 idle connections was below the two a worker that are in use, so that connections were closed and opened all the time.

Change: a client may have several partitions, each with a multi handle of its own; an address belongs to one of them by a hash. cq-hostd uses 32 for its workers. The cache of host names is off, since hosts are numeric. The limit of idle connections follows from the descriptors and the memory of the settings; libcurl closes the one that has been idle for longest.

test_transport: with partitions chosen by the whole URL it fails.

--- a/include/chestnutquay/http_client.h
+++ b/include/chestnutquay/http_client.h
@@ -73,6 +73,14 @@
 struct cq_http_client *cq_http_client_create(struct ev_loop *loop,
 					     uint32_t max_per_host,
 					     uint32_t max_idle);
+/*
+ * The same for a client of many addresses. They are divided among partitions by
+ * a hash; the cost of a call grows with the connections of its partition only.
+ * max_idle is divided evenly among the partitions. Each one takes about 40 KB.
+ */
+struct cq_http_client *
+cq_http_client_create_partitioned(struct ev_loop *loop, uint32_t max_per_host,
+				  uint32_t max_idle, uint32_t partition_count);
 /*
  * Limits the connections to one address as the server sees them: a connection
  * closed by this client counts until the server has closed it too, or until
--- a/src/programs/hostd/main.c
+++ b/src/programs/hostd/main.c
@@ -12,11 +12,37 @@
 #define STORE_CONNECTIONS 24
 /* Limit of connections to each worker. */
 #define WORKER_CONNECTIONS 8
-/* Limit of idle connections to all workers together. */
-#define WORKER_IDLE_CONNECTIONS 1200
+/* Parts of the connections to workers, see http_client.h. */
+#define WORKER_PARTITIONS 32
+/*
+ * Descriptors that are not for connections to workers: those of callers, of the
+ * store, of the event loop and libraries, and files.
+ */
+#define OTHER_DESCRIPTORS 1600
+/* Idle connections to workers take at most this part of the memory. */
+#define IDLE_MEMORY_DIVISOR 4
+/* Memory of a connection, mostly libcurl's buffers. */
+#define CONNECTION_KB 24
+#define MIN_IDLE_CONNECTIONS 256
 #define STORE_TIMEOUT_MS 900
 #define MAX_BODY_BYTES (256U << 10)
 
+/*
+ * Limit of the connections to all workers that are kept when idle. The one that
+ * has been idle for longest is closed first.
+ */
+static uint32_t max_idle_to_workers(const struct cq_platform_settings *settings)
+{
+	uint32_t by_descriptors =
+		settings->max_descriptors > OTHER_DESCRIPTORS
+			? settings->max_descriptors - OTHER_DESCRIPTORS
+			: 0;
+	uint32_t by_memory = (uint32_t)((uint64_t)settings->memory_mb * 1024 /
+					IDLE_MEMORY_DIVISOR / CONNECTION_KB);
+
+	return MAX(MIN(by_descriptors, by_memory), MIN_IDLE_CONNECTIONS);
+}
+
 static bool is_ready(void *ctx)
 {
 	const struct hostd *h = ctx;
@@ -107,8 +133,9 @@
 	h.metrics = cq_metrics_create();
 	h.store_client = cq_http_client_create(h.loop, STORE_CONNECTIONS,
 					       STORE_CONNECTIONS);
-	h.worker_client = cq_http_client_create(h.loop, WORKER_CONNECTIONS,
-						WORKER_IDLE_CONNECTIONS);
+	h.worker_client = cq_http_client_create_partitioned(
+		h.loop, WORKER_CONNECTIONS, max_idle_to_workers(&h.settings),
+		WORKER_PARTITIONS);
 	h.kv = cq_kv_store_create(h.store_client, h.settings.store_address);
 	h.store = cq_kv_store_get(h.kv);
 	if (!open_front(&h, &err)) {
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -12,19 +12,34 @@
 #define KEEPALIVE_INTERVAL_S 2L
 /* A connection that was idle for longer is not reused. */
 #define MAX_CONNECTION_AGE_S 30L
+/* Parameters of the FNV-1a hash. */
+#define HASH_SEED 2166136261U
+#define HASH_PRIME 16777619U
+
+/*
+ * The connections to a part of the addresses. libcurl walks all connections of
+ * a multi handle once a second and whenever it closes an idle one, so each
+ * partition has a multi handle of its own.
+ */
+struct partition {
+	struct cq_http_client *client;
+	CURLM *multi;
+	ev_timer timer;
+	GHashTable *sockets; /* fd -> struct socket_watch, owned */
+};
 
 struct cq_http_client {
 	struct ev_loop *loop;
-	CURLM *multi;
-	ev_timer timer;
+	struct partition *partitions;
+	uint32_t partition_count;
 	GHashTable *calls;		  /* set of struct cq_http_call */
-	GHashTable *sockets;		  /* fd -> struct socket_watch, owned */
 	GPtrArray *idle_handles;	  /* CURL handles for reuse */
 	struct http_sockets *connections; /* NULL without a connection limit */
 };
 
 struct cq_http_call {
 	struct cq_http_client *client;
+	struct partition *partition;
 	CURL *easy;
 	struct curl_slist *headers;
 	char *body;
@@ -38,7 +53,7 @@
 
 struct socket_watch {
 	ev_io io;
-	struct cq_http_client *client;
+	struct partition *partition;
 };
 
 static const char *const outcome_strings[] = {
@@ -56,13 +71,19 @@
 static int on_multi_timer(CURLM *multi, long timeout_ms, void *userp);
 static void on_io(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_timer(struct ev_loop *loop, ev_timer *watcher, int events);
-static void collect_finished(struct cq_http_client *client);
+static void collect_finished(struct partition *partition);
 static void call_finished(struct cq_http_call *call, CURLcode code);
 static void call_unlink(struct cq_http_call *call);
 static void call_free(struct cq_http_call *call);
 static void set_options(struct cq_http_call *call,
 			const struct cq_http_request *request);
 static void socket_watch_free(void *data);
+static void partition_open(struct partition *partition,
+			   struct cq_http_client *client, uint32_t max_per_host,
+			   uint32_t max_idle);
+static void partition_close(struct partition *partition);
+static struct partition *find_partition(struct cq_http_client *client,
+					const char *url);
 
 const char *cq_http_outcome_string(enum cq_http_outcome outcome)
 {
@@ -73,33 +94,65 @@
 {
 	struct socket_watch *watch = data;
 
-	ev_io_stop(watch->client->loop, &watch->io);
+	ev_io_stop(watch->partition->client->loop, &watch->io);
 	g_free(watch);
 }
 
+static void partition_open(struct partition *partition,
+			   struct cq_http_client *client, uint32_t max_per_host,
+			   uint32_t max_idle)
+{
+	CURLM *multi = curl_multi_init();
+
+	partition->client = client;
+	partition->multi = multi;
+	partition->sockets =
+		g_hash_table_new_full(NULL, NULL, NULL, socket_watch_free);
+	curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, partition);
+	curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, on_multi_timer);
+	curl_multi_setopt(multi, CURLMOPT_TIMERDATA, partition);
+	curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)max_per_host);
+	curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, (long)max_idle);
+	ev_timer_init(&partition->timer, on_timer, 0., 0.);
+	partition->timer.data = partition;
+}
+
+static void partition_close(struct partition *partition)
+{
+	curl_multi_cleanup(partition->multi);
+	ev_timer_stop(partition->client->loop, &partition->timer);
+	g_hash_table_destroy(partition->sockets);
+}
+
 struct cq_http_client *cq_http_client_create(struct ev_loop *loop,
 					     uint32_t max_per_host,
 					     uint32_t max_idle)
+{
+	return cq_http_client_create_partitioned(loop, max_per_host, max_idle,
+						 1);
+}
+
+struct cq_http_client *
+cq_http_client_create_partitioned(struct ev_loop *loop, uint32_t max_per_host,
+				  uint32_t max_idle, uint32_t partition_count)
 {
 	struct cq_http_client *client = g_new0(struct cq_http_client, 1);
+	uint32_t max_idle_each =
+		(max_idle + partition_count - 1) / partition_count;
+	uint32_t i;
 
+	assert(partition_count);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	client->loop = loop;
-	client->sockets =
-		g_hash_table_new_full(NULL, NULL, NULL, socket_watch_free);
 	client->calls = g_hash_table_new(NULL, NULL);
 	client->idle_handles = g_ptr_array_new();
-	client->multi = curl_multi_init();
-	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
-	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
-	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION,
-			  on_multi_timer);
-	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
-	curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-			  (long)max_per_host);
-	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, (long)max_idle);
-	ev_timer_init(&client->timer, on_timer, 0., 0.);
-	client->timer.data = client;
+	client->partition_count = partition_count;
+	client->partitions = g_new0(struct partition, partition_count);
+	for (i = 0; i < partition_count; i++)
+		partition_open(&client->partitions[i], client, max_per_host,
+			       max_idle_each);
 	return client;
 }
 
@@ -115,17 +168,17 @@
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		struct cq_http_call *call = key;
 
-		curl_multi_remove_handle(client->multi, call->easy);
+		curl_multi_remove_handle(call->partition->multi, call->easy);
 		call_free(call);
 	}
 	g_hash_table_destroy(client->calls);
 	for (i = 0; i < client->idle_handles->len; i++)
 		curl_easy_cleanup(g_ptr_array_index(client->idle_handles, i));
 	g_ptr_array_free(client->idle_handles, TRUE);
-	curl_multi_cleanup(client->multi);
+	for (i = 0; i < client->partition_count; i++)
+		partition_close(&client->partitions[i]);
 	http_sockets_destroy(client->connections);
-	ev_timer_stop(client->loop, &client->timer);
-	g_hash_table_destroy(client->sockets);
+	g_free(client->partitions);
 	g_free(client);
 }
 
@@ -175,76 +228,76 @@
 static int on_socket(CURL *easy, curl_socket_t fd, int what, void *userp,
 		     void *socketp)
 {
-	struct cq_http_client *client = userp;
+	struct partition *partition = userp;
 	struct socket_watch *watch = socketp;
 	int events = (what & CURL_POLL_IN ? EV_READ : 0) |
 		     (what & CURL_POLL_OUT ? EV_WRITE : 0);
 
 	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
-		g_hash_table_remove(client->sockets, GINT_TO_POINTER(fd));
+		g_hash_table_remove(partition->sockets, GINT_TO_POINTER(fd));
 		return 0;
 	}
 	if (!watch) {
 		watch = g_new0(struct socket_watch, 1);
-		watch->client = client;
+		watch->partition = partition;
 		ev_io_init(&watch->io, on_io, fd, events);
-		watch->io.data = client;
-		g_hash_table_replace(client->sockets, GINT_TO_POINTER(fd),
+		watch->io.data = partition;
+		g_hash_table_replace(partition->sockets, GINT_TO_POINTER(fd),
 				     watch);
-		curl_multi_assign(client->multi, fd, watch);
+		curl_multi_assign(partition->multi, fd, watch);
 	} else {
-		ev_io_stop(client->loop, &watch->io);
+		ev_io_stop(partition->client->loop, &watch->io);
 		ev_io_set(&watch->io, fd, events);
 	}
-	ev_io_start(client->loop, &watch->io);
+	ev_io_start(partition->client->loop, &watch->io);
 	return 0;
 }
 
 static int on_multi_timer(CURLM *multi, long timeout_ms, void *userp)
 {
-	struct cq_http_client *client = userp;
+	struct partition *partition = userp;
 
 	(void)multi;
-	ev_timer_stop(client->loop, &client->timer);
+	ev_timer_stop(partition->client->loop, &partition->timer);
 	if (timeout_ms < 0)
 		return 0;
-	ev_now_update(client->loop);
-	ev_timer_set(&client->timer, (double)timeout_ms / 1000.0, 0.);
-	ev_timer_start(client->loop, &client->timer);
+	ev_now_update(partition->client->loop);
+	ev_timer_set(&partition->timer, (double)timeout_ms / 1000.0, 0.);
+	ev_timer_start(partition->client->loop, &partition->timer);
 	return 0;
 }
 
 static void on_io(struct ev_loop *loop, ev_io *watcher, int events)
 {
-	struct cq_http_client *client = watcher->data;
+	struct partition *partition = watcher->data;
 	int running;
 	int mask = (events & EV_READ ? CURL_CSELECT_IN : 0) |
 		   (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
 
 	(void)loop;
-	curl_multi_socket_action(client->multi, watcher->fd, mask, &running);
-	collect_finished(client);
+	curl_multi_socket_action(partition->multi, watcher->fd, mask, &running);
+	collect_finished(partition);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
-	struct cq_http_client *client = watcher->data;
+	struct partition *partition = watcher->data;
 	int running;
 
 	(void)loop;
 	(void)events;
-	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0,
+	curl_multi_socket_action(partition->multi, CURL_SOCKET_TIMEOUT, 0,
 				 &running);
-	collect_finished(client);
+	collect_finished(partition);
 }
 
-static void collect_finished(struct cq_http_client *client)
+static void collect_finished(struct partition *partition)
 {
 	CURLMsg *message;
 	int left;
 
-	while ((message = curl_multi_info_read(client->multi, &left))) {
+	while ((message = curl_multi_info_read(partition->multi, &left))) {
 		struct cq_http_call *call;
 
 		if (message->msg != CURLMSG_DONE)
@@ -296,10 +349,8 @@
 
 static void call_unlink(struct cq_http_call *call)
 {
-	struct cq_http_client *client = call->client;
-
-	curl_multi_remove_handle(client->multi, call->easy);
-	g_hash_table_remove(client->calls, call);
+	curl_multi_remove_handle(call->partition->multi, call->easy);
+	g_hash_table_remove(call->client->calls, call);
 }
 
 static void call_free(struct cq_http_call *call)
@@ -348,6 +399,8 @@
 	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
 			 request->fresh_connection ? 1L : 0L);
 	curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 0L);
+	/* Hosts are numeric. libcurl walks the whole cache after each call. */
+	curl_easy_setopt(easy, CURLOPT_DNS_CACHE_TIMEOUT, 0L);
 	if (call->client->connections) {
 		curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION,
 				 on_open_socket);
@@ -367,6 +420,24 @@
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
+/* All calls to an address (host and port) use the same partition. */
+static struct partition *find_partition(struct cq_http_client *client,
+					const char *url)
+{
+	static const char scheme[] = "http://";
+	const char *address =
+		g_str_has_prefix(url, scheme) ? url + strlen(scheme) : url;
+	size_t len = strcspn(address, "/");
+	uint32_t hash = HASH_SEED;
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		hash = (hash ^ (unsigned char)address[i]) * HASH_PRIME;
+	/* The low bits alone depend on the low bits of the characters only. */
+	hash ^= hash >> 16;
+	return &client->partitions[hash % client->partition_count];
+}
+
 struct cq_http_call *cq_http_client_send(struct cq_http_client *client,
 					 const struct cq_http_request *request,
 					 cq_http_done_fn *done, void *ctx)
@@ -375,6 +446,7 @@
 
 	assert(request->method && request->url && done);
 	call->client = client;
+	call->partition = find_partition(client, request->url);
 	call->done = done;
 	call->ctx = ctx;
 	call->max_answer_bytes = request->max_answer_bytes
@@ -391,7 +463,7 @@
 		call->easy = curl_easy_init();
 	set_options(call, request);
 	g_hash_table_add(client->calls, call);
-	curl_multi_add_handle(client->multi, call->easy);
+	curl_multi_add_handle(call->partition->multi, call->easy);
 	return call;
 }
 
--- a/tests/unit/test_transport.c
+++ b/tests/unit/test_transport.c
@@ -138,6 +138,69 @@
 	g_assert_cmpstr(f->body, ==, "hello");
 }
 
+/*
+ * Guards against calls to one address that are sent over different partitions:
+ * each would open connections of its own. One connection an address is allowed
+ * here, so that a second one ends the call unsent.
+ */
+static void test_partitions(struct fixture *f, gconstpointer data)
+{
+	static const char *const paths[] = { "/echo", "/other", "/echo?a=/b" };
+	struct cq_http_server_handler handler = { handle, aborted };
+	struct cq_http_server_options options;
+	struct cq_http_server *other;
+	struct cq_error err = CQ_ERROR_INIT;
+	uint32_t sent = 0;
+	size_t i;
+
+	(void)data;
+	cq_http_client_destroy(f->client);
+	f->client = cq_http_client_create_partitioned(f->loop, 4, 64, 16);
+	cq_http_client_limit_connections(f->client, 1, 60000);
+	cq_http_server_options_init(&options, "127.0.0.1", 0);
+	other = cq_http_server_create(f->loop, &options, &handler, f, &err);
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		struct cq_http_server *servers[] = { f->server, other };
+		size_t k;
+
+		for (k = 0; k < G_N_ELEMENTS(servers); k++) {
+			char *url = g_strdup_printf(
+				"http://127.0.0.1:%u%s",
+				cq_http_server_port(servers[k]), paths[i]);
+			struct cq_http_request request = {
+				.method = "POST",
+				.url = url,
+				.body = "x",
+				.body_len = 1,
+				.connect_timeout_ms = 1000,
+				.timeout_ms = 5000,
+			};
+
+			cq_http_client_send(f->client, &request, done, f);
+			g_free(url);
+			run_until(f->loop, &f->done, ++sent);
+			g_assert_cmpint(f->outcome, ==, CQ_HTTP_ANSWERED);
+		}
+	}
+	g_assert_cmpuint(cq_http_client_half_closed_count(f->client), ==, 0);
+	cq_http_server_destroy(other);
+}
+
+/* Guards against a partition whose open calls outlive the client. */
+static void test_partitions_cancelled(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	cq_http_client_destroy(f->client);
+	f->client = cq_http_client_create_partitioned(f->loop, 4, 64, 16);
+	post(f, "/hold", "x", 1, 5000);
+	run_until(f->loop, &f->handled, 1);
+	g_assert_cmpuint(cq_http_client_open_calls(f->client), ==, 1);
+	cq_http_client_destroy(f->client);
+	f->client = NULL;
+	run_until(f->loop, &f->aborted, 1);
+	g_assert_cmpuint(f->done, ==, 0);
+}
+
 /* Guards against a lost wake-up when the handler responds later. */
 static void test_late_answer(struct fixture *f, gconstpointer data)
 {
@@ -559,6 +622,8 @@
 	HTTP_TEST("address_in_use", test_address_in_use);
 	HTTP_TEST("no_address", test_no_address);
 	HTTP_TEST("cancel", test_cancel);
+	HTTP_TEST("partitions", test_partitions);
+	HTTP_TEST("partitions_cancelled", test_partitions_cancelled);
 	g_test_add_func("/transport/http/slow-sender", test_slow_sender);
 	g_test_add_func("/transport/frame/table", test_frame_table);
 	g_test_add_func("/transport/peers", test_peers);
