Commands to workers are checked when they are written

Cause: the permission to command was checked when a command was given. It was then written after a connection had been opened, which may take 400 ms, or after the process had been suspended; stops of stray runs and changes of pace were not checked at all. A leader whose lease had ended meanwhile still sent them, and only the fencing token kept them from being carried out, on workers that had seen a later one.

Change: a request may have a function that libcurl asks when the connection is ready, right before it writes. A refused command is known not to be sent. Numbers of workers that no type holds no longer reach a conversion (clock, percent, load).

test_platform_http: both tests fail without the change.

--- a/include/chestnutquay/http_client.h
+++ b/include/chestnutquay/http_client.h
@@ -62,6 +62,13 @@
 	 * be executed twice needs this.
 	 */
 	bool fresh_connection;
+	/*
+	 * Asked when the connection is ready, right before the request is
+	 * written. If it returns false, nothing is written and the call ends as
+	 * CQ_HTTP_NOT_SENT. NULL: the request is written in any case.
+	 */
+	bool (*may_send)(void *ctx);
+	void *may_send_ctx;
 };
 
 typedef void cq_http_done_fn(void *ctx, const struct cq_http_result *result);
--- a/src/programs/hostd/dispatch.c
+++ b/src/programs/hostd/dispatch.c
@@ -46,7 +46,7 @@
 		.max_lease_ms = h->settings.max_lease_ms,
 	};
 
-	h->executor = cq_executor_http_create(h->worker_client);
+	h->executor = cq_executor_http_create(h->worker_client, may_command, h);
 	h->dispatcher = cq_dispatcher_create(&options, h->store,
 					     cq_executor_http_get(h->executor),
 					     &dispatcher_ops, h);
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -47,6 +47,8 @@
 	GByteArray *answer;
 	uint32_t max_answer_bytes;
 	bool limit_reached;
+	bool (*may_send)(void *ctx);
+	void *may_send_ctx;
 	cq_http_done_fn *done;
 	void *ctx;
 };
@@ -65,6 +67,8 @@
 static curl_socket_t on_open_socket(void *userdata, curlsocktype purpose,
 				    struct curl_sockaddr *address);
 static int on_close_socket(void *userdata, curl_socket_t fd);
+static int on_before_request(void *userdata, char *remote_ip, char *local_ip,
+			     int remote_port, int local_port);
 static size_t on_write(char *data, size_t size, size_t n, void *userdata);
 static int on_socket(CURL *easy, curl_socket_t fd, int what, void *userp,
 		     void *socketp);
@@ -214,6 +218,19 @@
 	return 0;
 }
 
+static int on_before_request(void *userdata, char *remote_ip, char *local_ip,
+			     int remote_port, int local_port)
+{
+	const struct cq_http_call *call = userdata;
+
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	(void)local_port;
+	return call->may_send(call->may_send_ctx) ? CURL_PREREQFUNC_OK
+						  : CURL_PREREQFUNC_ABORT;
+}
+
 static size_t on_write(char *data, size_t size, size_t n, void *userdata)
 {
 	struct cq_http_call *call = userdata;
@@ -401,6 +418,11 @@
 	curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 0L);
 	/* Hosts are numeric. libcurl walks the whole cache after each call. */
 	curl_easy_setopt(easy, CURLOPT_DNS_CACHE_TIMEOUT, 0L);
+	if (call->may_send) {
+		curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION,
+				 on_before_request);
+		curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+	}
 	if (call->client->connections) {
 		curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION,
 				 on_open_socket);
@@ -449,6 +471,8 @@
 	call->partition = find_partition(client, request->url);
 	call->done = done;
 	call->ctx = ctx;
+	call->may_send = request->may_send;
+	call->may_send_ctx = request->may_send_ctx;
 	call->max_answer_bytes = request->max_answer_bytes
 					 ? request->max_answer_bytes
 					 : 4U << 20;
--- a/tests/unit/test_platform_http.c
+++ b/tests/unit/test_platform_http.c
@@ -31,6 +31,7 @@
 	int requests;
 	/* The result passed to the completion. */
 	bool done;
+	bool forbidden; /* commands may not be sent */
 	struct cq_store_result result;
 	char *entries;
 	struct cq_executor_report report;
@@ -63,6 +64,13 @@
 		f->body = f->second_body;
 }
 
+static bool may_send(void *ctx)
+{
+	const struct fixture *f = ctx;
+
+	return !f->forbidden;
+}
+
 static void fixture_open(struct fixture *f)
 {
 	static const struct cq_http_server_handler handler = { on_request,
@@ -77,7 +85,7 @@
 		   cq_http_server_port(f->server));
 	f->client = cq_http_client_create(f->loop, 4, 4);
 	f->kv = cq_kv_store_create(f->client, f->address);
-	f->executor = cq_executor_http_create(f->client);
+	f->executor = cq_executor_http_create(f->client, may_send, f);
 }
 
 static void fixture_close(struct fixture *f)
@@ -276,6 +284,90 @@
 	fixture_close(&f);
 }
 
+/*
+ * Guards against a command that leaves after the permission to command has
+ * ended: it was given in time, and the process was suspended, or a connection
+ * was being opened, until the permission had run out. All commands are sent
+ * twice, over a new connection and over a reused one.
+ */
+static void test_executor_forbidden(void)
+{
+	static const struct cq_executor_start start = {
+		.task = "t.0.0.1", .run = 2, .spec = "s", .lease_end_ms = 9
+	};
+	static const struct cq_executor_heartbeat heartbeat = { 9, 0, 0 };
+	struct cq_executor_target target = { .id = "i-1", .fencing_token = 7 };
+	const struct cq_executor *e;
+	struct fixture f;
+	int round, command;
+
+	fixture_open(&f);
+	e = cq_executor_http_get(f.executor);
+	target.address = f.address;
+	f.body = "{\"clockMs\":1}";
+	for (round = 0; round < 2; round++) {
+		for (command = 0; command < 4; command++) {
+			f.requests = 0;
+			if (command == 0)
+				e->ops->start(e->self, &target, &start,
+					      CALL_TIMEOUT_MS, on_report, &f);
+			else if (command == 1)
+				e->ops->stop(e->self, &target, "t.0.0.1", 2,
+					     CALL_TIMEOUT_MS, on_report, &f);
+			else if (command == 2)
+				e->ops->pace(e->self, &target, "t.0.0.1", 2, 9,
+					     CALL_TIMEOUT_MS, on_report, &f);
+			else
+				e->ops->heartbeat(e->self, &target, &heartbeat,
+						  CALL_TIMEOUT_MS, on_report,
+						  &f);
+			f.forbidden = true;
+			await(&f);
+			g_assert_cmpint(f.report.answer, ==,
+					CQ_EXECUTOR_NOT_SENT);
+			g_assert_cmpint(f.requests, ==, 0);
+			f.forbidden = false;
+		}
+		e->ops->heartbeat(e->self, &target, &heartbeat, CALL_TIMEOUT_MS,
+				  on_report, &f);
+		await(&f);
+		g_assert_cmpint(f.report.answer, ==, CQ_EXECUTOR_OK);
+	}
+	fixture_close(&f);
+}
+
+/* Guards against numbers of a worker that no type holds. */
+static void test_executor_odd_numbers(void)
+{
+	static const struct cq_executor_heartbeat heartbeat = { 9, 0, 0 };
+	static const char *const clocks[] = { "1e300", "-1", "\"5\"",
+					      "99999999999999999999" };
+	struct cq_executor_target target = { .id = "i-1", .fencing_token = 7 };
+	const struct cq_executor *e;
+	struct fixture f;
+	size_t i;
+
+	fixture_open(&f);
+	e = cq_executor_http_get(f.executor);
+	target.address = f.address;
+	for (i = 0; i < G_N_ELEMENTS(clocks); i++) {
+		char *body = g_strdup_printf("{\"clockMs\":%s}", clocks[i]);
+
+		f.body = body;
+		e->ops->heartbeat(e->self, &target, &heartbeat, CALL_TIMEOUT_MS,
+				  on_report, &f);
+		await(&f);
+		g_assert_cmpint(f.report.answer, ==, CQ_EXECUTOR_UNKNOWN);
+		g_free(body);
+	}
+	f.body = "{\"clockMs\":1,\"running\":[[\"a.0.0.1\",2,\"\",1e300,-7]]}";
+	e->ops->heartbeat(e->self, &target, &heartbeat, CALL_TIMEOUT_MS,
+			  on_report, &f);
+	await(&f);
+	g_assert_cmpstr(f.lists, ==, "a.0.0.1 2  4294967295 0;");
+	fixture_close(&f);
+}
+
 static void test_executor_calls(void)
 {
 	struct fixture f;
@@ -388,6 +480,10 @@
 	g_test_add_func("/platform_http/store_answers", test_store_answers);
 	g_test_add_func("/platform_http/store_cancel", test_store_cancel);
 	g_test_add_func("/platform_http/executor_calls", test_executor_calls);
+	g_test_add_func("/platform/executor/forbidden",
+			test_executor_forbidden);
+	g_test_add_func("/platform/executor/odd_numbers",
+			test_executor_odd_numbers);
 	g_test_add_func("/platform_http/executor_answers",
 			test_executor_answers);
 	return g_test_run();
