Plans take at most a quarter of the leader's time

A plan follows each change, so that at several hundred ends a second one plan follows the other, and heartbeats, renewals and ends wait.

Change: the sums are made once a plan and kept up to date in it. A plan that took a while is followed by a pause of three times that, at most 150 ms (work_share, without clock or loop of its own). Plans that are short follow as soon as before.

--- a/include/chestnutquay/pool.h
+++ b/include/chestnutquay/pool.h
@@ -40,6 +40,12 @@
 	GHashTable *workers; /* id -> struct cq_pool_worker, owned */
 };
 
+/* Accelerators of the usable workers, and how many of them are free. */
+struct cq_pool_totals {
+	int64_t accelerators;
+	int64_t free_accelerators;
+};
+
 struct cq_pool *cq_pool_create(void);
 void cq_pool_destroy(struct cq_pool *pool);
 struct cq_pool_worker *cq_pool_find(const struct cq_pool *pool, const char *id);
@@ -56,6 +62,7 @@
 /* True if that many more tasks of the step fit into the free resources. */
 bool cq_pool_fits(const struct cq_pool_worker *worker,
 		  const struct cq_workload_step *step, uint32_t tasks);
+struct cq_pool_totals cq_pool_totals(const struct cq_pool *pool);
 bool cq_pool_has_label(const struct cq_pool_worker *worker, const char *label);
 
 #endif
--- a/include/chestnutquay/stage_order.h
+++ b/include/chestnutquay/stage_order.h
@@ -47,6 +47,7 @@
  * preemptions. A stage that is close to its objective need not wait.
  */
 bool cq_ready_stage_leaves_headroom(const struct cq_ready_stage *r,
-				    const struct cq_pool *pool, int64_t now_ns);
+				    const struct cq_pool_totals *totals,
+				    int64_t now_ns);
 
 #endif
--- a/include/chestnutquay/stage_plan.h
+++ b/include/chestnutquay/stage_plan.h
@@ -21,7 +21,7 @@
 		       const struct cq_ready_stage *right, int64_t now_ns);
 	/* Returns false if the stage must not start in this plan. */
 	bool (*may_start)(const struct cq_ready_stage *r,
-			  const struct cq_pool *pool, int64_t now_ns);
+			  const struct cq_pool_totals *totals, int64_t now_ns);
 	/*
 	 * Returns the work that may be lost by preemption for the stage, in
 	 * core-seconds per core that it gets; negative: nothing is preempted.
--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -9,6 +9,12 @@
 #define TICK_S 0.05
 /* Delay that lets one plan handle all changes made during it. */
 #define PLAN_DELAY_S 0.005
+/*
+ * Plans take at most one part in so many of the time. Renewals, heartbeats,
+ * stops and recorded ends need the rest when the processor is short.
+ */
+#define PLAN_TIME_DIVISOR 4
+#define MAX_PLAN_PAUSE_NS (INT64_C(150) * CQ_NS_PER_MS)
 /* Run numbers reserved per task for each epoch. */
 #define RUN_NUMBERS_PER_EPOCH 64
 /* A worker gets no new runs for AVOID_NS after this many failures in a row. */
@@ -88,6 +94,8 @@
 	open_metrics(d, options->metrics);
 	ev_timer_init(&d->tick_timer, on_tick, TICK_S, TICK_S);
 	ev_timer_init(&d->plan_timer, on_plan, 0., 0.);
+	cq_work_share_init(&d->plan_share, PLAN_TIME_DIVISOR,
+			   MAX_PLAN_PAUSE_NS);
 	d->tick_timer.data = d;
 	d->plan_timer.data = d;
 	ev_timer_start(d->loop, &d->tick_timer);
@@ -151,10 +159,15 @@
 
 void dispatcher_plan_soon(struct cq_dispatcher *d)
 {
+	int64_t wait_ns;
+
 	if (ev_is_active(&d->plan_timer))
 		return;
+	wait_ns = cq_work_share_wait_ns(&d->plan_share, dispatcher_now_ns(d));
 	ev_now_update(d->loop);
-	ev_timer_set(&d->plan_timer, PLAN_DELAY_S, 0.);
+	ev_timer_set(&d->plan_timer,
+		     MAX(PLAN_DELAY_S, (double)wait_ns / (double)CQ_NS_PER_S),
+		     0.);
 	ev_timer_start(d->loop, &d->plan_timer);
 }
 
@@ -162,11 +175,14 @@
 {
 	struct cq_dispatcher *d = timer->data;
 	int64_t from_ns = dispatcher_now_ns(d);
+	int64_t ended_ns;
 
 	(void)loop;
 	(void)events;
 	dispatcher_plan(d);
-	cq_histogram_observe_ns(d->plan_time, dispatcher_now_ns(d) - from_ns);
+	ended_ns = dispatcher_now_ns(d);
+	cq_work_share_ended(&d->plan_share, from_ns, ended_ns);
+	cq_histogram_observe_ns(d->plan_time, ended_ns - from_ns);
 }
 
 static void retry_commands(struct cq_dispatcher *d,
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -7,6 +7,7 @@
 #include "chestnutquay/follower.h"
 #include "chestnutquay/journal.h"
 #include "chestnutquay/pool.h"
+#include "chestnutquay/work_share.h"
 
 /*
  * A run end reported by a worker that is not acknowledged to it until the store
@@ -85,6 +86,7 @@
 	uint32_t probes_in_flight;     /* without those silent for too long */
 	ev_timer tick_timer;
 	ev_timer plan_timer;
+	struct cq_work_share plan_share;
 
 	struct cq_counter *starts;
 	struct cq_counter *stops;
--- a/src/state/stage_order.c
+++ b/src/state/stage_order.c
@@ -104,28 +104,17 @@
 }
 
 bool cq_ready_stage_leaves_headroom(const struct cq_ready_stage *r,
-				    const struct cq_pool *pool, int64_t now_ns)
+				    const struct cq_pool_totals *totals,
+				    int64_t now_ns)
 {
 	int64_t needed =
 		(int64_t)r->stage->step->tasks * r->stage->step->accelerators;
-	int64_t total = 0;
-	int64_t free_accelerators = 0;
-	GHashTableIter iter;
-	gpointer value;
 
 	if (r->queue->priority == 0 ||
 	    now_ns > r->objective_ns - (int64_t)(HEADROOM_SLACK_FACTOR *
 						 (double)r->critical_path_ms) *
 					       CQ_NS_PER_MS)
 		return true;
-	g_hash_table_iter_init(&iter, pool->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct cq_pool_worker *worker = value;
-
-		if (!worker->usable)
-			continue;
-		total += worker->listing.accelerators;
-		free_accelerators += worker->free_accelerators;
-	}
-	return (free_accelerators - needed) * 1000 >= total * HEADROOM_PERMILLE;
+	return (totals->free_accelerators - needed) * 1000 >=
+	       totals->accelerators * HEADROOM_PERMILLE;
 }
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -27,7 +27,8 @@
 			      const struct cq_ready_stage *r,
 			      const struct cq_stage_plan_ops *ops, void *ctx);
 static void plan_stage(const struct cq_stage_plan *plan,
-		       const struct cq_ready_stage *r, GArray *assignments,
+		       const struct cq_ready_stage *r,
+		       struct cq_pool_totals *totals, GArray *assignments,
 		       const struct cq_stage_plan_ops *ops, void *ctx);
 
 const struct cq_stage_policy cq_stage_policy_default = {
@@ -107,7 +108,8 @@
 }
 
 static void plan_stage(const struct cq_stage_plan *plan,
-		       const struct cq_ready_stage *r, GArray *assignments,
+		       const struct cq_ready_stage *r,
+		       struct cq_pool_totals *totals, GArray *assignments,
 		       const struct cq_stage_plan_ops *ops, void *ctx)
 {
 	const struct cq_placement p = {
@@ -120,10 +122,13 @@
 	};
 
 	g_array_set_size(assignments, 0);
-	if (!plan->policy->may_start(r, plan->pool, plan->now_ns))
+	if (!plan->policy->may_start(r, totals, plan->now_ns))
 		return;
-	if (cq_placement_find(&p, assignments))
+	if (cq_placement_find(&p, assignments)) {
+		totals->free_accelerators -= (int64_t)assignments->len *
+					     r->stage->step->accelerators;
 		ops->start(ctx, r, assignments);
+	}
 	if (cq_stage_waiting(r->stage))
 		preempt_for_stage(plan, &p, r, ops, ctx);
 }
@@ -133,6 +138,7 @@
 {
 	GArray *assignments =
 		g_array_new(FALSE, TRUE, sizeof(struct cq_assignment));
+	struct cq_pool_totals totals = cq_pool_totals(plan->pool);
 	guint i;
 
 	cq_placement_prepare(plan->pool);
@@ -140,6 +146,6 @@
 	for (i = 0; i < ready->len; i++)
 		plan_stage(plan,
 			   &g_array_index(ready, struct cq_ready_stage, i),
-			   assignments, ops, ctx);
+			   &totals, assignments, ops, ctx);
 	g_array_unref(assignments);
 }
--- a/tests/support/replay_policies.c
+++ b/tests/support/replay_policies.c
@@ -50,10 +50,10 @@
 }
 
 static bool always_may_start(const struct cq_ready_stage *r,
-			     const struct cq_pool *pool, int64_t now_ns)
+			     const struct cq_pool_totals *totals, int64_t now_ns)
 {
 	(void)r;
-	(void)pool;
+	(void)totals;
 	(void)now_ns;
 	return true;
 }
--- a/tests/unit/test_stage_order.c
+++ b/tests/unit/test_stage_order.c
@@ -158,15 +158,18 @@
 	struct cq_ready_stage u = make_ready_stage(fresh, &urgent);
 	struct cq_ready_stage p = make_ready_stage(pressed, &middle);
 	struct cq_pool_worker *worker = cq_pool_add(pool, listing.id);
+	struct cq_pool_totals totals;
 
 	cq_pool_update(worker, &listing);
 	worker->usable = true;
 	worker->free_accelerators = 12;
-	g_assert_true(cq_ready_stage_leaves_headroom(&f, pool, NOW_NS));
+	totals = cq_pool_totals(pool);
+	g_assert_true(cq_ready_stage_leaves_headroom(&f, &totals, NOW_NS));
 	worker->free_accelerators = 11;
-	g_assert_false(cq_ready_stage_leaves_headroom(&f, pool, NOW_NS));
-	g_assert_true(cq_ready_stage_leaves_headroom(&u, pool, NOW_NS));
-	g_assert_true(cq_ready_stage_leaves_headroom(&p, pool, NOW_NS));
+	totals = cq_pool_totals(pool);
+	g_assert_false(cq_ready_stage_leaves_headroom(&f, &totals, NOW_NS));
+	g_assert_true(cq_ready_stage_leaves_headroom(&u, &totals, NOW_NS));
+	g_assert_true(cq_ready_stage_leaves_headroom(&p, &totals, NOW_NS));
 	cq_batch_destroy(fresh);
 	cq_batch_destroy(pressed);
 	cq_pool_destroy(pool);
