Follow the store while its watches hear nothing

(Log of the leader: store_lost of cq/job/, then watch_history_gone a second later.)

Change: the leader's watches wait 0.3 s, and the first call after a watch without an answer is a list, at most one in five seconds.

test_follower fails without the list.

--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -8,7 +8,12 @@
 #include "chestnutquay/log.h"
 #include "coordination/dispatcher_internal.h"
 
-#define WATCH_WAIT_MS 2000
+/*
+ * A connection may go silent without an end, and a watch on it then learns of
+ * nothing until it times out. A short wait bounds how long the leader misses
+ * new jobs and workers that leave.
+ */
+#define WATCH_WAIT_MS 300
 /* A list page of a megabyte takes most of a second at 10 Mbit/s. */
 #define LIST_TIMEOUT_MS 6000
 /* Interval between writes of the numbers of waiting jobs. */
--- a/src/coordination/follower.c
+++ b/src/coordination/follower.c
@@ -11,6 +11,14 @@
 #define RETRY_MAX_S 0.8
 /* Wait of the watch call that checks whether the store answers again. */
 #define PROBE_WAIT_MS 1
+/*
+ * A watch may hear nothing while other calls are answered. So the first thing
+ * after a watch without an answer is a list, with this timeout of a page, but
+ * not more often than this: a slow store must not be asked for all keys again
+ * and again.
+ */
+#define RELIST_TIMEOUT_MS 700
+#define RELIST_INTERVAL_NS (INT64_C(5) * CQ_NS_PER_S)
 
 struct cq_follower {
 	struct ev_loop *loop;
@@ -28,11 +36,15 @@
 	int64_t revision; /* watch from after this revision; 0: list first */
 	int64_t sent_ns;
 	int64_t contact_ns;
+	int64_t next_relist_ns; /* earliest list after an unanswered watch */
 	bool synced;
 	bool reachable;
 };
 
 static void send_next(struct cq_follower *f);
+static void send_list(struct cq_follower *f, uint32_t timeout_ms);
+static bool may_relist(const struct cq_follower *f,
+		       const struct cq_store_result *result);
 static void on_retry(struct ev_loop *loop, ev_timer *timer, int events);
 static void on_list(void *ctx, const struct cq_store_result *result);
 static void on_watch(void *ctx, const struct cq_store_result *result);
@@ -98,6 +110,13 @@
 	return f->contact_ns;
 }
 
+static void send_list(struct cq_follower *f, uint32_t timeout_ms)
+{
+	f->sent_ns = cq_clock_now_ns(f->clock);
+	f->call = f->store->ops->list(f->store->self, f->prefix, timeout_ms,
+				      on_list, f);
+}
+
 static void send_next(struct cq_follower *f)
 {
 	f->sent_ns = cq_clock_now_ns(f->clock);
@@ -106,8 +125,14 @@
 			f->store->self, f->prefix, f->revision,
 			f->reachable ? f->wait_ms : PROBE_WAIT_MS, on_watch, f);
 	else
-		f->call = f->store->ops->list(f->store->self, f->prefix,
-					      f->list_timeout_ms, on_list, f);
+		send_list(f, f->list_timeout_ms);
+}
+
+static bool may_relist(const struct cq_follower *f,
+		       const struct cq_store_result *result)
+{
+	return result->status == CQ_STORE_UNKNOWN &&
+	       cq_clock_now_ns(f->clock) >= f->next_relist_ns;
 }
 
 static void on_retry(struct ev_loop *loop, ev_timer *timer, int events)
@@ -229,6 +254,12 @@
 		send_next(f);
 		return;
 	}
+	if (may_relist(f, result)) {
+		f->next_relist_ns =
+			cq_clock_now_ns(f->clock) + RELIST_INTERVAL_NS;
+		send_list(f, RELIST_TIMEOUT_MS);
+		return;
+	}
 	if (result->status != CQ_STORE_OK) {
 		schedule_retry(f);
 		return;
--- a/tests/support/mem_store.c
+++ b/tests/support/mem_store.c
@@ -228,6 +228,21 @@
 	g_ptr_array_unref(search.keys);
 }
 
+void mem_store_set_deaf_watches(struct mem_store *s, bool deaf)
+{
+	guint i;
+
+	s->deaf_watches = deaf;
+	for (i = 0; deaf && i < s->calls->len; i++) {
+		struct mem_call *call = g_ptr_array_index(s->calls, i);
+
+		if (!call->prefix)
+			continue;
+		g_clear_pointer(&call->prefix, g_free);
+		call->result.status = CQ_STORE_UNKNOWN;
+	}
+}
+
 void mem_store_compact(struct mem_store *s)
 {
 	guint i;
@@ -319,6 +334,10 @@
 
 	if (fail_if_faulty(call))
 		return (struct cq_store_call *)call;
+	if (s->deaf_watches) {
+		ev_timer_set(&call->timer, wait_ms / 1000.0, 0.);
+		return complete(call, CQ_STORE_UNKNOWN);
+	}
 	if (after_revision < s->compacted)
 		return complete(call, CQ_STORE_COMPACTED);
 	call->prefix = g_strdup(prefix);
--- a/tests/support/mem_store.h
+++ b/tests/support/mem_store.h
@@ -56,6 +56,11 @@
 void mem_store_expire_due(struct mem_store *s);
 /* The lease id of a key; 0 if it has none. */
 int64_t mem_store_lease_of(const struct mem_store *s, const char *key);
+/*
+ * While it is set, watches hear nothing and end without an answer after their
+ * wait; all other calls are answered.
+ */
+void mem_store_set_deaf_watches(struct mem_store *s, bool deaf);
 /* Drops the history and ends all watches with CQ_STORE_COMPACTED. */
 void mem_store_compact(struct mem_store *s);
 /* Number of transactions and puts executed, and of all calls received. */
--- a/tests/support/mem_store_internal.h
+++ b/tests/support/mem_store_internal.h
@@ -55,6 +55,7 @@
 	enum mem_store_fault change_fault, fault;
 	int fault_count;
 	double delay_s;
+	bool deaf_watches;
 	uint32_t change_count, call_count;
 };
 
