--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -218,6 +218,8 @@
 	return 0;
 }
 
+/* The parameters are those of libcurl. */
+/* NOLINTNEXTLINE(readability-non-const-parameter) */
 static int on_before_request(void *userdata, char *remote_ip, char *local_ip,
 			     int remote_port, int local_port)
 {
