--- a/include/chestnutquay/http_client.h
+++ b/include/chestnutquay/http_client.h
@@ -83,7 +83,7 @@
 /*
  * The same for a client of many addresses. They are divided among partitions by
  * a hash; the cost of a call grows with the connections of its partition only.
- * max_idle is divided evenly among the partitions. Each one takes about 40 KB.
+ * max_idle is divided evenly among the partitions.
  */
 struct cq_http_client *
 cq_http_client_create_partitioned(struct ev_loop *loop, uint32_t max_per_host,
--- a/tests/unit/test_platform_documents.c
+++ b/tests/unit/test_platform_documents.c
@@ -13,6 +13,7 @@
 	"{\"nodeName\":\"front-a-1\",\"zone\":\"a\",\"extra\":[1],"
 	"\"listen\":{\"front\":\"10.1.0.19:8521\",\"ready\":\"10.1.0.19:8523\"},"
 	"\"bounds\":{\"graceS\":6.5,\"holdMaxMs\":9000,\"stopTimeoutMs\":\"x\"},"
+	"\"limits\":{\"memoryMb\":160,\"maxFds\":\"4100\"},"
 	"\"heartbeatMs\":1500,\"advisor\":\"10.2.0.1:1\","
 	"\"platform\":{\"address\":\"10.200.1.7:8524\",\"writesPerS\":300},"
 	"\"cloud\":{\"address\":\"10.200.0.1:2\"}}";
@@ -33,6 +34,8 @@
 	g_assert_cmpuint(s.max_lease_ms, ==, 9000);
 	/* A field of the wrong type takes its default. */
 	g_assert_cmpuint(s.run_stop_ms, ==, 900);
+	g_assert_cmpuint(s.memory_mb, ==, 160);
+	g_assert_cmpuint(s.max_descriptors, ==, 4096);
 }
 
 static void test_bad_settings(void)
