--- a/review/1/case.c
+++ b/review/1/case.c
@@ -76,6 +76,8 @@
 	note("%d other jobs were handed in, %u have started; transactions "
 	     "refused since a value is larger than valueBytes: %d",
 	     others, g_hash_table_size(started), store_too_large);
+	if (trouble && !store_too_large)
+		world_abort("the record stayed below valueBytes for too long");
 	world_sleep(2000);
 	before = others;
 	for (i = 0; i < 3; i++)
--- a/review/standin/hosts.c
+++ b/review/standin/hosts.c
@@ -46,7 +46,7 @@
 				   "graceS", 6, "configApplyMs", 2000,
 				   "holdMaxMs", HOLD_MAX_MS, "stopTimeoutMs",
 				   STOP_TIMEOUT_MS, "cancel_ms", CANCEL_MS,
-				   "leaseMs", 3000, "reclaimMs", 3400);
+				   "leaseMs", 3000, "reclaimMs", 2900);
 	char *name = g_strdup_printf("front-%d", host);
 	json_t *root = json_pack(
 		"{s:s,s:s,s:s,s:[s],s:s,s:s,s:s,s:{s:s,s:s},s:b,"
--- a/review/standin/minion.c
+++ b/review/standin/minion.c
@@ -8,7 +8,7 @@
 #define BEAT_MS 1500
 #define SERVICE "s"
 #define ZONE "z0"
-#define MINIONS_A_RACK 8
+#define MINIONS_A_RACK 6
 
 struct minion *minions[MAX_MINIONS];
 int minion_count;
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -20,15 +20,15 @@
 
 #define MAX_HOSTS 8
 #define MAX_MINIONS 64
-/* Bounds and sizes of the site tapaviva-quay, from SYSTEM.md. */
+/* Bounds and sizes of the site garba-milan, from SYSTEM.md. */
 #define HOLD_MAX_MS 10000
-#define STOP_TIMEOUT_MS 900
+#define STOP_TIMEOUT_MS 400
 #define CANCEL_MS 3000
 #define CONTACT_MS 3000
 #define FINISH_MS 14000
 #define MEMORY_MB 260
-#define MINION_CPU 64000
-#define MINION_MEM_MB 131072
+#define MINION_CPU 128000
+#define MINION_MEM_MB 524288
 #define MINION_GPUS 8
 #define VALUE_BYTES 1048576
 /* Ends that one answer of a minion lists. */
@@ -138,7 +138,7 @@
 /* Called when a minion is told that its ends up to a number are noted. */
 extern void (*on_noted)(struct minion *m, const struct end *end);
 
-/* Adds minions of the size of the site, eight a rack. */
+/* Adds minions of the size of the site, six a rack. */
 void minions_add(int count);
 void minion_register(struct minion *m);
 struct run *minion_find(const struct minion *m, const char *task);
