--- a/include/chestnutquay/http_client.h
+++ b/include/chestnutquay/http_client.h
@@ -17,7 +17,10 @@
 struct cq_http_client;
 struct cq_http_call;
 
-/* How a call ended. */
+/*
+ * How a call ended. A request is written at most once, whatever its method;
+ * sending it again is the caller's decision.
+ */
 enum cq_http_outcome {
 	CQ_HTTP_ANSWERED, /* a complete response arrived */
 	CQ_HTTP_NOT_SENT, /* no byte of the request was written */
@@ -57,9 +60,8 @@
 	/* A longer response body ends the call as CQ_HTTP_UNKNOWN. */
 	uint32_t max_answer_bytes;
 	/*
-	 * Use a new connection. libcurl silently resends a request when a
-	 * reused connection turns out to be closed, so a request that must not
-	 * be executed twice needs this.
+	 * Use a new connection. A reused one may be closed by the server while
+	 * the request is on its way, and the call then ends as CQ_HTTP_UNKNOWN.
 	 */
 	bool fresh_connection;
 	/*
--- a/src/protocol/store_http.c
+++ b/src/protocol/store_http.c
@@ -134,9 +134,9 @@
 	call->ctx = ctx;
 	call->is_read = !strcmp(method, "GET");
 	/*
-	 * libcurl may resend a request on a reused connection. A write sent
-	 * twice conflicts with its own first copy; a lease keepalive is
-	 * idempotent.
+	 * The store may close a reused connection while a request is on its
+	 * way. For a write that is an unknown outcome, which has to be resolved
+	 * by a read; a lease keepalive is idempotent.
 	 */
 	request.fresh_connection = !call->is_read &&
 				   !g_str_has_suffix(path, "/keepalive");
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -218,6 +218,20 @@
 	return 0;
 }
 
+/* Bytes of the request that were written, on all its connections. */
+static long written_bytes(const struct cq_http_call *call)
+{
+	long bytes = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &bytes);
+	return bytes;
+}
+
+/*
+ * Runs before each attempt to write the request. libcurl makes another one on a
+ * new connection if a reused one ends before an answer, for POST as well. The
+ * server may have executed what was written, so nothing is written again.
+ */
 /* The parameters are those of libcurl. */
 /* NOLINTNEXTLINE(readability-non-const-parameter) */
 static int on_before_request(void *userdata, char *remote_ip, char *local_ip,
@@ -229,8 +243,11 @@
 	(void)local_ip;
 	(void)remote_port;
 	(void)local_port;
-	return call->may_send(call->may_send_ctx) ? CURL_PREREQFUNC_OK
-						  : CURL_PREREQFUNC_ABORT;
+	if (written_bytes(call))
+		return CURL_PREREQFUNC_ABORT;
+	if (call->may_send && !call->may_send(call->may_send_ctx))
+		return CURL_PREREQFUNC_ABORT;
+	return CURL_PREREQFUNC_OK;
 }
 
 static size_t on_write(char *data, size_t size, size_t n, void *userdata)
@@ -330,12 +347,11 @@
 static void call_finished(struct cq_http_call *call, CURLcode code)
 {
 	struct cq_http_result result = { .call = call, .error = "" };
+	bool written = written_bytes(call) > 0;
 	long status = 0;
-	long request_bytes = 0;
 
 	call_unlink(call);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
 	if (code == CURLE_OK) {
 		result.outcome = CQ_HTTP_ANSWERED;
 		result.status = (uint32_t)status;
@@ -343,12 +359,13 @@
 		result.body = (const char *)call->answer->data;
 		result.body_len = call->answer->len - 1;
 	} else {
-		result.outcome = request_bytes ? CQ_HTTP_UNKNOWN
-					       : CQ_HTTP_NOT_SENT;
+		result.outcome = written ? CQ_HTTP_UNKNOWN : CQ_HTTP_NOT_SENT;
 		result.connection_limit_reached = call->limit_reached &&
-						  !request_bytes;
+						  !written;
 		result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
-		result.error = curl_easy_strerror(code);
+		result.error = written && code == CURLE_ABORTED_BY_CALLBACK
+				       ? "the connection ended before an answer"
+				       : curl_easy_strerror(code);
 		result.body = "";
 	}
 	call->done(call->ctx, &result);
@@ -420,11 +437,8 @@
 	curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 0L);
 	/* Hosts are numeric. libcurl walks the whole cache after each call. */
 	curl_easy_setopt(easy, CURLOPT_DNS_CACHE_TIMEOUT, 0L);
-	if (call->may_send) {
-		curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION,
-				 on_before_request);
-		curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
-	}
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_request);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
 	if (call->client->connections) {
 		curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION,
 				 on_open_socket);
