--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -161,7 +161,10 @@
 /* Stops a run on a worker that is not the current run of a known task. */
 void command_stop_unknown(struct cq_dispatcher *d, struct link *link,
 			  const char *task, uint32_t run);
-/* Sends unanswered starts and stops again when they are due. */
+/*
+ * Stops the task's current run if the records say that it must not go on, and
+ * sends unanswered starts and stops again when they are due.
+ */
 void command_retry(struct cq_dispatcher *d, struct cq_task *task,
 		   int64_t now_ns);
 /* Throttles the task's current run to percent of its speed. */
--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -45,6 +45,7 @@
 static void send_stop(struct cq_dispatcher *d, struct cq_task *task);
 static bool worker_accepts_start(const struct cq_dispatcher *d,
 				 const struct cq_task *task);
+static const char *stop_reason(const struct cq_task *task);
 
 static struct command_call *call_create(struct cq_dispatcher *d,
 					const char *worker, const char *task,
@@ -306,11 +307,41 @@
 					   task->run));
 }
 
+/*
+ * Why the task's current run must not go on; NULL: it may. This depends on the
+ * records only: a run that a former leader had to stop, and could not, looks
+ * the same to its successor.
+ */
+static const char *stop_reason(const struct cq_task *task)
+{
+	const struct cq_stage *stage = task->stage;
+
+	switch (stage->batch->state) {
+	case CQ_BATCH_CANCELLED:
+		return "the job was cancelled";
+	case CQ_BATCH_FAILED:
+		return "the job has ended";
+	case CQ_BATCH_QUEUED:
+	case CQ_BATCH_RUNNING:
+	case CQ_BATCH_COMPLETED:
+		break;
+	}
+	/* The other members of a gang that is done end on their own. */
+	if (stage->step->gang && !cq_stage_done(stage) &&
+	    stage->active_count < stage->step->tasks)
+		return "a member of the gang ended";
+	return NULL;
+}
+
 void command_retry(struct cq_dispatcher *d, struct cq_task *task,
 		   int64_t now_ns)
 {
 	struct link *link = task->worker->link;
+	const char *reason = stop_reason(task);
 
+	/* command_start_recorded() decides about runs that are not sent yet. */
+	if (reason && task->phase != CQ_RUN_RECORDING)
+		command_stop(d, task, reason);
 	if (!d->ops->may_command(d->ctx) || !task->worker->listing.address[0] ||
 	    !link->fenced)
 		return;
