--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -50,7 +50,8 @@
 	struct cq_stage *stage;
 	uint32_t index;
 	bool done;
-	uint32_t run; /* number of the last run; 0: none yet */
+	uint32_t run;	       /* number of the last run; 0: none yet */
+	uint32_t previous_run; /* the same before the current run */
 	uint32_t failures;
 	char *checkpoint; /* latest checkpoint of any run; NULL: none */
 
@@ -109,8 +110,13 @@
 	uint64_t durable_version;
 	/* The batch is queued for being written to the store. */
 	bool dirty_queued;
-	/* Store revision of the progress record; 0: there is no record. */
-	int64_t progress_revision;
+	/*
+	 * Most tasks that may have a run at a time, set when the store refused
+	 * the progress record as too large; 0: no limit
+	 */
+	uint32_t max_active;
+	/* When the refused record is written again; 0: none is refused. */
+	int64_t rewrite_ns;
 };
 
 /* Takes ownership of the workload. */
@@ -146,6 +152,13 @@
  */
 bool cq_stage_waiting(const struct cq_stage *stage);
 bool cq_batch_has_runs(const struct cq_batch *batch);
+/* Number of tasks that have a current run. */
+uint32_t cq_batch_active_count(const struct cq_batch *batch);
+/*
+ * How many more tasks may get a run. None may while a refused record waits to
+ * be written again.
+ */
+uint32_t cq_batch_active_room(const struct cq_batch *batch);
 /* True if at least one task has been started. */
 bool cq_batch_started(const struct cq_batch *batch);
 
@@ -155,6 +168,11 @@
  */
 void cq_task_assign(struct cq_task *task, struct cq_pool_worker *worker,
 		    uint32_t run);
+/*
+ * Takes back a run in phase CQ_RUN_RECORDING, which neither the store nor a
+ * worker knows; its number is used again.
+ */
+void cq_task_unassign(struct cq_task *task);
 /*
  * Ends the current run with the given outcome, counts a failure and updates the
  * batch. checkpoint may be NULL or "". max_attempts 0 means that the limit is
--- a/include/chestnutquay/journal.h
+++ b/include/chestnutquay/journal.h
@@ -7,6 +7,9 @@
  * This makes retries idempotent: a transaction that got no answer is sent again
  * until it is known to have been executed, a copy that is executed late changes
  * nothing, and no transaction succeeds after a later epoch has begun.
+ *
+ * A transaction that the store refuses as invalid is halved until the refused
+ * record is found, so that one record never holds up the others.
  */
 #ifndef CHESTNUTQUAY_JOURNAL_H
 #define CHESTNUTQUAY_JOURNAL_H
@@ -30,8 +33,16 @@
 	/* Fills in the records to be written next; returns their number. */
 	uint32_t (*collect)(void *ctx, struct cq_journal_record *records,
 			    uint32_t max);
-	/* The records collected last are in the store. */
-	void (*committed)(void *ctx);
+	/*
+	 * Of the records collected last, count from index first on are in the
+	 * store.
+	 */
+	void (*committed)(void *ctx, uint32_t first, uint32_t count);
+	/*
+	 * The store refuses the record at this index for good, for example
+	 * because it is too large. It is not written; the others are.
+	 */
+	void (*refused)(void *ctx, uint32_t index, const char *error);
 	/* A later epoch has begun; the journal writes nothing more. */
 	void (*superseded)(void *ctx);
 };
--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -25,7 +25,7 @@
 static void on_plan(struct ev_loop *loop, ev_timer *timer, int events);
 static void retry_commands(struct cq_dispatcher *d,
 			   struct cq_pool_worker *worker, int64_t now_ns);
-static void drop_ended_batches(struct cq_dispatcher *d);
+static void update_batches(struct cq_dispatcher *d);
 static void remove_unlisted_workers(struct cq_dispatcher *d, int64_t now_ns);
 static void update_failure_streak(struct cq_dispatcher *d,
 				  struct cq_pool_worker *worker,
@@ -46,6 +46,8 @@
 	d->heartbeats = cq_metrics_counter(metrics, "cq_holds_total", "");
 	d->preemptions =
 		cq_metrics_counter(metrics, "cq_preemptions_total", "");
+	d->refused_records =
+		cq_metrics_counter(metrics, "cq_records_refused_total", "");
 	d->plan_time = cq_metrics_histogram(metrics, "cq_plan_seconds", "");
 	d->wait_time =
 		cq_metrics_histogram(metrics, "cq_wait_for_start_seconds", "");
@@ -196,8 +198,11 @@
 		command_retry(d, g_ptr_array_index(worker->runs, i), now_ns);
 }
 
-/* Drops the batches that have ended and whose end is in the store. */
-static void drop_ended_batches(struct cq_dispatcher *d)
+/*
+ * Drops the batches that have ended and whose end is in the store, and writes
+ * refused records again.
+ */
+static void update_batches(struct cq_dispatcher *d)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -206,6 +211,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct cq_batch *batch = value;
 
+		dispatcher_rewrite_refused(d, batch);
 		if (!cq_batch_state_is_terminal(batch->state) ||
 		    batch->dirty_queued ||
 		    batch->durable_version != batch->version ||
@@ -258,7 +264,7 @@
 		retry_commands(d, worker, now_ns);
 	}
 	remove_unlisted_workers(d, now_ns);
-	drop_ended_batches(d);
+	update_batches(d);
 	dispatcher_store_tick(d);
 	dispatcher_plan_soon(d);
 }
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -95,6 +95,7 @@
 	struct cq_counter *heartbeats;
 	struct cq_counter *ends[CQ_RUN_LOST + 1];
 	struct cq_counter *preemptions;
+	struct cq_counter *refused_records;
 	struct cq_histogram *plan_time;
 	struct cq_histogram *wait_time;
 };
@@ -131,6 +132,9 @@
  * numbers of waiting jobs periodically.
  */
 void dispatcher_store_tick(struct cq_dispatcher *d);
+/* Writes a record again that the store refused some time ago. */
+void dispatcher_rewrite_refused(struct cq_dispatcher *d,
+				struct cq_batch *batch);
 /* Whether the configuration, all workloads and their progress are loaded. */
 bool dispatcher_loaded(const struct cq_dispatcher *d);
 
@@ -172,6 +176,8 @@
 		  uint32_t percent);
 /* Starts the runs of the batch that the store holds now. */
 void command_start_recorded(struct cq_dispatcher *d, struct cq_batch *batch);
+/* Takes back the runs of the batch whose starts were not sent yet. */
+void command_drop_recorded(struct cq_dispatcher *d, struct cq_batch *batch);
 
 /* dispatcher_plan.c: plans the ready stages and starts them. */
 void dispatcher_plan(struct cq_dispatcher *d);
--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -389,6 +389,22 @@
 	return true;
 }
 
+void command_drop_recorded(struct cq_dispatcher *d, struct cq_batch *batch)
+{
+	uint64_t version = batch->version;
+	uint32_t i, k;
+
+	for (i = 0; i < batch->stage_count; i++) {
+		struct cq_stage *stage = &batch->stages[i];
+
+		for (k = 0; stage->active_count && k < stage->step->tasks; k++)
+			if (stage->tasks[k].phase == CQ_RUN_RECORDING)
+				cq_task_unassign(&stage->tasks[k]);
+	}
+	if (batch->version != version)
+		dispatcher_mark_dirty(d, batch);
+}
+
 void command_start_recorded(struct cq_dispatcher *d, struct cq_batch *batch)
 {
 	bool allowed = d->ops->may_command(d->ctx) &&
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -16,11 +16,14 @@
 #define WATCH_WAIT_MS 300
 /* A list page of a megabyte takes most of a second at 10 Mbit/s. */
 #define LIST_TIMEOUT_MS 6000
+/* A refused record is written again after this time, if nothing changed it. */
+#define REFUSED_RETRY_NS (INT64_C(5) * CQ_NS_PER_S)
 /* Interval between writes of the numbers of waiting jobs. */
 #define PENDING_WRITE_INTERVAL_NS (INT64_C(500) * CQ_NS_PER_MS)
 
-/* A batch in the journal transaction that is in flight. */
+/* A record in the journal transaction that is in flight. */
 struct written_batch {
+	/* "": the record is not of a batch */
 	char batch_id[CQ_WORKLOAD_ID_BYTES];
 	uint64_t version;
 };
@@ -39,7 +42,8 @@
 static void cancel_batch(struct cq_dispatcher *d, struct cq_batch *batch);
 static uint32_t collect_records(void *ctx, struct cq_journal_record *records,
 				uint32_t max);
-static void on_committed(void *ctx);
+static void on_committed(void *ctx, uint32_t first, uint32_t count);
+static void on_refused(void *ctx, uint32_t index, const char *error);
 static void on_superseded(void *ctx);
 
 static const struct cq_follower_ops worker_ops = {
@@ -57,6 +61,7 @@
 static const struct cq_journal_ops journal_ops = {
 	.collect = collect_records,
 	.committed = on_committed,
+	.refused = on_refused,
 	.superseded = on_superseded,
 };
 
@@ -314,10 +319,13 @@
 
 	g_array_set_size(d->written_batches, 0);
 	if (d->pending_json && d->next_pending_write_ns < 0) {
+		const struct written_batch none = { 0 };
+
 		d->next_pending_write_ns =
 			dispatcher_now_ns(d) + PENDING_WRITE_INTERVAL_NS;
 		records[count].key = g_strdup(CQ_KEY_PENDING);
 		records[count++].value = g_strdup(d->pending_json);
+		g_array_append_val(d->written_batches, none);
 	}
 	while (count < max && !g_queue_is_empty(&d->dirty)) {
 		struct cq_batch *batch = g_queue_pop_head(&d->dirty);
@@ -347,12 +355,12 @@
 	g_free(links);
 }
 
-static void on_committed(void *ctx)
+static void on_committed(void *ctx, uint32_t first, uint32_t count)
 {
 	struct cq_dispatcher *d = ctx;
-	guint i;
+	uint32_t i;
 
-	for (i = 0; i < d->written_batches->len; i++) {
+	for (i = first; i < first + count; i++) {
 		const struct written_batch *written = &g_array_index(
 			d->written_batches, struct written_batch, i);
 		struct cq_batch *batch =
@@ -361,14 +369,46 @@
 		if (!batch)
 			continue;
 		batch->durable_version = written->version;
+		batch->rewrite_ns = 0;
 		command_start_recorded(d, batch);
 	}
-	g_array_set_size(d->written_batches, 0);
 	update_all_acknowledged(d);
 	if (!g_queue_is_empty(&d->dirty))
 		cq_journal_wake(d->journal);
 }
 
+/*
+ * Sets the job apart: its record is too large to be stored. Runs that are not
+ * sent yet are given up, and fewer tasks of the job run at a time from now on.
+ * Ends of runs stay unacknowledged until a smaller record is stored.
+ */
+static void on_refused(void *ctx, uint32_t index, const char *error)
+{
+	struct cq_dispatcher *d = ctx;
+	const struct written_batch *written =
+		&g_array_index(d->written_batches, struct written_batch, index);
+	struct cq_batch *batch =
+		g_hash_table_lookup(d->batches, written->batch_id);
+	uint32_t active = batch ? cq_batch_active_count(batch) : 0;
+
+	cq_counter_add(d->refused_records, 1);
+	cq_log_event(CQ_LOG_ERROR, "record_refused", "{s:s,s:i,s:s}", "id",
+		     written->batch_id, "active", (int)active, "error", error);
+	if (!batch)
+		return;
+	batch->max_active = MAX(1, active / 2);
+	batch->rewrite_ns = dispatcher_now_ns(d) + REFUSED_RETRY_NS;
+	command_drop_recorded(d, batch);
+}
+
+void dispatcher_rewrite_refused(struct cq_dispatcher *d, struct cq_batch *batch)
+{
+	if (!batch->rewrite_ns || dispatcher_now_ns(d) < batch->rewrite_ns)
+		return;
+	batch->rewrite_ns = dispatcher_now_ns(d) + REFUSED_RETRY_NS;
+	dispatcher_mark_dirty(d, batch);
+}
+
 static void on_superseded(void *ctx)
 {
 	struct cq_dispatcher *d = ctx;
--- a/src/coordination/journal.c
+++ b/src/coordination/journal.c
@@ -38,6 +38,9 @@
 	int64_t sent_ns;
 	struct cq_journal_record records[CQ_JOURNAL_MAX_RECORDS];
 	uint32_t record_count; /* 0: no transaction is in flight */
+	/* The transaction has part_count records from part_first on. */
+	uint32_t part_first;
+	uint32_t part_count;
 	struct cq_store_call *call;
 	ev_timer timer;
 	struct cq_work_share encode_share;
@@ -50,7 +53,10 @@
 static void send_txn(struct cq_journal *j);
 static void on_done(void *ctx, const struct cq_store_result *result);
 static void clear_records(struct cq_journal *j);
+static void settle_part(struct cq_journal *j);
 static void complete_txn(struct cq_journal *j, int64_t head_revision);
+static void on_invalid(struct cq_journal *j,
+		       const struct cq_store_result *result);
 static void on_conflict(struct cq_journal *j,
 			const struct cq_store_result *result);
 
@@ -137,6 +143,8 @@
 						  CQ_JOURNAL_MAX_RECORDS);
 		if (!j->record_count)
 			return;
+		j->part_first = 0;
+		j->part_count = j->record_count;
 		j->sequence++;
 	}
 	send_txn(j);
@@ -159,8 +167,9 @@
 	uint32_t i;
 
 	puts[txn.put_count++] = (struct cq_store_put){ j->head_key, head, 0 };
-	for (i = 0; i < j->record_count; i++) {
-		const struct cq_journal_record *record = &j->records[i];
+	for (i = 0; i < j->part_count; i++) {
+		const struct cq_journal_record *record =
+			&j->records[j->part_first + i];
 
 		if (record->value)
 			puts[txn.put_count++] =
@@ -176,14 +185,51 @@
 	g_free(head);
 }
 
-static void complete_txn(struct cq_journal *j, int64_t head_revision)
+/* Goes on with the records after the part that was committed or refused. */
+static void settle_part(struct cq_journal *j)
 {
-	j->head_revision = head_revision;
-	j->retry_s = RETRY_MIN_S;
+	j->part_first += j->part_count;
+	if (j->part_first < j->record_count) {
+		j->part_count = j->record_count - j->part_first;
+		send_txn(j);
+		return;
+	}
 	clear_records(j);
 	/* Writes changes that were made during the transaction. */
 	cq_journal_wake(j);
-	j->ops->committed(j->ctx);
+}
+
+static void complete_txn(struct cq_journal *j, int64_t head_revision)
+{
+	uint32_t first = j->part_first;
+	uint32_t count = j->part_count;
+
+	j->head_revision = head_revision;
+	j->retry_s = RETRY_MIN_S;
+	if (first + count < j->record_count)
+		j->sequence++;
+	settle_part(j);
+	j->ops->committed(j->ctx, first, count);
+}
+
+/*
+ * The store executes no part of the transaction, now or later. Its sequence
+ * number goes to the next transaction, as sequence numbers have no gaps.
+ */
+static void on_invalid(struct cq_journal *j,
+		       const struct cq_store_result *result)
+{
+	uint32_t index = j->part_first;
+
+	if (j->part_count > 1) {
+		j->part_count /= 2;
+		send_txn(j);
+		return;
+	}
+	if (index + 1 == j->record_count)
+		j->sequence--;
+	settle_part(j);
+	j->ops->refused(j->ctx, index, result->message ? result->message : "");
 }
 
 /*
@@ -245,10 +291,12 @@
 	case CQ_STORE_CONFLICT:
 		on_conflict(j, result);
 		return;
+	case CQ_STORE_INVALID:
+		on_invalid(j, result);
+		return;
 	case CQ_STORE_UNKNOWN:
 	case CQ_STORE_UNAVAILABLE:
 	case CQ_STORE_NOT_FOUND:
-	case CQ_STORE_INVALID:
 	case CQ_STORE_COMPACTED:
 		break;
 	}
--- a/src/state/batch.c
+++ b/src/state/batch.c
@@ -165,12 +165,29 @@
 
 bool cq_batch_has_runs(const struct cq_batch *batch)
 {
+	return cq_batch_active_count(batch) > 0;
+}
+
+uint32_t cq_batch_active_count(const struct cq_batch *batch)
+{
+	uint32_t count = 0;
 	uint32_t i;
 
 	for (i = 0; i < batch->stage_count; i++)
-		if (batch->stages[i].active_count)
-			return true;
-	return false;
+		count += batch->stages[i].active_count;
+	return count;
+}
+
+uint32_t cq_batch_active_room(const struct cq_batch *batch)
+{
+	uint32_t active;
+
+	if (batch->rewrite_ns)
+		return 0;
+	if (!batch->max_active)
+		return UINT32_MAX;
+	active = cq_batch_active_count(batch);
+	return batch->max_active > active ? batch->max_active - active : 0;
 }
 
 bool cq_batch_started(const struct cq_batch *batch)
@@ -186,6 +203,7 @@
 void cq_task_assign(struct cq_task *task, struct cq_pool_worker *worker,
 		    uint32_t run)
 {
+	task->previous_run = task->run;
 	task->run = run;
 	task->phase = CQ_RUN_RECORDING;
 	task->worker = worker;
@@ -207,6 +225,16 @@
 	cq_pool_book(worker, task);
 }
 
+void cq_task_unassign(struct cq_task *task)
+{
+	cq_pool_release(task->worker, task);
+	task->worker = NULL;
+	task->phase = CQ_RUN_NONE;
+	task->run = task->previous_run;
+	task->stage->active_count--;
+	task->stage->batch->version++;
+}
+
 static bool all_stages_done(const struct cq_batch *batch)
 {
 	uint32_t i;
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -48,6 +48,14 @@
 				  (int64_t)stage->occurrence * w->interval_ms;
 }
 
+/* True if the limit of the batch lets the stage, if a gang all of it, start. */
+static bool within_active_limit(const struct cq_stage *stage)
+{
+	uint32_t room = cq_batch_active_room(stage->batch);
+
+	return stage->step->gang ? room >= stage->step->tasks : room > 0;
+}
+
 void cq_stage_plan_collect(struct cq_batch *batch, const struct cq_queue *queue,
 			   int64_t now_ns, int64_t unix_ms, GArray *ready)
 {
@@ -58,7 +66,7 @@
 		struct cq_ready_stage r;
 
 		if (!cq_stage_waiting(stage) || !cq_stage_unblocked(stage) ||
-		    !is_due(stage, unix_ms))
+		    !is_due(stage, unix_ms) || !within_active_limit(stage))
 			continue;
 		if (!stage->ready_ns)
 			stage->ready_ns = now_ns;
@@ -122,9 +130,14 @@
 	};
 
 	g_array_set_size(assignments, 0);
-	if (!plan->policy->may_start(r, totals, plan->now_ns))
+	if (!within_active_limit(r->stage) ||
+	    !plan->policy->may_start(r, totals, plan->now_ns))
 		return;
 	if (cq_placement_find(&p, assignments)) {
+		guint room = cq_batch_active_room(r->stage->batch);
+
+		if (assignments->len > room)
+			g_array_set_size(assignments, room);
 		totals->free_accelerators -= (int64_t)assignments->len *
 					     r->stage->step->accelerators;
 		ops->start(ctx, r, assignments);
--- a/tests/support/mem_store.c
+++ b/tests/support/mem_store.c
@@ -273,6 +273,16 @@
 	s->fault_count = count;
 }
 
+void mem_store_set_max_value(struct mem_store *s, size_t bytes)
+{
+	s->max_value_bytes = bytes;
+}
+
+uint32_t mem_store_refused_changes(const struct mem_store *s)
+{
+	return s->refused_count;
+}
+
 void mem_store_fail_all(struct mem_store *s, enum mem_store_fault fault)
 {
 	s->fault = fault;
@@ -386,6 +396,17 @@
 	return s->change_fault;
 }
 
+static bool has_too_long_value(const struct mem_store *s,
+			       const struct cq_store_txn *txn)
+{
+	size_t i;
+
+	for (i = 0; s->max_value_bytes && i < txn->put_count; i++)
+		if (strlen(txn->puts[i].value) > s->max_value_bytes)
+			return true;
+	return false;
+}
+
 static struct cq_store_call *mem_commit(void *self,
 					const struct cq_store_txn *txn,
 					uint32_t timeout_ms,
@@ -399,6 +420,10 @@
 	(void)timeout_ms;
 	if (fail_if_faulty(call))
 		return (struct cq_store_call *)call;
+	if (has_too_long_value(s, txn)) {
+		s->refused_count++;
+		return complete(call, CQ_STORE_INVALID);
+	}
 	fault = next_change_fault(s);
 	if (fault == MEM_STORE_REFUSE)
 		return complete(call, CQ_STORE_UNAVAILABLE);
--- a/tests/support/mem_store.h
+++ b/tests/support/mem_store.h
@@ -31,6 +31,13 @@
 /* Injects the fault into the next count puts and transactions. */
 void mem_store_fail_changes(struct mem_store *s, enum mem_store_fault fault,
 			    int count);
+/*
+ * From now on, changes that write a longer value are refused with
+ * CQ_STORE_INVALID, and are not counted by mem_store_changes(). 0: no limit.
+ */
+void mem_store_set_max_value(struct mem_store *s, size_t bytes);
+/* Number of changes that were refused because of a value's length. */
+uint32_t mem_store_refused_changes(const struct mem_store *s);
 /*
  * Injects the fault into all calls, until it is set to MEM_STORE_NO_FAULT
  * again.
--- a/tests/support/mem_store_internal.h
+++ b/tests/support/mem_store_internal.h
@@ -56,6 +56,8 @@
 	int fault_count;
 	double delay_s;
 	bool deaf_watches;
+	size_t max_value_bytes; /* 0: no limit */
+	uint32_t refused_count;
 	uint32_t change_count, call_count;
 };
 
--- /dev/null
+++ b/tests/unit/test_dispatcher_refused.c
@@ -0,0 +1,75 @@
+/* A job whose progress record the store refuses as too large. */
+#include <glib.h>
+
+#include "tests/support/dispatch_world.h"
+#include "tests/support/wait_for.h"
+
+#define LEASE_MS 10000
+/* Room for the records of a few dozen runs. */
+#define MAX_VALUE_BYTES 2000
+#define LARGE_JOB_TASKS 100
+
+static struct dispatcher_fixture *create_world(void)
+{
+	struct dispatcher_fixture *w = dispatcher_fixture_create(LEASE_MS);
+
+	dispatcher_fixture_add_worker(w, 0);
+	dispatcher_fixture_add_worker(w, 1);
+	mem_store_set_max_value(dispatcher_fixture_store(w), MAX_VALUE_BYTES);
+	dispatcher_fixture_start_epoch(w);
+	return w;
+}
+
+static void check_and_destroy_world(struct dispatcher_fixture *w)
+{
+	g_assert_cmpstr(mem_executor_violations(dispatcher_fixture_workers(w)),
+			==, "");
+	dispatcher_fixture_destroy(w);
+}
+
+/*
+ * Guards against a job that keeps all others from starting, and from being
+ * recorded as ended, because its own record is too large for the store.
+ */
+static void test_others_go_on(void)
+{
+	struct dispatcher_fixture *w = create_world();
+
+	dispatcher_fixture_submit(w, 1, LARGE_JOB_TASKS, 0, false);
+	dispatcher_fixture_submit(w, 2, 2, 1, false);
+	g_assert_true(dispatcher_fixture_wait_for_state(w, 2, "running"));
+	g_assert_cmpuint(mem_store_refused_changes(dispatcher_fixture_store(w)),
+			 >, 0);
+	while (g_strcmp0(dispatcher_fixture_state(w, 2), "completed")) {
+		mem_executor_end_all(dispatcher_fixture_workers(w));
+		run_loop_iterations(dispatcher_fixture_loop(w), 5);
+	}
+	dispatcher_fixture_submit(w, 3, 1, 1, false);
+	g_assert_true(dispatcher_fixture_wait_for_state(w, 3, "running"));
+	check_and_destroy_world(w);
+}
+
+/* Guards against a gang that starts although its record is not stored. */
+static void test_gang_is_not_split(void)
+{
+	struct dispatcher_fixture *w = create_world();
+	struct mem_executor *workers = dispatcher_fixture_workers(w);
+
+	dispatcher_fixture_submit(w, 1, LARGE_JOB_TASKS, 0, true);
+	run_loop_iterations(dispatcher_fixture_loop(w), 60);
+	g_assert_cmpuint(mem_store_refused_changes(dispatcher_fixture_store(w)),
+			 >, 0);
+	g_assert_cmpuint(mem_executor_starts(workers), ==, 0);
+	dispatcher_fixture_submit(w, 2, 1, 1, false);
+	g_assert_true(dispatcher_fixture_wait_for_state(w, 2, "running"));
+	check_and_destroy_world(w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/dispatcher_refused/others_go_on", test_others_go_on);
+	g_test_add_func("/dispatcher_refused/gang_is_not_split",
+			test_gang_is_not_split);
+	return g_test_run();
+}
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -39,15 +39,24 @@
 	return 1;
 }
 
-static void committed(void *ctx)
+static void committed(void *ctx, uint32_t first, uint32_t count)
 {
 	struct fixture *f = ctx;
 
+	g_assert_cmpuint(first, ==, 0);
+	g_assert_cmpuint(count, ==, 1);
 	f->committed = f->next;
 	if (f->next < f->wanted)
 		cq_journal_wake(f->journal);
 }
 
+static void refused(void *ctx, uint32_t index, const char *error)
+{
+	(void)ctx;
+	(void)index;
+	g_error("a record was refused: %s", error);
+}
+
 static void superseded(void *ctx)
 {
 	struct fixture *f = ctx;
@@ -55,7 +64,12 @@
 	f->superseded = true;
 }
 
-static const struct cq_journal_ops ops = { collect, committed, superseded };
+static const struct cq_journal_ops ops = {
+	.collect = collect,
+	.committed = committed,
+	.refused = refused,
+	.superseded = superseded,
+};
 
 static void fixture_init(struct fixture *f)
 {
