--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -124,8 +124,8 @@
 void cq_batch_destroy(struct cq_batch *batch);
 
 /* Returns NULL if the occurrence or the step is out of range. */
-struct cq_stage *cq_batch_stage(struct cq_batch *batch, uint32_t occurrence,
-				uint32_t step);
+struct cq_stage *cq_batch_stage(const struct cq_batch *batch,
+				uint32_t occurrence, uint32_t step);
 /*
  * Finds a task by its name WORKLOAD_ID.OCCURRENCE.STEP.INDEX; NULL if it does
  * not belong to this batch.
@@ -159,6 +159,15 @@
  * be written again.
  */
 uint32_t cq_batch_active_room(const struct cq_batch *batch);
+/*
+ * Number of occurrences up to the last one of which a task has been started.
+ */
+uint32_t cq_batch_begun_occurrences(const struct cq_batch *batch);
+/* True if all stages of the occurrence are done and no run of it is left. */
+bool cq_batch_occurrence_ended(const struct cq_batch *batch,
+			       uint32_t occurrence);
+/* Marks all tasks of the occurrence as done, when a batch is restored. */
+void cq_batch_end_occurrence(struct cq_batch *batch, uint32_t occurrence);
 /* True if at least one task has been started. */
 bool cq_batch_started(const struct cq_batch *batch);
 
--- a/src/state/batch.c
+++ b/src/state/batch.c
@@ -81,8 +81,8 @@
 	g_free(batch);
 }
 
-struct cq_stage *cq_batch_stage(struct cq_batch *batch, uint32_t occurrence,
-				uint32_t step)
+struct cq_stage *cq_batch_stage(const struct cq_batch *batch,
+				uint32_t occurrence, uint32_t step)
 {
 	if (occurrence >= batch->workload->occurrences ||
 	    step >= batch->workload->step_count)
@@ -190,6 +190,45 @@
 	return batch->max_active > active ? batch->max_active - active : 0;
 }
 
+uint32_t cq_batch_begun_occurrences(const struct cq_batch *batch)
+{
+	uint32_t i = batch->stage_count;
+
+	while (i > 0 && !batch->stages[i - 1].started)
+		i--;
+	return i ? batch->stages[i - 1].occurrence + 1 : 0;
+}
+
+bool cq_batch_occurrence_ended(const struct cq_batch *batch,
+			       uint32_t occurrence)
+{
+	uint32_t first = occurrence * batch->workload->step_count;
+	uint32_t i;
+
+	for (i = 0; i < batch->workload->step_count; i++) {
+		const struct cq_stage *stage = &batch->stages[first + i];
+
+		if (!cq_stage_done(stage) || stage->active_count)
+			return false;
+	}
+	return true;
+}
+
+void cq_batch_end_occurrence(struct cq_batch *batch, uint32_t occurrence)
+{
+	uint32_t first = occurrence * batch->workload->step_count;
+	uint32_t i, k;
+
+	for (i = 0; i < batch->workload->step_count; i++) {
+		struct cq_stage *stage = &batch->stages[first + i];
+
+		stage->started = true;
+		stage->done_count = stage->step->tasks;
+		for (k = 0; k < stage->step->tasks; k++)
+			stage->tasks[k].done = true;
+	}
+}
+
 bool cq_batch_started(const struct cq_batch *batch)
 {
 	uint32_t i;
--- a/src/state/batch_json.c
+++ b/src/state/batch_json.c
@@ -1,4 +1,16 @@
-/* JSON encoding of the progress record that the store holds for a batch. */
+/*
+ * JSON encoding of the progress record that the store holds for a batch:
+ *
+ *   {"state": STATE, "next": N, "live": [{"k": K, "stages": [STAGE...]}...]}
+ *   STAGE: {"step": S, "failures": F, "failed_run": R,
+ *           "done": [[FIRST, LAST]...], "tasks": [TASK...]}
+ *   TASK: [INDEX, RUN, FAILURES, CHECKPOINT, WORKER, BORN]
+ *
+ * Occurrences from N on have not begun; those before N that are not among the
+ * live ones have ended. Tasks that are done are listed as ranges of indices.
+ * The size of the record thus depends on the occurrences at work and on the
+ * tasks that run or have to run again, not on what has ended.
+ */
 #include <jansson.h>
 #include <string.h>
 
@@ -6,31 +18,62 @@
 #include "chestnutquay/pool.h"
 
 static json_t *format_task(const struct cq_task *task);
+static json_t *format_done(const struct cq_stage *stage);
 static json_t *format_stage(const struct cq_stage *stage);
-static void restore_task(struct cq_task *task, const json_t *row,
-			 cq_batch_worker_fn *worker, void *ctx);
+static json_t *format_occurrence(const struct cq_batch *batch,
+				 uint32_t occurrence);
+static void restore_run(struct cq_task *task, const json_t *worker_id,
+			const json_t *born, cq_batch_worker_fn *worker,
+			void *ctx);
+static bool restore_done(struct cq_stage *stage, const json_t *ranges);
+static bool restore_tasks(struct cq_stage *stage, const json_t *tasks,
+			  bool with_done, cq_batch_worker_fn *worker,
+			  void *ctx);
 static bool restore_stage(struct cq_stage *stage, const json_t *object,
-			  cq_batch_worker_fn *worker, void *ctx);
+			  bool with_done, cq_batch_worker_fn *worker,
+			  void *ctx);
+static bool restore_occurrences(struct cq_batch *batch, const json_t *root,
+				cq_batch_worker_fn *worker, void *ctx);
+static bool restore_flat_stages(struct cq_batch *batch, const json_t *stages,
+				cq_batch_worker_fn *worker, void *ctx);
 
 /*
- * Encodes a task as [index, done, run, failures, checkpoint, worker, born],
- * born being the start of the worker's life in Unix milliseconds. Returns NULL
- * for a task that has never run.
+ * BORN is the start of the worker's life in Unix milliseconds. Returns NULL for
+ * a task that has never run or is done.
  */
 static json_t *format_task(const struct cq_task *task)
 {
 	bool active = task->phase != CQ_RUN_NONE;
 
-	if (!task->run && !task->done)
+	if (!task->run || (task->done && !active))
 		return NULL;
 	return json_pack(
-		"[i,b,i,i,s,s,I]", (int)task->index, task->done, (int)task->run,
+		"[i,i,i,s,s,I]", (int)task->index, (int)task->run,
 		(int)task->failures, task->checkpoint ? task->checkpoint : "",
 		active ? task->worker->listing.id : "",
 		(json_int_t)(active ? task->worker->listing.started_unix_ms
 				    : 0));
 }
 
+static json_t *format_done(const struct cq_stage *stage)
+{
+	json_t *ranges = json_array();
+	uint32_t i = 0;
+
+	while (i < stage->step->tasks) {
+		uint32_t first = i;
+
+		while (i < stage->step->tasks && stage->tasks[i].done)
+			i++;
+		if (i > first)
+			json_array_append_new(ranges,
+					      json_pack("[i,i]", (int)first,
+							(int)(i - 1)));
+		i++;
+	}
+	return ranges;
+}
+
 static json_t *format_stage(const struct cq_stage *stage)
 {
 	json_t *tasks = json_array();
@@ -42,47 +85,60 @@
 		if (row)
 			json_array_append_new(tasks, row);
 	}
-	return json_pack("{s:i,s:i,s:i,s:o}", "n",
-			 (int)(stage - stage->batch->stages), "failures",
+	return json_pack("{s:i,s:i,s:i,s:o,s:o}", "step",
+			 (int)stage->step_index, "failures",
 			 (int)stage->gang_failures, "failed_run",
-			 (int)stage->gang_failed_run, "tasks", tasks);
+			 (int)stage->gang_failed_run, "done",
+			 format_done(stage), "tasks", tasks);
 }
 
-char *cq_batch_format(const struct cq_batch *batch)
+static json_t *format_occurrence(const struct cq_batch *batch,
+				 uint32_t occurrence)
 {
 	json_t *stages = json_array();
+	uint32_t i;
+
+	for (i = 0; i < batch->workload->step_count; i++) {
+		const struct cq_stage *stage =
+			cq_batch_stage(batch, occurrence, i);
+
+		if (stage->started)
+			json_array_append_new(stages, format_stage(stage));
+	}
+	return json_pack("{s:I,s:o}", "k", (json_int_t)occurrence, "stages",
+			 stages);
+}
+
+char *cq_batch_format(const struct cq_batch *batch)
+{
+	uint32_t next = cq_batch_begun_occurrences(batch);
+	json_t *live = json_array();
 	json_t *object;
 	char *text;
-	uint32_t i;
+	uint32_t k;
 
-	for (i = 0; i < batch->stage_count; i++)
-		if (batch->stages[i].started)
-			json_array_append_new(stages,
-					      format_stage(&batch->stages[i]));
-	object = json_pack("{s:s,s:o}", "state",
-			   cq_batch_state_string(batch->state), "stages",
-			   stages);
+	for (k = 0; k < next; k++)
+		if (!cq_batch_occurrence_ended(batch, k))
+			json_array_append_new(live,
+					      format_occurrence(batch, k));
+	object = json_pack("{s:s,s:I,s:o}", "state",
+			   cq_batch_state_string(batch->state), "next",
+			   (json_int_t)next, "live", live);
 	text = json_dumps(object, JSON_COMPACT);
 	json_decref(object);
 	return text;
 }
 
-static void restore_task(struct cq_task *task, const json_t *row,
-			 cq_batch_worker_fn *worker, void *ctx)
+/* The run that the record shows on a worker; none if the worker's id is "". */
+static void restore_run(struct cq_task *task, const json_t *worker_id,
+			const json_t *born, cq_batch_worker_fn *worker,
+			void *ctx)
 {
-	const char *checkpoint = json_string_value(json_array_get(row, 4));
-	const char *id = json_string_value(json_array_get(row, 5));
-	int64_t born = json_integer_value(json_array_get(row, 6));
-
-	task->done = json_is_true(json_array_get(row, 1));
-	task->run = (uint32_t)json_integer_value(json_array_get(row, 2));
-	task->failures = (uint32_t)json_integer_value(json_array_get(row, 3));
-	cq_task_checkpoint(task, checkpoint);
-	if (task->done)
-		task->stage->done_count++;
+	const char *id = json_string_value(worker_id);
+
 	if (!id || !*id)
 		return;
-	task->worker = worker(ctx, id, born);
+	task->worker = worker(ctx, id, json_integer_value(born));
 	if (!task->worker)
 		return;
 	task->phase = CQ_RUN_RESTORED;
@@ -91,24 +147,140 @@
 	cq_pool_book(task->worker, task);
 }
 
-static bool restore_stage(struct cq_stage *stage, const json_t *object,
-			  cq_batch_worker_fn *worker, void *ctx)
+static void restore_task_done(struct cq_task *task)
+{
+	if (task->done)
+		return;
+	task->done = true;
+	task->stage->done_count++;
+}
+
+static bool restore_done(struct cq_stage *stage, const json_t *ranges)
 {
-	const json_t *tasks = json_object_get(object, "tasks");
 	size_t i;
 
+	for (i = 0; i < json_array_size(ranges); i++) {
+		const json_t *range = json_array_get(ranges, i);
+		json_int_t first = json_integer_value(json_array_get(range, 0));
+		json_int_t last = json_integer_value(json_array_get(range, 1));
+
+		if (first < 0 || last < first ||
+		    last >= (json_int_t)stage->step->tasks)
+			return false;
+		for (; first <= last; first++)
+			restore_task_done(&stage->tasks[first]);
+	}
+	return true;
+}
+
+/* with_done: the rows have the column DONE after the index. */
+static bool restore_tasks(struct cq_stage *stage, const json_t *tasks,
+			  bool with_done, cq_batch_worker_fn *worker, void *ctx)
+{
+	size_t column = with_done ? 2 : 1;
+	size_t i;
+
+	for (i = 0; i < json_array_size(tasks); i++) {
+		const json_t *row = json_array_get(tasks, i);
+		json_int_t index = json_integer_value(json_array_get(row, 0));
+		struct cq_task *task;
+
+		if (index < 0 || index >= (json_int_t)stage->step->tasks)
+			return false;
+		task = &stage->tasks[index];
+		if (with_done && json_is_true(json_array_get(row, 1)))
+			restore_task_done(task);
+		task->run = (uint32_t)json_integer_value(
+			json_array_get(row, column));
+		task->failures = (uint32_t)json_integer_value(
+			json_array_get(row, column + 1));
+		cq_task_checkpoint(task, json_string_value(json_array_get(
+						 row, column + 2)));
+		restore_run(task, json_array_get(row, column + 3),
+			    json_array_get(row, column + 4), worker, ctx);
+	}
+	return true;
+}
+
+static bool restore_stage(struct cq_stage *stage, const json_t *object,
+			  bool with_done, cq_batch_worker_fn *worker, void *ctx)
+{
 	stage->started = true;
 	stage->gang_failures = (uint32_t)json_integer_value(
 		json_object_get(object, "failures"));
 	stage->gang_failed_run = (uint32_t)json_integer_value(
 		json_object_get(object, "failed_run"));
-	for (i = 0; i < json_array_size(tasks); i++) {
-		const json_t *row = json_array_get(tasks, i);
-		json_int_t index = json_integer_value(json_array_get(row, 0));
+	return restore_done(stage, json_object_get(object, "done")) &&
+	       restore_tasks(stage, json_object_get(object, "tasks"), with_done,
+			     worker, ctx);
+}
 
-		if (index < 0 || index >= (json_int_t)stage->step->tasks)
+/*
+ * Restores the live occurrences, in the order of their numbers, and takes those
+ * between them as ended.
+ */
+static bool restore_occurrences(struct cq_batch *batch, const json_t *root,
+				cq_batch_worker_fn *worker, void *ctx)
+{
+	const json_t *live = json_object_get(root, "live");
+	json_int_t next = json_integer_value(json_object_get(root, "next"));
+	json_int_t at = 0;
+	size_t i, k;
+
+	if (next < 0 || next > (json_int_t)batch->workload->occurrences)
+		return false;
+	for (i = 0; i < json_array_size(live); i++) {
+		const json_t *object = json_array_get(live, i);
+		const json_t *stages = json_object_get(object, "stages");
+		json_int_t number =
+			json_integer_value(json_object_get(object, "k"));
+
+		if (number < at || number >= next)
+			return false;
+		for (; at < number; at++)
+			cq_batch_end_occurrence(batch, (uint32_t)at);
+		at++;
+		for (k = 0; k < json_array_size(stages); k++) {
+			const json_t *stage = json_array_get(stages, k);
+			json_int_t step = json_integer_value(
+				json_object_get(stage, "step"));
+
+			if (step < 0 ||
+			    step >= (json_int_t)batch->workload->step_count ||
+			    !restore_stage(cq_batch_stage(batch,
+							  (uint32_t)number,
+							  (uint32_t)step),
+					   stage, false, worker, ctx))
+				return false;
+		}
+	}
+	for (; at < next; at++)
+		cq_batch_end_occurrence(batch, (uint32_t)at);
+	return true;
+}
+
+/*
+ * Records written before occurrences were listed hold all stages that have
+ * begun, by their number over all occurrences, and a row for each task that
+ * ever ran: [INDEX, DONE, RUN, FAILURES, CHECKPOINT, WORKER, BORN].
+ */
+static bool restore_flat_stages(struct cq_batch *batch, const json_t *stages,
+				cq_batch_worker_fn *worker, void *ctx)
+{
+	uint32_t step_count = batch->workload->step_count;
+	size_t i;
+
+	for (i = 0; i < json_array_size(stages); i++) {
+		const json_t *object = json_array_get(stages, i);
+		json_int_t n = json_integer_value(json_object_get(object, "n"));
+		struct cq_stage *stage;
+
+		if (n < 0 || n / step_count >= batch->workload->occurrences)
+			return false;
+		stage = cq_batch_stage(batch, (uint32_t)(n / step_count),
+				       (uint32_t)(n % step_count));
+		if (!restore_stage(stage, object, true, worker, ctx))
 			return false;
-		restore_task(&stage->tasks[index], row, worker, ctx);
 	}
 	return true;
 }
@@ -119,17 +291,11 @@
 {
 	json_t *root = json_loadb(json, len, 0, NULL);
 	const char *state = json_string_value(json_object_get(root, "state"));
-	const json_t *stages = json_object_get(root, "stages");
-	bool ok = state && cq_batch_state_parse(state, &batch->state);
-	size_t i;
+	const json_t *flat = json_object_get(root, "stages");
+	bool ok = state && cq_batch_state_parse(state, &batch->state) &&
+		  (flat ? restore_flat_stages(batch, flat, worker, ctx)
+			: restore_occurrences(batch, root, worker, ctx));
 
-	for (i = 0; ok && i < json_array_size(stages); i++) {
-		const json_t *object = json_array_get(stages, i);
-		json_int_t n = json_integer_value(json_object_get(object, "n"));
-
-		ok = n >= 0 && n < (json_int_t)batch->stage_count &&
-		     restore_stage(&batch->stages[n], object, worker, ctx);
-	}
 	json_decref(root);
 	if (ok)
 		return true;
--- a/tests/unit/test_dispatcher_refused.c
+++ b/tests/unit/test_dispatcher_refused.c
@@ -8,6 +8,7 @@
 /* Room for the records of a few dozen runs. */
 #define MAX_VALUE_BYTES 2000
 #define LARGE_JOB_TASKS 100
+#define MAX_ROUNDS 200
 
 static struct dispatcher_fixture *create_world(void)
 {
@@ -49,6 +50,26 @@
 	check_and_destroy_world(w);
 }
 
+/*
+ * Guards against a job that is given up because all its tasks at once make too
+ * large a record: it has to run in smaller parts.
+ */
+static void test_large_job_runs_in_parts(void)
+{
+	struct dispatcher_fixture *w = create_world();
+	struct mem_executor *workers = dispatcher_fixture_workers(w);
+	int rounds = 0;
+
+	dispatcher_fixture_submit(w, 1, LARGE_JOB_TASKS, 0, false);
+	while (g_strcmp0(dispatcher_fixture_state(w, 1), "completed")) {
+		g_assert_cmpint(rounds++, <, MAX_ROUNDS);
+		run_loop_iterations(dispatcher_fixture_loop(w), 20);
+		mem_executor_end_all(workers);
+	}
+	g_assert_cmpuint(mem_executor_starts(workers), ==, LARGE_JOB_TASKS);
+	check_and_destroy_world(w);
+}
+
 /* Guards against a gang that starts although its record is not stored. */
 static void test_gang_is_not_split(void)
 {
@@ -69,6 +90,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/dispatcher_refused/others_go_on", test_others_go_on);
+	g_test_add_func("/dispatcher_refused/large_job_runs_in_parts",
+			test_large_job_runs_in_parts);
 	g_test_add_func("/dispatcher_refused/gang_is_not_split",
 			test_gang_is_not_split);
 	return g_test_run();
--- a/tests/unit/test_journal_refused.c
+++ b/tests/unit/test_journal_refused.c
@@ -49,10 +49,9 @@
 	f->next = 0;
 	for (i = 0; i < f->record_count; i++) {
 		records[i].key = g_strdup_printf("t/%u", i);
-		records[i].value = is_bad(f, i)
-					   ? g_strnfill(MAX_VALUE_BYTES + 1,
-							'x')
-					   : g_strdup_printf("%u", f->sets);
+		records[i].value =
+			is_bad(f, i) ? g_strnfill(MAX_VALUE_BYTES + 1, 'x')
+				     : g_strdup_printf("%u", f->sets);
 	}
 	return f->record_count;
 }
@@ -211,8 +210,8 @@
 
 	g_test_init(&argc, &argv, NULL);
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		char *path = g_strconcat("/journal_refused/", cases[i].name,
-					 NULL);
+		char *path =
+			g_strconcat("/journal_refused/", cases[i].name, NULL);
 
 		g_test_add_data_func(path, &cases[i], test_refused);
 		g_free(path);
