--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -1,6 +1,9 @@
 /*
- * Progress of a workload: its stages (one step of one occurrence each), their
- * tasks, and the run that each task has on a worker.
+ * Progress of a workload: the stages of its live occurrences (one step of one
+ * occurrence each), their tasks, and the run that each task has on a worker.
+ *
+ * An occurrence comes into being when it is due and is freed when it has ended,
+ * so that neither memory nor the progress record depends on how many there are.
  *
  * The structures hold state only: no I/O and no clock. Progress is written to
  * the store as JSON after every change that must survive a restart of the
@@ -17,6 +20,11 @@
 #include "chestnutquay/executor.h"
 #include "chestnutquay/workload.h"
 
+/*
+ * Most tasks of the live occurrences of a batch. A single occurrence always
+ * fits.
+ */
+#define CQ_BATCH_MAX_LIVE_TASKS CQ_WORKLOAD_MAX_TASKS
 /* Buffer size for a task name WORKLOAD_ID.OCCURRENCE.STEP.INDEX */
 #define CQ_TASK_NAME_BYTES 64
 
@@ -42,9 +50,9 @@
 	CQ_RUN_CONFIRMED,
 };
 
-struct cq_stage;
 struct cq_batch;
 struct cq_pool_worker;
+struct cq_stage;
 
 struct cq_task {
 	struct cq_stage *stage;
@@ -94,11 +102,18 @@
 	uint32_t rank;
 };
 
+/* An occurrence of a workload that is due and has not ended */
+struct cq_occurrence {
+	uint32_t number;
+	struct cq_stage *stages; /* array of the workload's step_count */
+};
+
 struct cq_batch {
 	struct cq_workload *workload;
-	/* Array of stage_count, one occurrence after another. */
-	struct cq_stage *stages;
-	uint32_t stage_count;
+	/* struct cq_occurrence, in the order of their numbers */
+	GPtrArray *live;
+	/* Number of occurrences that have come into being, live or ended. */
+	uint32_t opened;
 	enum cq_batch_state state;
 	bool cancelled; /* cancellation was requested */
 	/* When it was accepted, on the dispatcher's clock. */
@@ -119,11 +134,38 @@
 	int64_t rewrite_ns;
 };
 
-/* Takes ownership of the workload. */
+/*
+ * Takes ownership of the workload. Occurrences without a due time are live from
+ * the beginning.
+ */
 struct cq_batch *cq_batch_create(struct cq_workload *workload);
 void cq_batch_destroy(struct cq_batch *batch);
 
-/* Returns NULL if the occurrence or the step is out of range. */
+/*
+ * Brings occurrences into being that are due at unix_ms, in their order. While
+ * the live ones have CQ_BATCH_MAX_LIVE_TASKS tasks, further ones wait.
+ */
+void cq_batch_open_due(struct cq_batch *batch, int64_t unix_ms);
+/*
+ * Frees occurrences that have ended: all stages are done and no run is left.
+ * Pointers to their stages and tasks become invalid.
+ */
+void cq_batch_close_ended(struct cq_batch *batch);
+/*
+ * Adds the occurrence, which must be a later one than those that are live. Used
+ * to restore a batch.
+ */
+struct cq_occurrence *cq_batch_open(struct cq_batch *batch, uint32_t number);
+/* Frees all live occurrences, before the batch is restored. */
+void cq_batch_clear(struct cq_batch *batch);
+/* True if another live occurrence would exceed CQ_BATCH_MAX_LIVE_TASKS. */
+bool cq_batch_is_full(const struct cq_batch *batch);
+
+/* Number of the stages of all live occurrences. */
+uint32_t cq_batch_stage_count(const struct cq_batch *batch);
+/* The stage at an index below cq_batch_stage_count(). */
+struct cq_stage *cq_batch_stage_at(const struct cq_batch *batch, uint32_t i);
+/* Returns NULL if the occurrence is not live or the step is out of range. */
 struct cq_stage *cq_batch_stage(const struct cq_batch *batch,
 				uint32_t occurrence, uint32_t step);
 /*
@@ -159,15 +201,9 @@
  * be written again.
  */
 uint32_t cq_batch_active_room(const struct cq_batch *batch);
-/*
- * Number of occurrences up to the last one of which a task has been started.
- */
-uint32_t cq_batch_begun_occurrences(const struct cq_batch *batch);
 /* True if all stages of the occurrence are done and no run of it is left. */
-bool cq_batch_occurrence_ended(const struct cq_batch *batch,
-			       uint32_t occurrence);
-/* Marks all tasks of the occurrence as done, when a batch is restored. */
-void cq_batch_end_occurrence(struct cq_batch *batch, uint32_t occurrence);
+bool cq_occurrence_ended(const struct cq_batch *batch,
+			 const struct cq_occurrence *occurrence);
 /* True if at least one task has been started. */
 bool cq_batch_started(const struct cq_batch *batch);
 
--- a/include/chestnutquay/workload.h
+++ b/include/chestnutquay/workload.h
@@ -81,6 +81,12 @@
  * invalid field.
  */
 bool cq_workload_check(const struct cq_workload *w, struct cq_error *err);
+/*
+ * When the occurrence is due; 0: at once, INT64_MAX: beyond the range of time.
+ */
+int64_t cq_workload_due_ms(const struct cq_workload *w, uint32_t occurrence);
+/* Number of tasks of one occurrence. */
+uint32_t cq_workload_task_count(const struct cq_workload *w);
 /* Encodes the workload for the store; freed with free(). */
 char *cq_workload_format(const struct cq_workload *w);
 /* Returns NULL and sets err if the text is not a complete, valid workload. */
--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -303,9 +303,9 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < batch->stage_count; i++)
-		if (batch->stages[i].active_count)
-			stop_stage(d, &batch->stages[i], reason);
+	for (i = 0; i < cq_batch_stage_count(batch); i++)
+		if (cq_batch_stage_at(batch, i)->active_count)
+			stop_stage(d, cq_batch_stage_at(batch, i), reason);
 }
 
 static void log_job_end(struct cq_dispatcher *d, struct cq_batch *batch)
--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -394,8 +394,8 @@
 	uint64_t version = batch->version;
 	uint32_t i, k;
 
-	for (i = 0; i < batch->stage_count; i++) {
-		struct cq_stage *stage = &batch->stages[i];
+	for (i = 0; i < cq_batch_stage_count(batch); i++) {
+		struct cq_stage *stage = cq_batch_stage_at(batch, i);
 
 		for (k = 0; stage->active_count && k < stage->step->tasks; k++)
 			if (stage->tasks[k].phase == CQ_RUN_RECORDING)
@@ -411,8 +411,8 @@
 		       !cq_batch_state_is_terminal(batch->state);
 	uint32_t i, k;
 
-	for (i = 0; i < batch->stage_count; i++) {
-		struct cq_stage *stage = &batch->stages[i];
+	for (i = 0; i < cq_batch_stage_count(batch); i++) {
+		struct cq_stage *stage = cq_batch_stage_at(batch, i);
 		bool whole = !stage->step->gang ||
 			     workers_accept_stage(d, stage);
 
--- a/src/state/batch.c
+++ b/src/state/batch.c
@@ -13,6 +13,13 @@
 	[CQ_BATCH_CANCELLED] = "cancelled",
 };
 
+static void stage_init(struct cq_stage *stage, struct cq_batch *batch,
+		       uint32_t occurrence, uint32_t step);
+static void stage_clear(struct cq_stage *stage);
+static void occurrence_free(const struct cq_batch *batch,
+			    struct cq_occurrence *occurrence);
+static const struct cq_occurrence *find_occurrence(const struct cq_batch *batch,
+						   uint32_t number);
 static bool all_stages_done(const struct cq_batch *batch);
 static void count_failure(struct cq_task *task);
 static bool attempts_exhausted(const struct cq_task *task,
@@ -41,53 +48,177 @@
 	return state >= CQ_BATCH_COMPLETED;
 }
 
+static void stage_init(struct cq_stage *stage, struct cq_batch *batch,
+		       uint32_t occurrence, uint32_t step)
+{
+	uint32_t i;
+
+	stage->batch = batch;
+	stage->occurrence = occurrence;
+	stage->step_index = step;
+	stage->step = &batch->workload->steps[step];
+	stage->tasks = g_new0(struct cq_task, stage->step->tasks);
+	for (i = 0; i < stage->step->tasks; i++) {
+		stage->tasks[i].stage = stage;
+		stage->tasks[i].index = i;
+	}
+}
+
+static void stage_clear(struct cq_stage *stage)
+{
+	uint32_t i;
+
+	for (i = 0; i < stage->step->tasks; i++)
+		g_free(stage->tasks[i].checkpoint);
+	g_free(stage->tasks);
+}
+
+static void occurrence_free(const struct cq_batch *batch,
+			    struct cq_occurrence *occurrence)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->workload->step_count; i++)
+		stage_clear(&occurrence->stages[i]);
+	g_free(occurrence->stages);
+	g_free(occurrence);
+}
+
 struct cq_batch *cq_batch_create(struct cq_workload *workload)
 {
 	struct cq_batch *batch = g_new0(struct cq_batch, 1);
-	uint32_t i, k;
 
 	batch->workload = workload;
-	batch->stage_count = workload->occurrences * workload->step_count;
-	batch->stages = g_new0(struct cq_stage, batch->stage_count);
-	for (i = 0; i < batch->stage_count; i++) {
-		struct cq_stage *stage = &batch->stages[i];
-
-		stage->batch = batch;
-		stage->occurrence = i / workload->step_count;
-		stage->step_index = i % workload->step_count;
-		stage->step = &workload->steps[stage->step_index];
-		stage->tasks = g_new0(struct cq_task, stage->step->tasks);
-		for (k = 0; k < stage->step->tasks; k++) {
-			stage->tasks[k].stage = stage;
-			stage->tasks[k].index = k;
-		}
-	}
+	batch->live = g_ptr_array_new();
+	cq_batch_open_due(batch, 0);
 	return batch;
 }
 
 void cq_batch_destroy(struct cq_batch *batch)
 {
-	uint32_t i, k;
-
 	if (!batch)
 		return;
-	for (i = 0; i < batch->stage_count; i++) {
-		for (k = 0; k < batch->stages[i].step->tasks; k++)
-			g_free(batch->stages[i].tasks[k].checkpoint);
-		g_free(batch->stages[i].tasks);
-	}
-	g_free(batch->stages);
+	cq_batch_clear(batch);
+	g_ptr_array_unref(batch->live);
 	cq_workload_destroy(batch->workload);
 	g_free(batch);
 }
 
+void cq_batch_clear(struct cq_batch *batch)
+{
+	guint i;
+
+	for (i = 0; i < batch->live->len; i++)
+		occurrence_free(batch, g_ptr_array_index(batch->live, i));
+	g_ptr_array_set_size(batch->live, 0);
+	batch->opened = 0;
+}
+
+struct cq_occurrence *cq_batch_open(struct cq_batch *batch, uint32_t number)
+{
+	struct cq_occurrence *occurrence = g_new0(struct cq_occurrence, 1);
+	uint32_t i;
+
+	occurrence->number = number;
+	occurrence->stages =
+		g_new0(struct cq_stage, batch->workload->step_count);
+	for (i = 0; i < batch->workload->step_count; i++)
+		stage_init(&occurrence->stages[i], batch, number, i);
+	g_ptr_array_add(batch->live, occurrence);
+	batch->opened = number + 1;
+	return occurrence;
+}
+
+bool cq_batch_is_full(const struct cq_batch *batch)
+{
+	uint64_t tasks = cq_workload_task_count(batch->workload);
+
+	return batch->live->len &&
+	       (batch->live->len + 1) * tasks > CQ_BATCH_MAX_LIVE_TASKS;
+}
+
+void cq_batch_open_due(struct cq_batch *batch, int64_t unix_ms)
+{
+	const struct cq_workload *w = batch->workload;
+
+	while (batch->opened < w->occurrences &&
+	       cq_workload_due_ms(w, batch->opened) <= unix_ms &&
+	       !cq_batch_is_full(batch))
+		cq_batch_open(batch, batch->opened);
+}
+
+bool cq_occurrence_ended(const struct cq_batch *batch,
+			 const struct cq_occurrence *occurrence)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->workload->step_count; i++)
+		if (!cq_stage_done(&occurrence->stages[i]) ||
+		    occurrence->stages[i].active_count)
+			return false;
+	return true;
+}
+
+void cq_batch_close_ended(struct cq_batch *batch)
+{
+	guint kept = 0;
+	guint i;
+
+	for (i = 0; i < batch->live->len; i++) {
+		struct cq_occurrence *occurrence =
+			g_ptr_array_index(batch->live, i);
+
+		if (cq_occurrence_ended(batch, occurrence))
+			occurrence_free(batch, occurrence);
+		else
+			g_ptr_array_index(batch->live, kept++) = occurrence;
+	}
+	g_ptr_array_set_size(batch->live, (gint)kept);
+}
+
+uint32_t cq_batch_stage_count(const struct cq_batch *batch)
+{
+	return batch->live->len * batch->workload->step_count;
+}
+
+struct cq_stage *cq_batch_stage_at(const struct cq_batch *batch, uint32_t i)
+{
+	const struct cq_occurrence *occurrence =
+		g_ptr_array_index(batch->live, i / batch->workload->step_count);
+
+	return &occurrence->stages[i % batch->workload->step_count];
+}
+
+/* The live occurrence with that number; NULL if there is none. */
+static const struct cq_occurrence *find_occurrence(const struct cq_batch *batch,
+						   uint32_t number)
+{
+	guint low = 0;
+	guint high = batch->live->len;
+
+	while (low < high) {
+		guint middle = low + (high - low) / 2;
+		const struct cq_occurrence *occurrence =
+			g_ptr_array_index(batch->live, middle);
+
+		if (occurrence->number == number)
+			return occurrence;
+		if (occurrence->number < number)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return NULL;
+}
+
 struct cq_stage *cq_batch_stage(const struct cq_batch *batch,
 				uint32_t occurrence, uint32_t step)
 {
-	if (occurrence >= batch->workload->occurrences ||
-	    step >= batch->workload->step_count)
+	const struct cq_occurrence *found = find_occurrence(batch, occurrence);
+
+	if (!found || step >= batch->workload->step_count)
 		return NULL;
-	return &batch->stages[occurrence * batch->workload->step_count + step];
+	return &found->stages[step];
 }
 
 void cq_task_name(const struct cq_task *task, char *name)
@@ -173,8 +304,8 @@
 	uint32_t count = 0;
 	uint32_t i;
 
-	for (i = 0; i < batch->stage_count; i++)
-		count += batch->stages[i].active_count;
+	for (i = 0; i < cq_batch_stage_count(batch); i++)
+		count += cq_batch_stage_at(batch, i)->active_count;
 	return count;
 }
 
@@ -190,51 +321,14 @@
 	return batch->max_active > active ? batch->max_active - active : 0;
 }
 
-uint32_t cq_batch_begun_occurrences(const struct cq_batch *batch)
-{
-	uint32_t i = batch->stage_count;
-
-	while (i > 0 && !batch->stages[i - 1].started)
-		i--;
-	return i ? batch->stages[i - 1].occurrence + 1 : 0;
-}
-
-bool cq_batch_occurrence_ended(const struct cq_batch *batch,
-			       uint32_t occurrence)
-{
-	uint32_t first = occurrence * batch->workload->step_count;
-	uint32_t i;
-
-	for (i = 0; i < batch->workload->step_count; i++) {
-		const struct cq_stage *stage = &batch->stages[first + i];
-
-		if (!cq_stage_done(stage) || stage->active_count)
-			return false;
-	}
-	return true;
-}
-
-void cq_batch_end_occurrence(struct cq_batch *batch, uint32_t occurrence)
-{
-	uint32_t first = occurrence * batch->workload->step_count;
-	uint32_t i, k;
-
-	for (i = 0; i < batch->workload->step_count; i++) {
-		struct cq_stage *stage = &batch->stages[first + i];
-
-		stage->started = true;
-		stage->done_count = stage->step->tasks;
-		for (k = 0; k < stage->step->tasks; k++)
-			stage->tasks[k].done = true;
-	}
-}
-
 bool cq_batch_started(const struct cq_batch *batch)
 {
 	uint32_t i;
 
-	for (i = 0; i < batch->stage_count; i++)
-		if (batch->stages[i].started)
+	if (batch->opened > batch->live->len)
+		return true;
+	for (i = 0; i < cq_batch_stage_count(batch); i++)
+		if (cq_batch_stage_at(batch, i)->started)
 			return true;
 	return false;
 }
@@ -278,8 +372,10 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < batch->stage_count; i++)
-		if (!cq_stage_done(&batch->stages[i]))
+	if (batch->opened < batch->workload->occurrences)
+		return false;
+	for (i = 0; i < cq_batch_stage_count(batch); i++)
+		if (!cq_stage_done(cq_batch_stage_at(batch, i)))
 			return false;
 	return true;
 }
@@ -354,8 +450,8 @@
 
 	if (cq_batch_state_is_terminal(batch->state))
 		return false;
-	for (i = 0; i < batch->stage_count; i++) {
-		const struct cq_stage *stage = &batch->stages[i];
+	for (i = 0; i < cq_batch_stage_count(batch); i++) {
+		const struct cq_stage *stage = cq_batch_stage_at(batch, i);
 
 		if (!stage->started || cq_stage_done(stage))
 			continue;
--- a/src/state/batch_json.c
+++ b/src/state/batch_json.c
@@ -6,8 +6,8 @@
  *           "done": [[FIRST, LAST]...], "tasks": [TASK...]}
  *   TASK: [INDEX, RUN, FAILURES, CHECKPOINT, WORKER, BORN]
  *
- * Occurrences from N on have not begun; those before N that are not among the
- * live ones have ended. Tasks that are done are listed as ranges of indices.
+ * Occurrences from N on have not come into being; those before N that are not
+ * among the live ones have ended. Done tasks are listed as ranges of indices.
  * The size of the record thus depends on the occurrences at work and on the
  * tasks that run or have to run again, not on what has ended.
  */
@@ -21,7 +21,7 @@
 static json_t *format_done(const struct cq_stage *stage);
 static json_t *format_stage(const struct cq_stage *stage);
 static json_t *format_occurrence(const struct cq_batch *batch,
-				 uint32_t occurrence);
+				 const struct cq_occurrence *occurrence);
 static void restore_run(struct cq_task *task, const json_t *worker_id,
 			const json_t *born, cq_batch_worker_fn *worker,
 			void *ctx);
@@ -93,37 +93,37 @@
 }
 
 static json_t *format_occurrence(const struct cq_batch *batch,
-				 uint32_t occurrence)
+				 const struct cq_occurrence *occurrence)
 {
 	json_t *stages = json_array();
 	uint32_t i;
 
-	for (i = 0; i < batch->workload->step_count; i++) {
-		const struct cq_stage *stage =
-			cq_batch_stage(batch, occurrence, i);
-
-		if (stage->started)
-			json_array_append_new(stages, format_stage(stage));
-	}
-	return json_pack("{s:I,s:o}", "k", (json_int_t)occurrence, "stages",
-			 stages);
+	for (i = 0; i < batch->workload->step_count; i++)
+		if (occurrence->stages[i].started)
+			json_array_append_new(
+				stages, format_stage(&occurrence->stages[i]));
+	return json_pack("{s:I,s:o}", "k", (json_int_t)occurrence->number,
+			 "stages", stages);
 }
 
 char *cq_batch_format(const struct cq_batch *batch)
 {
-	uint32_t next = cq_batch_begun_occurrences(batch);
 	json_t *live = json_array();
 	json_t *object;
 	char *text;
-	uint32_t k;
+	guint i;
 
-	for (k = 0; k < next; k++)
-		if (!cq_batch_occurrence_ended(batch, k))
-			json_array_append_new(live,
-					      format_occurrence(batch, k));
+	for (i = 0; i < batch->live->len; i++) {
+		const struct cq_occurrence *occurrence =
+			g_ptr_array_index(batch->live, i);
+
+		if (!cq_occurrence_ended(batch, occurrence))
+			json_array_append_new(
+				live, format_occurrence(batch, occurrence));
+	}
 	object = json_pack("{s:s,s:I,s:o}", "state",
 			   cq_batch_state_string(batch->state), "next",
-			   (json_int_t)next, "live", live);
+			   (json_int_t)batch->opened, "live", live);
 	text = json_dumps(object, JSON_COMPACT);
 	json_decref(object);
 	return text;
@@ -215,54 +215,69 @@
 			     worker, ctx);
 }
 
-/*
- * Restores the live occurrences, in the order of their numbers, and takes those
- * between them as ended.
- */
+static bool restore_stages(const struct cq_batch *batch,
+			   const struct cq_occurrence *occurrence,
+			   const json_t *stages, cq_batch_worker_fn *worker,
+			   void *ctx)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(stages); i++) {
+		const json_t *object = json_array_get(stages, i);
+		json_int_t step =
+			json_integer_value(json_object_get(object, "step"));
+
+		if (step < 0 || step >= (json_int_t)batch->workload->step_count)
+			return false;
+		if (!restore_stage(&occurrence->stages[step], object, false,
+				   worker, ctx))
+			return false;
+	}
+	return true;
+}
+
 static bool restore_occurrences(struct cq_batch *batch, const json_t *root,
 				cq_batch_worker_fn *worker, void *ctx)
 {
 	const json_t *live = json_object_get(root, "live");
 	json_int_t next = json_integer_value(json_object_get(root, "next"));
-	json_int_t at = 0;
-	size_t i, k;
+	size_t i;
 
 	if (next < 0 || next > (json_int_t)batch->workload->occurrences)
 		return false;
 	for (i = 0; i < json_array_size(live); i++) {
 		const json_t *object = json_array_get(live, i);
-		const json_t *stages = json_object_get(object, "stages");
 		json_int_t number =
 			json_integer_value(json_object_get(object, "k"));
 
-		if (number < at || number >= next)
+		if (number < (json_int_t)batch->opened || number >= next ||
+		    cq_batch_is_full(batch))
+			return false;
+		if (!restore_stages(
+			    batch, cq_batch_open(batch, (uint32_t)number),
+			    json_object_get(object, "stages"), worker, ctx))
 			return false;
-		for (; at < number; at++)
-			cq_batch_end_occurrence(batch, (uint32_t)at);
-		at++;
-		for (k = 0; k < json_array_size(stages); k++) {
-			const json_t *stage = json_array_get(stages, k);
-			json_int_t step = json_integer_value(
-				json_object_get(stage, "step"));
-
-			if (step < 0 ||
-			    step >= (json_int_t)batch->workload->step_count ||
-			    !restore_stage(cq_batch_stage(batch,
-							  (uint32_t)number,
-							  (uint32_t)step),
-					   stage, false, worker, ctx))
-				return false;
-		}
 	}
-	for (; at < next; at++)
-		cq_batch_end_occurrence(batch, (uint32_t)at);
+	batch->opened = (uint32_t)next;
+	return true;
+}
+
+/* Opens the occurrences up to that one; false if they are too many. */
+static bool open_up_to(struct cq_batch *batch, uint32_t number)
+{
+	while (batch->opened <= number) {
+		cq_batch_close_ended(batch);
+		if (cq_batch_is_full(batch))
+			return false;
+		cq_batch_open(batch, batch->opened);
+	}
 	return true;
 }
 
 /*
- * Records written before occurrences were listed hold all stages that have
- * begun, by their number over all occurrences, and a row for each task that
- * ever ran: [INDEX, DONE, RUN, FAILURES, CHECKPOINT, WORKER, BORN].
+ * Records of the former release hold all stages that have begun, in the order
+ * of their numbers over all occurrences, and a row for each task that ever ran:
+ * [INDEX, DONE, RUN, FAILURES, CHECKPOINT, WORKER, BORN].
  */
 static bool restore_flat_stages(struct cq_batch *batch, const json_t *stages,
 				cq_batch_worker_fn *worker, void *ctx)
@@ -275,11 +290,12 @@
 		json_int_t n = json_integer_value(json_object_get(object, "n"));
 		struct cq_stage *stage;
 
-		if (n < 0 || n / step_count >= batch->workload->occurrences)
+		if (n < 0 || n / step_count >= batch->workload->occurrences ||
+		    !open_up_to(batch, (uint32_t)(n / step_count)))
 			return false;
 		stage = cq_batch_stage(batch, (uint32_t)(n / step_count),
 				       (uint32_t)(n % step_count));
-		if (!restore_stage(stage, object, true, worker, ctx))
+		if (!stage || !restore_stage(stage, object, true, worker, ctx))
 			return false;
 	}
 	return true;
@@ -292,10 +308,12 @@
 	json_t *root = json_loadb(json, len, 0, NULL);
 	const char *state = json_string_value(json_object_get(root, "state"));
 	const json_t *flat = json_object_get(root, "stages");
-	bool ok = state && cq_batch_state_parse(state, &batch->state) &&
-		  (flat ? restore_flat_stages(batch, flat, worker, ctx)
-			: restore_occurrences(batch, root, worker, ctx));
+	bool ok = state && cq_batch_state_parse(state, &batch->state);
 
+	cq_batch_clear(batch);
+	if (ok)
+		ok = flat ? restore_flat_stages(batch, flat, worker, ctx)
+			  : restore_occurrences(batch, root, worker, ctx);
 	json_decref(root);
 	if (ok)
 		return true;
--- a/src/state/stage_order.c
+++ b/src/state/stage_order.c
@@ -49,7 +49,7 @@
 
 	if (!w->first_run_ms)
 		return stage->batch->accepted_ns;
-	due_ms = w->first_run_ms + (int64_t)stage->occurrence * w->interval_ms;
+	due_ms = cq_workload_due_ms(w, stage->occurrence);
 	return now_ns + (due_ms - unix_ms) * CQ_NS_PER_MS;
 }
 
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -41,11 +41,8 @@
 /* True if the scheduled time of the occurrence has come. */
 static bool is_due(const struct cq_stage *stage, int64_t unix_ms)
 {
-	const struct cq_workload *w = stage->batch->workload;
-
-	return !w->first_run_ms ||
-	       unix_ms >= w->first_run_ms +
-				  (int64_t)stage->occurrence * w->interval_ms;
+	return unix_ms >=
+	       cq_workload_due_ms(stage->batch->workload, stage->occurrence);
 }
 
 /* True if the limit of the batch lets the stage, if a gang all of it, start. */
@@ -61,8 +58,10 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < batch->stage_count; i++) {
-		struct cq_stage *stage = &batch->stages[i];
+	cq_batch_close_ended(batch);
+	cq_batch_open_due(batch, unix_ms);
+	for (i = 0; i < cq_batch_stage_count(batch); i++) {
+		struct cq_stage *stage = cq_batch_stage_at(batch, i);
 		struct cq_ready_stage r;
 
 		if (!cq_stage_waiting(stage) || !cq_stage_unblocked(stage) ||
--- a/src/state/stage_rank.c
+++ b/src/state/stage_rank.c
@@ -43,7 +43,11 @@
 	order = strcmp(l->workload->id, r->workload->id);
 	if (order)
 		return order;
-	return left < right ? -1 : left > right;
+	if (left->occurrence != right->occurrence)
+		return left->occurrence < right->occurrence ? -1 : 1;
+	return left->step_index < right->step_index
+		       ? -1
+		       : left->step_index > right->step_index;
 }
 
 static void rank_batch(const struct cq_queue_config *config,
@@ -53,8 +57,8 @@
 		cq_queue_config_find(config, batch->workload->queue);
 	uint32_t i;
 
-	for (i = 0; i < batch->stage_count; i++) {
-		struct cq_stage *stage = &batch->stages[i];
+	for (i = 0; i < cq_batch_stage_count(batch); i++) {
+		struct cq_stage *stage = cq_batch_stage_at(batch, i);
 
 		if (!needs_rank(stage))
 			continue;
--- a/src/state/workload.c
+++ b/src/state/workload.c
@@ -51,6 +51,30 @@
 	return true;
 }
 
+int64_t cq_workload_due_ms(const struct cq_workload *w, uint32_t occurrence)
+{
+	int64_t after_first_ms;
+	int64_t due_ms;
+
+	if (!w->first_run_ms)
+		return 0;
+	if (__builtin_mul_overflow(w->interval_ms, (int64_t)occurrence,
+				   &after_first_ms) ||
+	    __builtin_add_overflow(w->first_run_ms, after_first_ms, &due_ms))
+		return INT64_MAX;
+	return due_ms;
+}
+
+uint32_t cq_workload_task_count(const struct cq_workload *w)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < w->step_count; i++)
+		count += w->steps[i].tasks;
+	return count;
+}
+
 bool cq_workload_check(const struct cq_workload *w, struct cq_error *err)
 {
 	uint64_t tasks = 0;
--- a/tests/support/replay.c
+++ b/tests/support/replay.c
@@ -340,9 +340,10 @@
 		batch = cq_batch_create(job->workload);
 		job->workload = NULL;
 		batch->accepted_ns = r->now_ns;
-		for (i = 0; i < batch->stage_count; i++)
-			progress->task_saved_ns[i] =
-				g_new0(int64_t, batch->stages[i].step->tasks);
+		for (i = 0; i < cq_batch_stage_count(batch); i++)
+			progress->task_saved_ns[i] = g_new0(
+				int64_t,
+				cq_batch_stage_at(batch, i)->step->tasks);
 		progress->covered = true;
 		g_hash_table_insert(r->batches, batch->workload->id, batch);
 		r->next_arrival++;
--- a/tests/unit/test_batch_record.c
+++ b/tests/unit/test_batch_record.c
@@ -82,8 +82,11 @@
 
 	run_occurrence(batch, 0, worker);
 	first = record_bytes(batch);
-	for (k = 1; k < OCCURRENCES; k++)
+	for (k = 1; k < OCCURRENCES; k++) {
+		cq_batch_close_ended(batch);
+		cq_batch_open_due(batch, 0);
 		run_occurrence(batch, k, worker);
+	}
 	g_assert_cmpint(batch->state, ==, CQ_BATCH_COMPLETED);
 	/* The numbers in it may have more digits. */
 	g_assert_cmpuint(record_bytes(batch), <=, first + 16);
@@ -120,6 +123,18 @@
 	return count;
 }
 
+static bool is_ended(const struct cq_batch *batch, uint32_t occurrence)
+{
+	uint32_t i;
+
+	if (!cq_batch_stage(batch, occurrence, 0))
+		return occurrence < batch->opened;
+	for (i = 0; i < STEPS; i++)
+		if (!cq_stage_done(cq_batch_stage(batch, occurrence, i)))
+			return false;
+	return true;
+}
+
 static struct cq_batch *restore_copy(const char *text, uint32_t occurrences,
 				     struct cq_pool *pool)
 {
@@ -159,11 +174,11 @@
 	task = &cq_batch_stage(copy, 1, 0)->tasks[WIDTH / 2];
 	g_assert_cmpint(task->phase, ==, CQ_RUN_RESTORED);
 	g_assert_cmpuint(task->run, ==, 7);
-	g_assert_true(cq_batch_occurrence_ended(copy, 0));
-	g_assert_false(cq_batch_occurrence_ended(copy, 1));
-	g_assert_false(cq_batch_occurrence_ended(copy, 2));
-	g_assert_true(cq_batch_occurrence_ended(copy, 3));
-	g_assert_false(cq_batch_occurrence_ended(copy, 4));
+	g_assert_true(is_ended(copy, 0));
+	g_assert_false(is_ended(copy, 1));
+	g_assert_false(is_ended(copy, 2));
+	g_assert_true(is_ended(copy, 3));
+	g_assert_false(is_ended(copy, 4));
 	free(text);
 	cq_batch_destroy(batch);
 	cq_batch_destroy(copy);
@@ -212,6 +227,7 @@
 #define STAGE(rest) LIVE("{\"k\":0,\"stages\":[" rest "]}")
 	static const char *const malformed[] = {
 		RECORD("\"next\":4"),
+		RECORD("\"next\":4294967296"),
 		RECORD("\"next\":-1"),
 		LIVE("{\"k\":2}"),
 		LIVE("{\"k\":-1}"),
--- a/tests/unit/test_pace.c
+++ b/tests/unit/test_pace.c
@@ -33,7 +33,7 @@
 	workload->steps[0].fills = fills;
 	workload->steps[0].target_ms = fills ? 0 : TARGET_MS;
 	batch = cq_batch_create(workload);
-	cq_task_assign(&batch->stages[0].tasks[0], w->worker, 1);
+	cq_task_assign(&cq_batch_stage_at(batch, 0)->tasks[0], w->worker, 1);
 	return batch;
 }
 
@@ -54,7 +54,7 @@
 
 static struct cq_task *task_of(struct cq_batch *batch)
 {
-	return &batch->stages[0].tasks[0];
+	return &cq_batch_stage_at(batch, 0)->tasks[0];
 }
 
 /*
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -60,9 +60,9 @@
 	job->steps[0].accelerators = accelerators;
 	job->steps[0].memory_mb = memory_mb;
 	batch = cq_batch_create(job);
-	batch->stages[0].rank = rank;
+	cq_batch_stage_at(batch, 0)->rank = rank;
 	g_ptr_array_add(w->batches, batch);
-	return &batch->stages[0];
+	return cq_batch_stage_at(batch, 0);
 }
 
 static struct cq_workload_step *step_of(struct cq_stage *s)
--- a/tests/unit/test_stage_order.c
+++ b/tests/unit/test_stage_order.c
@@ -37,8 +37,9 @@
 {
 	struct cq_ready_stage r;
 
-	batch->stages[0].rank = 1 + queue->priority;
-	cq_ready_stage_init(&r, &batch->stages[0], queue, NOW_NS, UNIX_MS);
+	cq_batch_stage_at(batch, 0)->rank = 1 + queue->priority;
+	cq_ready_stage_init(&r, cq_batch_stage_at(batch, 0), queue, NOW_NS,
+			    UNIX_MS);
 	return r;
 }
 
@@ -132,10 +133,10 @@
 	w->steps[1].after = 1;
 	batch = cq_batch_create(w);
 	batch->accepted_ns = NOW_NS - 51 * CQ_NS_PER_S;
-	cq_ready_stage_init(&first, &batch->stages[0], &middle, NOW_NS,
-			    UNIX_MS);
-	cq_ready_stage_init(&second, &batch->stages[1], &middle, NOW_NS,
-			    UNIX_MS);
+	cq_ready_stage_init(&first, cq_batch_stage_at(batch, 0), &middle,
+			    NOW_NS, UNIX_MS);
+	cq_ready_stage_init(&second, cq_batch_stage_at(batch, 1), &middle,
+			    NOW_NS, UNIX_MS);
 	g_assert_cmpint(first.critical_path_ms, ==, 9000);
 	g_assert_cmpint(second.remaining_path_ms, ==, 1000);
 	g_assert_true(cq_ready_stage_will_miss_deadline(&first, NOW_NS));
--- a/tests/unit/test_stage_plan.c
+++ b/tests/unit/test_stage_plan.c
@@ -98,9 +98,9 @@
 	workload->steps[0].estimate_ms = 4000;
 	batch = cq_batch_create(workload);
 	batch->accepted_ns = NOW_NS;
-	batch->stages[0].rank = rank;
+	cq_batch_stage_at(batch, 0)->rank = rank;
 	g_ptr_array_add(w->batches, batch);
-	return &batch->stages[0];
+	return cq_batch_stage_at(batch, 0);
 }
 
 /*
--- a/tests/unit/test_stage_rank.c
+++ b/tests/unit/test_stage_rank.c
@@ -69,7 +69,7 @@
 	batch = cq_batch_create(job);
 	batch->accepted_ns = w->accepted * CQ_NS_PER_S;
 	g_hash_table_insert(w->batches, job->id, batch);
-	return &batch->stages[0];
+	return cq_batch_stage_at(batch, 0);
 }
 
 static void assign_runs(struct fixture *w, struct cq_stage *stage)
