--- a/include/chestnutquay/executor.h
+++ b/include/chestnutquay/executor.h
@@ -121,6 +121,12 @@
 	size_t running_count;
 	const struct cq_executor_ended *ended;
 	size_t ended_count;
+	/*
+	 * False: the worker may have more ends than it lists. It lists them
+	 * after these are acknowledged; until then a run that is in no list may
+	 * have ended in any way.
+	 */
+	bool ended_whole;
 	const char *message; /* for logs */
 };
 
--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -378,7 +378,8 @@
 }
 
 /*
- * Ends, as lost, runs that the worker reports neither as running nor as ended.
+ * Ends, as lost, runs that the worker reports neither as running nor as ended,
+ * in a whole list of ends.
  * A run that was confirmed before the heartbeat was sent no longer exists. A
  * run recorded by a former leader was never started, and the fence prevents a
  * later start. A run whose stop was answered before the heartbeat was sent
@@ -461,7 +462,9 @@
 	link_note_answer(link, report->clock_ms);
 	record_run_ends(link, report);
 	confirm_running(link, report);
-	end_missing_runs(link, report);
+	/* A run in no list may be among the ends that were left out. */
+	if (report->ended_whole)
+		end_missing_runs(link, report);
 	adjust_pace(link);
 	link_update_acknowledged(link);
 	link->next_heartbeat_ns = 0;
--- a/tests/property/prop_dispatcher.cc
+++ b/tests/property/prop_dispatcher.cc
@@ -24,6 +24,8 @@
 
 constexpr uint32_t kLeaseMs = 10000;
 constexpr int kWorkers = 3;
+/* Few, so that answers often leave ends out. */
+constexpr uint32_t kEndsPerAnswer = 2;
 constexpr int kHealRounds = 400;
 
 enum class kind {
@@ -94,6 +96,7 @@
 	      workers_(dispatcher_fixture_workers(w_)),
 	      store_(dispatcher_fixture_store(w_))
 	{
+		mem_executor_set_ends_per_answer(workers_, kEndsPerAnswer);
 		for (int k = 0; k < kWorkers; k++)
 			dispatcher_fixture_add_worker(w_, k);
 		dispatcher_fixture_start_epoch(w_);
--- a/tests/support/mem_executor.c
+++ b/tests/support/mem_executor.c
@@ -311,6 +311,7 @@
 		report.running_count = p->running->len;
 		report.ended = (void *)p->ended->data;
 		report.ended_count = p->ended->len;
+		report.ended_whole = p->ended_whole;
 	}
 	p->done(p->ctx, &report);
 	pending_free(p);
@@ -563,6 +564,11 @@
 	m->stale_heartbeats = stale;
 }
 
+void mem_executor_set_ends_per_answer(struct mem_executor *m, uint32_t count)
+{
+	m->ends_per_answer = count;
+}
+
 void mem_executor_fail_commands(struct mem_executor *m,
 				enum mem_executor_fault fault, int count)
 {
--- a/tests/support/mem_executor.h
+++ b/tests/support/mem_executor.h
@@ -42,6 +42,11 @@
 				enum mem_executor_fault fault, int count);
 /* Heartbeats report the runs as of when they were sent, after a delay. */
 void mem_executor_stale_heartbeats(struct mem_executor *m, bool stale);
+/*
+ * Answers list at most that many ends, the earliest ones, from now on. 0: all,
+ * as at first.
+ */
+void mem_executor_set_ends_per_answer(struct mem_executor *m, uint32_t count);
 /* Makes the worker unreachable, or reachable again. */
 void mem_executor_set_unreachable(struct mem_executor *m, const char *id,
 				  bool cut);
--- a/tests/support/mem_executor_internal.h
+++ b/tests/support/mem_executor_internal.h
@@ -51,6 +51,7 @@
 	bool answer_dropped;	     /* the caller gets no answer */
 	int64_t worker_started_ms;   /* incarnation called; 0: none */
 	GArray *running, *ended; /* at sending if stale, else at completion */
+	bool ended_whole;	 /* all ends are in the list */
 };
 
 struct mem_command {
@@ -79,6 +80,7 @@
 	int fault_count;
 	uint32_t starts;
 	bool stale_heartbeats;
+	uint32_t ends_per_answer; /* 0: no limit */
 	double unreachable_timeout_s;
 	bool real_leases;
 	uint32_t open_heartbeats; /* heartbeats without a wait */
--- a/tests/support/mem_executor_lists.c
+++ b/tests/support/mem_executor_lists.c
@@ -6,6 +6,8 @@
 /* Copies the current running and ended runs of the worker into the call. */
 void mem_executor_read_lists(struct pending_call *p, const struct worker *w)
 {
+	guint limit = p->m->ends_per_answer ? p->m->ends_per_answer
+					    : w->ended->len + 1;
 	guint i;
 
 	p->running =
@@ -22,7 +24,10 @@
 
 		g_array_append_val(p->running, row);
 	}
-	for (i = 0; i < w->ended->len; i++) {
+	/* As the platform does, a list of exactly the limit is not known whole.
+	 */
+	p->ended_whole = w->ended->len < limit;
+	for (i = 0; i < w->ended->len && i < limit; i++) {
 		const struct ended_run *end = g_ptr_array_index(w->ended, i);
 		const struct cq_executor_ended row = {
 			.number = end->number,
--- a/tests/unit/test_platform_http.c
+++ b/tests/unit/test_platform_http.c
@@ -423,6 +423,46 @@
 	fixture_close(&f);
 }
 
+/*
+ * Guards against a list of ends that was cut at its limit and is taken for a
+ * whole one: runs that it leaves out would be started again.
+ */
+static void test_executor_cut_list(void)
+{
+	static const struct {
+		uint32_t ends;
+		bool whole;
+	} cases[] = { { 0, true }, { 499, true }, { 500, false } };
+	const struct cq_executor_heartbeat heartbeat = { 486000, 57, 1000 };
+	struct cq_executor_target target = { .id = "i-1", .fencing_token = 7 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GString *body = g_string_new("{\"clockMs\":1,\"finished\":[");
+		const struct cq_executor *e;
+		struct fixture f;
+		uint32_t k;
+
+		for (k = 0; k < cases[i].ends; k++)
+			g_string_append_printf(
+				body, "%s[%u,\"t.0.0.%u\",1,\"done\",\"\"]",
+				k ? "," : "", 58 + k, k);
+		g_string_append(body, "]}");
+		fixture_open(&f);
+		e = cq_executor_http_get(f.executor);
+		target.address = f.address;
+		f.body = body->str;
+		e->ops->heartbeat(e->self, &target, &heartbeat, CALL_TIMEOUT_MS,
+				  on_report, &f);
+		await(&f);
+		g_assert_cmpint(f.report.answer, ==, CQ_EXECUTOR_OK);
+		g_assert_cmpuint(f.report.ended_count, ==, cases[i].ends);
+		g_assert_cmpint(f.report.ended_whole, ==, cases[i].whole);
+		fixture_close(&f);
+		g_string_free(body, TRUE);
+	}
+}
+
 static void test_executor_answers(void)
 {
 	static const struct {
@@ -486,5 +526,7 @@
 			test_executor_odd_numbers);
 	g_test_add_func("/platform_http/executor_answers",
 			test_executor_answers);
+	g_test_add_func("/platform_http/executor_cut_list",
+			test_executor_cut_list);
 	return g_test_run();
 }
