--- a/src/state/workload.c
+++ b/src/state/workload.c
@@ -56,13 +56,13 @@
 	int64_t after_first_ms;
 	int64_t due_ms;
 
-	if (!w->first_run_ms)
+	if (w->first_run_ms <= 0)
 		return 0;
 	if (__builtin_mul_overflow(w->interval_ms, (int64_t)occurrence,
 				   &after_first_ms) ||
 	    __builtin_add_overflow(w->first_run_ms, after_first_ms, &due_ms))
-		return INT64_MAX;
-	return due_ms;
+		return w->interval_ms < 0 ? 0 : INT64_MAX;
+	return MAX(due_ms, 0);
 }
 
 uint32_t cq_workload_task_count(const struct cq_workload *w)
--- a/tests/unit/test_batch_occurrences.c
+++ b/tests/unit/test_batch_occurrences.c
@@ -160,6 +160,9 @@
 	static const struct due_case cases[] = {
 		{ 0, 0, 0, 0 },
 		{ 0, INT64_MAX, UINT32_MAX, 0 },
+		{ INT64_MIN, 10, 3, 0 },
+		{ 1000, -400, 3, 0 },
+		{ 1000, INT64_MIN, 3, 0 },
 		{ 1000, 10, 0, 1000 },
 		{ 1000, 10, 3, 1030 },
 		{ 1, INT64_MAX, 1, INT64_MAX },
--- a/tests/unit/test_dispatcher_cut_lists.c
+++ b/tests/unit/test_dispatcher_cut_lists.c
@@ -125,8 +125,8 @@
 	dispatcher_fixture_cancel(w, JOBS);
 	g_assert_true(dispatcher_fixture_wait_for_state(w, JOBS, "cancelled"));
 	mem_executor_set_unreachable(workers, ID, false);
-	g_assert_true(dispatcher_fixture_wait_for_state(w, JOBS - 1,
-							"completed"));
+	g_assert_true(
+		dispatcher_fixture_wait_for_state(w, JOBS - 1, "completed"));
 	g_assert_cmpuint(mem_executor_starts(workers), ==, JOBS);
 	g_assert_cmpstr(dispatcher_fixture_state(w, JOBS), ==, "cancelled");
 	check_and_destroy_world(w);
--- a/tests/unit/test_platform_documents.c
+++ b/tests/unit/test_platform_documents.c
@@ -293,6 +293,21 @@
 	cq_workload_destroy(w);
 }
 
+/* Guards against due times at the end of 64 bits that change when read. */
+static void test_late_due_time(void)
+{
+	static const char json[] = "{\"steps\":[],\"maxRuns\":2,"
+				   "\"firstRunMs\":9223372036854775807,"
+				   "\"intervalMs\":9223372036854775807}";
+	struct cq_workload *w =
+		cq_platform_submission_parse(json, strlen(json), NULL);
+
+	g_assert_nonnull(w);
+	g_assert_cmpint(w->first_run_ms, ==, INT64_MAX);
+	g_assert_cmpint(w->interval_ms, ==, INT64_MAX);
+	cq_workload_destroy(w);
+}
+
 static void test_bad_submissions(void)
 {
 	static const char *const bad[] = {
@@ -303,6 +318,14 @@
 		"{\"steps\":[{\"count\":1,\"after\":[99]}]}",
 		"{\"steps\":[{\"count\":1,\"image\":7}]}",
 		"{\"steps\":[],\"maxRuns\":-4}",
+		"{\"steps\":[],\"maxRuns\":4294967296}",
+		"{\"steps\":[],\"maxRuns\":1e300}",
+		"{\"steps\":[],\"maxRuns\":1,\"firstRunMs\":-1}",
+		"{\"steps\":[],\"maxRuns\":1,\"firstRunMs\":1e300}",
+		"{\"steps\":[],\"maxRuns\":1,\"firstRunMs\":9223372036854775808}",
+		"{\"steps\":[],\"maxRuns\":1,\"firstRunMs\":\"5\"}",
+		"{\"steps\":[],\"maxRuns\":2,\"intervalMs\":-1}",
+		"{\"steps\":[],\"maxRuns\":2,\"intervalMs\":1e19}",
 	};
 	size_t i;
 
@@ -328,6 +351,7 @@
 	g_test_add_func("/platform/listing/odd", test_odd_listings);
 	g_test_add_func("/platform/listing/nested", test_nested_unknown_field);
 	g_test_add_func("/platform/submission", test_submission);
+	g_test_add_func("/platform/late_due_time", test_late_due_time);
 	g_test_add_func("/platform/bad_submissions", test_bad_submissions);
 	return g_test_run();
 }
