--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -319,7 +319,8 @@
 	if (request->key)
 		workspace =
 			cq_queue_config_workspace_of_key(config, request->key);
-	if (!workspace && !queue->allow_anonymous) {
+	/* A call without a key is anonymous; one with an unknown key is not. */
+	if (!workspace && (request->key || !queue->allow_anonymous)) {
 		request_answer_simple(r, CQ_GATEWAY_DENIED, "unknown key");
 		return;
 	}
