--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -365,11 +365,22 @@
 		command_stop(d, task, "the worker no longer accepts starts");
 }
 
+/*
+ * Asked before a start is sent and before it is repeated: since the plan, the
+ * worker may have come back as another kind, and the queue may have another
+ * service. The room includes the task, which is booked.
+ */
 static bool worker_accepts_start(const struct cq_dispatcher *d,
 				 const struct cq_task *task)
 {
 	const struct cq_pool_worker *worker = task->worker;
+	const struct cq_workload_step *step = task->stage->step;
+	const struct cq_queue *queue = dispatcher_queue(d, task->stage->batch);
 
+	if (!queue || strcmp(worker->listing.service, queue->service) ||
+	    !cq_pool_has_label(worker, step->required_label) ||
+	    !cq_pool_fits(worker, step, 0))
+		return false;
 	return worker->usable && worker->listed &&
 	       worker->listing.state == CQ_REGISTRATION_READY &&
 	       !(d->evacuated &&
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -53,6 +53,9 @@
 	registration->accelerators = 8;
 	fields = sscanf(text, "%15s %15s %ld", registration->data_centre,
 			registration->rack, &started_unix_ms);
+	if (g_str_has_suffix(text, " other"))
+		g_strlcpy(registration->service, "other",
+			  sizeof(registration->service));
 	if (g_str_has_suffix(text, " draining"))
 		registration->state = CQ_REGISTRATION_DRAINING;
 	g_free(text);
@@ -166,6 +169,15 @@
 	write_worker_entry(w, k, " draining");
 }
 
+void dispatcher_fixture_change_service(struct dispatcher_fixture *w, int k)
+{
+	char *id = worker_id(k);
+
+	mem_executor_restart(w->workers, id);
+	write_worker_entry(w, k, " other");
+	g_free(id);
+}
+
 void dispatcher_fixture_add_worker(struct dispatcher_fixture *w, int k)
 {
 	char *id = worker_id(k);
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -28,6 +28,11 @@
 				       bool listed);
 /* Marks the worker as draining in its registration. */
 void dispatcher_fixture_drain(struct dispatcher_fixture *w, int k);
+/*
+ * Restarts the worker as one of another service, to which no queue sends its
+ * tasks.
+ */
+void dispatcher_fixture_change_service(struct dispatcher_fixture *w, int k);
 /* Marks a data centre as evacuated, or as no longer evacuated. */
 void dispatcher_fixture_set_evacuated(struct dispatcher_fixture *w,
 				      const char *dc, bool out);
--- a/tests/unit/test_dispatcher.c
+++ b/tests/unit/test_dispatcher.c
@@ -295,6 +295,29 @@
 	return id && !strcmp(id, "worker1");
 }
 
+/*
+ * Guards against a start that is repeated to a worker which has come back as
+ * one of another service.
+ */
+static void test_no_repeat_on_other_service(void)
+{
+	struct dispatcher_fixture *w = create_world(LONG_LEASE_MS, 1);
+	struct mem_executor *workers = dispatcher_fixture_workers(w);
+
+	mem_executor_fail_commands(workers, MEM_EXECUTOR_DROP_COMMAND, 1);
+	dispatcher_fixture_submit(w, 1, 1, 8, false);
+	g_assert_true(dispatcher_fixture_wait_for_state(w, 1, "running"));
+	run_loop_iterations(dispatcher_fixture_loop(w), 5);
+	dispatcher_fixture_change_service(w, 0);
+	mem_executor_forbid_starts(workers, "worker0", true);
+	/* Longer than the restart and several repeats of a start. */
+	run_loop_iterations(dispatcher_fixture_loop(w), 600);
+	g_assert_cmpuint(mem_executor_starts(workers), ==, 0);
+	dispatcher_fixture_add_worker(w, 1);
+	g_assert_true(wait_for(dispatcher_fixture_loop(w), runs_on_worker1, w));
+	check_and_destroy_world(w);
+}
+
 /*
  * Guards against heartbeats that keep the lease of an unreachable worker from
  * expiring: its task must start on another worker.
@@ -503,6 +526,8 @@
 			test_stop_of_run_that_never_started);
 	g_test_add_func("/dispatcher/no_repeat_while_draining",
 			test_no_repeat_while_draining);
+	g_test_add_func("/dispatcher/no_repeat_on_other_service",
+			test_no_repeat_on_other_service);
 	g_test_add_func("/dispatcher/large_fleet_is_contacted_in_turn",
 			test_large_fleet_is_contacted_in_turn);
 	g_test_add_func("/dispatcher/silent_workers_do_not_hold_up_others",
