--- a/include/chestnutquay/executor.h
+++ b/include/chestnutquay/executor.h
@@ -115,8 +115,6 @@
 
 struct cq_executor_report {
 	enum cq_executor_answer answer;
-	/* No answer, and no process listens at the worker's address. */
-	bool refused;
 	int64_t clock_ms;	 /* worker's clock; -1 without an answer */
 	int64_t started_unix_ms; /* incarnation's start; 0: unknown */
 	const struct cq_executor_running *running;
--- a/include/chestnutquay/http_client.h
+++ b/include/chestnutquay/http_client.h
@@ -32,8 +32,6 @@
 struct cq_http_result {
 	enum cq_http_outcome outcome;
 	bool timed_out;
-	/* No process listened at the address when it was last connected to. */
-	bool connection_refused;
 	/* Not sent because the address is at its connection limit. */
 	bool connection_limit_reached;
 	uint32_t status; /* HTTP status; 0 unless answered */
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -30,11 +30,6 @@
 	bool fenced; /* it has answered a call with this epoch's fence */
 	bool heartbeat_in_flight;
 	bool heartbeat_failed; /* the last heartbeat was not answered with OK */
-	/*
-	 * No process listened at the address at some time since the last OK
-	 * answer, so the runs of that time are over.
-	 */
-	bool refused;
 	int64_t heartbeat_sent_ns;
 	bool probe_slot; /* counted in probes_in_flight */
 	int64_t next_heartbeat_ns;
--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -46,8 +46,6 @@
 
 static void send_heartbeat(struct link *link, int64_t now_ns);
 static void on_heartbeat(void *ctx, const struct cq_executor_report *report);
-static void on_heartbeat_failed(struct link *link,
-				const struct cq_executor_report *report);
 static void record_run_ends(struct link *link,
 			    const struct cq_executor_report *report);
 static void record_run_end(struct link *link,
@@ -172,7 +170,6 @@
 	link->worker->listing.started_unix_ms = born_unix_ms;
 	link->worker->failure_streak = 0;
 	link->fenced = false;
-	link->refused = false;
 	link->next_heartbeat_ns = 0;
 	link->clock_ms = 0;
 	link->clock_ns = 0;
@@ -417,33 +414,6 @@
 	}
 }
 
-static void on_heartbeat_failed(struct link *link,
-				const struct cq_executor_report *report)
-{
-	const struct cq_pool_worker *worker = link->worker;
-
-	if (!link->heartbeat_failed)
-		cq_log_event(CQ_LOG_WARN, "hold_failed", "{s:s,s:s,s:s,s:i}",
-			     "worker", worker->listing.id, "answer",
-			     cq_executor_answer_string(report->answer), "error",
-			     report->message, "runs", (int)worker->runs->len);
-	link->heartbeat_failed = true;
-	link->next_heartbeat_ns =
-		dispatcher_now_ns(link->d) + HEARTBEAT_RETRY_NS;
-	link->refused |= report->refused;
-	if (report->answer == CQ_EXECUTOR_FENCED)
-		link->d->ops->superseded(link->d->ctx);
-	else if (report->answer == CQ_EXECUTOR_OTHER_INCARNATION)
-		end_runs_as_lost(link,
-				 "another incarnation of the worker answered");
-	/*
-	 * Its process has ended and will not come back. A worker that is only
-	 * silent refuses nothing, and one that restarts stays listed.
-	 */
-	else if (!worker->listed && link->refused)
-		end_runs_as_lost(link, "the worker has left");
-}
-
 static void on_heartbeat(void *ctx, const struct cq_executor_report *report)
 {
 	struct heartbeat_call *call = ctx;
@@ -458,10 +428,23 @@
 	release_probe_slot(link);
 	link->heartbeat_in_flight = false;
 	if (report->answer != CQ_EXECUTOR_OK) {
-		on_heartbeat_failed(link, report);
+		if (!link->heartbeat_failed)
+			cq_log_event(CQ_LOG_WARN, "hold_failed",
+				     "{s:s,s:s,s:s,s:i}", "worker",
+				     worker->listing.id, "answer",
+				     cq_executor_answer_string(report->answer),
+				     "error", report->message, "runs",
+				     (int)worker->runs->len);
+		link->heartbeat_failed = true;
+		link->next_heartbeat_ns = now_ns + HEARTBEAT_RETRY_NS;
+		if (report->answer == CQ_EXECUTOR_FENCED)
+			d->ops->superseded(d->ctx);
+		else if (report->answer == CQ_EXECUTOR_OTHER_INCARNATION)
+			end_runs_as_lost(
+				link,
+				"another incarnation of the worker answered");
 		return;
 	}
-	link->refused = false;
 	if (report->started_unix_ms && worker->listing.started_unix_ms &&
 	    report->started_unix_ms != worker->listing.started_unix_ms) {
 		if (report->started_unix_ms < worker->listing.started_unix_ms)
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -2,7 +2,6 @@
 
 #include <assert.h>
 #include <curl/curl.h>
-#include <errno.h>
 #include <glib.h>
 #include <string.h>
 
@@ -77,8 +76,6 @@
 static void on_io(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_timer(struct ev_loop *loop, ev_timer *watcher, int events);
 static void collect_finished(struct partition *partition);
-static bool is_connection_refused(const struct cq_http_call *call,
-				  CURLcode code);
 static void call_finished(struct cq_http_call *call, CURLcode code);
 static void call_unlink(struct cq_http_call *call);
 static void call_free(struct cq_http_call *call);
@@ -347,15 +344,6 @@
 	}
 }
 
-static bool is_connection_refused(const struct cq_http_call *call,
-				  CURLcode code)
-{
-	long error = 0;
-
-	curl_easy_getinfo(call->easy, CURLINFO_OS_ERRNO, &error);
-	return code == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
-}
-
 static void call_finished(struct cq_http_call *call, CURLcode code)
 {
 	struct cq_http_result result = { .call = call, .error = "" };
@@ -374,7 +362,6 @@
 		result.outcome = written ? CQ_HTTP_UNKNOWN : CQ_HTTP_NOT_SENT;
 		result.connection_limit_reached = call->limit_reached &&
 						  !written;
-		result.connection_refused = is_connection_refused(call, code);
 		result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
 		result.error = written && code == CURLE_ABORTED_BY_CALLBACK
 				       ? "the connection ended before an answer"
