--- a/tests/unit/test_dispatcher.c
+++ b/tests/unit/test_dispatcher.c
@@ -338,6 +338,28 @@
 	check_and_destroy_world(w);
 }
 
+/*
+ * Guards against a run that is started elsewhere although its worker is only
+ * missing in the store, or silent as well: its lease has not expired.
+ */
+static void test_unlisted_worker_is_not_gone(void)
+{
+	struct dispatcher_fixture *w = create_world(LONG_LEASE_MS, 1);
+	struct mem_executor *workers = dispatcher_fixture_workers(w);
+
+	dispatcher_fixture_submit(w, 1, 1, 8, false);
+	g_assert_true(dispatcher_fixture_wait_for_runs(w, 1));
+	run_loop_iterations(dispatcher_fixture_loop(w), 20);
+	dispatcher_fixture_add_worker(w, 1);
+	dispatcher_fixture_set_registered(w, 0, false);
+	/* Enough for several heartbeats. */
+	run_loop_iterations(dispatcher_fixture_loop(w), 600);
+	mem_executor_set_unreachable(workers, "worker0", true);
+	run_loop_iterations(dispatcher_fixture_loop(w), 600);
+	g_assert_cmpuint(mem_executor_starts(workers), ==, 1);
+	check_and_destroy_world(w);
+}
+
 /* Guards against runs that stay assigned to a worker which has restarted. */
 static void test_restarted_worker(void)
 {
@@ -544,6 +566,8 @@
 			test_late_order_of_former_epoch);
 	g_test_add_func("/dispatcher/silent_worker",
 			test_lease_of_silent_worker_expires);
+	g_test_add_func("/dispatcher/unlisted_worker_is_not_gone",
+			test_unlisted_worker_is_not_gone);
 	g_test_add_func("/dispatcher/reborn_worker", test_restarted_worker);
 	g_test_add_func("/dispatcher/cancel", test_cancel);
 	g_test_add_func("/dispatcher/fails", test_attempt_limit);
