--- a/include/chestnutquay/stage_plan.h
+++ b/include/chestnutquay/stage_plan.h
@@ -55,7 +55,8 @@
 
 /*
  * Appends the stages of the batch that are ready to start to the array of
- * struct cq_ready_stage. unix_ms is the time of day at now_ns.
+ * struct cq_ready_stage. unix_ms is the time of day at now_ns. Occurrences of
+ * the batch that have ended are freed before, and those that are due are added.
  */
 void cq_stage_plan_collect(struct cq_batch *batch, const struct cq_queue *queue,
 			   int64_t now_ns, int64_t unix_ms, GArray *ready);
--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -378,12 +378,11 @@
 }
 
 /*
- * Ends, as lost, runs that the worker reports neither as running nor as ended,
- * in a whole list of ends.
- * A run that was confirmed before the heartbeat was sent no longer exists. A
- * run recorded by a former leader was never started, and the fence prevents a
- * later start. A run whose stop was answered before the heartbeat was sent
- * cannot start later.
+ * Ends, as lost, runs that the worker reports neither as running nor as ended;
+ * its list of ends must be whole. A run that was confirmed before the heartbeat
+ * was sent no longer exists. A run recorded by a former leader was never
+ * started, and the fence prevents a later start. A run whose stop was answered
+ * before the heartbeat was sent cannot start later.
  */
 static void end_missing_runs(struct link *link,
 			     const struct cq_executor_report *report)
