--- a/src/protocol/store_http.c
+++ b/src/protocol/store_http.c
@@ -64,7 +64,8 @@
 		    const struct cq_http_result *http_result);
 static enum cq_store_status status_of(const struct cq_store_call *call,
 				      const struct cq_http_result *result);
-static bool parse_body(const struct cq_http_result *http_result, json_t **root,
+static bool parse_body(const struct cq_store_call *call,
+		       const struct cq_http_result *http_result, json_t **root,
 		       struct cq_store_result *result,
 		       struct cq_store_entry **entries);
 
@@ -169,7 +170,9 @@
 	}
 }
 
-static bool parse_body(const struct cq_http_result *http_result, json_t **root,
+/* The answer to a read has its list of entries, if only an empty one. */
+static bool parse_body(const struct cq_store_call *call,
+		       const struct cq_http_result *http_result, json_t **root,
 		       struct cq_store_result *result,
 		       struct cq_store_entry **entries)
 {
@@ -185,6 +188,8 @@
 		json_integer_value(json_object_get(*root, "revision"));
 	result->lease_id = json_integer_value(json_object_get(*root, "lease"));
 	list = json_object_get(*root, "entries");
+	if (call->is_read && !json_is_array(list))
+		return false;
 	*entries = g_new0(struct cq_store_entry, json_array_size(list) + 1);
 	json_array_foreach(list, i, item)
 	{
@@ -216,7 +221,7 @@
 
 	result.status = status_of(call, http_result);
 	if (http_result->outcome == CQ_HTTP_ANSWERED &&
-	    !parse_body(http_result, &root, &result, &entries) &&
+	    !parse_body(call, http_result, &root, &result, &entries) &&
 	    result.status == CQ_STORE_OK) {
 		result.status = call->is_read ? CQ_STORE_UNAVAILABLE
 					      : CQ_STORE_UNKNOWN;
--- a/tests/unit/test_platform_http.c
+++ b/tests/unit/test_platform_http.c
@@ -230,6 +230,71 @@
 	fixture_close(&f);
 }
 
+/*
+ * Guards against an answer without a whole list that is taken for a list that
+ * is empty or ends there: jobs, keys and workers would be taken for gone.
+ */
+static void test_store_odd_lists(void)
+{
+	static const struct {
+		bool watch;
+		const char *body;
+		enum cq_store_status expected;
+		const char *entries; /* NULL: of no matter */
+	} cases[] = {
+		{ false, "{\"items\":[],\"hasMore\":false,\"atRev\":9}",
+		  CQ_STORE_OK, "" },
+		{ false, "{\"atRev\":9}", CQ_STORE_UNKNOWN, NULL },
+		{ false, "{\"items\":{},\"hasMore\":false,\"atRev\":9}",
+		  CQ_STORE_UNKNOWN, NULL },
+		{ false, "{\"items\":[],\"atRev\":9}", CQ_STORE_UNKNOWN, NULL },
+		{ false, "{\"items\":[],\"hasMore\":1,\"atRev\":9}",
+		  CQ_STORE_UNKNOWN, NULL },
+		{ false, "{\"items\":[],\"hasMore\":true,\"atRev\":9}",
+		  CQ_STORE_UNKNOWN, NULL },
+		{ false, "{\"items\":[],\"hasMore\":false}", CQ_STORE_UNKNOWN,
+		  NULL },
+		/* The second page is the first one again. */
+		{ false,
+		  "{\"items\":[{\"key\":\"m/a\",\"value\":\"b25l\","
+		  "\"revision\":5}],\"hasMore\":true,\"atRev\":9}",
+		  CQ_STORE_UNKNOWN, NULL },
+		/* A key without a value is a key that is there. */
+		{ false,
+		  "{\"items\":[{\"key\":\"m/a\",\"revision\":5}],"
+		  "\"hasMore\":false,\"atRev\":9}",
+		  CQ_STORE_OK, "m/a=@5,0;" },
+		{ true, "{\"events\":[],\"atRev\":9}", CQ_STORE_OK, "" },
+		{ true, "{\"atRev\":9}", CQ_STORE_UNKNOWN, NULL },
+		{ true, "{\"events\":null,\"atRev\":9}", CQ_STORE_UNKNOWN,
+		  NULL },
+		{ true,
+		  "{\"events\":[{\"key\":\"m/a\",\"value\":7,"
+		  "\"revision\":5}],\"atRev\":9}",
+		  CQ_STORE_OK, "m/a=@5,0;" },
+	};
+	struct fixture f;
+	const struct cq_store *s;
+	size_t i;
+
+	fixture_open(&f);
+	s = store_of(&f);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		f.body = cases[i].body;
+		if (cases[i].watch)
+			s->ops->watch(s->self, "m/", 4, 100, on_result, &f);
+		else
+			s->ops->list(s->self, "m/", CALL_TIMEOUT_MS, on_result,
+				     &f);
+		await(&f);
+		g_assert_cmpint(f.result.status, ==, cases[i].expected);
+		if (cases[i].entries)
+			g_assert_cmpstr(f.entries, ==, cases[i].entries);
+	}
+	g_assert_cmpint(f.requests, ==, (int)G_N_ELEMENTS(cases) + 1);
+	fixture_close(&f);
+}
+
 static void test_store_answers(void)
 {
 	static const struct {
@@ -517,6 +582,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform_http/store_calls", test_store_calls);
 	g_test_add_func("/platform_http/store_pages", test_store_pages);
+	g_test_add_func("/platform_http/store_odd_lists", test_store_odd_lists);
 	g_test_add_func("/platform_http/store_answers", test_store_answers);
 	g_test_add_func("/platform_http/store_cancel", test_store_cancel);
 	g_test_add_func("/platform_http/executor_calls", test_executor_calls);
