--- a/include/chestnutquay/executor.h
+++ b/include/chestnutquay/executor.h
@@ -106,7 +106,8 @@
 };
 
 struct cq_executor_ended {
-	uint64_t number; /* counts ended runs of the incarnation from 1 */
+	/* Counts ended runs of the incarnation from 1; 0: it was unreadable. */
+	uint64_t number;
 	const char *task;
 	uint32_t run;
 	enum cq_run_end outcome;
@@ -127,6 +128,21 @@
 	 * have ended in any way.
 	 */
 	bool ended_whole;
+	/*
+	 * A row, or the list itself, could not be read: the worker may have
+	 * more runs, or more ends, than are reported here.
+	 */
+	bool running_unreadable;
+	bool ended_unreadable;
+	/*
+	 * If ended_unreadable: only so many ends, the first ones, were listed
+	 * before a row that could not be read. Acknowledging a later one would
+	 * discard that row.
+	 */
+	size_t ended_in_order;
+	/* Rows with a part that could not be read, and the first one's text. */
+	uint32_t odd_rows;
+	const char *odd_row;
 	const char *message; /* for logs */
 };
 
--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -48,6 +48,7 @@
 		cq_metrics_counter(metrics, "cq_preemptions_total", "");
 	d->refused_records =
 		cq_metrics_counter(metrics, "cq_records_refused_total", "");
+	d->odd_rows = cq_metrics_counter(metrics, "cq_odd_rows_total", "");
 	d->plan_time = cq_metrics_histogram(metrics, "cq_plan_seconds", "");
 	d->wait_time =
 		cq_metrics_histogram(metrics, "cq_wait_for_start_seconds", "");
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -50,6 +50,13 @@
 	/* Last number that the heartbeat in flight acknowledges. */
 	uint64_t acknowledging_end;
 	GArray *unacknowledged_ends;
+	/*
+	 * Since when each report has had a list of runs, or of ends, that could
+	 * not be read as a whole; 0: the last one could.
+	 */
+	int64_t running_unreadable_ns;
+	int64_t ended_unreadable_ns;
+	int64_t odd_rows_logged_ns;
 };
 
 struct cq_dispatcher {
@@ -96,6 +103,7 @@
 	struct cq_counter *ends[CQ_RUN_LOST + 1];
 	struct cq_counter *preemptions;
 	struct cq_counter *refused_records;
+	struct cq_counter *odd_rows;
 	struct cq_histogram *plan_time;
 	struct cq_histogram *wait_time;
 };
@@ -153,6 +161,11 @@
 int64_t link_grant(struct link *link);
 struct cq_executor_target link_target(const struct link *link);
 
+/* dispatcher_report.c */
+/* Updates the runs on the worker from the lists in its answer. */
+void link_read_report(struct link *link,
+		      const struct cq_executor_report *report);
+
 /* dispatcher_orders.c */
 /* Sends the start of the task's current run. */
 void command_start(struct cq_dispatcher *d, struct cq_task *task);
--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -46,16 +46,6 @@
 
 static void send_heartbeat(struct link *link, int64_t now_ns);
 static void on_heartbeat(void *ctx, const struct cq_executor_report *report);
-static void record_run_ends(struct link *link,
-			    const struct cq_executor_report *report);
-static void record_run_end(struct link *link,
-			   const struct cq_executor_ended *ended);
-static void confirm_running(struct link *link,
-			    const struct cq_executor_report *report);
-static void end_missing_runs(struct link *link,
-			     const struct cq_executor_report *report);
-static struct cq_task *find_run(struct link *link, const char *task,
-				uint32_t run);
 static void end_runs_as_lost(struct link *link, const char *reason);
 static bool needs_heartbeat(const struct link *link);
 static uint32_t heartbeat_wait_ms(const struct link *link);
@@ -177,6 +167,8 @@
 	link->last_recorded_end = 0;
 	link->last_durable_end = 0;
 	link->last_acknowledged_end = 0;
+	link->running_unreadable_ns = 0;
+	link->ended_unreadable_ns = 0;
 	g_array_set_size(link->unacknowledged_ends, 0);
 	g_hash_table_remove(link->d->links_with_ends, link);
 }
@@ -292,127 +284,6 @@
 				    on_heartbeat, call);
 }
 
-static struct cq_task *find_run(struct link *link, const char *name,
-				uint32_t run)
-{
-	char id[CQ_WORKLOAD_ID_BYTES];
-	struct cq_batch *batch;
-	struct cq_task *task;
-
-	if (!cq_task_name_batch(name, id))
-		return NULL;
-	batch = g_hash_table_lookup(link->d->batches, id);
-	task = batch ? cq_batch_find_task(batch, name) : NULL;
-	if (!task || task->worker != link->worker || task->run != run ||
-	    task->phase == CQ_RUN_NONE || task->phase == CQ_RUN_RECORDING)
-		return NULL;
-	return task;
-}
-
-static void record_run_end(struct link *link,
-			   const struct cq_executor_ended *ended)
-{
-	struct cq_task *task = find_run(link, ended->task, ended->run);
-	struct unacknowledged_end entry = { .number = ended->number };
-
-	link->last_recorded_end = ended->number;
-	if (task) {
-		struct cq_batch *batch = task->stage->batch;
-
-		dispatcher_end_run(link->d, task, ended->outcome,
-				   ended->checkpoint);
-		g_strlcpy(entry.batch_id, batch->workload->id,
-			  sizeof(entry.batch_id));
-		entry.version = batch->version;
-	}
-	g_array_append_val(link->unacknowledged_ends, entry);
-	g_hash_table_add(link->d->links_with_ends, link);
-}
-
-static void record_run_ends(struct link *link,
-			    const struct cq_executor_report *report)
-{
-	size_t i;
-
-	for (i = 0; i < report->ended_count; i++)
-		if (report->ended[i].number > link->last_recorded_end)
-			record_run_end(link, &report->ended[i]);
-}
-
-static void confirm_running(struct link *link,
-			    const struct cq_executor_report *report)
-{
-	int64_t now_ns = dispatcher_now_ns(link->d);
-	size_t i;
-
-	for (i = 0; i < report->running_count; i++) {
-		const struct cq_executor_running *row = &report->running[i];
-		struct cq_task *task = find_run(link, row->task, row->run);
-
-		if (!task) {
-			command_stop_unknown(link->d, link, row->task,
-					     row->run);
-			continue;
-		}
-		if (!task->started_ns)
-			task->started_ns = now_ns;
-		task->phase = CQ_RUN_CONFIRMED;
-		task->confirmed_ns = now_ns;
-		task->load = row->load;
-		cq_task_checkpoint(task, row->checkpoint);
-	}
-}
-
-static bool is_reported_running(const struct cq_task *task,
-				const struct cq_executor_report *report)
-{
-	char name[CQ_TASK_NAME_BYTES];
-	size_t i;
-
-	cq_task_name(task, name);
-	for (i = 0; i < report->running_count; i++)
-		if (report->running[i].run == task->run &&
-		    !strcmp(report->running[i].task, name))
-			return true;
-	return false;
-}
-
-/*
- * Ends, as lost, runs that the worker reports neither as running nor as ended;
- * its list of ends must be whole. A run that was confirmed before the heartbeat
- * was sent no longer exists. A run recorded by a former leader was never
- * started, and the fence prevents a later start. A run whose stop was answered
- * before the heartbeat was sent cannot start later.
- */
-static void end_missing_runs(struct link *link,
-			     const struct cq_executor_report *report)
-{
-	GPtrArray *runs = link->worker->runs;
-	guint i;
-
-	for (i = runs->len; i-- > 0;) {
-		struct cq_task *task;
-		bool gone = false;
-
-		if (i >= runs->len)
-			continue;
-		task = g_ptr_array_index(runs, i);
-		if (task->phase == CQ_RUN_RECORDING ||
-		    is_reported_running(task, report))
-			continue;
-		if (task->phase == CQ_RUN_RESTORED)
-			gone = true;
-		else if (task->phase == CQ_RUN_CONFIRMED)
-			gone = task->confirmed_ns < link->heartbeat_sent_ns &&
-			       !task->start_in_flight;
-		if (task->stop_answered &&
-		    task->stop_answered_ns < link->heartbeat_sent_ns)
-			gone = true;
-		if (gone)
-			dispatcher_end_run(link->d, task, CQ_RUN_LOST, NULL);
-	}
-}
-
 static void on_heartbeat(void *ctx, const struct cq_executor_report *report)
 {
 	struct heartbeat_call *call = ctx;
@@ -459,15 +330,14 @@
 	link->heartbeat_answered_ns = now_ns;
 	link->last_acknowledged_end = link->acknowledging_end;
 	link_note_answer(link, report->clock_ms);
-	record_run_ends(link, report);
-	confirm_running(link, report);
-	/* A run in no list may be among the ends that were left out. */
-	if (report->ended_whole)
-		end_missing_runs(link, report);
+	link_read_report(link, report);
 	adjust_pace(link);
 	link_update_acknowledged(link);
 	link->next_heartbeat_ns = 0;
-	if (link->unacknowledged_ends->len)
+	/* A worker that lists ends, odd rows included, answers at once. */
+	if (link->unacknowledged_ends->len ||
+	    (report->ended_unreadable &&
+	     link->last_durable_end <= link->last_acknowledged_end))
 		link->next_heartbeat_ns = now_ns + HEARTBEAT_RETRY_NS;
 	link_tick(link, now_ns);
 }
--- a/tests/property/prop_dispatcher.cc
+++ b/tests/property/prop_dispatcher.cc
@@ -51,6 +51,8 @@
 	compact,
 	unlist,
 	relist,
+	odd_runs,
+	odd_end,
 	count
 };
 
@@ -60,7 +62,7 @@
 	"orders_vanish",    "orders_lost",  "orders_late",    "run_late_orders",
 	"next_leader",	    "changes_lost", "changes_vanish", "changes_late",
 	"run_late_changes", "store_down",   "store_up",	      "compact",
-	"unlist",	    "relist",
+	"unlist",	    "relist",	    "odd_runs",	      "odd_end",
 };
 
 struct event {
@@ -191,6 +193,12 @@
 		case kind::relist:
 			dispatcher_fixture_set_registered(w_, e.worker, true);
 			break;
+		case kind::odd_runs:
+			set_oddity(1 + e.turns, true, 0);
+			break;
+		case kind::odd_end:
+			set_oddity(1 + e.turns, false, 1);
+			break;
 		case kind::count:
 			break;
 		}
@@ -202,6 +210,7 @@
 		mem_store_fail_all(store_, MEM_STORE_NO_FAULT);
 		mem_store_fail_changes(store_, MEM_STORE_NO_FAULT, 0);
 		mem_executor_fail_commands(workers_, MEM_EXECUTOR_NO_FAULT, 0);
+		set_oddity(0, false, 0);
 		for (int k = 0; k < kWorkers; k++) {
 			const std::string id = "worker" + std::to_string(k);
 
@@ -244,6 +253,18 @@
 	}
 
       private:
+	/* What the next answers have that cannot be read */
+	void set_oddity(uint32_t answers, bool no_running_list,
+			uint32_t end_row)
+	{
+		struct mem_executor_oddity odd = {};
+
+		odd.answers = answers;
+		odd.no_running_list = no_running_list;
+		odd.end_row = end_row;
+		mem_executor_set_oddity(workers_, &odd);
+	}
+
 	struct dispatcher_fixture *w_;
 	struct mem_executor *workers_;
 	struct mem_store *store_;
--- a/tests/support/mem_executor.h
+++ b/tests/support/mem_executor.h
@@ -47,6 +47,20 @@
  * as at first.
  */
 void mem_executor_set_ends_per_answer(struct mem_executor *m, uint32_t count);
+/*
+ * What cannot be read in the answers to heartbeats; all zero: everything can.
+ * Rows that cannot be read are left out of the report.
+ */
+struct mem_executor_oddity {
+	uint32_t answers;     /* so many answers, then no more */
+	bool no_running_list; /* the list of running tasks */
+	bool no_ended_list;   /* the list of ends */
+	uint32_t end_row;     /* the row at this position, from 1; 0: none */
+	const char *end_task; /* the ends of this task; NULL: none */
+	const char *run_task; /* the row of this running task; NULL: none */
+};
+void mem_executor_set_oddity(struct mem_executor *m,
+			     const struct mem_executor_oddity *odd);
 /* Makes the worker unreachable, or reachable again. */
 void mem_executor_set_unreachable(struct mem_executor *m, const char *id,
 				  bool cut);
@@ -58,6 +72,10 @@
 /* Ends the run of the task on any worker; false if the task is not running. */
 bool mem_executor_end(struct mem_executor *m, const char *task,
 		      enum cq_run_end how);
+/* Removes the run without an end, as if it had never been; false: not there. */
+bool mem_executor_lose(struct mem_executor *m, const char *task);
+/* Number of ends that the worker still lists. */
+uint32_t mem_executor_listed_ends(const struct mem_executor *m, const char *id);
 /* Ends all runs with the outcome "done". */
 void mem_executor_end_all(struct mem_executor *m);
 /* Ends runs that are at least age_s old with the outcome "done". */
--- a/tests/support/mem_executor_internal.h
+++ b/tests/support/mem_executor_internal.h
@@ -52,6 +52,11 @@
 	int64_t worker_started_ms;   /* incarnation called; 0: none */
 	GArray *running, *ended; /* at sending if stale, else at completion */
 	bool ended_whole;	 /* all ends are in the list */
+	/* What could not be read, as in struct cq_executor_report */
+	bool running_unreadable;
+	bool ended_unreadable;
+	size_t ended_in_order;
+	uint32_t odd_rows;
 };
 
 struct mem_command {
@@ -81,6 +86,7 @@
 	uint32_t starts;
 	bool stale_heartbeats;
 	uint32_t ends_per_answer; /* 0: no limit */
+	struct mem_executor_oddity odd;
 	double unreachable_timeout_s;
 	bool real_leases;
 	uint32_t open_heartbeats; /* heartbeats without a wait */
--- a/tests/support/mem_executor_lists.c
+++ b/tests/support/mem_executor_lists.c
@@ -3,44 +3,79 @@
 
 #include "mem_executor_internal.h"
 
-/* Copies the current running and ended runs of the worker into the call. */
-void mem_executor_read_lists(struct pending_call *p, const struct worker *w)
+static void read_running(struct pending_call *p, const struct worker *w,
+			 const struct mem_executor_oddity *odd)
 {
-	guint limit = p->m->ends_per_answer ? p->m->ends_per_answer
-					    : w->ended->len + 1;
 	guint i;
 
-	p->running =
-		g_array_new(FALSE, TRUE, sizeof(struct cq_executor_running));
-	p->ended = g_array_new(FALSE, TRUE, sizeof(struct cq_executor_ended));
-	for (i = 0; i < w->runs->len; i++) {
+	p->running_unreadable = odd->no_running_list;
+	for (i = 0; i < w->runs->len && !odd->no_running_list; i++) {
 		const struct run *run = g_ptr_array_index(w->runs, i);
-		const struct cq_executor_running row = {
-			.task = g_strdup(run->task),
+		struct cq_executor_running row = {
 			.run = run->run,
 			.checkpoint = "",
 			.percent = 100,
 		};
 
+		if (!g_strcmp0(odd->run_task, run->task)) {
+			p->running_unreadable = true;
+			continue;
+		}
+		row.task = g_strdup(run->task);
 		g_array_append_val(p->running, row);
 	}
+}
+
+static void read_ended(struct pending_call *p, const struct worker *w,
+		       const struct mem_executor_oddity *odd)
+{
+	guint limit = p->m->ends_per_answer ? p->m->ends_per_answer
+					    : w->ended->len + 1;
+	guint i;
+
+	p->ended_unreadable = odd->no_ended_list;
 	/* As the platform does, a list of exactly the limit is not known whole.
 	 */
-	p->ended_whole = w->ended->len < limit;
-	for (i = 0; i < w->ended->len && i < limit; i++) {
+	p->ended_whole = w->ended->len < limit && !odd->no_ended_list;
+	for (i = 0; i < w->ended->len && i < limit && !odd->no_ended_list;
+	     i++) {
 		const struct ended_run *end = g_ptr_array_index(w->ended, i);
-		const struct cq_executor_ended row = {
+		struct cq_executor_ended row = {
 			.number = end->number,
-			.task = g_strdup(end->task),
 			.run = end->run,
 			.outcome = end->outcome,
 			.checkpoint = "",
 		};
 
+		if (odd->end_row == i + 1 ||
+		    !g_strcmp0(odd->end_task, end->task)) {
+			p->ended_unreadable = true;
+			continue;
+		}
+		if (!p->ended_unreadable)
+			p->ended_in_order++;
+		row.task = g_strdup(end->task);
 		g_array_append_val(p->ended, row);
 	}
 }
 
+/* Copies the current running and ended runs of the worker into the call. */
+void mem_executor_read_lists(struct pending_call *p, const struct worker *w)
+{
+	struct mem_executor_oddity odd = { 0 };
+
+	if (p->m->odd.answers) {
+		odd = p->m->odd;
+		p->m->odd.answers--;
+	}
+	p->running =
+		g_array_new(FALSE, TRUE, sizeof(struct cq_executor_running));
+	p->ended = g_array_new(FALSE, TRUE, sizeof(struct cq_executor_ended));
+	read_running(p, w, &odd);
+	read_ended(p, w, &odd);
+	p->odd_rows = p->running_unreadable + p->ended_unreadable;
+}
+
 void mem_executor_free_lists(struct pending_call *p)
 {
 	guint i;
@@ -79,6 +114,11 @@
 	return w ? w->id : NULL;
 }
 
+uint32_t mem_executor_listed_ends(const struct mem_executor *m, const char *id)
+{
+	return mem_executor_find(m, id)->ended->len;
+}
+
 uint32_t mem_executor_starts(const struct mem_executor *m)
 {
 	return m->starts;
--- a/tests/unit/test_platform_http.c
+++ b/tests/unit/test_platform_http.c
@@ -36,6 +36,7 @@
 	char *entries;
 	struct cq_executor_report report;
 	char *lists;
+	size_t odd_row_len;
 };
 
 static void on_request(void *ctx, struct cq_http_exchange *exchange)
@@ -128,6 +129,7 @@
 
 	f->done = true;
 	f->report = *report;
+	f->odd_row_len = report->odd_row ? strlen(report->odd_row) : 0;
 	for (i = 0; i < report->running_count; i++)
 		g_string_append_printf(
 			text, "%s %u %s %u %u;", report->running[i].task,
@@ -528,6 +530,115 @@
 	}
 }
 
+/*
+ * Guards against lists that cannot be read as a whole and are taken for whole
+ * ones: runs that they leave out would be started again.
+ */
+static void test_executor_odd_lists(void)
+{
+	static const struct {
+		const char *lists;
+		bool running_unreadable;
+		bool ended_unreadable;
+		size_t in_order; /* ends, if ended_unreadable */
+		uint32_t odd_rows;
+		const char *expected;
+	} cases[] = {
+		{ "\"running\":[],\"finished\":[]", false, false, 0, 0, "" },
+		{ "\"finished\":[]", true, false, 0, 1, "" },
+		{ "\"running\":{},\"finished\":[]", true, false, 0, 1, "" },
+		{ "\"running\":[]", false, true, 0, 1, "" },
+		{ "\"running\":[],\"finished\":{\"a\":1}", false, true, 0, 1,
+		  "" },
+		/* Rows that don't tell which run they are of */
+		{ "\"running\":[[\"a\",1,\"\",1],[5]],\"finished\":[]", true,
+		  false, 0, 1, "a 1  1 0;" },
+		{ "\"running\":[[\"a\",4294967297,\"\",1]],\"finished\":[]",
+		  true, false, 0, 1, "" },
+		{ "\"running\":[[\"a\",-1,\"\",1],[\"\",1,\"\",1],7],"
+		  "\"finished\":[]",
+		  true, false, 0, 3, "" },
+		/* A run is known without its checkpoint. */
+		{ "\"running\":[[\"a\",1,null,1]],\"finished\":[]", false,
+		  false, 0, 1, "a 1  1 0;" },
+		{ "\"running\":[],\"finished\":[[7,\"a\",1,\"done\",null]]",
+		  false, false, 0, 1, "7 a 1 done ;" },
+		{ "\"running\":[],\"finished\":[[7,\"a\",1,\"done\"]]", false,
+		  false, 0, 1, "7 a 1 done ;" },
+		/* How a run ended, or which one, is not known. */
+		{ "\"running\":[],\"finished\":[[7,\"a\",1,\"done\",\"\"],"
+		  "[8,\"b\",1,\"odd\",\"\"],[9,\"c\",1,\"done\",\"\"]]",
+		  false, true, 1, 1, "7 a 1 done ;9 c 1 done ;" },
+		{ "\"running\":[],\"finished\":[[7,\"a\",1,\"done\",\"\"],"
+		  "[8,\"b\",4294967296,\"done\",\"\"]]",
+		  false, true, 1, 1, "7 a 1 done ;" },
+		/* The number of an end is not known. */
+		{ "\"running\":[],\"finished\":[[7,\"a\",1,\"done\",\"\"],"
+		  "[99999999999,\"b\",1,\"done\",\"\"]]",
+		  false, true, 1, 1, "7 a 1 done ;0 b 1 done ;" },
+		{ "\"running\":[],\"finished\":[[7,\"a\",1,\"done\",\"\"],"
+		  "[90,\"b\",1,\"done\",\"\"],[9,\"c\",1,\"done\",\"\"]]",
+		  false, true, 1, 1, "7 a 1 done ;90 b 1 done ;9 c 1 done ;" },
+	};
+	static const struct cq_executor_heartbeat heartbeat = { 9, 0, 0 };
+	struct cq_executor_target target = { .id = "i-1", .fencing_token = 7 };
+	const struct cq_executor *e;
+	struct fixture f;
+	size_t i;
+
+	fixture_open(&f);
+	e = cq_executor_http_get(f.executor);
+	target.address = f.address;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *body =
+			g_strdup_printf("{\"clockMs\":1,%s}", cases[i].lists);
+
+		f.body = body;
+		e->ops->heartbeat(e->self, &target, &heartbeat, CALL_TIMEOUT_MS,
+				  on_report, &f);
+		await(&f);
+		g_assert_cmpint(f.report.answer, ==, CQ_EXECUTOR_OK);
+		g_assert_cmpstr(f.lists, ==, cases[i].expected);
+		g_assert_cmpint(f.report.running_unreadable, ==,
+				cases[i].running_unreadable);
+		g_assert_cmpint(f.report.ended_unreadable, ==,
+				cases[i].ended_unreadable);
+		if (cases[i].ended_unreadable)
+			g_assert_cmpuint(f.report.ended_in_order, ==,
+					 cases[i].in_order);
+		g_assert_cmpuint(f.report.odd_rows, ==, cases[i].odd_rows);
+		g_free(body);
+	}
+	fixture_close(&f);
+}
+
+/* Guards against a log line as long as the row that it names. */
+static void test_executor_long_odd_row(void)
+{
+	static const struct cq_executor_heartbeat heartbeat = { 9, 0, 0 };
+	struct cq_executor_target target = { .id = "i-1", .fencing_token = 7 };
+	char *row = g_strnfill(100000, 'x');
+	char *body = g_strdup_printf("{\"clockMs\":1,\"running\":[\"%s\"],"
+				     "\"finished\":[]}",
+				     row);
+	const struct cq_executor *e;
+	struct fixture f;
+
+	fixture_open(&f);
+	e = cq_executor_http_get(f.executor);
+	target.address = f.address;
+	f.body = body;
+	e->ops->heartbeat(e->self, &target, &heartbeat, CALL_TIMEOUT_MS,
+			  on_report, &f);
+	await(&f);
+	g_assert_true(f.report.running_unreadable);
+	g_assert_cmpuint(f.odd_row_len, >, 50);
+	g_assert_cmpuint(f.odd_row_len, <, 200);
+	fixture_close(&f);
+	g_free(body);
+	g_free(row);
+}
+
 static void test_executor_answers(void)
 {
 	static const struct {
@@ -590,6 +701,10 @@
 			test_executor_forbidden);
 	g_test_add_func("/platform/executor/odd_numbers",
 			test_executor_odd_numbers);
+	g_test_add_func("/platform_http/executor_odd_lists",
+			test_executor_odd_lists);
+	g_test_add_func("/platform_http/executor_long_odd_row",
+			test_executor_long_odd_row);
 	g_test_add_func("/platform_http/executor_answers",
 			test_executor_answers);
 	g_test_add_func("/platform_http/executor_cut_list",
