--- a/tests/support/mem_store.c
+++ b/tests/support/mem_store.c
@@ -113,6 +113,17 @@
 	return true;
 }
 
+/* Index of the first event with a later revision; they rise. */
+static guint first_event_after(const struct mem_store *s, int64_t revision)
+{
+	guint k = s->history->len;
+
+	while (k && ((const struct event *)g_ptr_array_index(s->history, k - 1))
+				    ->revision > revision)
+		k--;
+	return k;
+}
+
 static void wake_watches(struct mem_store *s)
 {
 	guint i, k;
@@ -122,12 +133,12 @@
 
 		if (!call->prefix)
 			continue;
-		for (k = 0; k < s->history->len; k++) {
+		for (k = first_event_after(s, call->after_revision);
+		     k < s->history->len; k++) {
 			const struct event *event =
 				g_ptr_array_index(s->history, k);
 
-			if (event->revision > call->after_revision &&
-			    g_str_has_prefix(event->key, call->prefix))
+			if (g_str_has_prefix(event->key, call->prefix))
 				add_entry(call, event->key, event->value,
 					  event->revision, 0);
 		}
@@ -169,35 +180,6 @@
 	wake_watches(s);
 }
 
-const char *mem_store_read(const struct mem_store *s, const char *key)
-{
-	const struct item *item = g_tree_lookup(s->items, key);
-
-	return item ? item->value : NULL;
-}
-
-int64_t mem_store_revision(const struct mem_store *s)
-{
-	return s->revision;
-}
-
-int64_t mem_store_lease_of(const struct mem_store *s, const char *key)
-{
-	const struct item *item = g_tree_lookup(s->items, key);
-
-	return item ? item->lease_id : 0;
-}
-
-uint32_t mem_store_changes(const struct mem_store *s)
-{
-	return s->change_count;
-}
-
-uint32_t mem_store_calls(const struct mem_store *s)
-{
-	return s->call_count;
-}
-
 struct lease_search {
 	int64_t lease_id;
 	GPtrArray *keys;
