batch: compare failures with the limit once, not in each plan

Change: a batch remembers the limit that its failures were last compared with. A failure that comes while another limit, or none, is known makes it compare again; cq_task_end() compares the others.

--- a/src/state/batch.c
+++ b/src/state/batch.c
@@ -112,6 +112,7 @@
 		occurrence_free(batch, g_ptr_array_index(batch->live, i));
 	g_ptr_array_set_size(batch->live, 0);
 	batch->opened = 0;
+	batch->checked_attempts = 0;
 }
 
 struct cq_occurrence *cq_batch_open(struct cq_batch *batch, uint32_t number)
@@ -432,8 +433,11 @@
 		task->done = true;
 		stage->done_count++;
 	}
-	if (outcome == CQ_RUN_FAILED)
+	if (outcome == CQ_RUN_FAILED) {
 		count_failure(task);
+		if (max_attempts != batch->checked_attempts)
+			batch->checked_attempts = 0;
+	}
 	if (cq_batch_state_is_terminal(previous_state))
 		return false;
 	if (outcome == CQ_RUN_FAILED &&
@@ -448,8 +452,10 @@
 {
 	uint32_t i, k;
 
-	if (cq_batch_state_is_terminal(batch->state))
+	if (cq_batch_state_is_terminal(batch->state) ||
+	    batch->checked_attempts == max_attempts)
 		return false;
+	batch->checked_attempts = max_attempts;
 	for (i = 0; i < cq_batch_stage_count(batch); i++) {
 		const struct cq_stage *stage = cq_batch_stage_at(batch, i);
 
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -205,6 +205,25 @@
 	cq_pool_destroy(pool);
 }
 
+/*
+ * Guards against a failure that is not compared with the limit, because all
+ * earlier ones were, and it came while the limit was not known.
+ */
+static void test_attempts_checked_again(void)
+{
+	struct cq_pool *pool = cq_pool_create();
+	struct cq_pool_worker *worker = add_worker(pool, "a");
+	struct cq_batch *batch = cq_batch_create(make_workload(1));
+	struct cq_stage *stage = cq_batch_stage(batch, 0, 0);
+
+	g_assert_false(cq_batch_check_attempts(batch, 1));
+	cq_task_assign(&stage->tasks[0], worker, 1);
+	g_assert_false(cq_task_end(&stage->tasks[0], CQ_RUN_FAILED, "", 0));
+	g_assert_true(cq_batch_check_attempts(batch, 1));
+	cq_batch_destroy(batch);
+	cq_pool_destroy(pool);
+}
+
 /*
  * Guards against losing failures that were counted while the limit was not
  * known, as by a leader that has no configuration yet: they count once it is.
@@ -367,6 +386,8 @@
 	g_test_add_func("/batch/names", test_names);
 	g_test_add_func("/batch/order", test_order);
 	g_test_add_func("/batch/gang_failures", test_gang_failures);
+	g_test_add_func("/batch/attempts_checked_again",
+			test_attempts_checked_again);
 	g_test_add_func("/batch/attempts_checked_later",
 			test_attempts_checked_later);
 	g_test_add_func("/batch/gang_done", test_gang_done);
