plan: do not look again for room that is known to be missing

Cause: with jobs waiting, each plan rated all workers for each task of each stage, also for stages that need as much as one for which none had room, walked all workers once more for totals, and all stages of all jobs for ended occurrences.

Change: a step that finds no room is remembered for the rest of the plan, and stages that need no less, on the same workers, are passed over; a preemption forgets it. Workers are rated once a stage, and again when a task was put on them. Totals come from the walk over racks. Ended occurrences are looked for when the job has changed. What plans read of a worker lies together, before its listing. Decisions stay the same.

--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -132,6 +132,8 @@
 	uint32_t max_active;
 	/* When the refused record is written again; 0: none is refused. */
 	int64_t rewrite_ns;
+	/* Version at which ended occurrences were last looked for */
+	uint64_t closed_version;
 	/*
 	 * Limit that the failures of all tasks are known to be below; 0: they
 	 * have to be compared with it.
--- a/include/chestnutquay/placement.h
+++ b/include/chestnutquay/placement.h
@@ -37,9 +37,9 @@
 
 /*
  * Computes the free accelerators of each rack; has to be called before the
- * placements of each plan.
+ * placements of each plan. Returns the totals of the usable workers.
  */
-void cq_placement_prepare(const struct cq_pool *pool);
+struct cq_pool_totals cq_placement_prepare(const struct cq_pool *pool);
 
 /*
  * Places waiting tasks of the stage on usable workers of the service and
--- a/include/chestnutquay/pool.h
+++ b/include/chestnutquay/pool.h
@@ -24,10 +24,10 @@
 	int64_t free_accelerators;
 };
 
+/* The listing comes last: each plan reads the other fields of all workers. */
 struct cq_pool_worker {
 	struct cq_pool *pool;
 	struct cq_pool_rack *rack; /* NULL before the first listing */
-	struct cq_executor_registration listing;
 	bool listed; /* the store has a listing of the worker now */
 	bool usable; /* may be given new runs; set before each plan */
 	/* When the listing disappeared from the store. */
@@ -44,6 +44,7 @@
 	/* Stage that the worker is reserved for; others get no run here. */
 	const void *reserved_for;
 	void *link; /* the dispatcher's struct link of this worker */
+	struct cq_executor_registration listing;
 };
 
 struct cq_pool {
@@ -73,7 +74,6 @@
 /* True if that many more tasks of the step fit into the free resources. */
 bool cq_pool_fits(const struct cq_pool_worker *worker,
 		  const struct cq_workload_step *step, uint32_t tasks);
-struct cq_pool_totals cq_pool_totals(const struct cq_pool *pool);
 bool cq_pool_has_label(const struct cq_pool_worker *worker, const char *label);
 
 #endif
--- a/src/state/batch.c
+++ b/src/state/batch.c
@@ -7,6 +7,8 @@
 
 #include "chestnutquay/pool.h"
 
+#define NEVER_CLOSED UINT64_MAX
+
 static const char *const state_strings[] = {
 	[CQ_BATCH_QUEUED] = "queued",	    [CQ_BATCH_RUNNING] = "running",
 	[CQ_BATCH_COMPLETED] = "completed", [CQ_BATCH_FAILED] = "failed",
@@ -90,6 +92,7 @@
 
 	batch->workload = workload;
 	batch->live = g_ptr_array_new();
+	batch->closed_version = NEVER_CLOSED;
 	cq_batch_open_due(batch, 0);
 	return batch;
 }
@@ -113,6 +116,7 @@
 	g_ptr_array_set_size(batch->live, 0);
 	batch->opened = 0;
 	batch->checked_attempts = 0;
+	batch->closed_version = NEVER_CLOSED;
 }
 
 struct cq_occurrence *cq_batch_open(struct cq_batch *batch, uint32_t number)
@@ -165,6 +169,10 @@
 	guint kept = 0;
 	guint i;
 
+	/* An occurrence ends by the end of a run, which is a new version. */
+	if (batch->closed_version == batch->version)
+		return;
+	batch->closed_version = batch->version;
 	for (i = 0; i < batch->live->len; i++) {
 		struct cq_occurrence *occurrence =
 			g_ptr_array_index(batch->live, i);
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -11,6 +11,14 @@
 #define PENALTY_INTERFERENCE 20000
 #define RACK_FREE_WEIGHT 4
 #define PERMILLE 1000
+/* Above any penalty */
+#define NO_ROOM INT64_MAX
+
+/* A worker as the next task of a stage finds it */
+struct rating {
+	struct cq_pool_worker *worker;
+	int64_t penalty;
+};
 
 static uint32_t runs_of_stage(const struct cq_pool_worker *worker,
 			      const struct cq_stage *stage);
@@ -18,8 +26,11 @@
 		       const struct cq_stage *stage);
 static int64_t worker_penalty(const struct cq_placement *p,
 			      const struct cq_pool_worker *worker);
-static struct cq_pool_worker *best_worker(const struct cq_placement *p,
-					  const GPtrArray *workers);
+static int64_t rate_worker(const struct cq_placement *p,
+			   const struct cq_pool_worker *worker);
+static struct rating *best_rating(GArray *ratings);
+static GArray *rate_workers(const struct cq_placement *p,
+			    const GPtrArray *workers);
 static void adjust_free_room(struct cq_pool_worker *worker,
 			     const struct cq_stage *stage, int sign);
 static void undo_adjustments(const struct cq_stage *stage, GArray *assignments,
@@ -91,8 +102,9 @@
 	return racks;
 }
 
-void cq_placement_prepare(const struct cq_pool *pool)
+struct cq_pool_totals cq_placement_prepare(const struct cq_pool *pool)
 {
+	struct cq_pool_totals totals = { 0 };
 	GHashTableIter iter;
 	gpointer value;
 
@@ -106,10 +118,13 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct cq_pool_worker *worker = value;
 
-		if (worker->usable)
-			worker->rack->free_accelerators +=
-				worker->free_accelerators;
+		if (!worker->usable)
+			continue;
+		worker->rack->free_accelerators += worker->free_accelerators;
+		totals.accelerators += worker->listing.accelerators;
+		totals.free_accelerators += worker->free_accelerators;
 	}
+	return totals;
 }
 
 static bool interferes(const struct cq_pool_worker *worker,
@@ -166,33 +181,53 @@
 	return sum;
 }
 
-static struct cq_pool_worker *best_worker(const struct cq_placement *p,
-					  const GPtrArray *workers)
+/* Returns the worker's penalty, or NO_ROOM if no task of the stage fits. */
+static int64_t rate_worker(const struct cq_placement *p,
+			   const struct cq_pool_worker *worker)
 {
 	const struct cq_workload_step *step = p->stage->step;
-	struct cq_pool_worker *best = NULL;
-	int64_t best_penalty = 0;
+
+	if (!cq_pool_fits(worker, step, 1))
+		return NO_ROOM;
+	if (step->max_per_worker &&
+	    worker->tentative_tasks + runs_of_stage(worker, p->stage) >=
+		    step->max_per_worker)
+		return NO_ROOM;
+	return worker_penalty(p, worker);
+}
+
+/* The first of the workers with the lowest penalty; NULL if none has room. */
+static struct rating *best_rating(GArray *ratings)
+{
+	struct rating *best = NULL;
 	guint i;
 
-	for (i = 0; i < workers->len; i++) {
-		struct cq_pool_worker *worker = g_ptr_array_index(workers, i);
-		int64_t penalty;
+	for (i = 0; i < ratings->len; i++) {
+		struct rating *r = &g_array_index(ratings, struct rating, i);
 
-		if (!cq_pool_fits(worker, step, 1))
-			continue;
-		if (step->max_per_worker &&
-		    worker->tentative_tasks + runs_of_stage(worker, p->stage) >=
-			    step->max_per_worker)
-			continue;
-		penalty = worker_penalty(p, worker);
-		if (best && penalty >= best_penalty)
-			continue;
-		best = worker;
-		best_penalty = penalty;
+		if (r->penalty < (best ? best->penalty : NO_ROOM))
+			best = r;
 	}
 	return best;
 }
 
+/* Workers without room are left out: they get none during a placement. */
+static GArray *rate_workers(const struct cq_placement *p,
+			    const GPtrArray *workers)
+{
+	GArray *ratings = g_array_new(FALSE, FALSE, sizeof(struct rating));
+	guint i;
+
+	for (i = 0; i < workers->len; i++) {
+		struct rating r = { .worker = g_ptr_array_index(workers, i) };
+
+		r.penalty = rate_worker(p, r.worker);
+		if (r.penalty != NO_ROOM)
+			g_array_append_val(ratings, r);
+	}
+	return ratings;
+}
+
 /*
  * Adjusts the free room by an assignment that the caller has not booked yet:
  * sign 1 takes the room of a task, -1 gives it back.
@@ -225,22 +260,27 @@
 			    const GPtrArray *workers, GArray *assignments)
 {
 	const struct cq_stage *stage = p->stage;
+	GArray *ratings = rate_workers(p, workers);
 	guint from = assignments->len;
 	uint32_t placed = 0;
 	uint32_t i;
 
 	for (i = 0; i < stage->step->tasks; i++) {
 		struct cq_assignment a = { .task = &stage->tasks[i] };
+		struct rating *best;
 
 		if (a.task->done || a.task->phase != CQ_RUN_NONE)
 			continue;
-		a.worker = best_worker(p, workers);
-		if (!a.worker)
+		best = best_rating(ratings);
+		if (!best)
 			break;
+		a.worker = best->worker;
 		adjust_free_room(a.worker, stage, 1);
+		best->penalty = rate_worker(p, a.worker);
 		g_array_append_val(assignments, a);
 		placed++;
 	}
+	g_array_unref(ratings);
 	undo_adjustments(stage, assignments, from);
 	if (stage->step->gang && placed < stage->step->tasks) {
 		g_array_set_size(assignments, from);
--- a/src/state/pool.c
+++ b/src/state/pool.c
@@ -144,24 +144,6 @@
 	       worker->free_accelerators >= (int64_t)step->accelerators * tasks;
 }
 
-struct cq_pool_totals cq_pool_totals(const struct cq_pool *pool)
-{
-	struct cq_pool_totals totals = { 0 };
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, pool->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct cq_pool_worker *worker = value;
-
-		if (!worker->usable)
-			continue;
-		totals.accelerators += worker->listing.accelerators;
-		totals.free_accelerators += worker->free_accelerators;
-	}
-	return totals;
-}
-
 bool cq_pool_has_label(const struct cq_pool_worker *worker, const char *label)
 {
 	uint32_t i;
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -1,5 +1,7 @@
 #include "chestnutquay/stage_plan.h"
 
+#include <string.h>
+
 #include "chestnutquay/clock.h"
 #include "chestnutquay/stage_rank.h"
 
@@ -17,19 +19,34 @@
 #define GANG_MAX_LOSS_S 0.2
 #define NO_PREEMPTION (-1.0)
 
+/* A step of which no further task fits on the workers of the service */
+struct full_shape {
+	const char *service;
+	const struct cq_workload_step *step;
+};
+
+/* State of one plan */
+struct plan_run {
+	const struct cq_stage_plan *plan;
+	const struct cq_stage_plan_ops *ops;
+	void *ctx;
+	struct cq_pool_totals totals;
+	GArray *assignments; /* struct cq_assignment, of the current stage */
+	GArray *full;	     /* struct full_shape */
+};
+
 static bool is_due(const struct cq_stage *stage, int64_t unix_ms);
 static gint compare_ready_stages(gconstpointer a, gconstpointer b,
 				 gpointer plan);
 static double default_max_loss_s(const struct cq_ready_stage *r,
 				 int64_t now_ns);
-static void preempt_for_stage(const struct cq_stage_plan *plan,
+static void preempt_for_stage(struct plan_run *run,
 			      const struct cq_placement *p,
-			      const struct cq_ready_stage *r,
-			      const struct cq_stage_plan_ops *ops, void *ctx);
-static void plan_stage(const struct cq_stage_plan *plan,
-		       const struct cq_ready_stage *r,
-		       struct cq_pool_totals *totals, GArray *assignments,
-		       const struct cq_stage_plan_ops *ops, void *ctx);
+			      const struct cq_ready_stage *r);
+static bool is_known_full(const GArray *full, const struct cq_placement *p);
+static void place_stage(struct plan_run *run, const struct cq_placement *p,
+			const struct cq_ready_stage *r);
+static void plan_stage(struct plan_run *run, const struct cq_ready_stage *r);
 
 const struct cq_stage_policy cq_stage_policy_default = {
 	.name = "product",
@@ -98,27 +115,78 @@
 	return NO_PREEMPTION;
 }
 
-static void preempt_for_stage(const struct cq_stage_plan *plan,
+static void preempt_for_stage(struct plan_run *run,
 			      const struct cq_placement *p,
-			      const struct cq_ready_stage *r,
-			      const struct cq_stage_plan_ops *ops, void *ctx)
+			      const struct cq_ready_stage *r)
 {
-	double max_loss_s = plan->policy->max_loss_s(r, plan->now_ns);
+	double max_loss_s = run->plan->policy->max_loss_s(r, run->plan->now_ns);
 	GPtrArray *victims;
 
 	if (max_loss_s < 0)
 		return;
 	victims = g_ptr_array_new();
-	if (cq_placement_select_victims(p, max_loss_s, victims) && victims->len)
-		ops->preempt(ctx, r, victims);
+	if (cq_placement_select_victims(p, max_loss_s, victims) &&
+	    victims->len) {
+		run->ops->preempt(run->ctx, r, victims);
+		/* A run that was not sent yet leaves its room at once. */
+		g_array_set_size(run->full, 0);
+	}
 	g_ptr_array_unref(victims);
 }
 
-static void plan_stage(const struct cq_stage_plan *plan,
-		       const struct cq_ready_stage *r,
-		       struct cq_pool_totals *totals, GArray *assignments,
-		       const struct cq_stage_plan_ops *ops, void *ctx)
+/*
+ * True if no task of the stage fits, since one that needs no more, on the same
+ * workers, has found no room in this plan. Room only gets less meanwhile.
+ */
+static bool is_known_full(const GArray *full, const struct cq_placement *p)
+{
+	const struct cq_workload_step *step = p->stage->step;
+	guint i;
+
+	for (i = 0; i < full->len; i++) {
+		const struct full_shape *shape =
+			&g_array_index(full, struct full_shape, i);
+		const struct cq_workload_step *other = shape->step;
+
+		if (step->accelerators >= other->accelerators &&
+		    step->cpu_millicores >= other->cpu_millicores &&
+		    step->memory_mb >= other->memory_mb &&
+		    step->fills == other->fills &&
+		    !strcmp(p->service, shape->service) &&
+		    !strcmp(step->required_label, other->required_label))
+			return true;
+	}
+	return false;
+}
+
+static void place_stage(struct plan_run *run, const struct cq_placement *p,
+			const struct cq_ready_stage *r)
+{
+	guint room = cq_batch_active_room(r->stage->batch);
+	const struct cq_workload_step *step = r->stage->step;
+	GArray *assignments = run->assignments;
+
+	g_array_set_size(assignments, 0);
+	if (is_known_full(run->full, p))
+		return;
+	if (cq_placement_find(p, assignments)) {
+		if (assignments->len > room)
+			g_array_set_size(assignments, room);
+		run->totals.free_accelerators -=
+			(int64_t)assignments->len * step->accelerators;
+		run->ops->start(run->ctx, r, assignments);
+	}
+	if (cq_stage_waiting(r->stage) && !step->gang &&
+	    !step->max_per_worker && assignments->len < room) {
+		const struct full_shape shape = { p->service, step };
+
+		g_array_append_val(run->full, shape);
+	}
+}
+
+static void plan_stage(struct plan_run *run, const struct cq_ready_stage *r)
 {
+	const struct cq_stage_plan *plan = run->plan;
 	const struct cq_placement p = {
 		.pool = plan->pool,
 		.stage = r->stage,
@@ -128,36 +196,32 @@
 		.reserve_unaffordable = r->stage->rank <= CQ_RANK_URGENT,
 	};
 
-	g_array_set_size(assignments, 0);
 	if (!within_active_limit(r->stage) ||
-	    !plan->policy->may_start(r, totals, plan->now_ns))
+	    !plan->policy->may_start(r, &run->totals, plan->now_ns))
 		return;
-	if (cq_placement_find(&p, assignments)) {
-		guint room = cq_batch_active_room(r->stage->batch);
-
-		if (assignments->len > room)
-			g_array_set_size(assignments, room);
-		totals->free_accelerators -= (int64_t)assignments->len *
-					     r->stage->step->accelerators;
-		ops->start(ctx, r, assignments);
-	}
+	place_stage(run, &p, r);
 	if (cq_stage_waiting(r->stage))
-		preempt_for_stage(plan, &p, r, ops, ctx);
+		preempt_for_stage(run, &p, r);
 }
 
 void cq_stage_plan_run(const struct cq_stage_plan *plan, GArray *ready,
 		       const struct cq_stage_plan_ops *ops, void *ctx)
 {
-	GArray *assignments =
-		g_array_new(FALSE, TRUE, sizeof(struct cq_assignment));
-	struct cq_pool_totals totals = cq_pool_totals(plan->pool);
+	struct plan_run run = {
+		.plan = plan,
+		.ops = ops,
+		.ctx = ctx,
+		.totals = cq_placement_prepare(plan->pool),
+		.assignments =
+			g_array_new(FALSE, TRUE, sizeof(struct cq_assignment)),
+		.full = g_array_new(FALSE, TRUE, sizeof(struct full_shape)),
+	};
 	guint i;
 
-	cq_placement_prepare(plan->pool);
 	g_array_sort_with_data(ready, compare_ready_stages, (gpointer)plan);
 	for (i = 0; i < ready->len; i++)
-		plan_stage(plan,
-			   &g_array_index(ready, struct cq_ready_stage, i),
-			   &totals, assignments, ops, ctx);
-	g_array_unref(assignments);
+		plan_stage(&run,
+			   &g_array_index(ready, struct cq_ready_stage, i));
+	g_array_unref(run.assignments);
+	g_array_unref(run.full);
 }
--- a/tests/unit/test_stage_order.c
+++ b/tests/unit/test_stage_order.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "chestnutquay/clock.h"
+#include "chestnutquay/placement.h"
 #include "chestnutquay/stage_order.h"
 
 #define NOW_NS (INT64_C(100) * CQ_NS_PER_S)
@@ -164,10 +165,10 @@
 	cq_pool_update(worker, &listing);
 	worker->usable = true;
 	worker->free_accelerators = 12;
-	totals = cq_pool_totals(pool);
+	totals = cq_placement_prepare(pool);
 	g_assert_true(cq_ready_stage_leaves_headroom(&f, &totals, NOW_NS));
 	worker->free_accelerators = 11;
-	totals = cq_pool_totals(pool);
+	totals = cq_placement_prepare(pool);
 	g_assert_false(cq_ready_stage_leaves_headroom(&f, &totals, NOW_NS));
 	g_assert_true(cq_ready_stage_leaves_headroom(&u, &totals, NOW_NS));
 	g_assert_true(cq_ready_stage_leaves_headroom(&p, &totals, NOW_NS));
--- a/tests/unit/test_stage_plan.c
+++ b/tests/unit/test_stage_plan.c
@@ -78,12 +78,14 @@
 	cq_pool_destroy(w->pool);
 }
 
-/*
- * Adds a gang job of one step, accepted at NOW_NS; each of its tasks takes a
- * whole worker.
- */
-static struct cq_stage *add_gang_job(struct fixture *w, uint32_t rank,
-				     uint32_t tasks)
+static struct cq_workload_step *first_step(const struct cq_stage *stage)
+{
+	return &stage->batch->workload->steps[0];
+}
+
+/* Adds a job of one step, accepted at NOW_NS. */
+static struct cq_stage *add_job(struct fixture *w, uint32_t rank,
+				uint32_t tasks, uint32_t accelerators)
 {
 	struct cq_workload *workload = cq_workload_create();
 	struct cq_batch *batch;
@@ -93,8 +95,7 @@
 	workload->steps = g_new0(struct cq_workload_step, 1);
 	workload->step_count = 1;
 	workload->steps[0].tasks = tasks;
-	workload->steps[0].accelerators = 8;
-	workload->steps[0].gang = true;
+	workload->steps[0].accelerators = accelerators;
 	workload->steps[0].estimate_ms = 4000;
 	batch = cq_batch_create(workload);
 	batch->accepted_ns = NOW_NS;
@@ -103,6 +104,16 @@
 	return cq_batch_stage_at(batch, 0);
 }
 
+/* Adds a gang; each of its tasks takes a whole worker. */
+static struct cq_stage *add_gang_job(struct fixture *w, uint32_t rank,
+				     uint32_t tasks)
+{
+	struct cq_stage *stage = add_job(w, rank, tasks, 8);
+
+	first_step(stage)->gang = true;
+	return stage;
+}
+
 /*
  * Assigns the tasks of the stage to the workers from first_worker on, as if
  * they had run for age_ns.
@@ -253,6 +264,41 @@
 	fixture_teardown(&w);
 }
 
+/*
+ * Guards against stages that get no room because another one found none before
+ * them: only those that need as much, on the same workers, are passed over. On
+ * the one worker, 4 accelerators are taken.
+ */
+static void test_room_behind_full_stage(void)
+{
+	static const struct {
+		uint32_t first; /* accelerators that a task needs */
+		uint32_t second;
+		const char *first_label; /* no worker has one */
+		uint32_t expected;	 /* tasks that start */
+	} cases[] = {
+		{ 8, 8, "", 0 }, { 8, 4, "", 1 },  { 5, 4, "", 1 },
+		{ 4, 4, "", 1 }, { 1, 4, "x", 1 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cq_stage *stages[2];
+		struct fixture w;
+
+		fixture_setup(&w, 1);
+		stages[0] = add_job(&w, CQ_RANK_URGENT, 1, 4);
+		assign_runs(&w, stages[0], 0, 0);
+		stages[0] = add_job(&w, CQ_RANK_URGENT, 2, cases[i].first);
+		g_strlcpy(first_step(stages[0])->required_label,
+			  cases[i].first_label, CQ_WORKLOAD_NAME_BYTES);
+		stages[1] = add_job(&w, CQ_RANK_URGENT, 1, cases[i].second);
+		plan_both(&w, stages[0], stages[1]);
+		g_assert_cmpuint(w.started, ==, cases[i].expected);
+		fixture_teardown(&w);
+	}
+}
+
 /*
  * Guards against preempting servers that limit how many of them may be
  * unavailable.
@@ -290,6 +336,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stage_plan/room_behind_full_stage",
+			test_room_behind_full_stage);
 	g_test_add_func("/stage_plan/costly_gang", test_costly_gang);
 	g_test_add_func("/stage_plan/room_adds_up", test_room_adds_up);
 	g_test_add_func("/stage_plan/work_that_has_just_begun",
