dispatcher: delete the records of ended jobs

A next leader starts the time anew. The id is forgotten with the notice of the deletion; a submission under it after that is a new job.

--- a/include/chestnutquay/dispatcher.h
+++ b/include/chestnutquay/dispatcher.h
@@ -55,6 +55,12 @@
 	int64_t head_revision; /* of CQ_KEY_HEAD, as written by the election */
 	uint32_t store_timeout_ms;
 	uint32_t max_lease_ms; /* longest lease granted to a worker */
+	/*
+	 * How long the records of an ended job are kept; longer than callers
+	 * ask for its state, repeat its submission, and a write may be late. 0:
+	 * for good.
+	 */
+	uint32_t ended_retention_ms;
 };
 
 struct cq_dispatcher;
--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -55,6 +55,8 @@
 	d->refused_records =
 		cq_metrics_counter(metrics, "cq_records_refused_total", "");
 	d->odd_rows = cq_metrics_counter(metrics, "cq_odd_rows_total", "");
+	d->deleted_jobs =
+		cq_metrics_counter(metrics, "cq_jobs_deleted_total", "");
 	d->plan_time = cq_metrics_histogram(metrics, "cq_plan_seconds", "");
 	d->wait_time =
 		cq_metrics_histogram(metrics, "cq_wait_for_start_seconds", "");
@@ -98,7 +100,9 @@
 	d->pool = cq_pool_create();
 	d->batches = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   batch_free);
-	d->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ended_jobs_open(d);
+	d->ended_retention_ns =
+		(int64_t)options->ended_retention_ms * CQ_NS_PER_MS;
 	d->links_with_ends = g_hash_table_new(NULL, NULL);
 	g_queue_init(&d->dirty);
 	open_metrics(d, options->metrics);
@@ -132,7 +136,7 @@
 	}
 	g_hash_table_destroy(d->links_with_ends);
 	g_hash_table_destroy(d->batches);
-	g_hash_table_destroy(d->ended);
+	ended_jobs_close(d);
 	cq_pool_destroy(d->pool);
 	g_free(d->worker_prefix);
 	g_free(d->pending_json);
@@ -230,7 +234,7 @@
 		    batch->durable_version != batch->version ||
 		    cq_batch_has_runs(batch))
 			continue;
-		g_hash_table_add(d->ended, g_strdup(batch->workload->id));
+		ended_jobs_add(d, batch->workload->id);
 		g_hash_table_iter_remove(&iter);
 	}
 }
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -59,6 +59,14 @@
 	int64_t odd_rows_logged_ns;
 };
 
+/* A record in the journal transaction that is in flight. */
+struct written_batch {
+	/* "": the record is of no batch, or the first one of a deleted batch */
+	char batch_id[CQ_WORKLOAD_ID_BYTES];
+	uint64_t version;
+	bool deleted;
+};
+
 struct cq_dispatcher {
 	struct ev_loop *loop;
 	const struct cq_clock *clock;
@@ -78,7 +86,12 @@
 	GHashTable *evacuated;
 	struct cq_pool *pool;
 	GHashTable *batches; /* id -> struct cq_batch, owned */
-	GHashTable *ended;   /* set of the ids of ended batches */
+	/* id -> struct ended_job, owned: those whose records are in the store
+	 */
+	GHashTable *ended;
+	GQueue to_delete; /* of them, struct ended_job, the earliest first */
+	int64_t ended_retention_ns;
+	int64_t next_delete_ns;
 	/* Set of struct link that have unacknowledged ends. */
 	GHashTable *links_with_ends;
 	/* batch id -> JSON record read after the election */
@@ -105,6 +118,7 @@
 	struct cq_counter *preemptions;
 	struct cq_counter *refused_records;
 	struct cq_counter *odd_rows;
+	struct cq_counter *deleted_jobs;
 	struct cq_histogram *plan_time;
 	struct cq_histogram *wait_time;
 };
@@ -147,6 +161,26 @@
 /* Whether the configuration, all workloads and their progress are loaded. */
 bool dispatcher_loaded(const struct cq_dispatcher *d);
 
+/* dispatcher_ended.c */
+void ended_jobs_open(struct cq_dispatcher *d);
+void ended_jobs_close(struct cq_dispatcher *d);
+/* The end of the job is in the store, and it has no runs. */
+void ended_jobs_add(struct cq_dispatcher *d, const char *id);
+/*
+ * Whether the workload that the store has under the id is that of an ended job;
+ * else it is one that was submitted after the deletion of that job.
+ */
+bool ended_jobs_ignore(struct cq_dispatcher *d, const char *id, bool cancelled);
+/* The workload is gone from the store; false: this leader didn't delete it. */
+bool ended_jobs_removed(struct cq_dispatcher *d, const char *id);
+/* The journal has deleted the records. */
+void ended_jobs_deleted(struct cq_dispatcher *d, const char *id);
+/* Whether records may be deleted now. */
+bool ended_jobs_due(const struct cq_dispatcher *d);
+/* Fills in a transaction of deletions only; returns the number of records. */
+uint32_t ended_jobs_collect(struct cq_dispatcher *d,
+			    struct cq_journal_record *records, uint32_t max);
+
 /* dispatcher_links.c */
 struct link *link_create(struct cq_dispatcher *d,
 			 struct cq_pool_worker *worker);
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -21,13 +21,6 @@
 /* Interval between writes of the numbers of waiting jobs. */
 #define PENDING_WRITE_INTERVAL_NS (INT64_C(500) * CQ_NS_PER_MS)
 
-/* A record in the journal transaction that is in flight. */
-struct written_batch {
-	/* "": the record is not of a batch */
-	char batch_id[CQ_WORKLOAD_ID_BYTES];
-	uint64_t version;
-};
-
 static void on_worker_changed(void *ctx, const struct cq_store_entry *entry);
 static void on_worker_removed(void *ctx, const char *key);
 static void on_workers_synced(void *ctx);
@@ -268,8 +261,6 @@
 	struct cq_workload *w;
 	bool cancelled;
 
-	if (g_hash_table_contains(d->ended, id))
-		return;
 	w = cq_workload_parse(entry->value, entry->value_len, &err);
 	if (!w) {
 		cq_log_event(CQ_LOG_ERROR, "workload_unreadable", "{s:s,s:s}",
@@ -277,6 +268,10 @@
 		return;
 	}
 	cancelled = w->cancelled;
+	if (ended_jobs_ignore(d, id, cancelled)) {
+		cq_workload_destroy(w);
+		return;
+	}
 	if (batch) {
 		cq_workload_destroy(w);
 	} else {
@@ -299,8 +294,8 @@
 
 static void on_workload_removed(void *ctx, const char *key)
 {
-	(void)ctx;
-	cq_log_event(CQ_LOG_WARN, "workload_gone", "{s:s}", "key", key);
+	if (!ended_jobs_removed(ctx, key + strlen(CQ_KEY_WORKLOADS)))
+		cq_log_event(CQ_LOG_WARN, "workload_gone", "{s:s}", "key", key);
 }
 
 static void on_workloads_synced(void *ctx)
@@ -318,6 +313,9 @@
 	uint32_t count = 0;
 
 	g_array_set_size(d->written_batches, 0);
+	count = ended_jobs_collect(d, records, max);
+	if (count)
+		return count;
 	if (d->pending_json && d->next_pending_write_ns < 0) {
 		const struct written_batch none = { 0 };
 
@@ -366,14 +364,16 @@
 		struct cq_batch *batch =
 			g_hash_table_lookup(d->batches, written->batch_id);
 
-		if (!batch)
+		if (written->deleted && written->batch_id[0])
+			ended_jobs_deleted(d, written->batch_id);
+		if (!batch || written->deleted)
 			continue;
 		batch->durable_version = written->version;
 		batch->rewrite_ns = 0;
 		command_start_recorded(d, batch);
 	}
 	update_all_acknowledged(d);
-	if (!g_queue_is_empty(&d->dirty))
+	if (!g_queue_is_empty(&d->dirty) || ended_jobs_due(d))
 		cq_journal_wake(d->journal);
 }
 
@@ -394,7 +394,7 @@
 	cq_counter_add(d->refused_records, 1);
 	cq_log_event(CQ_LOG_ERROR, "record_refused", "{s:s,s:i,s:s}", "id",
 		     written->batch_id, "active", (int)active, "error", error);
-	if (!batch)
+	if (!batch || written->deleted)
 		return;
 	batch->max_active = MAX(1, active / 2);
 	batch->rewrite_ns = dispatcher_now_ns(d) + REFUSED_RETRY_NS;
@@ -423,6 +423,8 @@
 	gpointer value;
 	char *text;
 
+	if (ended_jobs_due(d))
+		cq_journal_wake(d->journal);
 	if (!d->workloads) {
 		if (!d->list_call && cq_follower_synced(d->workers))
 			read_progress(d);
--- a/src/programs/hostd/dispatch.c
+++ b/src/programs/hostd/dispatch.c
@@ -13,6 +13,11 @@
 #define NO_DELAY_MILLICORES 250
 #define NO_DELAY_MBPS 100
 #define MAX_CAMPAIGN_DELAY_MS 300
+/*
+ * Records of ended jobs are kept for so much longer than callers may ask for
+ * their state: repeated submissions and late writes come within seconds.
+ */
+#define ENDED_RETENTION_MARGIN_MS 60000
 
 static bool may_command(void *ctx)
 {
@@ -44,6 +49,10 @@
 		.head_revision = head_revision,
 		.store_timeout_ms = CALL_TIMEOUT_MS,
 		.max_lease_ms = h->settings.max_lease_ms,
+		.ended_retention_ms =
+			MIN(h->settings.ended_state_ms,
+			    UINT32_MAX - ENDED_RETENTION_MARGIN_MS) +
+			ENDED_RETENTION_MARGIN_MS,
 	};
 
 	h->executor = cq_executor_http_create(h->worker_client, may_command, h);
--- a/tests/property/prop_dispatcher.cc
+++ b/tests/property/prop_dispatcher.cc
@@ -27,6 +27,8 @@
 /* Few, so that answers often leave ends out. */
 constexpr uint32_t kEndsPerAnswer = 2;
 constexpr int kHealRounds = 400;
+/* Short, so that records are deleted while faults go on. */
+constexpr uint32_t kRetentionMs = 20;
 
 enum class kind {
 	submit,
@@ -93,7 +95,7 @@
 class run
 {
       public:
-	run()
+	explicit run(uint32_t retention_ms)
 	    : w_(dispatcher_fixture_create(kLeaseMs)),
 	      workers_(dispatcher_fixture_workers(w_)),
 	      store_(dispatcher_fixture_store(w_))
@@ -101,6 +103,7 @@
 		mem_executor_set_ends_per_answer(workers_, kEndsPerAnswer);
 		for (int k = 0; k < kWorkers; k++)
 			dispatcher_fixture_add_worker(w_, k);
+		dispatcher_fixture_set_retention(w_, retention_ms);
 		dispatcher_fixture_start_epoch(w_);
 	}
 
@@ -227,6 +230,8 @@
 		for (int k = 1; k <= jobs_; k++) {
 			const char *state = dispatcher_fixture_state(w_, k);
 
+			if (dispatcher_fixture_is_deleted(w_, k))
+				continue;
 			if (strcmp(state, "completed") != 0 &&
 			    strcmp(state, "failed") != 0 &&
 			    strcmp(state, "cancelled") != 0)
@@ -282,7 +287,7 @@
 		const auto events = *rc::gen::resize(
 			40,
 			rc::gen::container<std::vector<event>>(gen_event()));
-		run r;
+		run r(*rc::gen::element(0U, kRetentionMs));
 
 		for (const auto &e : events)
 			r.apply(e);
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -26,6 +26,7 @@
 	const char *workspace; /* for jobs submitted from now on */
 	GHashTable *evacuated;
 	uint32_t max_lease_ms;
+	uint32_t retention_ms;
 	int64_t epoch;
 	int64_t estimate_ms;
 	bool allowed, superseded;
@@ -206,6 +207,12 @@
 	mem_executor_cancel(w->workers);
 }
 
+void dispatcher_fixture_set_retention(struct dispatcher_fixture *w,
+				      uint32_t retention_ms)
+{
+	w->retention_ms = retention_ms;
+}
+
 void dispatcher_fixture_start_epoch(struct dispatcher_fixture *w)
 {
 	struct cq_dispatcher_options options = {
@@ -216,6 +223,7 @@
 		.parse_listing = parse_registration,
 		.store_timeout_ms = 100,
 		.max_lease_ms = w->max_lease_ms,
+		.ended_retention_ms = w->retention_ms,
 	};
 	char *head;
 
@@ -318,13 +326,28 @@
 {
 	char *key = g_strdup_printf("%s%016d", CQ_KEY_WORKLOADS, k);
 	const char *text = mem_store_read(w->store, key);
-	struct cq_workload *job = cq_workload_parse(text, strlen(text), NULL);
+	struct cq_workload *job;
 
 	g_free(key);
+	if (!text)
+		return;
+	job = cq_workload_parse(text, strlen(text), NULL);
 	job->cancelled = true;
 	write_job(w, job);
 }
 
+bool dispatcher_fixture_is_deleted(struct dispatcher_fixture *w, int k)
+{
+	char *job = g_strdup_printf("%s%016d", CQ_KEY_WORKLOADS, k);
+	char *progress = g_strdup_printf("%s%016d", CQ_KEY_PROGRESS, k);
+	bool found = mem_store_read(w->store, job) ||
+		     mem_store_read(w->store, progress);
+
+	g_free(job);
+	g_free(progress);
+	return !found;
+}
+
 const char *dispatcher_fixture_state(struct dispatcher_fixture *w, int k)
 {
 	char *key = g_strdup_printf("%s%016d", CQ_KEY_PROGRESS, k);
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -43,6 +43,12 @@
  */
 void dispatcher_fixture_start_epoch(struct dispatcher_fixture *w);
 void dispatcher_fixture_stop(struct dispatcher_fixture *w);
+/*
+ * How long the next leaders keep the records of ended jobs; 0, as at first: for
+ * good.
+ */
+void dispatcher_fixture_set_retention(struct dispatcher_fixture *w,
+				      uint32_t retention_ms);
 /* Sets whether the dispatcher may send commands to workers. */
 void dispatcher_fixture_allow_commands(struct dispatcher_fixture *w,
 				       bool allowed);
@@ -66,7 +72,10 @@
 void dispatcher_fixture_submit(struct dispatcher_fixture *w, int k,
 			       uint32_t tasks, uint32_t accelerators,
 			       bool gang);
+/* Does nothing if the records of the job were deleted. */
 void dispatcher_fixture_cancel(struct dispatcher_fixture *w, int k);
+/* True if the store has no record of job K. */
+bool dispatcher_fixture_is_deleted(struct dispatcher_fixture *w, int k);
 /* The recorded state of job K; "" if none is recorded yet. */
 const char *dispatcher_fixture_state(struct dispatcher_fixture *w, int k);
 /* Waits until job K has the state; false on a time-out. */
