--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -261,7 +261,11 @@
  */
 typedef struct cq_pool_worker *cq_batch_worker_fn(void *ctx, const char *id,
 						  int64_t born_unix_ms);
-/* Restores a newly created batch from its progress record. */
+/*
+ * Restores a newly created batch from its progress record. If the record cannot
+ * be read, returns false and sets err; then the batch has no runs and is of no
+ * use, as nobody knows what has run of it.
+ */
 bool cq_batch_restore(struct cq_batch *batch, const char *json, size_t len,
 		      cq_batch_worker_fn *worker, void *ctx,
 		      struct cq_error *err);
--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -57,6 +57,8 @@
 	d->odd_rows = cq_metrics_counter(metrics, "cq_odd_rows_total", "");
 	d->deleted_jobs =
 		cq_metrics_counter(metrics, "cq_jobs_deleted_total", "");
+	d->unreadable_records =
+		cq_metrics_counter(metrics, "cq_records_unreadable_total", "");
 	d->plan_time = cq_metrics_histogram(metrics, "cq_plan_seconds", "");
 	d->wait_time =
 		cq_metrics_histogram(metrics, "cq_wait_for_start_seconds", "");
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -119,6 +119,7 @@
 	struct cq_counter *refused_records;
 	struct cq_counter *odd_rows;
 	struct cq_counter *deleted_jobs;
+	struct cq_counter *unreadable_records;
 	struct cq_histogram *plan_time;
 	struct cq_histogram *wait_time;
 };
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -31,7 +31,9 @@
 static void on_workloads_synced(void *ctx);
 static struct cq_pool_worker *find_restored_worker(void *ctx, const char *id,
 						   int64_t born_unix_ms);
-static void restore_progress(struct cq_dispatcher *d, struct cq_batch *batch);
+static bool restore_progress(struct cq_dispatcher *d, struct cq_batch *batch);
+static struct cq_batch *take_workload(struct cq_dispatcher *d,
+				      struct cq_workload *w);
 static void cancel_batch(struct cq_dispatcher *d, struct cq_batch *batch);
 static uint32_t collect_records(void *ctx, struct cq_journal_record *records,
 				uint32_t max);
@@ -223,19 +225,49 @@
 	return worker;
 }
 
-static void restore_progress(struct cq_dispatcher *d, struct cq_batch *batch)
+/*
+ * Returns false if the job has a record that cannot be read. Nobody knows then
+ * which of its tasks are done or run: it is left alone, and the record as well.
+ */
+static bool restore_progress(struct cq_dispatcher *d, struct cq_batch *batch)
 {
 	const char *record =
 		g_hash_table_lookup(d->progress, batch->workload->id);
 	struct cq_error err = CQ_ERROR_INIT;
+	bool ok;
 
 	if (!record)
-		return;
-	if (!cq_batch_restore(batch, record, strlen(record),
-			      find_restored_worker, d, &err))
+		return true;
+	ok = cq_batch_restore(batch, record, strlen(record),
+			      find_restored_worker, d, &err);
+	if (!ok) {
+		cq_counter_add(d->unreadable_records, 1);
 		cq_log_event(CQ_LOG_ERROR, "progress_unreadable", "{s:s,s:s}",
 			     "id", batch->workload->id, "error", err.message);
+	}
 	g_hash_table_remove(d->progress, batch->workload->id);
+	return ok;
+}
+
+/* Takes the workload over; NULL if its progress is not known. */
+static struct cq_batch *take_workload(struct cq_dispatcher *d,
+				      struct cq_workload *w)
+{
+	int64_t age_ms = cq_clock_unix_ms(d->clock) - w->accepted_ms;
+	struct cq_batch *batch = cq_batch_create(w);
+
+	batch->accepted_ns =
+		dispatcher_now_ns(d) - MAX(0, age_ms) * CQ_NS_PER_MS;
+	if (!restore_progress(d, batch)) {
+		cq_batch_destroy(batch);
+		return NULL;
+	}
+	g_hash_table_insert(d->batches, w->id, batch);
+	cq_log_event(CQ_LOG_INFO, "job_taken", "{s:s,s:s,s:s,s:i,s:I}", "id",
+		     w->id, "queue", w->queue, "state",
+		     cq_batch_state_string(batch->state), "steps",
+		     (int)w->step_count, "age_ms", (json_int_t)age_ms);
+	return batch;
 }
 
 static void cancel_batch(struct cq_dispatcher *d, struct cq_batch *batch)
@@ -272,21 +304,12 @@
 		cq_workload_destroy(w);
 		return;
 	}
-	if (batch) {
+	if (batch)
 		cq_workload_destroy(w);
-	} else {
-		int64_t age_ms = cq_clock_unix_ms(d->clock) - w->accepted_ms;
-
-		batch = cq_batch_create(w);
-		batch->accepted_ns =
-			dispatcher_now_ns(d) - MAX(0, age_ms) * CQ_NS_PER_MS;
-		g_hash_table_insert(d->batches, w->id, batch);
-		restore_progress(d, batch);
-		cq_log_event(CQ_LOG_INFO, "job_taken", "{s:s,s:s,s:s,s:i,s:I}",
-			     "id", w->id, "queue", w->queue, "state",
-			     cq_batch_state_string(batch->state), "steps",
-			     (int)w->step_count, "age_ms", (json_int_t)age_ms);
-	}
+	else
+		batch = take_workload(d, w);
+	if (!batch)
+		return;
 	if (cancelled && !batch->cancelled)
 		cancel_batch(d, batch);
 	dispatcher_plan_soon(d);
--- a/src/state/batch_json.c
+++ b/src/state/batch_json.c
@@ -234,6 +234,8 @@
 {
 	size_t i;
 
+	if (!json_is_array(ranges))
+		return false;
 	for (i = 0; i < json_array_size(ranges); i++) {
 		const json_t *range = json_array_get(ranges, i);
 		json_int_t first = json_integer_value(json_array_get(range, 0));
@@ -255,12 +257,17 @@
 	size_t column = with_done ? 2 : 1;
 	size_t i;
 
+	if (!json_is_array(tasks))
+		return false;
 	for (i = 0; i < json_array_size(tasks); i++) {
 		const json_t *row = json_array_get(tasks, i);
 		json_int_t index = json_integer_value(json_array_get(row, 0));
 		struct cq_task *task;
 
-		if (index < 0 || index >= (json_int_t)stage->step->tasks)
+		if (index < 0 || index >= (json_int_t)stage->step->tasks ||
+		    !json_is_integer(json_array_get(row, 0)) ||
+		    !json_is_integer(json_array_get(row, column)) ||
+		    !json_is_integer(json_array_get(row, column + 1)))
 			return false;
 		task = &stage->tasks[index];
 		if (with_done && json_is_true(json_array_get(row, 1)))
@@ -285,7 +292,8 @@
 		json_object_get(object, "failures"));
 	stage->gang_failed_run = (uint32_t)json_integer_value(
 		json_object_get(object, "failed_run"));
-	return restore_done(stage, json_object_get(object, "done")) &&
+	return (with_done ||
+		restore_done(stage, json_object_get(object, "done"))) &&
 	       restore_tasks(stage, json_object_get(object, "tasks"), with_done,
 			     worker, ctx);
 }
@@ -297,6 +305,8 @@
 {
 	size_t i;
 
+	if (!json_is_array(stages))
+		return false;
 	for (i = 0; i < json_array_size(stages); i++) {
 		const json_t *object = json_array_get(stages, i);
 		json_int_t step =
@@ -315,9 +325,13 @@
 				cq_batch_worker_fn *worker, void *ctx)
 {
 	const json_t *live = json_object_get(root, "live");
-	json_int_t next = json_integer_value(json_object_get(root, "next"));
+	const json_t *next_value = json_object_get(root, "next");
+	json_int_t next = json_integer_value(next_value);
 	size_t i;
 
+	/* Without them, nothing would seem to have run, or all to be done. */
+	if (!json_is_array(live) || !json_is_integer(next_value))
+		return false;
 	if (next < 0 || next > (json_int_t)batch->workload->occurrences)
 		return false;
 	for (i = 0; i < json_array_size(live); i++) {
@@ -376,6 +390,21 @@
 	return true;
 }
 
+/* Gives back the room of the runs that were restored. */
+static void release_runs(const struct cq_batch *batch)
+{
+	uint32_t i, k;
+
+	for (i = 0; i < cq_batch_stage_count(batch); i++) {
+		const struct cq_stage *stage = cq_batch_stage_at(batch, i);
+
+		for (k = 0; k < stage->step->tasks; k++)
+			if (stage->tasks[k].phase != CQ_RUN_NONE)
+				cq_pool_release(stage->tasks[k].worker,
+						&stage->tasks[k]);
+	}
+}
+
 bool cq_batch_restore(struct cq_batch *batch, const char *json, size_t len,
 		      cq_batch_worker_fn *worker, void *ctx,
 		      struct cq_error *err)
@@ -392,6 +421,8 @@
 	json_decref(root);
 	if (ok)
 		return true;
+	release_runs(batch);
+	cq_batch_clear(batch);
 	return cq_error_set(err, CQ_ERROR_STATE, CQ_ERR_INVALID,
 			    "the progress record of job %s is malformed",
 			    batch->workload->id);
--- a/tests/unit/test_batch_record.c
+++ b/tests/unit/test_batch_record.c
@@ -275,6 +275,24 @@
 		STAGE("{\"step\":0,\"done\":[[-1,1]]}"),
 		STAGE("{\"step\":0,\"tasks\":[[72,1,0,\"\",\"\",0]]}"),
 		STAGE("{\"step\":0,\"tasks\":[[-1,1,0,\"\",\"\",0]]}"),
+		/* Parts that are missing, or of another type */
+		RECORD("\"next\":1"),
+		RECORD("\"live\":[]"),
+		RECORD("\"next\":\"1\",\"live\":[]"),
+		RECORD("\"next\":1,\"live\":{}"),
+		LIVE("{\"k\":0}"),
+		LIVE("{\"k\":1,\"stages\":[]},{\"k\":0,\"stages\":[]}"),
+		LIVE("{\"k\":2,\"stages\":[]}"),
+		STAGE("{\"step\":0,\"done\":[]}"),
+		STAGE("{\"step\":0,\"tasks\":[]}"),
+		STAGE("{\"step\":0,\"done\":[],\"tasks\":[[0]]}"),
+		STAGE("{\"step\":0,\"done\":[],"
+		      "\"tasks\":[[0,\"1\",0,\"\",\"\",0]]}"),
+		STAGE("{\"step\":0,\"done\":[],"
+		      "\"tasks\":[[0,1,null,\"\",\"\",0]]}"),
+		/* After a run that was restored */
+		STAGE("{\"step\":0,\"done\":[],"
+		      "\"tasks\":[[0,1,0,\"\",\"worker\",7],[99]]}"),
 		RECORD("\"stages\":[{\"n\":9}]"),
 		RECORD("\"stages\":[{\"n\":-1}]"),
 	};
@@ -283,11 +301,14 @@
 	for (i = 0; i < G_N_ELEMENTS(malformed); i++) {
 		struct cq_pool *pool = cq_pool_create();
 		struct cq_batch *batch = create_batch(3);
+		struct cq_pool_worker *worker = create_worker(pool);
+		int64_t free = worker->free_accelerators;
 
-		create_worker(pool);
 		g_assert_false(cq_batch_restore(batch, malformed[i],
 						strlen(malformed[i]),
 						find_worker, pool, NULL));
+		g_assert_cmpuint(worker->runs->len, ==, 0);
+		g_assert_cmpint(worker->free_accelerators, ==, free);
 		cq_batch_destroy(batch);
 		cq_pool_destroy(pool);
 	}
--- a/tests/unit/test_dispatcher_refused.c
+++ b/tests/unit/test_dispatcher_refused.c
@@ -1,4 +1,7 @@
-/* A job whose progress record the store refuses as too large. */
+/*
+ * A job whose progress record the store refuses as too large, or that a new
+ * leader cannot read.
+ */
 #include <glib.h>
 
 #include "tests/support/dispatch_world.h"
@@ -86,6 +89,51 @@
 	check_and_destroy_world(w);
 }
 
+/*
+ * Guards against a job whose record cannot be read and that is taken for one
+ * that has not begun: its tasks would start again after their ends. It waits
+ * alone; the others go on, and it can be cancelled.
+ */
+static void check_unreadable_record(const char *record)
+{
+	struct dispatcher_fixture *w = create_world();
+	struct mem_executor *workers = dispatcher_fixture_workers(w);
+
+	dispatcher_fixture_submit(w, 1, 2, 1, false);
+	g_assert_true(dispatcher_fixture_wait_for_runs(w, 2));
+	g_assert_true(mem_executor_end(workers, "0000000000000001.0.0.0",
+				       CQ_RUN_DONE));
+	run_loop_iterations(dispatcher_fixture_loop(w), 40);
+	dispatcher_fixture_stop(w);
+	mem_store_write(dispatcher_fixture_store(w),
+			CQ_KEY_PROGRESS "0000000000000001", record);
+	dispatcher_fixture_start_epoch(w);
+	dispatcher_fixture_submit(w, 2, 1, 1, false);
+	while (g_strcmp0(dispatcher_fixture_state(w, 2), "completed")) {
+		mem_executor_end_all(workers);
+		run_loop_iterations(dispatcher_fixture_loop(w), 5);
+	}
+	g_assert_cmpuint(mem_executor_starts(workers), ==, 3);
+	dispatcher_fixture_cancel(w, 1);
+	g_assert_true(dispatcher_fixture_wait_for_state(w, 1, "cancelled"));
+	check_and_destroy_world(w);
+}
+
+static void test_unreadable_record(void)
+{
+	static const char *const records[] = {
+		"",
+		"{",
+		"{\"state\":\"running\",\"next\":1}",
+		"{\"state\":\"running\",\"next\":-1,\"live\":[]}",
+		"{\"state\":\"odd\",\"next\":1,\"live\":[]}",
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(records); i++)
+		check_unreadable_record(records[i]);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -94,5 +142,7 @@
 			test_large_job_runs_in_parts);
 	g_test_add_func("/dispatcher_refused/gang_is_not_split",
 			test_gang_is_not_split);
+	g_test_add_func("/dispatcher_refused/unreadable_record",
+			test_unreadable_record);
 	return g_test_run();
 }
