dispatcher: stop runs at a worker's notice that they would not survive (LOST)

Cause: a worker that drains says how long it stays at least (remainingMs), and nobody read it.

Change: when the notice comes, runs whose estimate goes beyond that time, and those that last, are stopped, so that their tasks start elsewhere.

--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -102,6 +102,42 @@
 	return d->config && d->workloads && cq_follower_synced(d->workloads);
 }
 
+/* Whether the run, by its estimate, needs longer than the worker stays. */
+static bool is_doomed(const struct cq_task *task, int64_t now_ns,
+		      uint32_t remaining_ms)
+{
+	int64_t ran_ms = task->started_ns
+				 ? (now_ns - task->started_ns) / CQ_NS_PER_MS
+				 : 0;
+
+	return task->stage->step->long_running ||
+	       task->stage->step->estimate_ms - ran_ms > remaining_ms;
+}
+
+/*
+ * Runs that end with the worker are stopped when it says that it leaves, so
+ * that their tasks start elsewhere: a worker that has left doesn't say so, and
+ * they would have to wait until its lease has surely expired.
+ */
+static void stop_doomed_runs(struct cq_dispatcher *d,
+			     const struct cq_pool_worker *worker)
+{
+	uint32_t remaining_ms = worker->listing.remaining_ms;
+	int64_t now_ns = dispatcher_now_ns(d);
+	guint i;
+
+	for (i = worker->runs->len; remaining_ms && i-- > 0;) {
+		struct cq_task *task;
+
+		/* A stop may end other runs, of the same gang. */
+		if (i >= worker->runs->len)
+			continue;
+		task = g_ptr_array_index(worker->runs, i);
+		if (is_doomed(task, now_ns, remaining_ms))
+			command_stop(d, task, "the worker leaves too soon");
+	}
+}
+
 static void on_worker_changed(void *ctx, const struct cq_store_entry *entry)
 {
 	struct cq_dispatcher *d = ctx;
@@ -139,6 +175,8 @@
 			     listing.state == CQ_REGISTRATION_DRAINING,
 			     "revision", (json_int_t)entry->revision);
 	cq_pool_update(worker, &listing);
+	if (!draining && listing.state == CQ_REGISTRATION_DRAINING)
+		stop_doomed_runs(d, worker);
 	dispatcher_plan_soon(d);
 }
 
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "chestnutquay/batch.h"
@@ -12,6 +13,7 @@
 
 #define WORKER_KEY_PREFIX "w/"
 #define MAX_WORKSPACES 4
+#define DRAINING " draining "
 
 struct dispatcher_fixture {
 	struct ev_loop *loop;
@@ -42,6 +44,7 @@
 			       struct cq_error *err)
 {
 	char *text = g_strndup(json, len);
+	const char *draining;
 	long started_unix_ms;
 	int fields;
 
@@ -57,8 +60,12 @@
 	if (g_str_has_suffix(text, " other"))
 		g_strlcpy(registration->service, "other",
 			  sizeof(registration->service));
-	if (g_str_has_suffix(text, " draining"))
+	draining = strstr(text, DRAINING);
+	if (draining) {
 		registration->state = CQ_REGISTRATION_DRAINING;
+		registration->remaining_ms = (uint32_t)strtoul(
+			draining + strlen(DRAINING), NULL, 10);
+	}
 	g_free(text);
 	if (fields != 3)
 		return cq_error_set(err, CQ_ERROR_PROTOCOL, CQ_ERR_INVALID,
@@ -165,9 +172,13 @@
 	write_worker_entry(w, k, listed ? "" : NULL);
 }
 
-void dispatcher_fixture_drain(struct dispatcher_fixture *w, int k)
+void dispatcher_fixture_drain(struct dispatcher_fixture *w, int k,
+			      uint32_t remaining_ms)
 {
-	write_worker_entry(w, k, " draining");
+	char *suffix = g_strdup_printf(DRAINING "%u", remaining_ms);
+
+	write_worker_entry(w, k, suffix);
+	g_free(suffix);
 }
 
 void dispatcher_fixture_change_service(struct dispatcher_fixture *w, int k)
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -26,8 +26,12 @@
 /* Writes the worker's registration in the store, or removes it. */
 void dispatcher_fixture_set_registered(struct dispatcher_fixture *w, int k,
 				       bool listed);
-/* Marks the worker as draining in its registration. */
-void dispatcher_fixture_drain(struct dispatcher_fixture *w, int k);
+/*
+ * Marks the worker as draining in its registration, and how long it stays at
+ * least; 0: it doesn't say.
+ */
+void dispatcher_fixture_drain(struct dispatcher_fixture *w, int k,
+			      uint32_t remaining_ms);
 /*
  * Restarts the worker as one of another service, to which no queue sends its
  * tasks.
--- a/tests/unit/test_dispatcher.c
+++ b/tests/unit/test_dispatcher.c
@@ -128,7 +128,7 @@
 	mem_executor_fail_commands(workers, MEM_EXECUTOR_DROP_COMMAND, 1);
 	dispatcher_fixture_submit(w, 1, 1, 8, false);
 	g_assert_true(dispatcher_fixture_wait_for_state(w, 1, "running"));
-	dispatcher_fixture_drain(w, 0);
+	dispatcher_fixture_drain(w, 0, 0);
 	run_loop_iterations(dispatcher_fixture_loop(w), 10);
 	mem_executor_forbid_starts(workers, "worker0", true);
 	dispatcher_fixture_add_worker(w, 1);
