gateway: refuse further jobs while the leader holds as many as it may

Found while listing what bounds each record and table.

Change: from a quarter of its memory on, by the sizes of the jobs, the leader sets cq/leader/full, beside the holder's key, which all hosts follow already; below nine tenths of that it deletes it. While it is there, hosts refuse submissions with 503 and Retry-After, but for those of jobs that are stored already. The election ignores other keys than the holder's. A next leader finds out anew. All hosts have to run this release before: an older one takes the key for the holder's.

Result: test_dispatcher_ended (full), test_gateway (full) and test_leader (other_key) cover both sides; before, nothing refused.

--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -201,6 +201,8 @@
  */
 bool cq_stage_waiting(const struct cq_stage *stage);
 bool cq_batch_has_runs(const struct cq_batch *batch);
+/* Memory that the batch takes, without checkpoints. */
+uint64_t cq_batch_bytes(const struct cq_batch *batch);
 /* Number of tasks that have a current run. */
 uint32_t cq_batch_active_count(const struct cq_batch *batch);
 /*
--- a/include/chestnutquay/dispatcher.h
+++ b/include/chestnutquay/dispatcher.h
@@ -28,6 +28,11 @@
 #define CQ_KEY_PENDING "cq/pending" /* number of waiting jobs per queue */
 #define CQ_KEY_HEAD "cq/head"	    /* epoch and journal sequence number */
 #define CQ_KEY_LEADER_PREFIX "cq/leader/" /* holder key of the leader */
+/*
+ * Exists while the leader holds as many jobs as it may: hosts refuse further
+ * ones. It has the prefix of the holder key, which all hosts follow.
+ */
+#define CQ_KEY_FULL "cq/leader/full"
 
 struct cq_dispatcher_ops {
 	/* Called before each command; false: no command may be sent now. */
@@ -61,6 +66,11 @@
 	 * for good.
 	 */
 	uint32_t ended_retention_ms;
+	/*
+	 * Memory that jobs may take, by their sizes, before further ones are
+	 * refused; 0: no limit.
+	 */
+	uint64_t max_job_bytes;
 };
 
 struct cq_dispatcher;
--- a/include/chestnutquay/gateway.h
+++ b/include/chestnutquay/gateway.h
@@ -81,6 +81,11 @@
 /* The configuration is borrowed until replaced; NULL: none yet. */
 void cq_gateway_set_config(struct cq_gateway *g,
 			   const struct cq_queue_config *config);
+/*
+ * While it is full, further jobs are refused. A submission of a job that is
+ * stored already is accepted all the same.
+ */
+void cq_gateway_set_full(struct cq_gateway *g, bool full);
 /*
  * Calls done() exactly once, during this call or later, unless the request is
  * dropped. call identifies the request for done() and cq_gateway_drop().
--- a/include/chestnutquay/leader.h
+++ b/include/chestnutquay/leader.h
@@ -25,6 +25,11 @@
 	void (*elected)(void *ctx, int64_t epoch, int64_t head_revision);
 	/* This host is no longer the leader. */
 	void (*deposed)(void *ctx);
+	/*
+	 * Another key with the prefix of the holder key has changed; value is
+	 * NULL if it was deleted. The function may be NULL.
+	 */
+	void (*noticed)(void *ctx, const char *key, const char *value);
 };
 
 struct cq_leader_options {
--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -102,6 +102,9 @@
 	d->pool = cq_pool_create();
 	d->batches = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   batch_free);
+	d->max_job_bytes = options->max_job_bytes;
+	/* A former leader may have left the key. */
+	d->full_unwritten = d->max_job_bytes != 0;
 	ended_jobs_open(d);
 	d->ended_retention_ns =
 		(int64_t)options->ended_retention_ms * CQ_NS_PER_MS;
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -105,6 +105,9 @@
 	GArray *written_batches;
 	char *pending_json;	       /* latest value for CQ_KEY_PENDING */
 	int64_t next_pending_write_ns; /* -1: pending_json is to be written */
+	uint64_t max_job_bytes;	       /* 0: no limit */
+	bool full;		       /* no further jobs are wanted */
+	bool full_unwritten;	       /* CQ_KEY_FULL is to be written */
 	uint32_t probes_in_flight;     /* without those silent for too long */
 	ev_timer tick_timer;
 	int64_t next_stop_check_ns; /* when all runs are checked again */
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -20,6 +20,8 @@
 #define REFUSED_RETRY_NS (INT64_C(5) * CQ_NS_PER_S)
 /* Interval between writes of the numbers of waiting jobs. */
 #define PENDING_WRITE_INTERVAL_NS (INT64_C(500) * CQ_NS_PER_MS)
+/* Part of the limit for jobs below which further ones are taken again */
+#define OPEN_PERCENT 90
 
 static void on_worker_changed(void *ctx, const struct cq_store_entry *entry);
 static void on_worker_removed(void *ctx, const char *key);
@@ -377,6 +379,14 @@
 	count = ended_jobs_collect(d, records, max);
 	if (count)
 		return count;
+	if (d->full_unwritten && dispatcher_loaded(d)) {
+		const struct written_batch none = { 0 };
+
+		d->full_unwritten = false;
+		records[count].key = g_strdup(CQ_KEY_FULL);
+		records[count++].value = d->full ? g_strdup("1") : NULL;
+		g_array_append_val(d->written_batches, none);
+	}
 	if (d->pending_json && d->next_pending_write_ns < 0) {
 		const struct written_batch none = { 0 };
 
@@ -477,8 +487,27 @@
 	d->ops->superseded(d->ctx);
 }
 
+/* Full at the limit, and no more below the part of it that OPEN_PERCENT is. */
+static void update_full(struct cq_dispatcher *d, uint64_t bytes)
+{
+	bool full = bytes * 100 >=
+		    d->max_job_bytes * (d->full ? OPEN_PERCENT : 100);
+
+	if (!d->max_job_bytes || full == d->full)
+		return;
+	d->full = full;
+	d->full_unwritten = true;
+	cq_log_event(full ? CQ_LOG_WARN : CQ_LOG_INFO,
+		     full ? "jobs_full" : "jobs_open", "{s:i,s:I,s:I}", "jobs",
+		     (int)g_hash_table_size(d->batches), "bytes",
+		     (json_int_t)bytes, "limit_bytes",
+		     (json_int_t)d->max_job_bytes);
+	cq_journal_wake(d->journal);
+}
+
 void dispatcher_store_tick(struct cq_dispatcher *d)
 {
+	uint64_t bytes = 0;
 	json_t *counts;
 	GHashTableIter iter;
 	gpointer value;
@@ -501,11 +530,13 @@
 		const char *queue = batch->workload->queue;
 		json_int_t count;
 
+		bytes += cq_batch_bytes(batch);
 		if (batch->state != CQ_BATCH_QUEUED)
 			continue;
 		count = json_integer_value(json_object_get(counts, queue));
 		json_object_set_new(counts, queue, json_integer(count + 1));
 	}
+	update_full(d, bytes);
 	text = json_dumps(counts, JSON_COMPACT | JSON_SORT_KEYS);
 	json_decref(counts);
 	if (g_strcmp0(text, d->pending_json)) {
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -114,6 +114,11 @@
 	g->config = config;
 }
 
+void cq_gateway_set_full(struct cq_gateway *g, bool full)
+{
+	g->full = full;
+}
+
 uint32_t cq_gateway_open_count(const struct cq_gateway *g)
 {
 	return g_hash_table_size(g->requests);
@@ -271,8 +276,8 @@
 		return;
 	}
 	r->record = cq_workload_format(w);
-	r->send = gateway_send_submit;
-	gateway_send_submit(r);
+	r->send = r->g->full ? gateway_send_known_check : gateway_send_submit;
+	r->send(r);
 }
 
 static void start_request(struct pending_request *r,
--- a/src/coordination/gateway_internal.h
+++ b/src/coordination/gateway_internal.h
@@ -36,6 +36,7 @@
 	const struct cq_queue_config *config;
 	GHashTable *requests; /* call -> struct pending_request, owned */
 	struct cq_round_trip round_trip;
+	bool full; /* further jobs are refused */
 	bool (*store_reachable)(void *ctx);
 	void *ctx;
 	struct cq_counter
@@ -63,6 +64,8 @@
 
 /* gateway_steps.c: send the first store call of a request. */
 void gateway_send_submit(struct pending_request *r);
+/* Accepts the job if it is stored already, and refuses it if not. */
+void gateway_send_known_check(struct pending_request *r);
 void gateway_send_state(struct pending_request *r);
 void gateway_send_cancel(struct pending_request *r);
 void gateway_send_count(struct pending_request *r);
--- a/src/coordination/gateway_steps.c
+++ b/src/coordination/gateway_steps.c
@@ -8,6 +8,7 @@
 
 static void set_key(struct pending_request *r, const char *prefix);
 static void on_submitted(void *ctx, const struct cq_store_result *result);
+static void on_known_check(void *ctx, const struct cq_store_result *result);
 static void answer_state(struct pending_request *r, enum cq_batch_state state);
 static void on_progress(void *ctx, const struct cq_store_result *result);
 static void send_workload_read(struct pending_request *r);
@@ -62,6 +63,30 @@
 	request_retry_later(r, result->status);
 }
 
+void gateway_send_known_check(struct pending_request *r)
+{
+	const struct cq_store *store = r->g->store;
+
+	set_key(r, CQ_KEY_WORKLOADS);
+	r->store_call = store->ops->get(
+		store->self, r->key, request_timeout_ms(r), on_known_check, r);
+}
+
+static void on_known_check(void *ctx, const struct cq_store_result *result)
+{
+	struct pending_request *r = ctx;
+
+	request_note_result(r, result);
+	if (result->status == CQ_STORE_OK)
+		request_answer_simple(r, CQ_GATEWAY_ACCEPTED, "already stored");
+	else if (result->status == CQ_STORE_NOT_FOUND)
+		request_answer_simple(r, CQ_GATEWAY_UNAVAILABLE,
+				      "too many jobs wait; this one was not "
+				      "accepted");
+	else
+		request_retry_later(r, result->status);
+}
+
 void gateway_send_state(struct pending_request *r)
 {
 	const struct cq_store *store = r->g->store;
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -487,6 +487,11 @@
 {
 	struct cq_leader *l = ctx;
 
+	if (strcmp(entry->key, l->holder_key)) {
+		if (l->ops->noticed)
+			l->ops->noticed(l->ctx, entry->key, entry->value);
+		return;
+	}
 	g_free(l->holder_value);
 	l->holder_value = g_strdup(entry->value);
 	l->holder_revision = entry->revision;
@@ -497,7 +502,11 @@
 {
 	struct cq_leader *l = ctx;
 
-	(void)key;
+	if (strcmp(key, l->holder_key)) {
+		if (l->ops->noticed)
+			l->ops->noticed(l->ctx, key, NULL);
+		return;
+	}
 	g_clear_pointer(&l->holder_value, g_free);
 	if (l->step == STEP_LEADING)
 		step_down(l, "the holder key was deleted");
--- a/src/programs/hostd/dispatch.c
+++ b/src/programs/hostd/dispatch.c
@@ -2,6 +2,8 @@
 #include "platform/documents.h"
 #include "programs/hostd/hostd.h"
 
+#include <string.h>
+
 #define LEADER_LEASE_MS 1500
 #define CALL_TIMEOUT_MS 600
 #define WATCH_WAIT_MS 2000
@@ -18,6 +20,12 @@
  * their state: repeated submissions and late writes come within seconds.
  */
 #define ENDED_RETENTION_MARGIN_MS 60000
+#define BYTES_PER_MB (UINT64_C(1) << 20)
+/*
+ * Part of the memory for jobs, by their own sizes: the heap takes about as much
+ * again, and connections to workers a quarter.
+ */
+#define JOB_MEMORY_DIVISOR 4
 
 static bool may_command(void *ctx)
 {
@@ -49,6 +57,8 @@
 		.head_revision = head_revision,
 		.store_timeout_ms = CALL_TIMEOUT_MS,
 		.max_lease_ms = h->settings.max_lease_ms,
+		.max_job_bytes = (uint64_t)h->settings.memory_mb *
+				 BYTES_PER_MB / JOB_MEMORY_DIVISOR,
 		.ended_retention_ms =
 			MIN(h->settings.ended_state_ms,
 			    UINT32_MAX - ENDED_RETENTION_MARGIN_MS) +
@@ -72,7 +82,16 @@
 	h->dispatcher = NULL;
 }
 
-static const struct cq_leader_ops leader_ops = { on_elected, on_deposed };
+static void on_noticed(void *ctx, const char *key, const char *value)
+{
+	struct hostd *h = ctx;
+
+	if (!strcmp(key, CQ_KEY_FULL))
+		cq_gateway_set_full(h->gateway, value != NULL);
+}
+
+static const struct cq_leader_ops leader_ops = { on_elected, on_deposed,
+						 on_noticed };
 
 /*
  * Hosts with little capacity campaign later, so that they lead only if there
--- a/src/state/batch.c
+++ b/src/state/batch.c
@@ -330,6 +330,19 @@
 	return batch->max_active > active ? batch->max_active - active : 0;
 }
 
+uint64_t cq_batch_bytes(const struct cq_batch *batch)
+{
+	const struct cq_workload *w = batch->workload;
+	uint64_t occurrence =
+		sizeof(struct cq_occurrence) +
+		w->step_count * sizeof(struct cq_stage) +
+		cq_workload_task_count(w) * sizeof(struct cq_task);
+
+	return sizeof(*batch) + sizeof(*w) +
+	       w->step_count * sizeof(struct cq_workload_step) +
+	       strlen(w->spec) + batch->live->len * occurrence;
+}
+
 bool cq_batch_started(const struct cq_batch *batch)
 {
 	uint32_t i;
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -29,6 +29,7 @@
 	GHashTable *evacuated;
 	uint32_t max_lease_ms;
 	uint32_t retention_ms;
+	uint64_t max_job_bytes;
 	int64_t epoch;
 	int64_t estimate_ms;
 	bool allowed, superseded;
@@ -224,6 +225,12 @@
 	w->retention_ms = retention_ms;
 }
 
+void dispatcher_fixture_set_max_job_bytes(struct dispatcher_fixture *w,
+					  uint64_t bytes)
+{
+	w->max_job_bytes = bytes;
+}
+
 void dispatcher_fixture_start_epoch(struct dispatcher_fixture *w)
 {
 	struct cq_dispatcher_options options = {
@@ -235,6 +242,7 @@
 		.store_timeout_ms = 100,
 		.max_lease_ms = w->max_lease_ms,
 		.ended_retention_ms = w->retention_ms,
+		.max_job_bytes = w->max_job_bytes,
 	};
 	char *head;
 
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -53,6 +53,9 @@
  */
 void dispatcher_fixture_set_retention(struct dispatcher_fixture *w,
 				      uint32_t retention_ms);
+/* Memory that jobs may take at the next leaders; 0, as at first: no limit. */
+void dispatcher_fixture_set_max_job_bytes(struct dispatcher_fixture *w,
+					  uint64_t bytes);
 /* Sets whether the dispatcher may send commands to workers. */
 void dispatcher_fixture_allow_commands(struct dispatcher_fixture *w,
 				       bool allowed);
--- a/tests/unit/test_dispatcher_ended.c
+++ b/tests/unit/test_dispatcher_ended.c
@@ -219,6 +219,49 @@
 	dispatcher_fixture_destroy(w);
 }
 
+static bool is_full(void *ctx)
+{
+	return mem_store_read(dispatcher_fixture_store(ctx), CQ_KEY_FULL);
+}
+
+static bool is_open(void *ctx)
+{
+	return !is_full(ctx);
+}
+
+/*
+ * Guards against jobs that wait and take the leader over its memory: from the
+ * limit on hosts are told to refuse further ones, until enough have ended. A
+ * next leader finds out anew.
+ */
+static void test_full(void)
+{
+	struct dispatcher_fixture *w = dispatcher_fixture_create(LEASE_MS);
+	struct ev_loop *loop = dispatcher_fixture_loop(w);
+	int k;
+
+	dispatcher_fixture_set_max_job_bytes(w, 10000);
+	dispatcher_fixture_start_epoch(w);
+	dispatcher_fixture_submit(w, 1, 1, 0, false);
+	wait_for_calls(w, 6);
+	g_assert_true(is_open(w));
+	for (k = 2; k <= JOBS; k++)
+		dispatcher_fixture_submit(w, k, 1, 0, false);
+	g_assert_true(wait_for(loop, is_full, w));
+	dispatcher_fixture_start_epoch(w);
+	wait_for_calls(w, 6);
+	g_assert_true(is_full(w));
+	dispatcher_fixture_add_worker(w, 0);
+	g_assert_true(dispatcher_fixture_wait_for_runs(w, JOBS));
+	mem_executor_end_all(dispatcher_fixture_workers(w));
+	g_assert_true(wait_for(loop, is_open, w));
+	/* Left by a leader that is gone. */
+	mem_store_write(dispatcher_fixture_store(w), CQ_KEY_FULL, "1");
+	dispatcher_fixture_start_epoch(w);
+	g_assert_true(wait_for(loop, is_open, w));
+	check_and_destroy_world(w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -233,5 +276,6 @@
 			test_no_half_deletion);
 	g_test_add_func("/dispatcher_ended/id_submitted_again",
 			test_id_submitted_again);
+	g_test_add_func("/dispatcher_ended/full", test_full);
 	return g_test_run();
 }
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -148,6 +148,30 @@
 	fixture_clear(&f);
 }
 
+/*
+ * Guards against a refusal, while no further jobs are taken, of one that is
+ * stored already: it runs. The others are told when to come back.
+ */
+static void test_full(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	cq_gateway_set_full(f.gateway, true);
+	g_assert_cmpint(submit(&f), ==, CQ_GATEWAY_UNAVAILABLE);
+	g_assert_cmpuint(f.answer.retry_after_s, >, 0);
+	g_assert_null(mem_store_read(f.store, WORKLOAD_KEY));
+	g_assert_cmpuint(mem_store_changes(f.store), ==, 0);
+	cq_gateway_set_full(f.gateway, false);
+	g_assert_cmpint(submit(&f), ==, CQ_GATEWAY_ACCEPTED);
+	cq_gateway_set_full(f.gateway, true);
+	g_assert_cmpint(submit(&f), ==, CQ_GATEWAY_ACCEPTED);
+	/* As without a limit, if the store doesn't answer. */
+	mem_store_fail_all(f.store, MEM_STORE_DROP_ANSWER);
+	g_assert_cmpint(submit(&f), ==, CQ_GATEWAY_UNAVAILABLE);
+	fixture_clear(&f);
+}
+
 /* Guards against false answers to a submission after each store fault. */
 static void test_submit_faults(void)
 {
@@ -325,6 +349,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/gateway/submit", test_submit);
+	g_test_add_func("/gateway/full", test_full);
 	g_test_add_func("/gateway/submit_faults", test_submit_faults);
 	g_test_add_func("/gateway/refusals", test_refusals);
 	g_test_add_func("/gateway/states", test_states);
--- a/tests/unit/test_leader.c
+++ b/tests/unit/test_leader.c
@@ -11,12 +11,15 @@
 
 #define LEASE_MS 400
 #define HOLDER "t/leader/holder"
+#define OTHER "t/leader/other"
 #define HEAD "t/head"
 
 struct candidate {
 	struct cq_leader *leader;
 	int64_t epoch; /* 0 if it does not lead */
 	uint32_t elections;
+	uint32_t notices; /* of OTHER */
+	bool other_present;
 };
 
 struct fixture {
@@ -24,6 +27,7 @@
 	struct mem_store *store;
 	struct candidate candidates[3];
 	size_t count;
+	uint32_t awaited_notices;
 };
 
 static void on_elected(void *ctx, int64_t epoch, int64_t head_revision)
@@ -43,7 +47,16 @@
 	c->epoch = 0;
 }
 
-static const struct cq_leader_ops ops = { on_elected, on_deposed };
+static void on_noticed(void *ctx, const char *key, const char *value)
+{
+	struct candidate *c = ctx;
+
+	g_assert_cmpstr(key, ==, OTHER);
+	c->notices++;
+	c->other_present = value != NULL;
+}
+
+static const struct cq_leader_ops ops = { on_elected, on_deposed, on_noticed };
 
 static void add_candidate(struct fixture *f, size_t i, const char *identity)
 {
@@ -114,6 +127,47 @@
 	return NULL;
 }
 
+static bool all_noticed(void *ctx)
+{
+	const struct fixture *f = ctx;
+	size_t i;
+
+	for (i = 0; i < f->count; i++)
+		if (f->candidates[i].notices < f->awaited_notices)
+			return false;
+	return true;
+}
+
+static void write_other(struct fixture *f, const char *value)
+{
+	f->awaited_notices++;
+	mem_store_write(f->store, OTHER, value);
+	g_assert_true(wait_for(f->loop, all_noticed, f));
+}
+
+/*
+ * Guards against another key beside that of the holder that is taken for it: a
+ * leader that steps down, or a second one.
+ */
+static void test_other_key(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	add_candidate(&f, 0, "a");
+	add_candidate(&f, 1, "b");
+	g_assert_true(wait_for(f.loop, one_leads, &f));
+	write_other(&f, "1");
+	g_assert_true(f.candidates[0].other_present);
+	g_assert_true(f.candidates[1].other_present);
+	write_other(&f, NULL);
+	g_assert_false(f.candidates[0].other_present);
+	run_loop_iterations(f.loop, 100);
+	g_assert_cmpuint(count_leaders(&f), ==, 1);
+	g_assert_cmpuint(count_elections(&f), ==, 1);
+	fixture_clear(&f);
+}
+
 /* Guards against two leaders after a simultaneous start. */
 static void test_single_leader(void)
 {
@@ -245,6 +299,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/leader/one_of_three", test_single_leader);
+	g_test_add_func("/leader/other_key", test_other_key);
 	g_test_add_func("/leader/resign", test_resign);
 	g_test_add_func("/leader/deadline", test_deadline);
 	g_test_add_func("/leader/restart", test_restart);
