gateway: measure the round trip from when a call was sent

Cause: the time at which a store call was sent was never set, so that each answer counted as one after hours: once the store had answered, all calls had the longest time limit, and one whose answer was lost was repeated late.

Change: it is set when the call's time limit is asked for.

Result: test_gateway (time_limit) failed before (649 ms, 400 allowed).

--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -205,10 +205,12 @@
 	r->send(r);
 }
 
-uint32_t request_timeout_ms(struct pending_request *r)
+uint32_t request_begin_call(struct pending_request *r)
 {
-	int64_t left_ms =
-		(r->deadline_ns - cq_clock_now_ns(r->g->clock)) / CQ_NS_PER_MS;
+	int64_t left_ms;
+
+	r->sent_ns = cq_clock_now_ns(r->g->clock);
+	left_ms = (r->deadline_ns - r->sent_ns) / CQ_NS_PER_MS;
 
 	return (uint32_t)CLAMP(left_ms, 1,
 			       cq_round_trip_timeout_ms(&r->g->round_trip));
--- a/src/coordination/gateway_internal.h
+++ b/src/coordination/gateway_internal.h
@@ -56,8 +56,8 @@
  */
 void request_retry_later(struct pending_request *r,
 			 enum cq_store_status status);
-/* Time limit for the next store call. */
-uint32_t request_timeout_ms(struct pending_request *r);
+/* A store call is about to be sent; returns its time limit. */
+uint32_t request_begin_call(struct pending_request *r);
 /* Records that the store call in flight has completed. */
 void request_note_result(struct pending_request *r,
 			 const struct cq_store_result *result);
--- a/src/coordination/gateway_steps.c
+++ b/src/coordination/gateway_steps.c
@@ -30,7 +30,7 @@
 
 	set_key(r, CQ_KEY_WORKLOADS);
 	r->store_call = store->ops->put(store->self, r->key, r->record, 0, 0,
-					request_timeout_ms(r), on_submitted, r);
+					request_begin_call(r), on_submitted, r);
 }
 
 static void on_submitted(void *ctx, const struct cq_store_result *result)
@@ -69,7 +69,7 @@
 
 	set_key(r, CQ_KEY_WORKLOADS);
 	r->store_call = store->ops->get(
-		store->self, r->key, request_timeout_ms(r), on_known_check, r);
+		store->self, r->key, request_begin_call(r), on_known_check, r);
 }
 
 static void on_known_check(void *ctx, const struct cq_store_result *result)
@@ -93,7 +93,7 @@
 
 	set_key(r, CQ_KEY_PROGRESS);
 	r->store_call = store->ops->get(store->self, r->key,
-					request_timeout_ms(r), on_progress, r);
+					request_begin_call(r), on_progress, r);
 }
 
 static void answer_state(struct pending_request *r, enum cq_batch_state state)
@@ -134,7 +134,7 @@
 
 	set_key(r, CQ_KEY_WORKLOADS);
 	r->store_call = store->ops->get(store->self, r->key,
-					request_timeout_ms(r), on_workload, r);
+					request_begin_call(r), on_workload, r);
 }
 
 static void on_workload(void *ctx, const struct cq_store_result *result)
@@ -165,7 +165,7 @@
 
 	set_key(r, CQ_KEY_WORKLOADS);
 	r->store_call = store->ops->get(
-		store->self, r->key, request_timeout_ms(r), on_cancel_read, r);
+		store->self, r->key, request_begin_call(r), on_cancel_read, r);
 }
 
 static void on_cancel_read(void *ctx, const struct cq_store_result *result)
@@ -206,7 +206,7 @@
 	const struct cq_store *store = r->g->store;
 
 	r->store_call = store->ops->put(store->self, r->key, r->record,
-					r->revision, 0, request_timeout_ms(r),
+					r->revision, 0, request_begin_call(r),
 					on_cancel_written, r);
 }
 
@@ -237,7 +237,7 @@
 	const struct cq_store *store = r->g->store;
 
 	r->store_call = store->ops->get(store->self, CQ_KEY_PENDING,
-					request_timeout_ms(r), on_count, r);
+					request_begin_call(r), on_count, r);
 }
 
 static void on_count(void *ctx, const struct cq_store_result *result)
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -148,6 +148,66 @@
 	fixture_clear(&f);
 }
 
+/* A store that notes the time limit of the last read. */
+struct noting_store {
+	struct cq_store store;
+	struct cq_store_ops ops;
+	const struct cq_store *inner;
+	uint32_t timeout_ms;
+};
+
+static struct cq_store_call *noting_get(void *self, const char *key,
+					uint32_t timeout_ms,
+					cq_store_done_fn *done, void *ctx)
+{
+	struct noting_store *s = self;
+
+	s->timeout_ms = timeout_ms;
+	return s->inner->ops->get(s->inner->self, key, timeout_ms, done, ctx);
+}
+
+static void noting_cancel(void *self, struct cq_store_call *call)
+{
+	const struct noting_store *s = self;
+
+	s->inner->ops->cancel(s->inner->self, call);
+}
+
+/*
+ * Guards against time limits that don't follow the store's round trip: calls
+ * whose answer is lost would be repeated late, with the longest limit.
+ */
+static void test_time_limit(void)
+{
+	struct noting_store noting = { .ops = { .get = noting_get,
+						.cancel = noting_cancel } };
+	struct cq_gateway_options options = {
+		.clock = cq_clock_system(),
+		.store_timeout_ms = 10000,
+		.store_reachable = is_reachable,
+	};
+	struct fixture f;
+	int i;
+
+	fixture_init(&f);
+	cq_gateway_destroy(f.gateway);
+	noting.inner = mem_store_get(f.store);
+	noting.store.ops = &noting.ops;
+	noting.store.self = &noting;
+	options.loop = f.loop;
+	options.metrics = f.metrics;
+	options.ctx = &f;
+	f.gateway = cq_gateway_create(&options, &noting.store);
+	cq_gateway_set_config(f.gateway, &f.config);
+	for (i = 0; i < 3; i++)
+		g_assert_cmpint(send_request(&f, CQ_GATEWAY_STATE, "/q/" ID,
+					     "secret"),
+				==, CQ_GATEWAY_NO_JOB);
+	/* A few times the round trip, which takes no time here. */
+	g_assert_cmpuint(noting.timeout_ms, <, 400);
+	fixture_clear(&f);
+}
+
 /*
  * Guards against a refusal, while no further jobs are taken, of one that is
  * stored already: it runs. The others are told when to come back.
@@ -349,6 +409,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/gateway/submit", test_submit);
+	g_test_add_func("/gateway/time_limit", test_time_limit);
 	g_test_add_func("/gateway/full", test_full);
 	g_test_add_func("/gateway/submit_faults", test_submit_faults);
 	g_test_add_func("/gateway/refusals", test_refusals);
