--- a/tests/support/mem_executor.c
+++ b/tests/support/mem_executor.c
@@ -574,12 +574,6 @@
 	m->ends_per_answer = count;
 }
 
-void mem_executor_set_oddity(struct mem_executor *m,
-			     const struct mem_executor_oddity *odd)
-{
-	m->odd = *odd;
-}
-
 void mem_executor_fail_commands(struct mem_executor *m,
 				enum mem_executor_fault fault, int count)
 {
@@ -603,13 +597,3 @@
 	mem_executor_record_end(m, w, find_run(w, task), how);
 	return true;
 }
-
-bool mem_executor_lose(struct mem_executor *m, const char *task)
-{
-	struct worker *w = mem_executor_find_run(m, task);
-
-	if (!w)
-		return false;
-	g_ptr_array_remove(w->runs, find_run(w, task));
-	return true;
-}
--- a/tests/support/mem_executor_lists.c
+++ b/tests/support/mem_executor_lists.c
@@ -216,3 +216,23 @@
 		fn(ctx, key, count->starts, count->done);
 	}
 }
+
+void mem_executor_set_oddity(struct mem_executor *m,
+			     const struct mem_executor_oddity *odd)
+{
+	m->odd = *odd;
+}
+
+bool mem_executor_lose(struct mem_executor *m, const char *task)
+{
+	struct worker *w = mem_executor_find_run(m, task);
+	guint i;
+
+	if (!w)
+		return false;
+	for (i = 0; i < w->runs->len; i++)
+		if (!strcmp(((struct run *)w->runs->pdata[i])->task, task))
+			break;
+	g_ptr_array_remove_index(w->runs, i);
+	return true;
+}
--- a/tests/unit/test_platform_documents.c
+++ b/tests/unit/test_platform_documents.c
@@ -12,7 +12,8 @@
 static const char settings_json[] =
 	"{\"nodeName\":\"front-a-1\",\"zone\":\"a\",\"extra\":[1],"
 	"\"listen\":{\"front\":\"10.1.0.19:8521\",\"ready\":\"10.1.0.19:8523\"},"
-	"\"bounds\":{\"graceS\":6.5,\"holdMaxMs\":9000,\"stopTimeoutMs\":\"x\"},"
+	"\"bounds\":{\"graceS\":6.5,\"holdMaxMs\":9000,\"stopTimeoutMs\":\"x\","
+	"\"status_s\":120},"
 	"\"limits\":{\"memoryMb\":160,\"maxFds\":\"4100\"},"
 	"\"heartbeatMs\":1500,\"advisor\":\"10.2.0.1:1\","
 	"\"platform\":{\"address\":\"10.200.1.7:8524\",\"writesPerS\":300},"
@@ -32,6 +33,7 @@
 	g_assert_cmpuint(s.store_reads_per_s, ==, 2000);
 	g_assert_cmpuint(s.stop_grace_ms, ==, 6500);
 	g_assert_cmpuint(s.max_lease_ms, ==, 9000);
+	g_assert_cmpuint(s.ended_state_ms, ==, 120000);
 	/* A field of the wrong type takes its default. */
 	g_assert_cmpuint(s.run_stop_ms, ==, 900);
 	g_assert_cmpuint(s.memory_mb, ==, 160);
