--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -34,6 +34,8 @@
 	bool probe_slot; /* counted in probes_in_flight */
 	int64_t next_heartbeat_ns;
 	int64_t heartbeat_answered_ns; /* last OK answer to a heartbeat */
+	/* When the incarnation that the listing shows was learnt of. */
+	int64_t incarnation_ns;
 	int64_t last_answer_ns;
 	/* The worker's clock showed clock_ms at clock_ns or shortly before. */
 	int64_t clock_ms;
--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -45,6 +45,8 @@
 #define SLOW_CLOCK_FACTOR 1.0205
 
 static void send_heartbeat(struct link *link, int64_t now_ns);
+static bool is_of_former_incarnation(const struct link *link,
+				     const struct cq_executor_report *report);
 static void on_heartbeat(void *ctx, const struct cq_executor_report *report);
 static void end_runs_as_lost(struct link *link, const char *reason);
 static bool needs_heartbeat(const struct link *link);
@@ -158,6 +160,7 @@
 		     "before",
 		     (json_int_t)link->worker->listing.started_unix_ms);
 	link->worker->listing.started_unix_ms = born_unix_ms;
+	link->incarnation_ns = dispatcher_now_ns(link->d);
 	link->worker->failure_streak = 0;
 	link->fenced = false;
 	link->next_heartbeat_ns = 0;
@@ -284,6 +287,21 @@
 				    on_heartbeat, call);
 }
 
+/*
+ * The answer of an incarnation may arrive after the entry of the next one. What
+ * a worker answers later is true, also if it says that it has started earlier
+ * than its entry: another writer may have changed the entry, or the worker's
+ * time of day was set back between two incarnations.
+ */
+static bool is_of_former_incarnation(const struct link *link,
+				     const struct cq_executor_report *report)
+{
+	return report->started_unix_ms &&
+	       report->started_unix_ms <
+		       link->worker->listing.started_unix_ms &&
+	       link->heartbeat_sent_ns <= link->incarnation_ns;
+}
+
 static void on_heartbeat(void *ctx, const struct cq_executor_report *report)
 {
 	struct heartbeat_call *call = ctx;
@@ -315,14 +333,13 @@
 				"another incarnation of the worker answered");
 		return;
 	}
+	if (is_of_former_incarnation(link, report))
+		return;
 	if (report->started_unix_ms && worker->listing.started_unix_ms &&
-	    report->started_unix_ms != worker->listing.started_unix_ms) {
-		if (report->started_unix_ms < worker->listing.started_unix_ms)
-			return;
+	    report->started_unix_ms != worker->listing.started_unix_ms)
 		link_reset_incarnation(link, report->started_unix_ms);
-	} else if (report->started_unix_ms) {
+	else if (report->started_unix_ms)
 		worker->listing.started_unix_ms = report->started_unix_ms;
-	}
 	if (!link->fenced || link->heartbeat_failed)
 		dispatcher_plan_soon(d);
 	link->fenced = true;
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -163,8 +163,12 @@
 	draining = worker->listing.state == CQ_REGISTRATION_DRAINING;
 	if (listing.started_unix_ms && worker->listing.started_unix_ms &&
 	    listing.started_unix_ms != worker->listing.started_unix_ms) {
-		/* The entry was written by an earlier incarnation. */
-		if (listing.started_unix_ms < worker->listing.started_unix_ms)
+		/*
+		 * The entry was written by an earlier incarnation, unless the
+		 * later one is silent.
+		 */
+		if (listing.started_unix_ms < worker->listing.started_unix_ms &&
+		    !((struct link *)worker->link)->heartbeat_failed)
 			return;
 		link_reset_incarnation(worker->link, listing.started_unix_ms);
 		draining = false;
@@ -246,22 +250,23 @@
 		cq_follower_create(&workloads, d->store, &workload_ops, d);
 }
 
-/* The worker of a restored run; NULL if it has been restarted since. */
+/*
+ * The worker of a restored run. Whether it has been restarted since is not
+ * taken from its entry, which another writer may have changed: the first lists
+ * of the worker show whether the run is there.
+ */
 static struct cq_pool_worker *find_restored_worker(void *ctx, const char *id,
 						   int64_t born_unix_ms)
 {
 	struct cq_dispatcher *d = ctx;
 	struct cq_pool_worker *worker = cq_pool_find(d->pool, id);
 
-	if (!worker) {
-		worker = cq_pool_add(d->pool, id);
-		worker->listing.started_unix_ms = born_unix_ms;
-		worker->unlisted_ns = dispatcher_now_ns(d);
-		worker->link = link_create(d, worker);
+	if (worker)
 		return worker;
-	}
-	if (born_unix_ms && worker->listing.started_unix_ms > born_unix_ms)
-		return NULL;
+	worker = cq_pool_add(d->pool, id);
+	worker->listing.started_unix_ms = born_unix_ms;
+	worker->unlisted_ns = dispatcher_now_ns(d);
+	worker->link = link_create(d, worker);
 	return worker;
 }
 
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -151,15 +151,13 @@
 	return g_strdup_printf("worker%d", k);
 }
 
-static void write_worker_entry(struct dispatcher_fixture *w, int k,
-			       const char *suffix)
+static void write_entry(struct dispatcher_fixture *w, int k, int64_t started_ms,
+			const char *suffix)
 {
 	char *id = worker_id(k);
 	char *key = g_strconcat(WORKER_KEY_PREFIX, id, NULL);
-	char *value =
-		g_strdup_printf("dc%d r%d %ld%s", k % 2, k % 2,
-				(long)mem_executor_started_ms(w->workers, id),
-				suffix ? suffix : "");
+	char *value = g_strdup_printf("dc%d r%d %ld%s", k % 2, k % 2,
+				      (long)started_ms, suffix ? suffix : "");
 
 	mem_store_write(w->store, key, suffix ? value : NULL);
 	g_free(value);
@@ -167,6 +165,21 @@
 	g_free(id);
 }
 
+static void write_worker_entry(struct dispatcher_fixture *w, int k,
+			       const char *suffix)
+{
+	char *id = worker_id(k);
+
+	write_entry(w, k, mem_executor_started_ms(w->workers, id), suffix);
+	g_free(id);
+}
+
+void dispatcher_fixture_set_started(struct dispatcher_fixture *w, int k,
+				    int64_t started_ms)
+{
+	write_entry(w, k, started_ms, "");
+}
+
 void dispatcher_fixture_set_registered(struct dispatcher_fixture *w, int k,
 				       bool listed)
 {
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -32,6 +32,9 @@
  */
 void dispatcher_fixture_drain(struct dispatcher_fixture *w, int k,
 			      uint32_t remaining_ms);
+/* Writes a registration with another start of the worker's incarnation. */
+void dispatcher_fixture_set_started(struct dispatcher_fixture *w, int k,
+				    int64_t started_ms);
 /*
  * Restarts the worker as one of another service, to which no queue sends its
  * tasks.
--- a/tests/support/mem_executor.h
+++ b/tests/support/mem_executor.h
@@ -37,6 +37,8 @@
 void mem_executor_restart(struct mem_executor *m, const char *id);
 /* Start time of the incarnation of the worker, which identifies it. */
 int64_t mem_executor_started_ms(const struct mem_executor *m, const char *id);
+/* Restarts it as one whose time of day was set back. */
+void mem_executor_restart_earlier(struct mem_executor *m, const char *id);
 /* Injects the fault into the next count start and stop commands. */
 void mem_executor_fail_commands(struct mem_executor *m,
 				enum mem_executor_fault fault, int count);
--- a/tests/support/mem_executor_lists.c
+++ b/tests/support/mem_executor_lists.c
@@ -236,3 +236,9 @@
 	g_ptr_array_remove_index(w->runs, i);
 	return true;
 }
+
+void mem_executor_restart_earlier(struct mem_executor *m, const char *id)
+{
+	mem_executor_restart(m, id);
+	mem_executor_find(m, id)->started_ms -= 100;
+}
--- a/tests/unit/test_platform_documents.c
+++ b/tests/unit/test_platform_documents.c
@@ -232,6 +232,8 @@
 		{ "more memory than a host has", "\"memMb\":32768",
 		  "\"memMb\":4294967295" },
 		{ "negative start", "\"born\":1700000000123", "\"born\":-5" },
+		{ "start beyond any time", "\"born\":1700000000123",
+		  "\"born\":9007199254740993" },
 		{ "start that is not whole", "\"born\":1700000000123",
 		  "\"born\":1.5" },
 	};
