dispatcher: give up a worker whose ends cannot be read (LOST)

Cause: a list of ends that is missing in each answer, or whose rows can't be read and that may go on, settles nothing, while the lease was renewed: the worker kept its tasks, and got others, for good. A job that was cancelled before a leader found its record unreadable stayed as it was.

Change: when that has gone on for a lease, the worker counts as one that doesn't answer: no further lease, no starts; its runs are over with the lease. A cancelled job ends whatever its record says.

--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -203,8 +203,11 @@
 struct cq_executor_target link_target(const struct link *link);
 
 /* dispatcher_report.c */
-/* Updates the runs on the worker from the lists in its answer. */
-void link_read_report(struct link *link,
+/*
+ * Updates the runs on the worker from the lists in its answer. Returns false if
+ * its ends have been unreadable for a lease: the worker is of no use.
+ */
+bool link_read_report(struct link *link,
 		      const struct cq_executor_report *report);
 
 /* dispatcher_orders.c */
--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -347,7 +347,8 @@
 	link->heartbeat_answered_ns = now_ns;
 	link->last_acknowledged_end = link->acknowledging_end;
 	link_note_answer(link, report->clock_ms);
-	link_read_report(link, report);
+	/* Its lease is not renewed then, so that its runs end. */
+	link->heartbeat_failed = !link_read_report(link, report);
 	adjust_pace(link);
 	link_update_acknowledged(link);
 	link->next_heartbeat_ns = 0;
--- a/src/coordination/dispatcher_report.c
+++ b/src/coordination/dispatcher_report.c
@@ -40,6 +40,8 @@
 static bool is_gone(const struct link *link, const struct cq_task *task);
 static void end_missing_runs(struct link *link,
 			     const struct cq_executor_report *report);
+static bool ends_are_stuck(const struct link *link,
+			   const struct cq_executor_report *report);
 
 static struct cq_task *find_run(struct link *link, const char *name,
 				uint32_t run)
@@ -251,7 +253,18 @@
 	}
 }
 
-void link_read_report(struct link *link,
+/* No end can be read, nor be passed over, in a list that may go on. */
+static bool ends_are_stuck(const struct link *link,
+			   const struct cq_executor_report *report)
+{
+	int64_t lease_ns = (int64_t)link->d->max_lease_ms * CQ_NS_PER_MS;
+
+	return report->ended_unreadable && !report->ended_whole &&
+	       dispatcher_now_ns(link->d) - link->ended_unreadable_ns >
+		       lease_ns;
+}
+
+bool link_read_report(struct link *link,
 		      const struct cq_executor_report *report)
 {
 	note_odd_rows(link, report);
@@ -260,4 +273,5 @@
 	confirm_running(link, report);
 	if (ends_known(link, report))
 		end_missing_runs(link, report);
+	return !ends_are_stuck(link, report);
 }
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -303,7 +303,8 @@
 
 	batch->accepted_ns =
 		dispatcher_now_ns(d) - MAX(0, age_ms) * CQ_NS_PER_MS;
-	if (!restore_progress(d, batch)) {
+	/* A cancelled one ends whatever its progress was. */
+	if (!restore_progress(d, batch) && !w->cancelled) {
 		cq_batch_destroy(batch);
 		return NULL;
 	}
--- a/tests/unit/test_dispatcher_odd_lists.c
+++ b/tests/unit/test_dispatcher_odd_lists.c
@@ -9,6 +9,8 @@
 #include "tests/support/wait_for.h"
 
 #define LEASE_MS 1000
+/* Renewed in time by heartbeats that are half a second apart */
+#define LONG_LEASE_MS 3000
 #define JOBS 12
 #define ID "worker0"
 #define ALWAYS UINT32_MAX
@@ -193,6 +195,36 @@
 	check_and_destroy_world(w);
 }
 
+/*
+ * Guards against a worker without a list of ends that keeps its runs for good:
+ * its lease is not renewed, and they start on another one.
+ */
+static void test_ends_never_listed(void)
+{
+	static const struct mem_executor_oddity odd = { .answers = ALWAYS,
+							.no_ended_list = true };
+	static const struct mem_executor_oddity none = { 0 };
+	struct dispatcher_fixture *w = dispatcher_fixture_create(LONG_LEASE_MS);
+	struct mem_executor *workers = dispatcher_fixture_workers(w);
+
+	mem_executor_real_leases(workers);
+	dispatcher_fixture_add_worker(w, 0);
+	dispatcher_fixture_start_epoch(w);
+	dispatcher_fixture_submit(w, 1, 1, 0, false);
+	g_assert_true(dispatcher_fixture_wait_for_runs(w, 1));
+	mem_executor_set_oddity(workers, &odd);
+	while (mem_executor_running(workers)) {
+		run_loop_iterations(dispatcher_fixture_loop(w), 5);
+		mem_executor_expire_due(workers);
+	}
+	mem_executor_set_oddity(workers, &none);
+	g_assert_true(dispatcher_fixture_wait_for_runs(w, 1));
+	g_assert_cmpuint(mem_executor_starts(workers), ==, 2);
+	mem_executor_end_all(workers);
+	g_assert_true(dispatcher_fixture_wait_for_state(w, 1, "completed"));
+	check_and_destroy_world(w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -205,5 +237,7 @@
 			test_end_never_readable);
 	g_test_add_func("/dispatcher_odd_lists/run_lost_behind_odd_row",
 			test_run_lost_behind_odd_row);
+	g_test_add_func("/dispatcher_odd_lists/ends_never_listed",
+			test_ends_never_listed);
 	return g_test_run();
 }
--- a/tests/unit/test_dispatcher_refused.c
+++ b/tests/unit/test_dispatcher_refused.c
@@ -94,7 +94,7 @@
  * that has not begun: its tasks would start again after their ends. It waits
  * alone; the others go on, and it can be cancelled.
  */
-static void check_unreadable_record(const char *record)
+static void check_unreadable_record(const char *record, bool stopped)
 {
 	struct dispatcher_fixture *w = create_world();
 	struct mem_executor *workers = dispatcher_fixture_workers(w);
@@ -114,7 +114,12 @@
 		run_loop_iterations(dispatcher_fixture_loop(w), 5);
 	}
 	g_assert_cmpuint(mem_executor_starts(workers), ==, 3);
+	/* Before a leader reads it, or after. */
+	if (stopped)
+		dispatcher_fixture_stop(w);
 	dispatcher_fixture_cancel(w, 1);
+	if (stopped)
+		dispatcher_fixture_start_epoch(w);
 	g_assert_true(dispatcher_fixture_wait_for_state(w, 1, "cancelled"));
 	check_and_destroy_world(w);
 }
@@ -130,8 +135,10 @@
 	};
 	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(records); i++)
-		check_unreadable_record(records[i]);
+	for (i = 0; i < G_N_ELEMENTS(records); i++) {
+		check_unreadable_record(records[i], false);
+		check_unreadable_record(records[i], true);
+	}
 }
 
 int main(int argc, char **argv)
