--- a/review/standin-2/cases/common.h
+++ b/review/standin-2/cases/common.h
@@ -11,25 +11,25 @@
 #define STAY_MS 3000
 
 /* A route of the service "s"; prefix: the path that selects it. */
-#define ROUTE(name, prefix, priority, target_ms, stretch)                     \
-	"{\"name\":\"" name "\",\"host\":\"q.example\",\"prefix\":\"" prefix  \
-	"\",\"kind\":\"non_idempotent\",\"timeoutMs\":3000,"                  \
-	"\"targetRuntimeMs\":" target_ms ",\"priority\":" priority            \
-	",\"service\":\"s\",\"maxAttempts\":2,\"stretch\":" stretch           \
+#define ROUTE(name, prefix, priority, target_ms, stretch)                    \
+	"{\"name\":\"" name "\",\"host\":\"q.example\",\"prefix\":\"" prefix \
+	"\",\"kind\":\"non_idempotent\",\"timeoutMs\":3000,"                 \
+	"\"targetRuntimeMs\":" target_ms ",\"priority\":" priority           \
+	",\"service\":\"s\",\"maxAttempts\":2,\"stretch\":" stretch          \
 	",\"allowAnonymous\":false}"
 
-#define TENANT(name, key)                                                     \
-	"{\"name\":\"" name "\",\"apiKeys\":[\"" key                          \
+#define TENANT(name, key)                            \
+	"{\"name\":\"" name "\",\"apiKeys\":[\"" key \
 	"\"],\"priority\":1,\"guaranteed\":{\"gpus\":0}}"
 
-#define CONFIG(version, routes, tenants)                                      \
-	"{\"version\":" version ",\"routes\":[" routes                        \
-	"],\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\","         \
-	"\"maxConns\":64,\"protocol\":\"h1\",\"tls\":false,"                  \
-	"\"admissionCheck\":false,\"standby\":false}],\"limits\":{"           \
-	"\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"                   \
-	"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":["     \
-	tenants "]}"
+#define CONFIG(version, routes, tenants)                                          \
+	"{\"version\":" version ",\"routes\":[" routes                            \
+	"],\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\","             \
+	"\"maxConns\":64,\"protocol\":\"h1\",\"tls\":false,"                      \
+	"\"admissionCheck\":false,\"standby\":false}],\"limits\":{"               \
+	"\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"                       \
+	"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":[" tenants \
+	"]}"
 
 static inline void hosts_up(int count)
 {
--- a/review/standin-2/cases/crash.c
+++ b/review/standin-2/cases/crash.c
@@ -29,10 +29,10 @@
 	record("the name of the new tenant has %zu bytes",
 	       strlen(trouble() ? LONG_NAME : SHORT_NAME));
 	op_put("op/config",
-	       trouble() ? CONFIG("2", ROUTES, FIRST "," TENANT(LONG_NAME,
-								NEW_KEY))
-			 : CONFIG("2", ROUTES, FIRST "," TENANT(SHORT_NAME,
-								NEW_KEY)));
+	       trouble() ? CONFIG("2", ROUTES,
+				  FIRST "," TENANT(LONG_NAME, NEW_KEY))
+			 : CONFIG("2", ROUTES,
+				  FIRST "," TENANT(SHORT_NAME, NEW_KEY)));
 	sleep_ms(2000); /* configApplyMs */
 	for (i = 0; i < JOBS; i++) {
 		char id[20];
--- a/review/standin-2/cases/gang.c
+++ b/review/standin-2/cases/gang.c
@@ -7,13 +7,13 @@
 
 #define HOSTS 2
 #define ROUTES ROUTE("r-7ejsmzz", "/jobs/", "1", "1000", "3.0")
-#define LASTING(rack)                                                         \
-	"{\"spec\":\"lasts\",\"steps\":[{\"count\":1,\"cpu\":4000,"           \
-	"\"memMb\":8192,\"gpus\":1,\"dataRack\":\"" rack                      \
+#define LASTING(rack)                                               \
+	"{\"spec\":\"lasts\",\"steps\":[{\"count\":1,\"cpu\":4000," \
+	"\"memMb\":8192,\"gpus\":1,\"dataRack\":\"" rack            \
 	"\",\"longRunning\":true}]}"
-#define GANG                                                                  \
-	"{\"spec\":\"ms=3000\",\"steps\":[{\"count\":4,\"cpu\":52000,"        \
-	"\"memMb\":210000,\"gpus\":8,\"estimatedMs\":3000,\"gang\":true,"     \
+#define GANG                                                              \
+	"{\"spec\":\"ms=3000\",\"steps\":[{\"count\":4,\"cpu\":52000,"    \
+	"\"memMb\":210000,\"gpus\":8,\"estimatedMs\":3000,\"gang\":true," \
 	"\"sameRack\":true}]}"
 #define GANG_ID "00000000000000b1"
 #define GANG_TASKS 4
--- a/review/standin-2/cases/reclaim.c
+++ b/review/standin-2/cases/reclaim.c
@@ -8,19 +8,19 @@
 #define HOSTS 2
 #define MINIONS 6
 #define RECLAIM_MS 2900
-#define ROUTES                                                                \
-	ROUTE("r-7ejsmzz", "/jobs/", "1", "1000", "3.0")                      \
+#define ROUTES                                           \
+	ROUTE("r-7ejsmzz", "/jobs/", "1", "1000", "3.0") \
 	"," ROUTE("r-yyjsg3a", "/urgent/", "0", "250", "1.5")
-#define GUARANTEED                                                            \
-	"{\"name\":\"tofi31\",\"apiKeys\":[\"sure-key-2\"],\"priority\":1,"   \
+#define GUARANTEED                                                          \
+	"{\"name\":\"tofi31\",\"apiKeys\":[\"sure-key-2\"],\"priority\":1," \
 	"\"guaranteed\":{\"gpus\":16}}"
 /* 48 tasks of one accelerator: as many as the minions have. */
-#define LASTING                                                               \
-	"{\"spec\":\"lasts\",\"steps\":[{\"count\":48,\"cpu\":4000,"          \
-	"\"memMb\":8192,\"gpus\":1,\"longRunning\":true,"                     \
+#define LASTING                                                      \
+	"{\"spec\":\"lasts\",\"steps\":[{\"count\":48,\"cpu\":4000," \
+	"\"memMb\":8192,\"gpus\":1,\"longRunning\":true,"            \
 	"\"maxUnavailable\":4}]}"
-#define URGENT                                                                \
-	"{\"spec\":\"ms=2500\",\"steps\":[{\"count\":1,\"cpu\":15000,"        \
+#define URGENT                                                         \
+	"{\"spec\":\"ms=2500\",\"steps\":[{\"count\":1,\"cpu\":15000," \
 	"\"memMb\":61000,\"gpus\":1,\"estimatedMs\":2500}]}"
 #define ID "00000000000000a2"
 #define WATCH_MS 45000
--- a/review/standin-2/cases/route.c
+++ b/review/standin-2/cases/route.c
@@ -8,10 +8,10 @@
 #define KEPT ROUTE("r-7ejsmzz", "/kept/", "1", "1000", "3.0")
 #define GOING ROUTE("r-jwyy7yx", "/going/", "1", "1000", "3.0")
 #define TENANTS TENANT("kaje80", KEY)
-#define JOB                                                                   \
-	"{\"spec\":\"ms=4000\",\"steps\":[{\"count\":2,\"cpu\":4000,"         \
-	"\"memMb\":8192,\"gpus\":1,\"estimatedMs\":4000},{\"count\":2,"       \
-	"\"cpu\":4000,\"memMb\":8192,\"gpus\":1,\"estimatedMs\":4000,"        \
+#define JOB                                                             \
+	"{\"spec\":\"ms=4000\",\"steps\":[{\"count\":2,\"cpu\":4000,"   \
+	"\"memMb\":8192,\"gpus\":1,\"estimatedMs\":4000},{\"count\":2," \
+	"\"cpu\":4000,\"memMb\":8192,\"gpus\":1,\"estimatedMs\":4000,"  \
 	"\"after\":[0]}]}"
 #define ID "00000000000000c1"
 #define OTHER "00000000000000c2"
--- a/review/standin-2/http.c
+++ b/review/standin-2/http.c
@@ -271,8 +271,8 @@
 		json_t *out = NULL;
 		int status;
 
-		while (!(end = len ? memmem(buffer, len, "\r\n\r\n", 4) :
-				     NULL)) {
+		while (!(end = len ? memmem(buffer, len, "\r\n\r\n", 4)
+				   : NULL)) {
 			ssize_t n;
 
 			if (len + 1 >= size)
@@ -433,8 +433,7 @@
 	for (int i = 0; i < s->fd_count; i++) {
 		struct linger now = { 1, 0 };
 
-		setsockopt(s->fds[i], SOL_SOCKET, SO_LINGER, &now,
-			   sizeof(now));
+		setsockopt(s->fds[i], SOL_SOCKET, SO_LINGER, &now, sizeof(now));
 		shutdown(s->fds[i], SHUT_RDWR);
 	}
 }
--- a/review/standin-2/minion.c
+++ b/review/standin-2/minion.c
@@ -1,4 +1,5 @@
-/* Minions: they start what they are told, hold it under a lease, and list it. */
+/* Minions: they start what they are told, hold it under a lease, and list it.
+ */
 #include <stdlib.h>
 #include <string.h>
 
@@ -368,7 +369,8 @@
 
 static void extend(struct minion *m, const json_t *root)
 {
-	int64_t wanted = json_integer_value(json_object_get(root, "deadlineMs"));
+	int64_t wanted =
+		json_integer_value(json_object_get(root, "deadlineMs"));
 	int64_t most = clock_of(m) + HOLD_MAX_MS;
 
 	if (wanted > most)
@@ -417,8 +419,8 @@
 	}
 	if (state_of(task)->running || state_of(task)->done) {
 		twice_breaches++;
-		record("TWICE: %s starts on %s though it runs or is done",
-		       task, m->id);
+		record("TWICE: %s starts on %s though it runs or is done", task,
+		       m->id);
 	}
 }
 
@@ -525,16 +527,15 @@
 		return STATUS_RESET;
 	}
 	for (int i = 0; i < m->run_count; i++)
-		json_array_append_new(
-			running, json_pack("[s,i,s,i,i]", m->runs[i].task,
-					   m->runs[i].run, "", 100,
-					   m->runs[i].step->cpu));
+		json_array_append_new(running,
+				      json_pack("[s,i,s,i,i]", m->runs[i].task,
+						m->runs[i].run, "", 100,
+						m->runs[i].step->cpu));
 	for (int i = 0; i < m->end_count && i < LISTED_ENDS; i++)
 		json_array_append_new(
-			finished,
-			json_pack("[i,s,i,s,s]", m->ends[i].number,
-				  m->ends[i].task, m->ends[i].run,
-				  m->ends[i].how, ""));
+			finished, json_pack("[i,s,i,s,s]", m->ends[i].number,
+					    m->ends[i].task, m->ends[i].run,
+					    m->ends[i].how, ""));
 	*out = clock_json(m);
 	json_object_set_new(*out, "running", running);
 	json_object_set_new(*out, "finished", finished);
@@ -661,8 +662,8 @@
 	lock();
 	minions[m].kind = *kind;
 	live(&minions[m], first_beat_ms);
-	record("%s starts again: kind %s, %d cpu, %d MB, %d gpus", minions[m].id,
-	       kind->kind, kind->cpu, kind->mem_mb, kind->gpus);
+	record("%s starts again: kind %s, %d cpu, %d MB, %d gpus",
+	       minions[m].id, kind->kind, kind->cpu, kind->mem_mb, kind->gpus);
 	server_revive(minions[m].server);
 	unlock();
 }
@@ -705,8 +706,8 @@
 		sum.failed += s->failed;
 		sum.running += s->running;
 		if (!sum.first_start_ms ||
-		    (s->first_start_ms && s->first_start_ms <
-						  sum.first_start_ms))
+		    (s->first_start_ms &&
+		     s->first_start_ms < sum.first_start_ms))
 			sum.first_start_ms = s->first_start_ms;
 		if (s->last_end_ms > sum.last_end_ms)
 			sum.last_end_ms = s->last_end_ms;
@@ -746,9 +747,9 @@
 
 	lock();
 	for (int i = 0; i < minion_count; i++)
-		sum += minions[i].up && !minions[i].draining ?
-			       minions[i].kind.gpus :
-			       0;
+		sum += minions[i].up && !minions[i].draining
+			       ? minions[i].kind.gpus
+			       : 0;
 	unlock();
 	return sum;
 }
--- a/review/standin-2/store.c
+++ b/review/standin-2/store.c
@@ -50,10 +50,9 @@
 {
 	if (event_count == MAX_EVENTS)
 		abort();
-	events[event_count++] = (struct event){
-		strdup(key), value ? strdup(value) : NULL, revision, created,
-		lease
-	};
+	events[event_count++] = (struct event){ strdup(key),
+						value ? strdup(value) : NULL,
+						revision, created, lease };
 	pthread_cond_broadcast(&changed);
 }
 
@@ -222,9 +221,10 @@
 					if (strncmp(e->key, prefix,
 						    strlen(prefix)))
 						continue;
-					row = json_pack("{s:s,s:I}", "key",
-							e->key, "revision",
-							(json_int_t)e->revision);
+					row = json_pack(
+						"{s:s,s:I}", "key", e->key,
+						"revision",
+						(json_int_t)e->revision);
 					if (e->value) {
 						json_object_set_new(
 							row, "value",
@@ -282,7 +282,8 @@
 	size_t i;
 
 	if (json_array_size(expect) + json_array_size(puts) +
-		    json_array_size(deletes) > 32)
+		    json_array_size(deletes) >
+	    32)
 		return 400;
 	for (i = 0; i < json_array_size(expect); i++) {
 		const json_t *row = json_array_get(expect, i);
