--- a/review/standin-2/cases/route.c
+++ b/review/standin-2/cases/route.c
@@ -55,6 +55,8 @@
 	}
 	record("%d of %d gpus in use", gpus_in_use(), gpus_total());
 	client_call(1, "GET", "/going/" ID, NULL, KEY, answer, sizeof(answer));
+	client_call(1, "DELETE", "/going/" ID, NULL, KEY, answer,
+		    sizeof(answer));
 	client_call(1, "GET", "/kept/" OTHER, NULL, KEY, answer,
 		    sizeof(answer));
 	record("the job: %d of 4 tasks done; %.1f s without a run from %d s "
