--- a/bench/bench_leader.c
+++ b/bench/bench_leader.c
@@ -14,6 +14,7 @@
 #include "chestnutquay/batch.h"
 #include "chestnutquay/dispatcher.h"
 #include "chestnutquay/leader.h"
+#include "chestnutquay/text.h"
 #include "leader_workers.h"
 #include "tests/support/mem_store.h"
 
@@ -111,14 +112,13 @@
 	(void)json;
 	(void)len;
 	(void)err;
-	memset(out, 0, sizeof(*out));
-	g_strlcpy(out->id, id, sizeof(out->id));
-	g_strlcpy(out->service, "s", sizeof(out->service));
+	cq_executor_registration_init(out);
+	cq_text_set(&out->id, id);
+	cq_text_set(&out->service, "s");
 	g_snprintf(out->address, sizeof(out->address), "127.0.0.1:%d",
 		   1000 + number);
-	g_snprintf(out->data_centre, sizeof(out->data_centre), "dc%d",
-		   number % 6);
-	g_snprintf(out->rack, sizeof(out->rack), "r%d", number / RACK_WORKERS);
+	cq_text_printf(&out->data_centre, "dc%d", number % 6);
+	cq_text_printf(&out->rack, "r%d", number / RACK_WORKERS);
 	out->cpu_millicores = 128000;
 	out->memory_mb = 512000;
 	out->accelerators = 8;
@@ -133,7 +133,7 @@
 	char *text;
 
 	g_snprintf(job->id, sizeof(job->id), "%016u", ++load->jobs);
-	g_strlcpy(job->queue, kind->queue, sizeof(job->queue));
+	cq_text_set(&job->queue, kind->queue);
 	job->spec = g_strdup(kind->spec);
 	job->steps = g_new0(struct cq_workload_step, 1);
 	job->step_count = 1;
--- a/bench/leader_workers.c
+++ b/bench/leader_workers.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "chestnutquay/batch.h"
 #include "chestnutquay/clock.h"
 
 #define CALL_S 0.002
@@ -11,7 +12,7 @@
 struct run {
 	struct worker *worker;
 	ev_timer timer;
-	char task[CQ_EXECUTOR_NAME_BYTES];
+	char task[CQ_TASK_NAME_BYTES];
 	uint32_t number;
 	uint64_t end_number; /* 0: it runs */
 };
--- a/include/chestnutquay/dispatcher.h
+++ b/include/chestnutquay/dispatcher.h
@@ -43,7 +43,8 @@
 
 /*
  * Parses the store entry in which a worker describes itself. Returns false and
- * sets err if it is malformed.
+ * sets err if it is malformed. Initializes the listing in both cases; the
+ * caller clears it.
  */
 typedef bool cq_registration_parse_fn(const char *id, const char *json,
 				      size_t len,
--- a/include/chestnutquay/executor.h
+++ b/include/chestnutquay/executor.h
@@ -18,8 +18,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define CQ_EXECUTOR_NAME_BYTES 64
-#define CQ_EXECUTOR_MAX_LABELS 8
+/* Buffer size for an address IPv4:PORT */
+#define CQ_EXECUTOR_ADDRESS_BYTES 32
 
 enum cq_executor_answer {
 	CQ_EXECUTOR_OK,
@@ -56,14 +56,18 @@
 	CQ_REGISTRATION_DRAINING,
 };
 
-/* A worker's registration, which it writes to the platform's store. */
+/*
+ * A worker's registration, which it writes to the platform's store. Names have
+ * any length, see text.h; they are never NULL after the registration was
+ * initialized.
+ */
 struct cq_executor_registration {
-	char id[CQ_EXECUTOR_NAME_BYTES];
-	char service[CQ_EXECUTOR_NAME_BYTES];
-	char address[32]; /* IPv4:PORT */
-	char data_centre[CQ_EXECUTOR_NAME_BYTES];
-	char rack[CQ_EXECUTOR_NAME_BYTES];
-	char labels[CQ_EXECUTOR_MAX_LABELS][CQ_EXECUTOR_NAME_BYTES];
+	const char *id;
+	const char *service;
+	char address[CQ_EXECUTOR_ADDRESS_BYTES]; /* IPv4:PORT */
+	const char *data_centre;
+	const char *rack;
+	const char **labels;
 	uint32_t label_count;
 	enum cq_registration_state state;
 	uint32_t cpu_millicores;
@@ -74,6 +78,15 @@
 	uint32_t remaining_ms;	      /* draining: minimum time left */
 };
 
+/* Gives the names the empty text, and 0 to the rest. */
+void cq_executor_registration_init(struct cq_executor_registration *r);
+void cq_executor_registration_clear(struct cq_executor_registration *r);
+void cq_executor_registration_add_label(struct cq_executor_registration *r,
+					const char *label);
+/* Replaces `to`, which was initialized. */
+void cq_executor_registration_copy(struct cq_executor_registration *to,
+				   const struct cq_executor_registration *from);
+
 struct cq_executor_target {
 	const char *address;
 	const char *id;
--- a/include/chestnutquay/pool.h
+++ b/include/chestnutquay/pool.h
@@ -18,7 +18,7 @@
 
 /* A rack that at least one worker is in. */
 struct cq_pool_rack {
-	char name[CQ_EXECUTOR_NAME_BYTES];
+	const char *name; /* see text.h */
 	uint32_t worker_count;
 	/* Free accelerators of its usable workers when the plan began. */
 	int64_t free_accelerators;
@@ -74,6 +74,7 @@
 /* True if that many more tasks of the step fit into the free resources. */
 bool cq_pool_fits(const struct cq_pool_worker *worker,
 		  const struct cq_workload_step *step, uint32_t tasks);
+/* True also if no label is asked for (NULL). */
 bool cq_pool_has_label(const struct cq_pool_worker *worker, const char *label);
 
 #endif
--- a/include/chestnutquay/queues.h
+++ b/include/chestnutquay/queues.h
@@ -9,16 +9,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define CQ_QUEUE_NAME_BYTES 64
-#define CQ_QUEUE_PATH_BYTES 256
+#include "chestnutquay/error.h"
 
+/* Names have any length, see text.h; they are never NULL in a configuration. */
 struct cq_queue {
-	char name[CQ_QUEUE_NAME_BYTES];
-	/* Host name in the requests of callers. */
-	char authority[CQ_QUEUE_PATH_BYTES];
-	/* Path prefix of the requests that the queue serves. */
-	char prefix[CQ_QUEUE_PATH_BYTES];
-	char service[CQ_QUEUE_NAME_BYTES];
+	const char *name;
+	const char *authority; /* host name in the requests of callers */
+	const char *prefix;    /* of the paths that the queue serves */
+	const char *service;
 	uint32_t priority; /* 0 is served first */
 	uint32_t max_attempts;
 	uint32_t timeout_ms;	    /* limit for one call */
@@ -34,12 +32,12 @@
 };
 
 struct cq_service {
-	char name[CQ_QUEUE_NAME_BYTES];
+	const char *name;
 	bool standby;
 };
 
 struct cq_workspace_keys {
-	char name[CQ_QUEUE_NAME_BYTES];
+	const char *name;
 	char **keys; /* NULL-terminated */
 	uint32_t guaranteed_accelerators;
 };
@@ -53,6 +51,9 @@
 	uint32_t service_count;
 	struct cq_workspace_keys *workspaces;
 	uint32_t workspace_count;
+	/* Parts of the document that could not be read, and the first error. */
+	uint32_t ignored_parts;
+	struct cq_error ignored_error;
 };
 
 void cq_queue_config_destroy(struct cq_queue_config *config);
--- a/include/chestnutquay/workload.h
+++ b/include/chestnutquay/workload.h
@@ -17,7 +17,6 @@
 #include "chestnutquay/error.h"
 
 #define CQ_WORKLOAD_ID_BYTES 17
-#define CQ_WORKLOAD_NAME_BYTES 64
 #define CQ_WORKLOAD_MAX_STEPS 64
 #define CQ_WORKLOAD_MAX_TASKS 20000
 #define CQ_WORKLOAD_SPEC_BYTES 4000
@@ -54,15 +53,16 @@
 	 */
 	uint32_t max_unavailable;
 	uint32_t target_ms; /* tail latency target of a server; 0: none */
-	char required_label[CQ_WORKLOAD_NAME_BYTES];
-	char data_rack[CQ_WORKLOAD_NAME_BYTES];
-	char image[CQ_WORKLOAD_NAME_BYTES];
+	/* Names of any length, see text.h; NULL: not given */
+	const char *required_label;
+	const char *data_rack;
+	const char *image;
 };
 
 struct cq_workload {
 	char id[CQ_WORKLOAD_ID_BYTES];
-	char queue[CQ_WORKLOAD_NAME_BYTES];
-	char workspace[CQ_WORKLOAD_NAME_BYTES];
+	const char *queue;     /* see text.h; never NULL */
+	const char *workspace; /* see text.h; never NULL */
 	char *spec;
 	struct cq_workload_step *steps;
 	uint32_t step_count;
@@ -87,7 +87,10 @@
 int64_t cq_workload_due_ms(const struct cq_workload *w, uint32_t occurrence);
 /* Number of tasks of one occurrence. */
 uint32_t cq_workload_task_count(const struct cq_workload *w);
-/* Encodes the workload for the store; freed with free(). */
+/*
+ * Encodes the workload for the store; freed with free(). Returns NULL if a text
+ * of it is not UTF-8.
+ */
 char *cq_workload_format(const struct cq_workload *w);
 /* Returns NULL and sets err if the text is not a complete, valid workload. */
 struct cq_workload *cq_workload_parse(const char *json, size_t len,
--- a/src/base/error.c
+++ b/src/base/error.c
@@ -3,6 +3,8 @@
 #include <stdarg.h>
 #include <stdio.h>
 
+#include "chestnutquay/text.h"
+
 static const char *const domain_strings[] = {
 	[CQ_ERROR_NONE] = "none",
 	[CQ_ERROR_BASE] = "base",
@@ -39,6 +41,7 @@
 	va_start(args, fmt);
 	vsnprintf(err->message, sizeof(err->message), fmt, args);
 	va_end(args);
+	cq_text_make_utf8(err->message);
 	return false;
 }
 
@@ -57,6 +60,7 @@
 	snprintf(message, sizeof(message), "%s: %.*s", prefix,
 		 CQ_ERROR_MESSAGE_BYTES / 2 - 4, err->message);
 	err->domain = domain;
+	cq_text_make_utf8(message);
 	snprintf(err->message, sizeof(err->message), "%s", message);
 	return false;
 }
--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "chestnutquay/log.h"
+#include "chestnutquay/text.h"
 #include "chestnutquay/pace.h"
 #include "coordination/dispatcher_internal.h"
 
@@ -57,7 +58,7 @@
 
 struct heartbeat_call {
 	struct cq_dispatcher *d;
-	char worker[CQ_EXECUTOR_NAME_BYTES];
+	const char *worker; /* see text.h */
 };
 
 struct link *link_create(struct cq_dispatcher *d, struct cq_pool_worker *worker)
@@ -277,7 +278,7 @@
 	call->d = d;
 	link->probe_slot = needs_probe(link);
 	d->probes_in_flight += link->probe_slot;
-	g_strlcpy(call->worker, link->worker->listing.id, sizeof(call->worker));
+	cq_text_set(&call->worker, link->worker->listing.id);
 	link->heartbeat_in_flight = true;
 	link->acknowledging_end = heartbeat.acknowledged;
 	link->heartbeat_sent_ns = now_ns;
@@ -310,6 +311,7 @@
 	struct link *link = worker ? worker->link : NULL;
 	int64_t now_ns = dispatcher_now_ns(d);
 
+	cq_text_clear(&call->worker);
 	g_free(call);
 	if (!link)
 		return;
--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "chestnutquay/log.h"
+#include "chestnutquay/text.h"
 #include "coordination/dispatcher_internal.h"
 
 #define COMMAND_TIMEOUT_MS 600
@@ -22,14 +23,16 @@
  */
 struct command_call {
 	struct cq_dispatcher *d;
-	char worker[CQ_EXECUTOR_NAME_BYTES];
-	char task[CQ_TASK_NAME_BYTES];
+	/* Of any length, see text.h: a stray run may have any name. */
+	const char *worker;
+	const char *task;
 	uint32_t run;
 };
 
 static struct command_call *call_create(struct cq_dispatcher *d,
 					const char *worker, const char *task,
 					uint32_t run);
+static void call_free(struct command_call *call);
 static struct cq_task *find_commanded_task(const struct command_call *call);
 static void note_worker_clock(const struct command_call *call,
 			      const struct cq_executor_report *report);
@@ -55,11 +58,18 @@
 
 	call->d = d;
 	call->run = run;
-	g_strlcpy(call->worker, worker, sizeof(call->worker));
-	g_strlcpy(call->task, task, sizeof(call->task));
+	cq_text_set(&call->worker, worker);
+	cq_text_set(&call->task, task);
 	return call;
 }
 
+static void call_free(struct command_call *call)
+{
+	cq_text_clear(&call->worker);
+	cq_text_clear(&call->task);
+	g_free(call);
+}
+
 static struct cq_task *find_commanded_task(const struct command_call *call)
 {
 	char id[CQ_WORKLOAD_ID_BYTES];
@@ -104,7 +114,7 @@
 			     "worker", call->worker, "answer",
 			     cq_executor_answer_string(report->answer), "error",
 			     report->message);
-	g_free(call);
+	call_free(call);
 	if (report->answer != CQ_EXECUTOR_FENCED)
 		return task;
 	d->ops->superseded(d->ctx);
@@ -263,7 +273,7 @@
 		     "task", call->task, "run", (int)call->run, "worker",
 		     call->worker, "answer",
 		     cq_executor_answer_string(report->answer));
-	g_free(call);
+	call_free(call);
 }
 
 void command_stop_unknown(struct cq_dispatcher *d, struct link *link,
@@ -286,7 +296,7 @@
 	/* Makes the next heartbeat answer set the pace again. */
 	if (report->answer != CQ_EXECUTOR_OK && task)
 		task->pace_percent = 100;
-	g_free(call);
+	call_free(call);
 }
 
 void command_pace(struct cq_dispatcher *d, struct cq_task *task,
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -140,6 +140,41 @@
 	}
 }
 
+/*
+ * Whether the listing was written by an earlier incarnation than the one that
+ * is known, unless the later one is silent.
+ */
+static bool is_outdated(const struct cq_pool_worker *worker,
+			const struct cq_executor_registration *listing)
+{
+	return listing->started_unix_ms &&
+	       listing->started_unix_ms < worker->listing.started_unix_ms &&
+	       !((struct link *)worker->link)->heartbeat_failed;
+}
+
+static void take_listing(struct cq_dispatcher *d, struct cq_pool_worker *worker,
+			 const struct cq_executor_registration *listing,
+			 int64_t revision)
+{
+	bool draining = worker->listing.state == CQ_REGISTRATION_DRAINING;
+	bool leaves = listing->state == CQ_REGISTRATION_DRAINING;
+
+	if (listing->started_unix_ms && worker->listing.started_unix_ms &&
+	    listing->started_unix_ms != worker->listing.started_unix_ms) {
+		link_reset_incarnation(worker->link, listing->started_unix_ms);
+		draining = false;
+	}
+	if (!worker->listed || leaves != draining)
+		cq_log_event(CQ_LOG_INFO, "worker_listed", "{s:s,s:s,s:b,s:I}",
+			     "worker", listing->id, "address", listing->address,
+			     "draining", leaves, "revision",
+			     (json_int_t)revision);
+	cq_pool_update(worker, listing);
+	if (leaves && !draining)
+		stop_doomed_runs(d, worker);
+	dispatcher_plan_soon(d);
+}
+
 static void on_worker_changed(void *ctx, const struct cq_store_entry *entry)
 {
 	struct cq_dispatcher *d = ctx;
@@ -147,43 +182,21 @@
 	struct cq_executor_registration listing;
 	struct cq_error err = CQ_ERROR_INIT;
 	struct cq_pool_worker *worker;
-	bool draining;
 
-	if (!d->parse_listing(id, entry->value, entry->value_len, &listing,
-			      &err)) {
+	if (d->parse_listing(id, entry->value, entry->value_len, &listing,
+			     &err)) {
+		worker = cq_pool_add(d->pool, id);
+		if (!worker->link)
+			worker->link = link_create(d, worker);
+		if (!is_outdated(worker, &listing))
+			take_listing(d, worker, &listing, entry->revision);
+	} else {
 		cq_log_event(CQ_LOG_WARN, "worker_entry_ignored",
 			     "{s:s,s:I,s:s}", "key", entry->key, "revision",
 			     (json_int_t)entry->revision, "error", err.message);
 		on_worker_removed(d, entry->key);
-		return;
-	}
-	worker = cq_pool_add(d->pool, id);
-	if (!worker->link)
-		worker->link = link_create(d, worker);
-	draining = worker->listing.state == CQ_REGISTRATION_DRAINING;
-	if (listing.started_unix_ms && worker->listing.started_unix_ms &&
-	    listing.started_unix_ms != worker->listing.started_unix_ms) {
-		/*
-		 * The entry was written by an earlier incarnation, unless the
-		 * later one is silent.
-		 */
-		if (listing.started_unix_ms < worker->listing.started_unix_ms &&
-		    !((struct link *)worker->link)->heartbeat_failed)
-			return;
-		link_reset_incarnation(worker->link, listing.started_unix_ms);
-		draining = false;
 	}
-	if (!worker->listed ||
-	    (listing.state == CQ_REGISTRATION_DRAINING) != draining)
-		cq_log_event(CQ_LOG_INFO, "worker_listed", "{s:s,s:s,s:b,s:I}",
-			     "worker", id, "address", listing.address,
-			     "draining",
-			     listing.state == CQ_REGISTRATION_DRAINING,
-			     "revision", (json_int_t)entry->revision);
-	cq_pool_update(worker, &listing);
-	if (!draining && listing.state == CQ_REGISTRATION_DRAINING)
-		stop_doomed_runs(d, worker);
-	dispatcher_plan_soon(d);
+	cq_executor_registration_clear(&listing);
 }
 
 static void on_worker_removed(void *ctx, const char *key)
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -2,10 +2,12 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "chestnutquay/dispatcher.h"
 #include "chestnutquay/log.h"
+#include "chestnutquay/text.h"
 #include "coordination/gateway_internal.h"
 
 /* Used if the caller does not say how long it waits. */
@@ -63,8 +65,9 @@
 	if (r->store_call)
 		store->ops->cancel(store->self, r->store_call);
 	ev_timer_stop(r->g->loop, &r->retry_timer);
+	cq_text_clear(&r->queue);
 	g_free(r->key);
-	g_free(r->record);
+	free(r->record);
 	g_free(r);
 }
 
@@ -251,6 +254,7 @@
 	r->verb = request->verb;
 	r->done = done;
 	r->call = call;
+	cq_text_set(&r->queue, "");
 	r->received_ns = cq_clock_now_ns(g->clock);
 	r->deadline_ns = r->received_ns + (int64_t)wait_ms * CQ_NS_PER_MS -
 			 ANSWER_MARGIN_NS;
@@ -270,14 +274,19 @@
 		return;
 	}
 	g_strlcpy(w->id, r->id, sizeof(w->id));
-	g_strlcpy(w->queue, r->queue, sizeof(w->queue));
-	g_strlcpy(w->workspace, workspace, sizeof(w->workspace));
+	cq_text_set(&w->queue, r->queue);
+	cq_text_set(&w->workspace, workspace);
 	w->accepted_ms = cq_clock_unix_ms(r->g->clock);
 	if (!cq_workload_check(w, &err)) {
 		request_answer_simple(r, CQ_GATEWAY_INVALID, err.message);
 		return;
 	}
 	r->record = cq_workload_format(w);
+	if (!r->record) {
+		request_answer_simple(r, CQ_GATEWAY_INVALID,
+				      "a text of the job is not UTF-8");
+		return;
+	}
 	r->send = r->g->full ? gateway_send_known_check : gateway_send_submit;
 	r->send(r);
 }
@@ -322,7 +331,7 @@
 		request_answer_simple(r, CQ_GATEWAY_NO_QUEUE, "no such queue");
 		return;
 	}
-	g_strlcpy(r->queue, queue->name, sizeof(r->queue));
+	cq_text_set(&r->queue, queue->name);
 	if (request->key)
 		workspace =
 			cq_queue_config_workspace_of_key(config, request->key);
--- a/src/coordination/gateway_internal.h
+++ b/src/coordination/gateway_internal.h
@@ -14,10 +14,10 @@
 	cq_gateway_done_fn *done;
 	void *call;
 	char id[CQ_WORKLOAD_ID_BYTES];
-	char queue[CQ_QUEUE_NAME_BYTES];
-	char *key;	  /* store key of the call in flight */
-	char *record;	  /* SUBMIT, CANCEL: value to write */
-	int64_t revision; /* CANCEL: revision of the record read */
+	const char *queue; /* see text.h */
+	char *key;	   /* store key of the call in flight */
+	char *record;	   /* SUBMIT, CANCEL: value to write */
+	int64_t revision;  /* CANCEL: revision of the record read */
 	int64_t received_ns;
 	int64_t sent_ns; /* time at which the store call in flight was sent */
 	int64_t deadline_ns; /* latest time for the answer */
--- a/src/coordination/gateway_steps.c
+++ b/src/coordination/gateway_steps.c
@@ -1,5 +1,6 @@
 /* The sequence of store calls for each kind of request. */
 #include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "chestnutquay/dispatcher.h"
@@ -193,10 +194,15 @@
 		return;
 	}
 	w->cancelled = true;
-	g_free(r->record);
+	free(r->record);
 	r->record = cq_workload_format(w);
 	r->revision = result->entries[0].revision;
 	cq_workload_destroy(w);
+	if (!r->record) {
+		request_answer_simple(r, CQ_GATEWAY_UNKNOWN,
+				      "the stored job cannot be encoded");
+		return;
+	}
 	r->send = send_cancel_write;
 	send_cancel_write(r);
 }
--- a/src/programs/hostd/intent.c
+++ b/src/programs/hostd/intent.c
@@ -12,6 +12,24 @@
 /* The host is not ready if the last answer of the store is older. */
 #define MAX_CONTACT_AGE_NS (INT64_C(2500) * CQ_NS_PER_MS)
 
+/*
+ * An operator who has changed something that is not in force finds here what
+ * could not be read.
+ */
+static void note_ignored_parts(struct hostd *h,
+			       const struct cq_queue_config *config)
+{
+	cq_gauge_set(cq_metrics_gauge(h->metrics, "cq_config_ignored_parts",
+				      ""),
+		     config->ignored_parts);
+	if (config->ignored_parts)
+		cq_log_event(CQ_LOG_ERROR, "config_parts_ignored",
+			     "{s:I,s:i,s:s}", "version",
+			     (json_int_t)config->version, "parts",
+			     (int)config->ignored_parts, "first",
+			     config->ignored_error.message);
+}
+
 static void apply_config(struct hostd *h, const struct cq_store_entry *entry)
 {
 	struct cq_error err = CQ_ERROR_INIT;
@@ -39,6 +57,7 @@
 		     (json_int_t)entry->revision, "queues",
 		     (int)config->queue_count, "workspaces",
 		     (int)config->workspace_count);
+	note_ignored_parts(h, config);
 	cq_gateway_set_config(h->gateway, config);
 	hostd_dispatch_update(h);
 	cq_queue_config_destroy(previous);
--- a/src/programs/hostd/lifecycle.c
+++ b/src/programs/hostd/lifecycle.c
@@ -30,9 +30,11 @@
 		return false;
 	}
 	if (!cq_platform_settings_parse(text, len, &settings, err)) {
+		cq_platform_settings_clear(&settings);
 		g_free(text);
 		return false;
 	}
+	cq_platform_settings_clear(&h->settings);
 	h->settings = settings;
 	g_free(h->settings_text);
 	h->settings_text = text;
--- a/src/programs/hostd/main.c
+++ b/src/programs/hostd/main.c
@@ -101,6 +101,7 @@
 	cq_http_client_destroy(h->worker_client);
 	cq_http_client_destroy(h->store_client);
 	cq_metrics_destroy(h->metrics);
+	cq_platform_settings_clear(&h->settings);
 	g_free(h->settings_text);
 }
 
--- a/src/state/batch.c
+++ b/src/state/batch.c
@@ -330,6 +330,18 @@
 	return batch->max_active > active ? batch->max_active - active : 0;
 }
 
+static uint64_t text_bytes(const char *text)
+{
+	return text ? strlen(text) : 0;
+}
+
+/* Names may be shared with other jobs; here each counts in full. */
+static uint64_t step_bytes(const struct cq_workload_step *step)
+{
+	return sizeof(*step) + text_bytes(step->required_label) +
+	       text_bytes(step->data_rack) + text_bytes(step->image);
+}
+
 uint64_t cq_batch_bytes(const struct cq_batch *batch)
 {
 	const struct cq_workload *w = batch->workload;
@@ -337,10 +349,14 @@
 		sizeof(struct cq_occurrence) +
 		w->step_count * sizeof(struct cq_stage) +
 		cq_workload_task_count(w) * sizeof(struct cq_task);
+	uint64_t bytes = sizeof(*batch) + sizeof(*w) + strlen(w->spec) +
+			 text_bytes(w->queue) + text_bytes(w->workspace) +
+			 batch->live->len * occurrence;
+	uint32_t i;
 
-	return sizeof(*batch) + sizeof(*w) +
-	       w->step_count * sizeof(struct cq_workload_step) +
-	       strlen(w->spec) + batch->live->len * occurrence;
+	for (i = 0; i < w->step_count; i++)
+		bytes += step_bytes(&w->steps[i]);
+	return bytes;
 }
 
 bool cq_batch_started(const struct cq_batch *batch)
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -170,7 +170,7 @@
 		       permille(worker->rack->free_accelerators,
 				size->accelerators) /
 		       10;
-	if (step->data_rack[0] && strcmp(step->data_rack, size->rack))
+	if (step->data_rack && strcmp(step->data_rack, size->rack))
 		sum += PENALTY_OTHER_RACK;
 	if (worker->failure_streak || worker->avoid_until_ns > p->now_ns)
 		sum += PENALTY_FAILING * (1 + worker->failure_streak);
--- a/src/state/pool.c
+++ b/src/state/pool.c
@@ -3,12 +3,22 @@
 #include <string.h>
 
 #include "chestnutquay/batch.h"
+#include "chestnutquay/text.h"
 
+static void rack_free(void *data);
 static void worker_free(void *data);
 static void leave_rack(struct cq_pool_worker *worker);
 static void enter_rack(struct cq_pool_worker *worker, const char *name);
 static int64_t reserved_cpu_millicores(const struct cq_workload_step *step);
 
+static void rack_free(void *data)
+{
+	struct cq_pool_rack *rack = data;
+
+	cq_text_clear(&rack->name);
+	g_free(rack);
+}
+
 static void leave_rack(struct cq_pool_worker *worker)
 {
 	struct cq_pool_rack *rack = worker->rack;
@@ -25,8 +35,8 @@
 
 	if (!rack) {
 		rack = g_new0(struct cq_pool_rack, 1);
-		g_strlcpy(rack->name, name, sizeof(rack->name));
-		g_hash_table_insert(racks, rack->name, rack);
+		cq_text_set(&rack->name, name);
+		g_hash_table_insert(racks, (char *)rack->name, rack);
 	}
 	rack->worker_count++;
 	worker->rack = rack;
@@ -38,6 +48,7 @@
 
 	leave_rack(worker);
 	g_ptr_array_unref(worker->runs);
+	cq_executor_registration_clear(&worker->listing);
 	g_free(worker);
 }
 
@@ -45,10 +56,10 @@
 {
 	struct cq_pool *pool = g_new0(struct cq_pool, 1);
 
-	pool->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+	pool->workers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      worker_free);
 	pool->racks =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, rack_free);
 	return pool;
 }
 
@@ -73,10 +84,11 @@
 	if (worker)
 		return worker;
 	worker = g_new0(struct cq_pool_worker, 1);
-	g_strlcpy(worker->listing.id, id, sizeof(worker->listing.id));
+	cq_executor_registration_init(&worker->listing);
+	cq_text_set(&worker->listing.id, id);
 	worker->pool = pool;
 	worker->runs = g_ptr_array_new();
-	g_hash_table_insert(pool->workers, worker->listing.id, worker);
+	g_hash_table_insert(pool->workers, g_strdup(id), worker);
 	return worker;
 }
 
@@ -95,11 +107,11 @@
 {
 	guint i;
 
-	worker->listing = *listing;
+	cq_executor_registration_copy(&worker->listing, listing);
 	worker->listed = true;
-	if (!worker->rack || strcmp(worker->rack->name, listing->rack)) {
+	if (!worker->rack || strcmp(worker->rack->name, worker->listing.rack)) {
 		leave_rack(worker);
-		enter_rack(worker, listing->rack);
+		enter_rack(worker, worker->listing.rack);
 	}
 	worker->free_cpu_millicores = listing->cpu_millicores;
 	worker->free_memory_mb = listing->memory_mb;
@@ -148,7 +160,7 @@
 {
 	uint32_t i;
 
-	if (!*label)
+	if (!label)
 		return true;
 	for (i = 0; i < worker->listing.label_count; i++)
 		if (!strcmp(worker->listing.labels[i], label))
--- a/src/state/queues.c
+++ b/src/state/queues.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "chestnutquay/text.h"
+
 static bool authority_matches(const char *configured, const char *authority);
 
 void cq_queue_config_destroy(struct cq_queue_config *config)
@@ -12,8 +14,18 @@
 
 	if (!config)
 		return;
-	for (i = 0; i < config->workspace_count; i++)
+	for (i = 0; i < config->queue_count; i++) {
+		cq_text_clear(&config->queues[i].name);
+		cq_text_clear(&config->queues[i].authority);
+		cq_text_clear(&config->queues[i].prefix);
+		cq_text_clear(&config->queues[i].service);
+	}
+	for (i = 0; i < config->service_count; i++)
+		cq_text_clear(&config->services[i].name);
+	for (i = 0; i < config->workspace_count; i++) {
+		cq_text_clear(&config->workspaces[i].name);
 		g_strfreev(config->workspaces[i].keys);
+	}
 	g_free(config->queues);
 	g_free(config->services);
 	g_free(config->workspaces);
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -153,7 +153,7 @@
 		    step->memory_mb >= other->memory_mb &&
 		    step->fills == other->fills &&
 		    !strcmp(p->service, shape->service) &&
-		    !strcmp(step->required_label, other->required_label))
+		    !g_strcmp0(step->required_label, other->required_label))
 			return true;
 	}
 	return false;
--- a/src/state/workload.c
+++ b/src/state/workload.c
@@ -5,14 +5,16 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "chestnutquay/text.h"
+
 static json_t *format_step(const struct cq_workload_step *step);
 static void set_flag_if_true(json_t *object, const char *name, bool value);
 static void set_number_if_nonzero(json_t *object, const char *name,
 				  int64_t value);
-static void set_text_if_nonempty(json_t *object, const char *name,
-				 const char *value);
-static void read_text(const json_t *object, const char *name, char *out,
-		      size_t out_bytes);
+static bool set_text_if_given(json_t *object, const char *name,
+			      const char *value);
+static void read_text_if_given(const json_t *object, const char *name,
+			       const char **out);
 static int64_t read_number(const json_t *object, const char *name);
 static void parse_step(const json_t *object, struct cq_workload_step *step);
 static bool check_step(const struct cq_workload *w, uint32_t i,
@@ -23,13 +25,24 @@
 	struct cq_workload *w = g_new0(struct cq_workload, 1);
 
 	w->occurrences = 1;
+	cq_text_set(&w->queue, "");
+	cq_text_set(&w->workspace, "");
 	return w;
 }
 
 void cq_workload_destroy(struct cq_workload *w)
 {
+	uint32_t i;
+
 	if (!w)
 		return;
+	for (i = 0; i < w->step_count; i++) {
+		cq_text_clear(&w->steps[i].required_label);
+		cq_text_clear(&w->steps[i].data_rack);
+		cq_text_clear(&w->steps[i].image);
+	}
+	cq_text_clear(&w->queue);
+	cq_text_clear(&w->workspace);
 	g_free(w->spec);
 	g_free(w->steps);
 	g_free(w);
@@ -119,16 +132,18 @@
 				    json_integer((json_int_t)value));
 }
 
-static void set_text_if_nonempty(json_t *object, const char *name,
-				 const char *value)
+/* Returns false if the text is not UTF-8. */
+static bool set_text_if_given(json_t *object, const char *name,
+			      const char *value)
 {
-	if (*value)
-		json_object_set_new(object, name, json_string(value));
+	return !value || !json_object_set_new(object, name, json_string(value));
 }
 
+/* Returns NULL if a text of the step is not UTF-8. */
 static json_t *format_step(const struct cq_workload_step *step)
 {
 	json_t *object = json_object();
+	bool ok;
 
 	set_number_if_nonzero(object, "tasks", step->tasks);
 	set_number_if_nonzero(object, "cpu", step->cpu_millicores);
@@ -145,10 +160,14 @@
 	set_number_if_nonzero(object, "max_per_worker", step->max_per_worker);
 	set_number_if_nonzero(object, "max_unavailable", step->max_unavailable);
 	set_number_if_nonzero(object, "target_ms", step->target_ms);
-	set_text_if_nonempty(object, "required_label", step->required_label);
-	set_text_if_nonempty(object, "data_rack", step->data_rack);
-	set_text_if_nonempty(object, "image", step->image);
-	return object;
+	ok = set_text_if_given(object, "required_label",
+			       step->required_label) &&
+	     set_text_if_given(object, "data_rack", step->data_rack) &&
+	     set_text_if_given(object, "image", step->image);
+	if (ok)
+		return object;
+	json_decref(object);
+	return NULL;
 }
 
 char *cq_workload_format(const struct cq_workload *w)
@@ -158,11 +177,17 @@
 	char *text;
 	uint32_t i;
 
-	for (i = 0; i < w->step_count; i++)
-		json_array_append_new(steps, format_step(&w->steps[i]));
+	for (i = 0; i < w->step_count; i++) {
+		if (json_array_append_new(steps, format_step(&w->steps[i]))) {
+			json_decref(steps);
+			return NULL;
+		}
+	}
 	object = json_pack("{s:s,s:s,s:s,s:s,s:o}", "id", w->id, "queue",
 			   w->queue, "workspace", w->workspace, "spec", w->spec,
 			   "steps", steps);
+	if (!object)
+		return NULL;
 	set_number_if_nonzero(object, "occurrences", w->occurrences);
 	set_number_if_nonzero(object, "first_run_ms", w->first_run_ms);
 	set_number_if_nonzero(object, "interval_ms", w->interval_ms);
@@ -173,12 +198,18 @@
 	return text;
 }
 
-static void read_text(const json_t *object, const char *name, char *out,
-		      size_t out_bytes)
+static const char *text_of(const json_t *object, const char *name)
+{
+	return json_string_value(json_object_get(object, name));
+}
+
+static void read_text_if_given(const json_t *object, const char *name,
+			       const char **out)
 {
-	const char *text = json_string_value(json_object_get(object, name));
+	const char *text = text_of(object, name);
 
-	g_strlcpy(out, text ? text : "", out_bytes);
+	if (text && *text)
+		cq_text_set(out, text);
 }
 
 static int64_t read_number(const json_t *object, const char *name)
@@ -207,11 +238,9 @@
 	step->max_unavailable =
 		(uint32_t)read_number(object, "max_unavailable");
 	step->target_ms = (uint32_t)read_number(object, "target_ms");
-	read_text(object, "required_label", step->required_label,
-		  sizeof(step->required_label));
-	read_text(object, "data_rack", step->data_rack,
-		  sizeof(step->data_rack));
-	read_text(object, "image", step->image, sizeof(step->image));
+	read_text_if_given(object, "required_label", &step->required_label);
+	read_text_if_given(object, "data_rack", &step->data_rack);
+	read_text_if_given(object, "image", &step->image);
 }
 
 struct cq_workload *cq_workload_parse(const char *json, size_t len,
@@ -220,6 +249,7 @@
 	json_t *root = json_loadb(json, len, 0, NULL);
 	const json_t *steps = json_object_get(root, "steps");
 	struct cq_workload *w;
+	const char *id;
 	uint32_t i;
 
 	if (!json_is_object(root) || !json_is_array(steps)) {
@@ -229,10 +259,13 @@
 		return NULL;
 	}
 	w = cq_workload_create();
-	read_text(root, "id", w->id, sizeof(w->id));
-	read_text(root, "queue", w->queue, sizeof(w->queue));
-	read_text(root, "workspace", w->workspace, sizeof(w->workspace));
-	w->spec = g_strdup(json_string_value(json_object_get(root, "spec")));
+	/* cq_workload_check() refuses an id that does not fit. */
+	id = text_of(root, "id");
+	if (id && strlen(id) < sizeof(w->id))
+		g_strlcpy(w->id, id, sizeof(w->id));
+	cq_text_set(&w->queue, text_of(root, "queue"));
+	cq_text_set(&w->workspace, text_of(root, "workspace"));
+	w->spec = g_strdup(text_of(root, "spec"));
 	w->step_count = (uint32_t)json_array_size(steps);
 	w->steps = g_new0(struct cq_workload_step, w->step_count);
 	for (i = 0; i < w->step_count; i++)
--- a/tests/fuzz/fuzz_platform_documents.c
+++ b/tests/fuzz/fuzz_platform_documents.c
@@ -53,12 +53,12 @@
 	struct cq_executor_registration listing;
 	struct cq_error err = CQ_ERROR_INIT;
 
-	memset(&listing, 0, sizeof(listing));
 	if (!cq_platform_registration_parse("worker", text, size, &listing,
 					    &err))
 		check_refusal(&err);
 	else
 		assert(memchr(listing.address, 0, sizeof(listing.address)));
+	cq_executor_registration_clear(&listing);
 }
 
 static void check_config(const char *text, size_t size)
@@ -79,6 +79,7 @@
 
 	if (!cq_platform_settings_parse(text, size, &settings, &err))
 		check_refusal(&err);
+	cq_platform_settings_clear(&settings);
 }
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -8,6 +8,7 @@
 
 #include "chestnutquay/batch.h"
 #include "chestnutquay/leader.h"
+#include "chestnutquay/text.h"
 #include "chestnutquay/workload.h"
 #include "tests/support/wait_for.h"
 
@@ -45,22 +46,24 @@
 			       struct cq_error *err)
 {
 	char *text = g_strndup(json, len);
+	char data_centre[16] = "", rack[16] = "";
 	const char *draining;
 	long started_unix_ms;
 	int fields;
 
-	memset(registration, 0, sizeof(*registration));
-	g_strlcpy(registration->id, id, sizeof(registration->id));
+	cq_executor_registration_init(registration);
+	cq_text_set(&registration->id, id);
 	g_strlcpy(registration->address, id, sizeof(registration->address));
-	g_strlcpy(registration->service, "s", sizeof(registration->service));
+	cq_text_set(&registration->service, "s");
 	registration->cpu_millicores = 64000;
 	registration->memory_mb = 65536;
 	registration->accelerators = 8;
-	fields = sscanf(text, "%15s %15s %ld", registration->data_centre,
-			registration->rack, &started_unix_ms);
+	fields = sscanf(text, "%15s %15s %ld", data_centre, rack,
+			&started_unix_ms);
+	cq_text_set(&registration->data_centre, data_centre);
+	cq_text_set(&registration->rack, rack);
 	if (g_str_has_suffix(text, " other"))
-		g_strlcpy(registration->service, "other",
-			  sizeof(registration->service));
+		cq_text_set(&registration->service, "other");
 	draining = strstr(text, DRAINING);
 	if (draining) {
 		registration->state = CQ_REGISTRATION_DRAINING;
@@ -103,11 +106,11 @@
 	w->evacuated =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->max_lease_ms = max_lease_ms;
-	g_strlcpy(w->queue.name, "q", sizeof(w->queue.name));
-	g_strlcpy(w->queue.service, "s", sizeof(w->queue.service));
+	cq_text_set(&w->queue.name, "q");
+	cq_text_set(&w->queue.service, "s");
 	w->queue.max_attempts = 2;
 	w->queue.stretch = 2;
-	g_strlcpy(w->service.name, "s", sizeof(w->service.name));
+	cq_text_set(&w->service.name, "s");
 	w->config = (struct cq_queue_config){
 		.version = 1,
 		.queues = &w->queue,
@@ -122,12 +125,19 @@
 
 void dispatcher_fixture_destroy(struct dispatcher_fixture *w)
 {
+	uint32_t i;
+
 	dispatcher_fixture_stop(w);
 	mem_executor_destroy(w->workers);
 	mem_store_destroy(w->store);
 	cq_metrics_destroy(w->metrics);
 	g_hash_table_destroy(w->evacuated);
 	ev_loop_destroy(w->loop);
+	cq_text_clear(&w->queue.name);
+	cq_text_clear(&w->queue.service);
+	cq_text_clear(&w->service.name);
+	for (i = 0; i < w->config.workspace_count; i++)
+		cq_text_clear(&w->workspaces[i].name);
 	g_free(w);
 }
 
@@ -303,7 +313,7 @@
 	g_assert_cmpuint(i, <, MAX_WORKSPACES);
 	if (i == w->config.workspace_count)
 		w->config.workspace_count++;
-	g_strlcpy(workspace->name, name, sizeof(workspace->name));
+	cq_text_set(&workspace->name, name);
 	workspace->guaranteed_accelerators = guaranteed;
 	w->workspace = workspace->name;
 }
@@ -320,7 +330,7 @@
 	struct cq_workload *job = cq_workload_create();
 
 	g_snprintf(job->id, sizeof(job->id), "%016d", k);
-	g_strlcpy(job->queue, "q", sizeof(job->queue));
+	cq_text_set(&job->queue, "q");
 	job->spec = g_strdup("spec");
 	job->steps = g_new0(struct cq_workload_step, 1);
 	job->step_count = 1;
@@ -348,7 +358,7 @@
 {
 	struct cq_workload *job = create_workload(k, tasks, accelerators, gang);
 
-	g_strlcpy(job->workspace, w->workspace, sizeof(job->workspace));
+	cq_text_set(&job->workspace, w->workspace);
 	job->accepted_ms = cq_clock_unix_ms(cq_clock_system());
 	job->steps[0].estimate_ms = w->estimate_ms;
 	write_job(w, job);
--- a/tests/support/replay.c
+++ b/tests/support/replay.c
@@ -5,6 +5,7 @@
 
 #include "chestnutquay/clock.h"
 #include "chestnutquay/stage_rank.h"
+#include "chestnutquay/text.h"
 
 #define STEP_NS (INT64_C(5) * CQ_NS_PER_MS)
 /* Plans are made this often even without a change, as by the dispatcher. */
@@ -74,22 +75,21 @@
 
 	for (dc = 0; dc < d->data_centres; dc++)
 		for (k = 0; k < d->workers; k++) {
-			struct cq_executor_registration listing = {
-				.service = "s",
-				.cpu_millicores = d->cpu_millicores,
-				.memory_mb = d->memory_mb,
-				.accelerators = d->accelerators,
-			};
+			struct cq_executor_registration listing;
 			struct cq_pool_worker *worker;
 
-			g_snprintf(listing.id, sizeof(listing.id), "w%u-%02u",
-				   dc, k);
-			g_snprintf(listing.data_centre,
-				   sizeof(listing.data_centre), "dc%u", dc);
-			g_snprintf(listing.rack, sizeof(listing.rack), "r%u-%u",
-				   dc, k / d->rack_size);
+			cq_executor_registration_init(&listing);
+			cq_text_set(&listing.service, "s");
+			listing.cpu_millicores = d->cpu_millicores;
+			listing.memory_mb = d->memory_mb;
+			listing.accelerators = d->accelerators;
+			cq_text_printf(&listing.id, "w%u-%02u", dc, k);
+			cq_text_printf(&listing.data_centre, "dc%u", dc);
+			cq_text_printf(&listing.rack, "r%u-%u", dc,
+				       k / d->rack_size);
 			worker = cq_pool_add(r->pool, listing.id);
 			cq_pool_update(worker, &listing);
+			cq_executor_registration_clear(&listing);
 			worker->usable = true;
 		}
 }
--- a/tests/support/replay_jobs.c
+++ b/tests/support/replay_jobs.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 #include "chestnutquay/clock.h"
+#include "chestnutquay/text.h"
 #include "tests/support/random_source.h"
 
 /* Ratio of the late limit to the objective, both from arrival. */
@@ -185,10 +186,9 @@
 	job->workload = cq_workload_create();
 	job->workload->steps = g_new0(struct cq_workload_step, steps);
 	job->workload->step_count = steps;
-	g_strlcpy(job->workload->queue, class->name,
-		  sizeof(job->workload->queue));
-	g_snprintf(job->workload->workspace, sizeof(job->workload->workspace),
-		   "ws%u", random_below(random, REPLAY_WORKSPACES));
+	cq_text_set(&job->workload->queue, class->name);
+	cq_text_printf(&job->workload->workspace, "ws%u",
+		       random_below(random, REPLAY_WORKSPACES));
 	for (i = 0; i < steps; i++)
 		fill_step(job, i, class, random);
 }
@@ -323,8 +323,8 @@
 		const struct replay_class *class = &deployment->classes[i];
 		struct cq_queue *queue = &config->queues[i];
 
-		g_strlcpy(queue->name, class->name, sizeof(queue->name));
-		g_strlcpy(queue->service, "s", sizeof(queue->service));
+		cq_text_set(&queue->name, class->name);
+		cq_text_set(&queue->service, "s");
 		queue->priority = class->priority;
 		queue->stretch = class->stretch;
 		queue->target_runtime_ms = class->target_runtime_ms;
@@ -334,8 +334,7 @@
 		g_new0(struct cq_workspace_keys, REPLAY_WORKSPACES);
 	config->workspace_count = REPLAY_WORKSPACES;
 	for (i = 0; i < REPLAY_WORKSPACES; i++) {
-		g_snprintf(config->workspaces[i].name,
-			   sizeof(config->workspaces[i].name), "ws%u", i);
+		cq_text_printf(&config->workspaces[i].name, "ws%u", i);
 		config->workspaces[i].guaranteed_accelerators =
 			(uint32_t)(total * GUARANTEED_SHARE) /
 			REPLAY_WORKSPACES;
@@ -345,7 +344,5 @@
 
 void replay_config_destroy(struct cq_queue_config *config)
 {
-	g_free(config->queues);
-	g_free(config->workspaces);
-	g_free(config);
+	cq_queue_config_destroy(config);
 }
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -8,6 +8,7 @@
 
 #include "chestnutquay/batch.h"
 #include "chestnutquay/pool.h"
+#include "chestnutquay/text.h"
 
 #define ID "00000000000000ab"
 
@@ -17,7 +18,7 @@
 	uint32_t i;
 
 	g_strlcpy(w->id, ID, sizeof(w->id));
-	g_strlcpy(w->queue, "q", sizeof(w->queue));
+	cq_text_set(&w->queue, "q");
 	w->spec = g_strdup("spec \"quoted\"");
 	w->step_count = steps;
 	w->steps = g_new0(struct cq_workload_step, steps);
@@ -31,6 +32,7 @@
 static struct cq_pool_worker *add_worker(struct cq_pool *pool, const char *id)
 {
 	struct cq_executor_registration listing = {
+		.id = id,
 		.cpu_millicores = 1000,
 		.memory_mb = 1000,
 		.accelerators = 8,
@@ -38,7 +40,6 @@
 	};
 	struct cq_pool_worker *worker = cq_pool_add(pool, id);
 
-	g_strlcpy(listing.id, id, sizeof(listing.id));
 	cq_pool_update(worker, &listing);
 	return worker;
 }
@@ -56,7 +57,7 @@
 	w->steps[1].checkpointing = true;
 	w->steps[1].max_per_worker = 3;
 	w->steps[1].target_ms = 40;
-	g_strlcpy(w->steps[1].data_rack, "r1-3", CQ_WORKLOAD_NAME_BYTES);
+	cq_text_set(&w->steps[1].data_rack, "r1-3");
 	w->occurrences = 3;
 	w->first_run_ms = 5000;
 	w->interval_ms = 100;
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -51,13 +51,13 @@
 	f->metrics = cq_metrics_create();
 	f->reachable = true;
 	f->keys[0] = g_strdup("secret");
-	g_strlcpy(f->workspace.name, "team", sizeof(f->workspace.name));
+	f->workspace.name = "team";
 	f->workspace.keys = f->keys;
-	g_strlcpy(f->queues[0].name, "q", sizeof(f->queues[0].name));
-	g_strlcpy(f->queues[0].authority, "h", sizeof(f->queues[0].authority));
-	g_strlcpy(f->queues[0].prefix, "/q/", sizeof(f->queues[0].prefix));
+	f->queues[0].name = "q";
+	f->queues[0].authority = "h";
+	f->queues[0].prefix = "/q/";
 	f->queues[1] = f->queues[0];
-	g_strlcpy(f->queues[1].prefix, "/open/", sizeof(f->queues[1].prefix));
+	f->queues[1].prefix = "/open/";
 	f->queues[1].allow_anonymous = true;
 	f->config = (struct cq_queue_config){
 		.version = 3,
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -6,6 +6,7 @@
 
 #include "chestnutquay/clock.h"
 #include "chestnutquay/placement.h"
+#include "chestnutquay/text.h"
 
 #define NOW_NS (INT64_C(100) * CQ_NS_PER_S)
 
@@ -23,19 +24,20 @@
 		(GDestroyNotify)cq_batch_destroy);
 	for (rack = 0; rack < racks; rack++)
 		for (k = 0; k < workers_each; k++) {
+			char id[16], name[16];
 			struct cq_executor_registration listing = {
+				.id = id,
 				.service = "s",
+				.rack = name,
 				.cpu_millicores = 128000,
 				.memory_mb = 524288,
 				.accelerators = 8,
 			};
 			struct cq_pool_worker *worker;
 
-			g_snprintf(listing.id, sizeof(listing.id), "r%d-%d",
-				   rack, k);
-			g_snprintf(listing.rack, sizeof(listing.rack), "r0-%d",
-				   rack);
-			worker = cq_pool_add(w->pool, listing.id);
+			g_snprintf(id, sizeof(id), "r%d-%d", rack, k);
+			g_snprintf(name, sizeof(name), "r0-%d", rack);
+			worker = cq_pool_add(w->pool, id);
 			cq_pool_update(worker, &listing);
 			worker->usable = true;
 		}
@@ -111,7 +113,8 @@
 	uint32_t count, i;
 
 	for (i = 0; i < s->step->tasks; i++)
-		g_hash_table_add(racks, s->tasks[i].worker->listing.rack);
+		g_hash_table_add(racks,
+				 (char *)s->tasks[i].worker->listing.rack);
 	count = g_hash_table_size(racks);
 	g_hash_table_destroy(racks);
 	return count;
@@ -197,11 +200,10 @@
 	step_of(s)->max_per_worker = 1;
 	g_assert_cmpuint(start_stage(&w, s, false), ==, 3);
 	s = add_stage(&w, 1, 1, 1, 1000);
-	g_strlcpy(step_of(s)->required_label, "big", CQ_WORKLOAD_NAME_BYTES);
+	cq_text_set(&step_of(s)->required_label, "big");
 	g_assert_cmpuint(start_stage(&w, s, false), ==, 0);
 	worker = cq_pool_find(w.pool, "r0-1");
-	g_strlcpy(worker->listing.labels[0], "big", CQ_EXECUTOR_NAME_BYTES);
-	worker->listing.label_count = 1;
+	cq_executor_registration_add_label(&worker->listing, "big");
 	g_assert_cmpuint(start_stage(&w, s, false), ==, 1);
 	g_assert_true(s->tasks[0].worker == worker);
 	fixture_teardown(&w);
--- a/tests/unit/test_platform_documents.c
+++ b/tests/unit/test_platform_documents.c
@@ -38,6 +38,7 @@
 	g_assert_cmpuint(s.run_stop_ms, ==, 900);
 	g_assert_cmpuint(s.memory_mb, ==, 160);
 	g_assert_cmpuint(s.max_descriptors, ==, 4096);
+	cq_platform_settings_clear(&s);
 }
 
 static void test_bad_settings(void)
@@ -147,6 +148,17 @@
 	g_assert_cmpuint(l.accelerators, ==, 8);
 	g_assert_cmpuint(l.remaining_ms, ==, 1500);
 	g_assert_cmpint(l.started_unix_ms, ==, 1700000000123);
+	cq_executor_registration_clear(&l);
+}
+
+static bool is_refused_listing(const char *json)
+{
+	struct cq_executor_registration l;
+	bool refused = !cq_platform_registration_parse("i", json, strlen(json),
+						       &l, NULL);
+
+	cq_executor_registration_clear(&l);
+	return refused;
 }
 
 /* Guards against a registration without a valid required field. */
@@ -154,12 +166,10 @@
 {
 	static const char *const fields[] = { "service", "address", "zone",
 					      "state", "capacity" };
-	struct cq_executor_registration l;
 	size_t i;
 
-	g_assert_false(
-		cq_platform_registration_parse("i", "\xff\xfe", 2, &l, NULL));
-	g_assert_false(cq_platform_registration_parse("i", "[]", 2, &l, NULL));
+	g_assert_true(is_refused_listing("\xff\xfe"));
+	g_assert_true(is_refused_listing("[]"));
 	for (i = 0; i < G_N_ELEMENTS(fields); i++) {
 		char *quoted = g_strdup_printf("\"%s\":", fields[i]);
 		char **parts = g_strsplit(listing_json, quoted, 2);
@@ -168,10 +178,8 @@
 		char *other = g_strdup_printf("%s\"%s\":null,\"odd\":%s",
 					      parts[0], fields[i], parts[1]);
 
-		g_assert_false(cq_platform_registration_parse(
-			"i", missing, strlen(missing), &l, NULL));
-		g_assert_false(cq_platform_registration_parse(
-			"i", other, strlen(other), &l, NULL));
+		g_assert_true(is_refused_listing(missing));
+		g_assert_true(is_refused_listing(other));
 		g_free(missing);
 		g_free(other);
 		g_strfreev(parts);
@@ -238,22 +246,44 @@
 		  "\"born\":1.5" },
 	};
 	char *deep = nested_arrays(100000);
-	struct cq_executor_registration l;
 	size_t i;
 
-	g_assert_false(cq_platform_registration_parse("i", deep, strlen(deep),
-						      &l, NULL));
+	g_assert_true(is_refused_listing(deep));
 	g_free(deep);
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		char *json = replace_text(cases[i].old_text, cases[i].new_text);
 
 		g_test_message("%s", cases[i].name);
-		g_assert_false(cq_platform_registration_parse(
-			"i", json, strlen(json), &l, NULL));
+		g_assert_true(is_refused_listing(json));
 		g_free(json);
 	}
 }
 
+/* Guards against an id that adds a header to the calls to the worker. */
+static void test_odd_ids(void)
+{
+	static const struct {
+		const char *id;
+		bool taken;
+	} cases[] = {
+		{ "i-1", true },
+		{ "\xc3\xa4 b", true },
+		{ "i\r\nConnection: close", false },
+		{ "i\x7f", false },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cq_executor_registration l;
+
+		g_assert_true(cq_platform_registration_parse(
+				      cases[i].id, listing_json,
+				      strlen(listing_json), &l,
+				      NULL) == cases[i].taken);
+		cq_executor_registration_clear(&l);
+	}
+}
+
 /* Guards against losing an entry for a nested field that is not read. */
 static void test_nested_unknown_field(void)
 {
@@ -264,6 +294,7 @@
 
 	g_assert_true(cq_platform_registration_parse("i", json, strlen(json),
 						     &l, NULL));
+	cq_executor_registration_clear(&l);
 	g_free(json);
 	g_free(field);
 	g_free(deep);
@@ -353,6 +384,7 @@
 	g_test_add_func("/platform/listing", test_listing);
 	g_test_add_func("/platform/bad_listings", test_bad_listings);
 	g_test_add_func("/platform/listing/odd", test_odd_listings);
+	g_test_add_func("/platform/listing/odd_ids", test_odd_ids);
 	g_test_add_func("/platform/listing/nested", test_nested_unknown_field);
 	g_test_add_func("/platform/submission", test_submission);
 	g_test_add_func("/platform/late_due_time", test_late_due_time);
--- a/tests/unit/test_stage_plan.c
+++ b/tests/unit/test_stage_plan.c
@@ -8,6 +8,7 @@
 #include "chestnutquay/clock.h"
 #include "chestnutquay/stage_plan.h"
 #include "chestnutquay/stage_rank.h"
+#include "chestnutquay/text.h"
 
 #define NOW_NS (INT64_C(100) * CQ_NS_PER_S)
 #define MS CQ_NS_PER_MS
@@ -58,15 +59,17 @@
 	w->batches = g_ptr_array_new_with_free_func(
 		(GDestroyNotify)cq_batch_destroy);
 	for (k = 0; k < workers; k++) {
+		char id[16];
 		struct cq_executor_registration listing = {
+			.id = id,
 			.service = "s",
 			.rack = "r",
 			.accelerators = 8,
 		};
 		struct cq_pool_worker *worker;
 
-		g_snprintf(listing.id, sizeof(listing.id), "w%d", k);
-		worker = cq_pool_add(w->pool, listing.id);
+		g_snprintf(id, sizeof(id), "w%d", k);
+		worker = cq_pool_add(w->pool, id);
 		cq_pool_update(worker, &listing);
 		worker->usable = true;
 	}
@@ -290,8 +293,9 @@
 		stages[0] = add_job(&w, CQ_RANK_URGENT, 1, 4);
 		assign_runs(&w, stages[0], 0, 0);
 		stages[0] = add_job(&w, CQ_RANK_URGENT, 2, cases[i].first);
-		g_strlcpy(first_step(stages[0])->required_label,
-			  cases[i].first_label, CQ_WORKLOAD_NAME_BYTES);
+		if (*cases[i].first_label)
+			cq_text_set(&first_step(stages[0])->required_label,
+				    cases[i].first_label);
 		stages[1] = add_job(&w, CQ_RANK_URGENT, 1, cases[i].second);
 		plan_both(&w, stages[0], stages[1]);
 		g_assert_cmpuint(w.started, ==, cases[i].expected);
--- a/tests/unit/test_stage_rank.c
+++ b/tests/unit/test_stage_rank.c
@@ -7,6 +7,7 @@
 #include "chestnutquay/clock.h"
 #include "chestnutquay/pool.h"
 #include "chestnutquay/stage_rank.h"
+#include "chestnutquay/text.h"
 
 #define BURST_GUARANTEED 16
 #define CALM_GUARANTEED 24
@@ -60,8 +61,8 @@
 	struct cq_batch *batch;
 
 	g_snprintf(job->id, sizeof(job->id), "%016d", ++w->accepted);
-	g_strlcpy(job->queue, queue, sizeof(job->queue));
-	g_strlcpy(job->workspace, workspace, sizeof(job->workspace));
+	cq_text_set(&job->queue, queue);
+	cq_text_set(&job->workspace, workspace);
 	job->steps = g_new0(struct cq_workload_step, 1);
 	job->step_count = 1;
 	job->steps[0].tasks = tasks;
