--- a/bench/bench_leader.c
+++ b/bench/bench_leader.c
@@ -22,6 +22,7 @@
 #define RACK_WORKERS 12
 #define WORKER_PREFIX "w/"
 #define MAX_LEASE_MS 10000
+#define REMOTE_FACTOR 3
 #define STORE_TIMEOUT_MS 500
 #define STORE_DELAY_S 0.004
 #define SUBMIT_INTERVAL_S 0.02
@@ -207,6 +208,7 @@
 		.epoch = 1,
 		.store_timeout_ms = STORE_TIMEOUT_MS,
 		.max_lease_ms = MAX_LEASE_MS,
+		.remote_factor = REMOTE_FACTOR,
 	};
 	char *head = cq_leader_format_head(1, 0);
 
--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -98,6 +98,8 @@
 	uint32_t gang_failed_run; /* last run counted in gang_failures */
 	bool started;		  /* at least one task has been started */
 	int64_t ready_ns; /* when it became ready to start; 0: not yet */
+	/* Since when it has been ready without a start; 0: it isn't ready */
+	int64_t waiting_ns;
 	/* Preemption rank, see stage_rank.h; lower goes first. */
 	uint32_t rank;
 };
--- a/include/chestnutquay/dispatcher.h
+++ b/include/chestnutquay/dispatcher.h
@@ -60,7 +60,8 @@
 	int64_t epoch;
 	int64_t head_revision; /* of CQ_KEY_HEAD, as written by the election */
 	uint32_t store_timeout_ms;
-	uint32_t max_lease_ms; /* longest lease granted to a worker */
+	uint32_t max_lease_ms;	/* longest lease granted to a worker */
+	uint32_t remote_factor; /* see placement.h */
 	/*
 	 * How long the records of an ended job are kept; longer than callers
 	 * ask for its state, repeat its submission, and a write may be late. 0:
--- a/include/chestnutquay/placement.h
+++ b/include/chestnutquay/placement.h
@@ -22,6 +22,8 @@
 	const struct cq_stage *stage;
 	const char *service;
 	int64_t now_ns;
+	/* How much longer a gang with same_rack takes on several racks */
+	uint32_t remote_factor;
 	/*
 	 * Prefers the racks with the least free room, so that whole racks stay
 	 * free for gangs.
@@ -44,8 +46,9 @@
 /*
  * Places waiting tasks of the stage on usable workers of the service and
  * appends an assignment for each; the caller books them. A gang is placed as a
- * whole or not at all; a gang with same_rack is placed in one rack only, unless
- * no rack could ever hold it. Returns the number of tasks placed.
+ * whole or not at all; a gang with same_rack is placed in one rack, unless the
+ * wait for one costs more than several racks do. Returns the number of tasks
+ * placed.
  */
 uint32_t cq_placement_find(const struct cq_placement *p, GArray *assignments);
 
--- a/include/chestnutquay/stage_order.h
+++ b/include/chestnutquay/stage_order.h
@@ -23,6 +23,8 @@
 	int64_t remaining_path_ms;
 };
 
+/* Estimated run time of a task; a default if none was given. */
+int64_t cq_step_estimate_ms(const struct cq_workload_step *step);
 /*
  * Initializes r. unix_ms is the time of day at now_ns, for jobs with due times.
  */
--- a/include/chestnutquay/stage_plan.h
+++ b/include/chestnutquay/stage_plan.h
@@ -36,6 +36,7 @@
 	const struct cq_stage_policy *policy;
 	const struct cq_pool *pool;
 	int64_t now_ns;
+	uint32_t remote_factor; /* see placement.h */
 };
 
 struct cq_stage_plan_ops {
--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -97,6 +97,7 @@
 	d->created_ns = cq_clock_now_ns(options->clock);
 	d->store_timeout_ms = options->store_timeout_ms;
 	d->max_lease_ms = options->max_lease_ms;
+	d->remote_factor = options->remote_factor;
 	d->run_number_floor =
 		(uint32_t)(options->epoch - 1) * RUN_NUMBERS_PER_EPOCH;
 	d->pool = cq_pool_create();
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -82,6 +82,7 @@
 	int64_t created_ns;
 	uint32_t store_timeout_ms;
 	uint32_t max_lease_ms;
+	uint32_t remote_factor;
 	uint32_t run_number_floor; /* run numbers of this epoch are above it */
 
 	const struct cq_queue_config *config;
--- a/src/coordination/dispatcher_plan.c
+++ b/src/coordination/dispatcher_plan.c
@@ -10,6 +10,7 @@
 static bool worker_usable(const struct cq_dispatcher *d,
 			  const struct cq_pool_worker *worker, int64_t now_ns);
 static void collect_ready(struct cq_dispatcher *d, GArray *ready);
+static guint count_racks(const GArray *assignments);
 static void start_stage(void *ctx, const struct cq_ready_stage *ready,
 			const GArray *assignments);
 static void preempt_runs(void *ctx, const struct cq_ready_stage *ready,
@@ -50,6 +51,21 @@
 	}
 }
 
+/* Number of racks that the runs are placed in */
+static guint count_racks(const GArray *assignments)
+{
+	GHashTable *racks = g_hash_table_new(NULL, NULL);
+	guint count, i;
+
+	for (i = 0; i < assignments->len; i++)
+		g_hash_table_add(racks, g_array_index(assignments,
+						      struct cq_assignment, i)
+						.worker->rack);
+	count = g_hash_table_size(racks);
+	g_hash_table_destroy(racks);
+	return count;
+}
+
 static void start_stage(void *ctx, const struct cq_ready_stage *ready,
 			const GArray *assignments)
 {
@@ -71,10 +87,12 @@
 
 		cq_task_assign(a->task, a->worker, run);
 	}
-	cq_log_event(CQ_LOG_INFO, "stage_placed", "{s:s,s:i,s:i,s:i,s:I,s:I}",
-		     "id", stage->batch->workload->id, "occurrence",
+	cq_log_event(CQ_LOG_INFO, "stage_placed",
+		     "{s:s,s:i,s:i,s:i,s:i,s:I,s:I}", "id",
+		     stage->batch->workload->id, "occurrence",
 		     (int)stage->occurrence, "step", (int)stage->step_index,
-		     "tasks", (int)assignments->len, "waited_ms",
+		     "tasks", (int)assignments->len, "racks",
+		     (int)count_racks(assignments), "waited_ms",
 		     (json_int_t)((now_ns - stage->ready_ns) / CQ_NS_PER_MS),
 		     "config_version", (json_int_t)d->config->version);
 	dispatcher_mark_dirty(d, stage->batch);
@@ -125,6 +143,7 @@
 		.policy = &cq_stage_policy_default,
 		.pool = d->pool,
 		.now_ns = dispatcher_now_ns(d),
+		.remote_factor = d->remote_factor,
 	};
 	GArray *ready;
 
--- a/src/programs/hostd/dispatch.c
+++ b/src/programs/hostd/dispatch.c
@@ -57,6 +57,7 @@
 		.head_revision = head_revision,
 		.store_timeout_ms = CALL_TIMEOUT_MS,
 		.max_lease_ms = h->settings.max_lease_ms,
+		.remote_factor = h->settings.remote_factor,
 		.max_job_bytes = (uint64_t)h->settings.memory_mb *
 				 BYTES_PER_MB / JOB_MEMORY_DIVISOR,
 		.ended_retention_ms =
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -41,8 +41,6 @@
 					       gconstpointer b);
 static bool place_in_one_rack(const struct cq_placement *p,
 			      const GPtrArray *racks, GArray *assignments);
-static bool empty_rack_fits_gang(const struct cq_placement *p,
-				 const GPtrArray *workers);
 
 static uint32_t runs_of_stage(const struct cq_pool_worker *worker,
 			      const struct cq_stage *stage)
@@ -315,55 +313,23 @@
 	return false;
 }
 
-/* True if the workers could hold the gang if they ran nothing else. */
-static bool empty_rack_fits_gang(const struct cq_placement *p,
-				 const GPtrArray *workers)
-{
-	uint32_t tasks = 0;
-	guint i;
-
-	for (i = 0; i < workers->len; i++) {
-		const struct cq_pool_worker *worker =
-			g_ptr_array_index(workers, i);
-		const struct cq_executor_registration *size = &worker->listing;
-		const struct placement_room whole = { size->cpu_millicores,
-						      size->memory_mb,
-						      size->accelerators };
-
-		tasks += placement_count_fitting(&whole, p->stage->step);
-	}
-	return tasks >= p->stage->step->tasks;
-}
-
-bool placement_requires_one_rack(const struct cq_placement *p,
-				 const GPtrArray *racks)
-{
-	guint i;
-
-	if (!p->stage->step->gang || !p->stage->step->same_rack)
-		return false;
-	for (i = 0; i < racks->len; i++)
-		if (empty_rack_fits_gang(p, g_ptr_array_index(racks, i)))
-			return true;
-	return false;
-}
-
 uint32_t cq_placement_find(const struct cq_placement *p, GArray *assignments)
 {
 	guint from = assignments->len;
 	GPtrArray *workers = placement_workers(p);
-	GPtrArray *racks = NULL;
+	GPtrArray *racks;
 
-	if (p->stage->step->gang && p->stage->step->same_rack) {
-		racks = placement_racks(workers);
-		g_ptr_array_sort(racks, compare_racks_by_free_accelerators);
+	if (!p->stage->step->gang || !p->stage->step->same_rack) {
+		place_tasks(p, workers, assignments);
+		g_ptr_array_unref(workers);
+		return assignments->len - from;
 	}
-	if (racks && placement_requires_one_rack(p, racks))
-		place_in_one_rack(p, racks, assignments);
-	else
+	racks = placement_racks(workers);
+	g_ptr_array_sort(racks, compare_racks_by_free_accelerators);
+	if (!place_in_one_rack(p, racks, assignments) &&
+	    !placement_waits_for_rack(p, racks))
 		place_tasks(p, workers, assignments);
-	if (racks)
-		g_ptr_array_unref(racks);
+	g_ptr_array_unref(racks);
 	g_ptr_array_unref(workers);
 	return assignments->len - from;
 }
--- a/src/state/placement_internal.h
+++ b/src/state/placement_internal.h
@@ -21,11 +21,19 @@
 GPtrArray *placement_workers(const struct cq_placement *p);
 /* Groups the workers by rack: an array of arrays. */
 GPtrArray *placement_racks(const GPtrArray *workers);
+struct placement_room placement_free_room(const struct cq_pool_worker *worker);
+/* Adds the resources of a task of the step. */
+void placement_add_room(struct placement_room *room,
+			const struct cq_workload_step *step);
+/* True if the run may be stopped to make room for the stage. */
+bool placement_may_preempt(const struct cq_stage *stage,
+			   const struct cq_task *task);
+
 /*
- * True if the stage has to be placed in one rack: it is a gang with same_rack,
- * and some rack could hold it when idle.
+ * rack_wait.c: true if the stage is a gang with same_rack that gains more by
+ * the wait for room in one of the racks than it loses.
  */
-bool placement_requires_one_rack(const struct cq_placement *p,
-				 const GPtrArray *racks);
+bool placement_waits_for_rack(const struct cq_placement *p,
+			      const GPtrArray *racks);
 
 #endif
--- a/src/state/placement_victims.c
+++ b/src/state/placement_victims.c
@@ -35,8 +35,6 @@
 static bool is_gang_preempted(const struct victim_search *search,
 			      const struct cq_task *task);
 static gint compare_losses(gconstpointer a, gconstpointer b, gpointer search);
-static void add_room(struct placement_room *room,
-		     const struct cq_workload_step *step);
 static GPtrArray *possible_victims(const struct victim_search *search,
 				   const struct cq_pool_worker *worker,
 				   struct placement_room *room);
@@ -117,8 +115,22 @@
 	return left < right ? -1 : left > right;
 }
 
-static void add_room(struct placement_room *room,
-		     const struct cq_workload_step *step)
+struct placement_room placement_free_room(const struct cq_pool_worker *worker)
+{
+	return (struct placement_room){ worker->free_cpu_millicores,
+					worker->free_memory_mb,
+					worker->free_accelerators };
+}
+
+bool placement_may_preempt(const struct cq_stage *stage,
+			   const struct cq_task *task)
+{
+	return task->stage->rank > stage->rank &&
+	       !task->stage->step->max_unavailable;
+}
+
+void placement_add_room(struct placement_room *room,
+			const struct cq_workload_step *step)
 {
 	room->cpu_millicores += step->fills ? 0 : step->cpu_millicores;
 	room->memory_mb += step->memory_mb;
@@ -140,9 +152,8 @@
 		struct cq_task *task = g_ptr_array_index(worker->runs, i);
 
 		if (task->stopping)
-			add_room(room, task->stage->step);
-		else if (task->stage->rank > search->p->stage->rank &&
-			 !task->stage->step->max_unavailable)
+			placement_add_room(room, task->stage->step);
+		else if (placement_may_preempt(search->p->stage, task))
 			g_ptr_array_add(victims, task);
 	}
 	g_ptr_array_sort_with_data(victims, compare_losses, (gpointer)search);
@@ -157,9 +168,7 @@
 			       struct candidate *c, uint32_t wanted)
 {
 	const struct cq_workload_step *step = search->p->stage->step;
-	struct placement_room room = { c->worker->free_cpu_millicores,
-				       c->worker->free_memory_mb,
-				       c->worker->free_accelerators };
+	struct placement_room room = placement_free_room(c->worker);
 	GPtrArray *victims = possible_victims(search, c->worker, &room);
 	guint used = 0;
 	guint i;
@@ -171,7 +180,7 @@
 		struct cq_task *task = g_ptr_array_index(victims, i);
 		uint32_t tasks;
 
-		add_room(&room, task->stage->step);
+		placement_add_room(&room, task->stage->step);
 		g_ptr_array_add(c->victims, task);
 		tasks = MIN(wanted, placement_count_fitting(&room, step));
 		if (tasks > c->tasks) {
@@ -351,7 +360,7 @@
 	bool affordable, reserved;
 	guint i;
 
-	if (!placement_requires_one_rack(p, racks)) {
+	if (!placement_waits_for_rack(p, racks)) {
 		g_ptr_array_set_size(racks, 0);
 		g_ptr_array_add(racks, g_ptr_array_ref(workers));
 	}
--- a/src/state/stage_order.c
+++ b/src/state/stage_order.c
@@ -19,6 +19,11 @@
  */
 #define HEADROOM_SLACK_FACTOR 1.5
 
+int64_t cq_step_estimate_ms(const struct cq_workload_step *step)
+{
+	return step->estimate_ms ? step->estimate_ms : DEFAULT_TASK_ESTIMATE_MS;
+}
+
 /* Computes the longest path of estimates that begins with each step. */
 static void compute_longest_paths(const struct cq_workload *w,
 				  int64_t paths_ms[CQ_WORKLOAD_MAX_STEPS])
@@ -26,14 +31,12 @@
 	uint32_t i, k;
 
 	for (i = w->step_count; i-- > 0;) {
-		int64_t own_ms = w->steps[i].estimate_ms;
 		int64_t after_ms = 0;
 
 		for (k = i + 1; k < w->step_count; k++)
 			if (w->steps[k].after >> i & 1)
 				after_ms = MAX(after_ms, paths_ms[k]);
-		paths_ms[i] =
-			(own_ms ? own_ms : DEFAULT_TASK_ESTIMATE_MS) + after_ms;
+		paths_ms[i] = cq_step_estimate_ms(&w->steps[i]) + after_ms;
 	}
 }
 
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -86,6 +86,8 @@
 			continue;
 		if (!stage->ready_ns)
 			stage->ready_ns = now_ns;
+		if (!stage->waiting_ns)
+			stage->waiting_ns = now_ns;
 		cq_ready_stage_init(&r, stage, queue, now_ns, unix_ms);
 		g_array_append_val(ready, r);
 	}
@@ -175,6 +177,7 @@
 		run->totals.free_accelerators -=
 			(int64_t)assignments->len * step->accelerators;
 		run->ops->start(run->ctx, r, assignments);
+		r->stage->waiting_ns = 0;
 	}
 	if (cq_stage_waiting(r->stage) && !step->gang &&
 	    !step->max_per_worker && assignments->len < room) {
@@ -192,6 +195,7 @@
 		.stage = r->stage,
 		.service = r->queue->service,
 		.now_ns = plan->now_ns,
+		.remote_factor = plan->remote_factor,
 		.pack_racks = r->stage->rank > CQ_RANK_URGENT,
 		.reserve_unaffordable = r->stage->rank <= CQ_RANK_URGENT,
 	};
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -14,6 +14,7 @@
 
 #define WORKER_KEY_PREFIX "w/"
 #define MAX_WORKSPACES 4
+#define REMOTE_FACTOR 3
 #define DRAINING " draining "
 
 struct dispatcher_fixture {
@@ -264,6 +265,7 @@
 		.parse_listing = parse_registration,
 		.store_timeout_ms = 100,
 		.max_lease_ms = w->max_lease_ms,
+		.remote_factor = REMOTE_FACTOR,
 		.ended_retention_ms = w->retention_ms,
 		.max_job_bytes = w->max_job_bytes,
 	};
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -9,6 +9,7 @@
 #include "chestnutquay/text.h"
 
 #define NOW_NS (INT64_C(100) * CQ_NS_PER_S)
+#define REMOTE_FACTOR 3
 
 struct fixture {
 	struct cq_pool *pool;
@@ -81,6 +82,7 @@
 		.stage = s,
 		.service = "s",
 		.now_ns = NOW_NS,
+		.remote_factor = REMOTE_FACTOR,
 		.pack_racks = pack_racks,
 	};
 }
