--- a/include/chestnutquay/placement.h
+++ b/include/chestnutquay/placement.h
@@ -42,6 +42,9 @@
  * placements of each plan. Returns the totals of the usable workers.
  */
 struct cq_pool_totals cq_placement_prepare(const struct cq_pool *pool);
+/* The totals of the usable workers of one service */
+struct cq_pool_totals cq_placement_totals(const struct cq_pool *pool,
+					  const char *service);
 
 /*
  * Places waiting tasks of the stage on usable workers of the service and
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -125,6 +125,25 @@
 	return totals;
 }
 
+struct cq_pool_totals cq_placement_totals(const struct cq_pool *pool,
+					  const char *service)
+{
+	struct cq_pool_totals totals = { 0 };
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct cq_pool_worker *worker = value;
+
+		if (!worker->usable || strcmp(worker->listing.service, service))
+			continue;
+		totals.accelerators += worker->listing.accelerators;
+		totals.free_accelerators += worker->free_accelerators;
+	}
+	return totals;
+}
+
 static bool interferes(const struct cq_pool_worker *worker,
 		       const struct cq_stage *stage)
 {
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -25,12 +25,18 @@
 	const struct cq_workload_step *step;
 };
 
+/* Room of one service in the course of a plan */
+struct service_totals {
+	const char *service;
+	struct cq_pool_totals totals;
+};
+
 /* State of one plan */
 struct plan_run {
 	const struct cq_stage_plan *plan;
 	const struct cq_stage_plan_ops *ops;
 	void *ctx;
-	struct cq_pool_totals totals;
+	GArray *totals;	     /* struct service_totals, of those met so far */
 	GArray *assignments; /* struct cq_assignment, of the current stage */
 	GArray *full;	     /* struct full_shape */
 };
@@ -43,6 +49,8 @@
 static void preempt_for_stage(struct plan_run *run,
 			      const struct cq_placement *p,
 			      const struct cq_ready_stage *r);
+static struct cq_pool_totals *totals_of(struct plan_run *run,
+					const char *service);
 static bool is_known_full(const GArray *full, const struct cq_placement *p);
 static void place_stage(struct plan_run *run, const struct cq_placement *p,
 			const struct cq_ready_stage *r);
@@ -136,6 +144,24 @@
 	g_ptr_array_unref(victims);
 }
 
+static struct cq_pool_totals *totals_of(struct plan_run *run,
+					const char *service)
+{
+	struct service_totals added = { .service = service };
+	guint i;
+
+	for (i = 0; i < run->totals->len; i++) {
+		struct service_totals *known =
+			&g_array_index(run->totals, struct service_totals, i);
+
+		if (!strcmp(known->service, service))
+			return &known->totals;
+	}
+	added.totals = cq_placement_totals(run->plan->pool, service);
+	g_array_append_val(run->totals, added);
+	return &g_array_index(run->totals, struct service_totals, i).totals;
+}
+
 /*
  * True if no task of the stage fits, since one that needs no more, on the same
  * workers, has found no room in this plan. Room only gets less meanwhile.
@@ -174,7 +200,7 @@
 	if (cq_placement_find(p, assignments)) {
 		if (assignments->len > room)
 			g_array_set_size(assignments, room);
-		run->totals.free_accelerators -=
+		totals_of(run, p->service)->free_accelerators -=
 			(int64_t)assignments->len * step->accelerators;
 		run->ops->start(run->ctx, r, assignments);
 		r->stage->waiting_ns = 0;
@@ -201,7 +227,8 @@
 	};
 
 	if (!within_active_limit(r->stage) ||
-	    !plan->policy->may_start(r, &run->totals, plan->now_ns))
+	    !plan->policy->may_start(r, totals_of(run, r->queue->service),
+				     plan->now_ns))
 		return;
 	place_stage(run, &p, r);
 	if (cq_stage_waiting(r->stage))
@@ -215,17 +242,20 @@
 		.plan = plan,
 		.ops = ops,
 		.ctx = ctx,
-		.totals = cq_placement_prepare(plan->pool),
+		.totals =
+			g_array_new(FALSE, TRUE, sizeof(struct service_totals)),
 		.assignments =
 			g_array_new(FALSE, TRUE, sizeof(struct cq_assignment)),
 		.full = g_array_new(FALSE, TRUE, sizeof(struct full_shape)),
 	};
 	guint i;
 
+	cq_placement_prepare(plan->pool);
 	g_array_sort_with_data(ready, compare_ready_stages, (gpointer)plan);
 	for (i = 0; i < ready->len; i++)
 		plan_stage(&run,
 			   &g_array_index(ready, struct cq_ready_stage, i));
+	g_array_unref(run.totals);
 	g_array_unref(run.assignments);
 	g_array_unref(run.full);
 }
--- a/tests/unit/test_stage_plan.c
+++ b/tests/unit/test_stage_plan.c
@@ -182,6 +182,35 @@
 	plan_all(w, stages, 2, 0);
 }
 
+/*
+ * Guards against a job that waits for headroom beside the idle workers of its
+ * service, since those of another service are busy: 3 of 9 workers are idle.
+ */
+static void test_headroom_of_service(void)
+{
+	struct fixture w;
+	struct cq_stage *job;
+	int k;
+
+	fixture_setup(&w, 9);
+	for (k = 3; k < 9; k++) {
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "w%d", k);
+		cq_text_set(&cq_pool_find(w.pool, id)->listing.service, "t");
+	}
+	assign_runs(&w, add_gang_job(&w, CQ_RANK_URGENT, 6), 3, 0);
+	job = add_job(&w, RANK_BULK, 1, 8);
+	plan(&w, job, 0);
+	g_assert_cmpuint(w.started, ==, 1);
+	/* The second one would leave less than a quarter of the service. */
+	assign_runs(&w, job, 0, 0);
+	job = add_job(&w, RANK_BULK, 2, 8);
+	plan(&w, job, 0);
+	g_assert_cmpuint(w.started, ==, 0);
+	fixture_teardown(&w);
+}
+
 /*
  * Guards against preempting a gang that has run for 10 s for a single urgent
  * task that has just arrived. The longer the task waits, the more may be lost
@@ -342,6 +371,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stage_plan/room_behind_full_stage",
 			test_room_behind_full_stage);
+	g_test_add_func("/stage_plan/headroom_of_service",
+			test_headroom_of_service);
 	g_test_add_func("/stage_plan/costly_gang", test_costly_gang);
 	g_test_add_func("/stage_plan/room_adds_up", test_room_adds_up);
 	g_test_add_func("/stage_plan/work_that_has_just_begun",
