--- a/include/chestnutquay/stage_order.h
+++ b/include/chestnutquay/stage_order.h
@@ -46,7 +46,8 @@
 /*
  * Returns false if a stage that is not urgent has to wait in order to leave
  * accelerators free for urgent work, which would otherwise wait for
- * preemptions. A stage that is close to its objective need not wait.
+ * preemptions. A stage that is close to its objective need not wait, nor a
+ * lasting one that has run before. The totals are those of its service.
  */
 bool cq_ready_stage_leaves_headroom(const struct cq_ready_stage *r,
 				    const struct cq_pool_totals *totals,
--- a/src/state/stage_order.c
+++ b/src/state/stage_order.c
@@ -106,6 +106,12 @@
 		      right->stage->batch->workload->id);
 }
 
+/* A task that lasts had its room before it ended. */
+static bool comes_back(const struct cq_stage *stage)
+{
+	return stage->step->long_running && stage->started;
+}
+
 bool cq_ready_stage_leaves_headroom(const struct cq_ready_stage *r,
 				    const struct cq_pool_totals *totals,
 				    int64_t now_ns)
@@ -113,7 +119,7 @@
 	int64_t needed =
 		(int64_t)r->stage->step->tasks * r->stage->step->accelerators;
 
-	if (r->queue->priority == 0 ||
+	if (r->queue->priority == 0 || comes_back(r->stage) ||
 	    now_ns > r->objective_ns - (int64_t)(HEADROOM_SLACK_FACTOR *
 						 (double)r->critical_path_ms) *
 					       CQ_NS_PER_MS)
--- a/tests/unit/test_stage_order.c
+++ b/tests/unit/test_stage_order.c
@@ -177,6 +177,24 @@
 	cq_pool_destroy(pool);
 }
 
+/*
+ * Guards against a task that lasts and has ended, and then waits for headroom
+ * in a busy fleet although its room is free.
+ */
+static void test_lasting_task_comes_back(void)
+{
+	const struct cq_pool_totals busy = { .accelerators = 100,
+					     .free_accelerators = 15 };
+	struct cq_batch *batch = make_batch("lasts", 0, 30000);
+	struct cq_ready_stage r = make_ready_stage(batch, &middle);
+
+	batch->workload->steps[0].long_running = true;
+	g_assert_false(cq_ready_stage_leaves_headroom(&r, &busy, NOW_NS));
+	r.stage->started = true;
+	g_assert_true(cq_ready_stage_leaves_headroom(&r, &busy, NOW_NS));
+	cq_batch_destroy(batch);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -185,5 +203,7 @@
 	g_test_add_func("/stage_order/due_time", test_due_time);
 	g_test_add_func("/stage_order/steps", test_steps);
 	g_test_add_func("/stage_order/headroom", test_headroom);
+	g_test_add_func("/stage_order/lasting_task_comes_back",
+			test_lasting_task_comes_back);
 	return g_test_run();
 }
