--- a/include/chestnutquay/follower.h
+++ b/include/chestnutquay/follower.h
@@ -42,7 +42,10 @@
 bool cq_follower_synced(const struct cq_follower *f);
 /* Whether the store answered the last completed call. */
 bool cq_follower_reachable(const struct cq_follower *f);
-/* Time at which the last answered call was sent; INT64_MIN: none yet. */
+/*
+ * Time at which the last call was sent whose answer has begun to arrive;
+ * INT64_MIN: none yet.
+ */
 int64_t cq_follower_contact_ns(const struct cq_follower *f);
 
 #endif
--- a/include/chestnutquay/http_client.h
+++ b/include/chestnutquay/http_client.h
@@ -57,6 +57,13 @@
 	size_t body_len;
 	uint32_t connect_timeout_ms;
 	uint32_t timeout_ms; /* time limit of the whole call */
+	/*
+	 * 0: none. Otherwise timeout_ms is only the limit of the time without
+	 * progress before the answer begins, and this one takes its place from
+	 * then on. So a slow transfer goes on, and a connection that goes
+	 * silent is given up however much was expected on it.
+	 */
+	uint32_t max_silence_ms;
 	/* A longer response body ends the call as CQ_HTTP_UNKNOWN. */
 	uint32_t max_answer_bytes;
 	/*
@@ -114,6 +121,8 @@
 					 cq_http_done_fn *done, void *ctx);
 /* Ends the call; its completion callback does not run. */
 void cq_http_call_cancel(struct cq_http_call *call);
+/* Whether the answer has begun to arrive, for a call with max_silence_ms. */
+bool cq_http_call_answering(const struct cq_http_call *call);
 /* Number of calls that have not completed. */
 uint32_t cq_http_client_open_calls(const struct cq_http_client *client);
 
--- a/include/chestnutquay/store.h
+++ b/include/chestnutquay/store.h
@@ -112,6 +112,11 @@
 	struct cq_store_call *(*watch)(void *self, const char *prefix,
 				       int64_t after_revision, uint32_t wait_ms,
 				       cq_store_done_fn *done, void *ctx);
+	/*
+	 * Whether the call's answer has begun to arrive, so that the store has
+	 * been reached since the call was sent. NULL if that is not known.
+	 */
+	bool (*answering)(void *self, const struct cq_store_call *call);
 	/* Ends the call; its completion is not called. */
 	void (*cancel)(void *self, struct cq_store_call *call);
 	/* Executes a transaction; NULL if the store has no transactions. */
--- a/src/coordination/follower.c
+++ b/src/coordination/follower.c
@@ -107,6 +107,11 @@
 
 int64_t cq_follower_contact_ns(const struct cq_follower *f)
 {
+	const struct cq_store_ops *ops = f->store->ops;
+
+	if (f->call && ops->answering &&
+	    ops->answering(f->store->self, f->call))
+		return f->sent_ns;
 	return f->contact_ns;
 }
 
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "transport/http_progress.h"
 #include "transport/http_sockets.h"
 
 /* TCP keepalive: idle time before the first probe, and probe interval. */
@@ -12,6 +13,8 @@
 #define KEEPALIVE_INTERVAL_S 2L
 /* A connection that was idle for longer is not reused. */
 #define MAX_CONNECTION_AGE_S 30L
+/* A call that makes progress is ended all the same after this time. */
+#define MAX_TRANSFER_MS 60000L
 /* Parameters of the FNV-1a hash. */
 #define HASH_SEED 2166136261U
 #define HASH_PRIME 16777619U
@@ -47,6 +50,8 @@
 	GByteArray *answer;
 	uint32_t max_answer_bytes;
 	bool limit_reached;
+	/* Limits the time without progress; NULL: only the whole time. */
+	struct http_progress *progress;
 	bool (*may_send)(void *ctx);
 	void *may_send_ctx;
 	cq_http_done_fn *done;
@@ -70,6 +75,7 @@
 static int on_before_request(void *userdata, char *remote_ip, char *local_ip,
 			     int remote_port, int local_port);
 static size_t on_write(char *data, size_t size, size_t n, void *userdata);
+static void on_no_progress(void *ctx);
 static int on_socket(CURL *easy, curl_socket_t fd, int what, void *userp,
 		     void *socketp);
 static int on_multi_timer(CURLM *multi, long timeout_ms, void *userp);
@@ -254,6 +260,8 @@
 {
 	struct cq_http_call *call = userdata;
 
+	if (call->progress)
+		http_progress_received(call->progress);
 	if (call->answer->len + size * n > call->max_answer_bytes)
 		return 0;
 	g_byte_array_append(call->answer, (const guint8 *)data,
@@ -261,6 +269,11 @@
 	return size * n;
 }
 
+static void on_no_progress(void *ctx)
+{
+	call_finished(ctx, CURLE_OPERATION_TIMEDOUT);
+}
+
 static int on_socket(CURL *easy, curl_socket_t fd, int what, void *userp,
 		     void *socketp)
 {
@@ -391,6 +404,7 @@
 
 static void call_free(struct cq_http_call *call)
 {
+	http_progress_destroy(call->progress);
 	curl_easy_reset(call->easy);
 	g_ptr_array_add(call->client->idle_handles, call->easy);
 	curl_slist_free_all(call->headers);
@@ -399,6 +413,22 @@
 	g_free(call);
 }
 
+/* Replaces the limit of the whole time by limits of the time without progress.
+ */
+static void limit_silence(struct cq_http_call *call,
+			  const struct cq_http_request *request)
+{
+	CURL *easy = call->easy;
+
+	call->progress = http_progress_create(call->client->loop,
+					      request->timeout_ms,
+					      request->max_silence_ms,
+					      on_no_progress, call);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+			 (long)request->timeout_ms + MAX_TRANSFER_MS);
+	http_progress_watch(call->progress, easy, request->body_len);
+}
+
 static void set_options(struct cq_http_call *call,
 			const struct cq_http_request *request)
 {
@@ -425,6 +455,8 @@
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)request->connect_timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+	if (request->max_silence_ms)
+		limit_silence(call, request);
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
@@ -513,6 +545,11 @@
 	call_free(call);
 }
 
+bool cq_http_call_answering(const struct cq_http_call *call)
+{
+	return call->progress && http_progress_receiving(call->progress);
+}
+
 uint32_t cq_http_client_open_calls(const struct cq_http_client *client)
 {
 	return g_hash_table_size(client->calls);
--- /dev/null
+++ b/tests/unit/test_narrow_link.c
@@ -0,0 +1,245 @@
+/*
+ * Follows a key of the store over a link on which a document takes longer than
+ * every timeout, and over connections that go silent.
+ */
+#include <ev.h>
+#include <glib.h>
+#include <string.h>
+
+#include "chestnutquay/follower.h"
+#include "chestnutquay/http_client.h"
+#include "platform/kv_store.h"
+#include "tests/support/narrow_store.h"
+#include "tests/support/wait_for.h"
+#include "transport/http_progress.h"
+
+#define WAIT_MS 100
+#define LIST_TIMEOUT_MS 2500
+#define LINK_BYTES_PER_S 400000U
+#define SMALL_BYTES 600
+/* Takes two seconds on the link, as text of the answer. */
+#define LARGE_BYTES 600000
+#define NEVER_MS 600000
+
+struct fixture {
+	struct ev_loop *loop;
+	struct narrow_store *server;
+	struct cq_http_client *client;
+	struct cq_kv_store *kv;
+	struct cq_follower *follower;
+	int64_t revision; /* of the newest value that was reported */
+	size_t value_len;
+	uint32_t changed;
+	enum cq_store_status status;
+	bool done;
+};
+
+static void on_changed(void *ctx, const struct cq_store_entry *entry)
+{
+	struct fixture *f = ctx;
+
+	g_assert_cmpint(entry->revision, >, f->revision);
+	f->revision = entry->revision;
+	f->value_len = entry->value_len;
+	f->changed++;
+}
+
+static void on_removed(void *ctx, const char *key)
+{
+	(void)ctx;
+	g_error("%s was reported as removed", key);
+}
+
+static const struct cq_follower_ops ops = {
+	.changed = on_changed,
+	.removed = on_removed,
+};
+
+static bool has_newest(void *ctx)
+{
+	const struct fixture *f = ctx;
+
+	return f->revision == narrow_store_revision(f->server);
+}
+
+static bool is_done(void *ctx)
+{
+	return ((struct fixture *)ctx)->done;
+}
+
+static void open_store(struct fixture *f)
+{
+	*f = (struct fixture){ .loop = ev_loop_new(0) };
+	f->server = narrow_store_create(f->loop, LINK_BYTES_PER_S);
+	f->client = cq_http_client_create(f->loop, 4, 4);
+	f->kv = cq_kv_store_create(f->client, narrow_store_address(f->server));
+}
+
+static void fixture_open(struct fixture *f, size_t first_bytes)
+{
+	struct cq_follower_options options = {
+		.clock = cq_clock_system(),
+		.prefix = "op/",
+		.wait_ms = WAIT_MS,
+		.list_timeout_ms = LIST_TIMEOUT_MS,
+	};
+
+	open_store(f);
+	narrow_store_write(f->server, first_bytes);
+	options.loop = f->loop;
+	f->follower =
+		cq_follower_create(&options, cq_kv_store_get(f->kv), &ops, f);
+	g_assert_true(wait_for(f->loop, has_newest, f));
+	g_assert_cmpuint(f->value_len, ==, first_bytes);
+}
+
+static void fixture_close(struct fixture *f)
+{
+	cq_follower_destroy(f->follower);
+	cq_kv_store_destroy(f->kv);
+	cq_http_client_destroy(f->client);
+	narrow_store_destroy(f->server);
+	ev_loop_destroy(f->loop);
+}
+
+/*
+ * Guards against CONFIG (review/7): a list and a watch whose transfer takes
+ * longer than their timeouts were cut off, again and again.
+ */
+static void test_slow_transfer(void)
+{
+	struct fixture f;
+
+	fixture_open(&f, LARGE_BYTES);
+	narrow_store_write(f.server, LARGE_BYTES);
+	g_assert_true(wait_for(f.loop, has_newest, &f));
+	g_assert_cmpuint(f.value_len, ==, LARGE_BYTES);
+	fixture_close(&f);
+}
+
+static bool transfer_began(void *ctx)
+{
+	const struct fixture *f = ctx;
+
+	return narrow_store_sent_bytes(f->server) > LARGE_BYTES / 8;
+}
+
+/* Guards against a host that is not ready because a transfer takes long. */
+static void test_contact_in_transfer(void)
+{
+	struct fixture f;
+	int64_t contact_ns;
+
+	fixture_open(&f, SMALL_BYTES);
+	contact_ns = cq_follower_contact_ns(f.follower);
+	narrow_store_write(f.server, LARGE_BYTES);
+	g_assert_true(wait_for(f.loop, transfer_began, &f));
+	g_assert_false(has_newest(&f));
+	g_assert_cmpint(cq_follower_contact_ns(f.follower), >, contact_ns);
+	fixture_close(&f);
+}
+
+/* Guards against a host that has no list from a slow link after a 410. */
+static void test_slow_transfer_after_compaction(void)
+{
+	struct fixture f;
+
+	fixture_open(&f, SMALL_BYTES);
+	narrow_store_write(f.server, LARGE_BYTES);
+	narrow_store_write(f.server, LARGE_BYTES);
+	narrow_store_compact(f.server);
+	g_assert_true(wait_for(f.loop, has_newest, &f));
+	fixture_close(&f);
+}
+
+/* Guards against an answer that goes silent halfway and is waited for. */
+static void test_silent_in_answer(void)
+{
+	struct fixture f;
+
+	fixture_open(&f, LARGE_BYTES / 4);
+	narrow_store_silence_after(f.server, LARGE_BYTES / 8);
+	narrow_store_write(f.server, LARGE_BYTES / 4);
+	g_assert_true(wait_for(f.loop, has_newest, &f));
+	fixture_close(&f);
+}
+
+/* Guards against a watch on a silent connection that is waited for. */
+static void test_silent_watch(void)
+{
+	struct fixture f;
+
+	fixture_open(&f, SMALL_BYTES);
+	narrow_store_silence(f.server);
+	narrow_store_write(f.server, SMALL_BYTES);
+	g_assert_true(wait_for(f.loop, has_newest, &f));
+	fixture_close(&f);
+}
+
+static void on_committed(void *ctx, const struct cq_store_result *result)
+{
+	struct fixture *f = ctx;
+
+	f->status = result->status;
+	f->done = true;
+}
+
+/*
+ * Guards against a large record that a slow link takes longer than the timeout
+ * to carry to the store, so that it is sent again and again.
+ */
+static void test_slow_upload(void)
+{
+	struct fixture f;
+	const struct cq_store *store;
+	char *value = g_strnfill(LARGE_BYTES, 'x');
+	const struct cq_store_put put = { NARROW_STORE_KEY, value, 0 };
+	const struct cq_store_txn txn = { .puts = &put, .put_count = 1 };
+
+	open_store(&f);
+	store = cq_kv_store_get(f.kv);
+	store->ops->commit(store->self, &txn, LIST_TIMEOUT_MS / 2, on_committed,
+			   &f);
+	g_assert_true(wait_for(f.loop, is_done, &f));
+	g_assert_cmpint(f.status, ==, CQ_STORE_OK);
+	g_assert_cmpuint(narrow_store_longest_body(f.server), >, LARGE_BYTES);
+	g_free(value);
+	fixture_close(&f);
+}
+
+static void on_expired(void *ctx)
+{
+	((struct fixture *)ctx)->done = true;
+}
+
+/* Guards against silence in an answer that is measured by the first limit. */
+static void test_limits(void)
+{
+	struct fixture f = { .loop = ev_loop_new(0) };
+	struct http_progress *p =
+		http_progress_create(f.loop, NEVER_MS, 1, on_expired, &f);
+
+	g_assert_false(http_progress_receiving(p));
+	run_loop_iterations(f.loop, 5);
+	g_assert_false(f.done);
+	http_progress_received(p);
+	g_assert_true(http_progress_receiving(p));
+	g_assert_true(wait_for(f.loop, is_done, &f));
+	http_progress_destroy(p);
+	ev_loop_destroy(f.loop);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/narrow_link/limits", test_limits);
+	g_test_add_func("/narrow_link/slow_transfer", test_slow_transfer);
+	g_test_add_func("/narrow_link/contact_in_transfer",
+			test_contact_in_transfer);
+	g_test_add_func("/narrow_link/slow_transfer_after_compaction",
+			test_slow_transfer_after_compaction);
+	g_test_add_func("/narrow_link/slow_upload", test_slow_upload);
+	g_test_add_func("/narrow_link/silent_in_answer", test_silent_in_answer);
+	g_test_add_func("/narrow_link/silent_watch", test_silent_watch);
+	return g_test_run();
+}
