follower: list the keys instead of reading a longer history (CONFIG)

A host that had been away from the store received and parsed each version of the configuration that it had missed, over a second each at 10 Mbit/s, though it needs the newest one only. An answer of over 16 MiB was cut off, and asked for again for as long as the history lasted.

A watch takes a limit of bytes, one and a half times the keys and values that are known and 64 KiB more. Beyond it the call ends as CQ_STORE_TOO_LARGE, when the length is announced or at the limit, and the follower lists the keys: the newest value of each, in pages. In one answer, a value that a later change of it replaces or deletes is passed over, so several versions cost one parse; ends of keys are still reported. Changes are applied before the next watch is sent, since its limit depends on them.

--- a/include/chestnutquay/follower.h
+++ b/include/chestnutquay/follower.h
@@ -1,9 +1,11 @@
 /*
  * Follows all keys under a prefix of the store: lists them, then watches them.
  *
- * Every change is reported once; the changes of one key are reported in the
- * order of their revisions. If the store has compacted the history that the
- * watch needs, the keys are listed again and the differences are reported.
+ * Each key's changes are reported in the order of their revisions, none twice.
+ * A value that is known to be replaced or deleted may be left out. If the store
+ * has compacted the history that the watch needs, or if that history is larger
+ * than the keys themselves, they are listed again and the differences are
+ * reported.
  */
 #ifndef CHESTNUTQUAY_FOLLOWER_H
 #define CHESTNUTQUAY_FOLLOWER_H
--- a/include/chestnutquay/http_client.h
+++ b/include/chestnutquay/http_client.h
@@ -32,6 +32,8 @@
 struct cq_http_result {
 	enum cq_http_outcome outcome;
 	bool timed_out;
+	/* The answer's body is longer than max_answer_bytes. */
+	bool too_large;
 	/* Not sent because the address is at its connection limit. */
 	bool connection_limit_reached;
 	uint32_t status; /* HTTP status; 0 unless answered */
@@ -64,7 +66,10 @@
 	 * silent is given up however much was expected on it.
 	 */
 	uint32_t max_silence_ms;
-	/* A longer response body ends the call as CQ_HTTP_UNKNOWN. */
+	/*
+	 * A longer response body ends the call as CQ_HTTP_UNKNOWN, before any
+	 * of it is read if the server announces its length.
+	 */
 	uint32_t max_answer_bytes;
 	/*
 	 * Use a new connection. A reused one may be closed by the server while
--- a/include/chestnutquay/store.h
+++ b/include/chestnutquay/store.h
@@ -22,6 +22,7 @@
 	CQ_STORE_UNKNOWN,     /* sent; may or may not have taken effect */
 	CQ_STORE_INVALID,     /* rejected as malformed or too large */
 	CQ_STORE_COMPACTED,   /* watch: history compacted; list again */
+	CQ_STORE_TOO_LARGE,   /* watch: more than max_bytes; list instead */
 };
 
 const char *cq_store_status_string(enum cq_store_status status);
@@ -112,6 +113,17 @@
 	struct cq_store_call *(*watch)(void *self, const char *prefix,
 				       int64_t after_revision, uint32_t wait_ms,
 				       cq_store_done_fn *done, void *ctx);
+	/*
+	 * The same, but changes whose keys and values take more than max_bytes
+	 * in all may end the call as CQ_STORE_TOO_LARGE, at the latest when so
+	 * many have arrived. NULL if the store has no such watch.
+	 */
+	struct cq_store_call *(*watch_limited)(void *self, const char *prefix,
+					       int64_t after_revision,
+					       uint32_t wait_ms,
+					       uint64_t max_bytes,
+					       cq_store_done_fn *done,
+					       void *ctx);
 	/*
 	 * Whether the call's answer has begun to arrive, so that the store has
 	 * been reached since the call was sent. NULL if that is not known.
--- a/src/coordination/controller_history.c
+++ b/src/coordination/controller_history.c
@@ -179,6 +179,7 @@
 		break;
 	case CQ_STORE_INVALID:
 	case CQ_STORE_COMPACTED:
+	case CQ_STORE_TOO_LARGE:
 		/*
 		 * The store would refuse the same write again: wait for the
 		 * next interval.
--- a/src/coordination/controller_store.c
+++ b/src/coordination/controller_store.c
@@ -401,6 +401,7 @@
 		return;
 	case CQ_STORE_INVALID:
 	case CQ_STORE_COMPACTED:
+	case CQ_STORE_TOO_LARGE:
 		cq_log_event(CQ_LOG_ERROR, "job_write_refused", "{s:s,s:s}",
 			     "job", job_id, "error", result->message);
 		break;
--- a/src/coordination/follower.c
+++ b/src/coordination/follower.c
@@ -19,6 +19,19 @@
  */
 #define RELIST_TIMEOUT_MS 700
 #define RELIST_INTERVAL_NS (INT64_C(5) * CQ_NS_PER_S)
+/*
+ * Changes that take more bytes than this and one and a half times the keys and
+ * values that are known aren't read: a list has the newest value of each key
+ * only, and on a narrow link it is there sooner.
+ */
+#define WATCH_MIN_LIMIT_BYTES UINT64_C(65536)
+#define watch_limit_bytes(known) (WATCH_MIN_LIMIT_BYTES + (known) + (known) / 2)
+
+/* What is known of a key. */
+struct known_key {
+	int64_t revision;
+	size_t bytes; /* of the key and its value */
+};
 
 struct cq_follower {
 	struct ev_loop *loop;
@@ -29,7 +42,8 @@
 	char *prefix;
 	uint32_t wait_ms;
 	uint32_t list_timeout_ms;
-	GHashTable *revisions; /* key -> int64_t, owned */
+	GHashTable *known; /* key -> struct known_key, owned */
+	uint64_t known_bytes;
 	struct cq_store_call *call;
 	ev_timer retry_timer;
 	double retry_s;
@@ -53,6 +67,8 @@
 static void schedule_retry(struct cq_follower *f);
 static void apply_entry(struct cq_follower *f,
 			const struct cq_store_entry *entry);
+static void apply_changes(struct cq_follower *f,
+			  const struct cq_store_result *result);
 static void report_removed(struct cq_follower *f, const char *key);
 static void report_missing_removed(struct cq_follower *f,
 				   const struct cq_store_result *result);
@@ -72,7 +88,7 @@
 	f->prefix = g_strdup(options->prefix);
 	f->wait_ms = options->wait_ms;
 	f->list_timeout_ms = options->list_timeout_ms;
-	f->revisions =
+	f->known =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->retry_s = RETRY_MIN_S;
 	f->contact_ns = INT64_MIN;
@@ -90,7 +106,7 @@
 	if (f->call)
 		f->store->ops->cancel(f->store->self, f->call);
 	ev_timer_stop(f->loop, &f->retry_timer);
-	g_hash_table_destroy(f->revisions);
+	g_hash_table_destroy(f->known);
 	g_free(f->prefix);
 	g_free(f);
 }
@@ -126,9 +142,10 @@
 {
 	f->sent_ns = cq_clock_now_ns(f->clock);
 	if (f->revision)
-		f->call = f->store->ops->watch(
+		f->call = f->store->ops->watch_limited(
 			f->store->self, f->prefix, f->revision,
-			f->reachable ? f->wait_ms : PROBE_WAIT_MS, on_watch, f);
+			f->reachable ? f->wait_ms : PROBE_WAIT_MS,
+			watch_limit_bytes(f->known_bytes), on_watch, f);
 	else
 		send_list(f, f->list_timeout_ms);
 }
@@ -161,7 +178,8 @@
 			     const struct cq_store_result *result)
 {
 	bool reachable = result->status == CQ_STORE_OK ||
-			 result->status == CQ_STORE_COMPACTED;
+			 result->status == CQ_STORE_COMPACTED ||
+			 result->status == CQ_STORE_TOO_LARGE;
 
 	if (reachable) {
 		f->contact_ns = f->sent_ns;
@@ -179,24 +197,56 @@
 static void apply_entry(struct cq_follower *f,
 			const struct cq_store_entry *entry)
 {
-	const int64_t *known = g_hash_table_lookup(f->revisions, entry->key);
+	const struct known_key *known =
+		g_hash_table_lookup(f->known, entry->key);
+	struct known_key now = { entry->revision,
+				 strlen(entry->key) + entry->value_len };
 
-	if (known && *known >= entry->revision)
+	if (known && known->revision >= entry->revision)
 		return;
 	if (!entry->value) {
 		report_removed(f, entry->key);
 		return;
 	}
-	g_hash_table_insert(f->revisions, g_strdup(entry->key),
-			    g_memdup2(&entry->revision, sizeof(int64_t)));
+	f->known_bytes += now.bytes - (known ? known->bytes : 0);
+	g_hash_table_insert(f->known, g_strdup(entry->key),
+			    g_memdup2(&now, sizeof(now)));
 	f->ops->changed(f->ctx, entry);
 }
 
+/*
+ * Reports the changes of a watch. A value that a later change of the answer
+ * replaces or deletes is passed over, as a list would: it is out of date, and a
+ * large one takes the time that the newest one needs.
+ */
+static void apply_changes(struct cq_follower *f,
+			  const struct cq_store_result *result)
+{
+	GHashTable *last = g_hash_table_new(g_str_hash, g_str_equal);
+	size_t i;
+
+	for (i = 0; i < result->entry_count; i++)
+		g_hash_table_insert(last, (gpointer)result->entries[i].key,
+				    (gpointer)&result->entries[i]);
+	for (i = 0; i < result->entry_count; i++) {
+		const struct cq_store_entry *entry = &result->entries[i];
+
+		if (!entry->value ||
+		    g_hash_table_lookup(last, entry->key) == entry)
+			apply_entry(f, entry);
+	}
+	g_hash_table_destroy(last);
+}
+
 /* Reports the key as removed if it was known. */
 static void report_removed(struct cq_follower *f, const char *key)
 {
-	if (!g_hash_table_remove(f->revisions, key))
+	const struct known_key *known = g_hash_table_lookup(f->known, key);
+
+	if (!known)
 		return;
+	f->known_bytes -= known->bytes;
+	g_hash_table_remove(f->known, key);
 	f->ops->removed(f->ctx, key);
 }
 
@@ -204,7 +254,7 @@
 				   const struct cq_store_result *result)
 {
 	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
-	GList *keys = g_hash_table_get_keys(f->revisions);
+	GList *keys = g_hash_table_get_keys(f->known);
 	GList *at;
 	size_t i;
 
@@ -247,14 +297,18 @@
 static void on_watch(void *ctx, const struct cq_store_result *result)
 {
 	struct cq_follower *f = ctx;
-	size_t i;
 
 	f->call = NULL;
 	update_reachable(f, result);
-	if (result->status == CQ_STORE_COMPACTED) {
-		cq_log_event(CQ_LOG_INFO, "watch_history_gone", "{s:s,s:I}",
-			     "prefix", f->prefix, "after",
-			     (json_int_t)f->revision);
+	if (result->status == CQ_STORE_COMPACTED ||
+	    result->status == CQ_STORE_TOO_LARGE) {
+		cq_log_event(CQ_LOG_INFO,
+			     result->status == CQ_STORE_COMPACTED
+				     ? "watch_history_gone"
+				     : "watch_too_large",
+			     "{s:s,s:I,s:I}", "prefix", f->prefix, "after",
+			     (json_int_t)f->revision, "known_bytes",
+			     (json_int_t)f->known_bytes);
 		f->revision = 0;
 		send_next(f);
 		return;
@@ -270,7 +324,7 @@
 		return;
 	}
 	f->revision = MAX(f->revision, result->revision);
+	/* First: the limit of the next watch depends on what is known. */
+	apply_changes(f, result);
 	send_next(f);
-	for (i = 0; i < result->entry_count; i++)
-		apply_entry(f, &result->entries[i]);
 }
--- a/src/coordination/gateway_steps.c
+++ b/src/coordination/gateway_steps.c
@@ -59,6 +59,7 @@
 	case CQ_STORE_NOT_FOUND:
 	case CQ_STORE_UNAVAILABLE:
 	case CQ_STORE_COMPACTED:
+	case CQ_STORE_TOO_LARGE:
 		break;
 	}
 	request_retry_later(r, result->status);
--- a/src/coordination/journal.c
+++ b/src/coordination/journal.c
@@ -298,6 +298,7 @@
 	case CQ_STORE_UNAVAILABLE:
 	case CQ_STORE_NOT_FOUND:
 	case CQ_STORE_COMPACTED:
+	case CQ_STORE_TOO_LARGE:
 		break;
 	}
 	cq_log_event(CQ_LOG_WARN, "journal_retry", "{s:s,s:s,s:i}", "status",
--- a/src/coordination/ownership.c
+++ b/src/coordination/ownership.c
@@ -439,6 +439,7 @@
 	case CQ_STORE_UNAVAILABLE:
 	case CQ_STORE_INVALID:
 	case CQ_STORE_COMPACTED:
+	case CQ_STORE_TOO_LARGE:
 		acquire_failed(o);
 		return;
 	}
--- a/src/coordination/settings_write.c
+++ b/src/coordination/settings_write.c
@@ -191,6 +191,7 @@
 	case CQ_STORE_NOT_FOUND:
 	case CQ_STORE_INVALID:
 	case CQ_STORE_COMPACTED:
+	case CQ_STORE_TOO_LARGE:
 		finish(write,
 		       write->maybe_executed ? CQ_SETTINGS_WRITE_UNKNOWN
 					     : CQ_SETTINGS_NOT_WRITTEN,
--- a/src/programs/common/job_calls_write.c
+++ b/src/programs/common/job_calls_write.c
@@ -104,6 +104,7 @@
 		return;
 	case CQ_STORE_INVALID:
 	case CQ_STORE_COMPACTED:
+	case CQ_STORE_TOO_LARGE:
 		cq_job_call_refuse(call, 400, "invalid", result->message, "no");
 		return;
 	case CQ_STORE_NOT_FOUND:
@@ -356,6 +357,7 @@
 	case CQ_STORE_UNAVAILABLE:
 	case CQ_STORE_INVALID:
 	case CQ_STORE_COMPACTED:
+	case CQ_STORE_TOO_LARGE:
 		break;
 	}
 	retry_cancel(call);
--- a/src/protocol/http_calls.c
+++ b/src/protocol/http_calls.c
@@ -55,7 +55,8 @@
 	full_request.url = url;
 	full_request.connect_timeout_ms =
 		MIN(calls->options.connect_timeout_ms, request->timeout_ms);
-	full_request.max_answer_bytes = calls->options.max_answer_bytes;
+	if (!full_request.max_answer_bytes)
+		full_request.max_answer_bytes = calls->options.max_answer_bytes;
 	entry->calls = calls;
 	g_hash_table_add(calls->open, entry);
 	entry->http = cq_http_client_send(calls->client, &full_request,
--- a/src/protocol/http_calls.h
+++ b/src/protocol/http_calls.h
@@ -39,7 +39,8 @@
 
 /*
  * Sends a request to http://ADDRESS and PATH. The caller sets method, headers,
- * body, timeout_ms and fresh_connection; the function sets the other fields.
+ * body, timeout_ms and fresh_connection; the function sets the other fields,
+ * max_answer_bytes only if it is 0.
  * The connect timeout is never longer than that of the whole call.
  */
 void cq_http_calls_send(struct cq_http_calls *calls, const char *address,
--- a/src/protocol/store.c
+++ b/src/protocol/store.c
@@ -8,6 +8,7 @@
 	[CQ_STORE_UNKNOWN] = "unknown",
 	[CQ_STORE_INVALID] = "invalid",
 	[CQ_STORE_COMPACTED] = "compacted",
+	[CQ_STORE_TOO_LARGE] = "too_large",
 };
 
 const char *cq_store_status_string(enum cq_store_status status)
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -50,6 +50,7 @@
 	GByteArray *answer;
 	uint32_t max_answer_bytes;
 	bool limit_reached;
+	bool too_large;
 	/* Limits the time without progress; NULL: only the whole time. */
 	struct http_progress *progress;
 	bool (*may_send)(void *ctx);
@@ -262,8 +263,10 @@
 
 	if (call->progress)
 		http_progress_received(call->progress);
-	if (call->answer->len + size * n > call->max_answer_bytes)
+	if (call->answer->len + size * n > call->max_answer_bytes) {
+		call->too_large = true;
 		return 0;
+	}
 	g_byte_array_append(call->answer, (const guint8 *)data,
 			    (guint)(size * n));
 	return size * n;
@@ -376,6 +379,8 @@
 		result.connection_limit_reached = call->limit_reached &&
 						  !written;
 		result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
+		result.too_large = call->too_large ||
+				   code == CURLE_FILESIZE_EXCEEDED;
 		result.error = written && code == CURLE_ABORTED_BY_CALLBACK
 				       ? "the connection ended before an answer"
 				       : curl_easy_strerror(code);
@@ -457,6 +462,8 @@
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
 	if (request->max_silence_ms)
 		limit_silence(call, request);
+	curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE,
+			 (curl_off_t)call->max_answer_bytes);
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
--- a/src/transport/http_progress.c
+++ b/src/transport/http_progress.c
@@ -94,6 +94,8 @@
 	return CURL_SOCKOPT_OK;
 }
 
+/* The parameters are those of libcurl. */
+/* NOLINTNEXTLINE(readability-non-const-parameter) */
 static size_t on_header(char *data, size_t size, size_t n, void *userdata)
 {
 	(void)data;
--- a/tests/standins/fake-platform/store.c
+++ b/tests/standins/fake-platform/store.c
@@ -43,6 +43,7 @@
 	case CQ_STORE_NOT_FOUND:
 		return 404;
 	case CQ_STORE_COMPACTED:
+	case CQ_STORE_TOO_LARGE:
 		return 410;
 	default:
 		return 503;
--- a/tests/support/mem_store.c
+++ b/tests/support/mem_store.c
@@ -124,6 +124,34 @@
 	return k;
 }
 
+static bool is_too_large(const struct mem_call *call)
+{
+	uint64_t bytes = 0;
+	guint i;
+
+	for (i = 0; i < call->entries->len; i++) {
+		const struct cq_store_entry *entry =
+			&g_array_index(call->entries, struct cq_store_entry, i);
+
+		bytes += strlen(entry->key) + entry->value_len;
+	}
+	return call->max_bytes && bytes > call->max_bytes;
+}
+
+/* Ends a watch with the changes that have been collected for it. */
+static void end_watch(struct mem_call *call)
+{
+	bool too_large = is_too_large(call);
+
+	if (too_large)
+		g_array_set_size(call->entries, 0);
+	call->result.revision = call->store->revision;
+	g_clear_pointer(&call->prefix, g_free);
+	ev_timer_stop(call->store->loop, &call->timer);
+	ev_timer_set(&call->timer, 0., 0.);
+	complete(call, too_large ? CQ_STORE_TOO_LARGE : CQ_STORE_OK);
+}
+
 static void wake_watches(struct mem_store *s)
 {
 	guint i, k;
@@ -142,13 +170,8 @@
 				add_entry(call, event->key, event->value,
 					  event->revision, 0);
 		}
-		if (!call->entries->len)
-			continue;
-		call->result.revision = s->revision;
-		g_clear_pointer(&call->prefix, g_free);
-		ev_timer_stop(s->loop, &call->timer);
-		ev_timer_set(&call->timer, 0., 0.);
-		complete(call, CQ_STORE_OK);
+		if (call->entries->len)
+			end_watch(call);
 	}
 }
 
@@ -311,15 +334,17 @@
 	struct list_search search = { call_create(s, done, ctx), prefix };
 
 	(void)timeout_ms;
+	s->list_count++;
 	if (fail_if_faulty(search.call))
 		return (struct cq_store_call *)search.call;
 	g_tree_foreach(s->items, add_prefixed_entry, &search);
 	return complete(search.call, CQ_STORE_OK);
 }
 
-static struct cq_store_call *mem_watch(void *self, const char *prefix,
-				       int64_t after_revision, uint32_t wait_ms,
-				       cq_store_done_fn *done, void *ctx)
+static struct cq_store_call *
+mem_watch_limited(void *self, const char *prefix, int64_t after_revision,
+		  uint32_t wait_ms, uint64_t max_bytes, cq_store_done_fn *done,
+		  void *ctx)
 {
 	struct mem_store *s = self;
 	struct mem_call *call = call_create(s, done, ctx);
@@ -334,12 +359,21 @@
 		return complete(call, CQ_STORE_COMPACTED);
 	call->prefix = g_strdup(prefix);
 	call->after_revision = after_revision;
+	call->max_bytes = max_bytes;
 	ev_timer_set(&call->timer, wait_ms / 1000.0, 0.);
 	complete(call, CQ_STORE_OK);
 	wake_watches(s);
 	return (struct cq_store_call *)call;
 }
 
+static struct cq_store_call *mem_watch(void *self, const char *prefix,
+				       int64_t after_revision, uint32_t wait_ms,
+				       cq_store_done_fn *done, void *ctx)
+{
+	return mem_watch_limited(self, prefix, after_revision, wait_ms, 0, done,
+				 ctx);
+}
+
 bool mem_store_checks_hold(const struct mem_store *s,
 			   const struct cq_store_txn *txn)
 {
@@ -546,6 +580,7 @@
 	.lease_keepalive = mem_lease_keepalive,
 	.lease_revoke = mem_lease_revoke,
 	.watch = mem_watch,
+	.watch_limited = mem_watch_limited,
 	.cancel = mem_cancel,
 	.commit = mem_commit,
 };
--- a/tests/support/mem_store.h
+++ b/tests/support/mem_store.h
@@ -70,6 +70,8 @@
 void mem_store_set_deaf_watches(struct mem_store *s, bool deaf);
 /* Drops the history and ends all watches with CQ_STORE_COMPACTED. */
 void mem_store_compact(struct mem_store *s);
+/* Number of lists received. */
+uint32_t mem_store_lists(const struct mem_store *s);
 /* Number of transactions and puts executed, and of all calls received. */
 uint32_t mem_store_changes(const struct mem_store *s);
 uint32_t mem_store_calls(const struct mem_store *s);
--- a/tests/support/mem_store_internal.h
+++ b/tests/support/mem_store_internal.h
@@ -28,6 +28,7 @@
 	/* Set for an open watch only. */
 	char *prefix;
 	int64_t after_revision; /* of the last event already seen */
+	uint64_t max_bytes;	/* 0: no limit */
 };
 
 /* A copy of a transaction whose execution is delayed. */
@@ -58,7 +59,7 @@
 	bool deaf_watches;
 	size_t max_value_bytes; /* 0: no limit */
 	uint32_t refused_count;
-	uint32_t change_count, call_count;
+	uint32_t change_count, list_count, call_count;
 };
 
 /* Whether all checks of the transaction match the current revisions. */
--- a/tests/support/mem_store_queries.c
+++ b/tests/support/mem_store_queries.c
@@ -20,6 +20,11 @@
 	return item ? item->lease_id : 0;
 }
 
+uint32_t mem_store_lists(const struct mem_store *s)
+{
+	return s->list_count;
+}
+
 uint32_t mem_store_changes(const struct mem_store *s)
 {
 	return s->change_count;
--- a/tests/support/narrow_store.c
+++ b/tests/support/narrow_store.c
@@ -314,13 +314,11 @@
 void narrow_store_write(struct narrow_store *s, size_t value_bytes)
 {
 	struct version version = { .revision = narrow_store_revision(s) + 1 };
-	char *text = g_strnfill(value_bytes, 'x');
-	char *number = g_strdup_printf("%" PRId64, version.revision);
+	char *text = g_strdup_printf("%0*" PRId64, (int)value_bytes,
+				     version.revision);
 
-	memcpy(text, number, MIN(strlen(number), value_bytes));
 	version.value = g_base64_encode((const guchar *)text, value_bytes);
 	g_array_append_val(s->versions, version);
-	g_free(number);
 	g_free(text);
 }
 
--- a/tests/unit/test_narrow_link.c
+++ b/tests/unit/test_narrow_link.c
@@ -19,6 +19,8 @@
 #define SMALL_BYTES 600
 /* Takes two seconds on the link, as text of the answer. */
 #define LARGE_BYTES 600000
+#define VERSION_BYTES 150000
+#define VERSIONS 8
 #define NEVER_MS 600000
 
 struct fixture {
@@ -176,6 +178,27 @@
 	fixture_close(&f);
 }
 
+/*
+ * Guards against CONFIG of a host that was away: it received each version that
+ * it had missed, one after the other, though it needs the newest one only.
+ */
+static void test_many_versions(void)
+{
+	struct fixture f;
+	uint64_t before;
+	int i;
+
+	fixture_open(&f, VERSION_BYTES);
+	before = narrow_store_sent_bytes(f.server);
+	for (i = 0; i < VERSIONS; i++)
+		narrow_store_write(f.server, VERSION_BYTES);
+	g_assert_true(wait_for(f.loop, has_newest, &f));
+	g_assert_cmpuint(f.changed, ==, 2);
+	g_assert_cmpuint(narrow_store_sent_bytes(f.server) - before, <,
+			 VERSION_BYTES * 3);
+	fixture_close(&f);
+}
+
 static void on_committed(void *ctx, const struct cq_store_result *result)
 {
 	struct fixture *f = ctx;
@@ -238,6 +261,7 @@
 			test_contact_in_transfer);
 	g_test_add_func("/narrow_link/slow_transfer_after_compaction",
 			test_slow_transfer_after_compaction);
+	g_test_add_func("/narrow_link/many_versions", test_many_versions);
 	g_test_add_func("/narrow_link/slow_upload", test_slow_upload);
 	g_test_add_func("/narrow_link/silent_in_answer", test_silent_in_answer);
 	g_test_add_func("/narrow_link/silent_watch", test_silent_watch);
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -63,6 +63,29 @@
 	platform_fixture_close(&f);
 }
 
+/* Guards against a watch that reads more than its caller asked for. */
+static void test_store_limited_watch(void)
+{
+	struct platform_fixture f;
+	const struct cq_store *s;
+
+	platform_fixture_open(&f);
+	s = platform_fixture_store(&f);
+	f.body = "{\"events\":[{\"key\":\"m/a\",\"value\":\"b25l\","
+		 "\"revision\":5}],\"atRev\":6}";
+	s->ops->watch_limited(s->self, "m/", 4, 100, strlen(f.body),
+			      platform_fixture_on_result, &f);
+	platform_fixture_await(&f);
+	g_assert_cmpint(f.result.status, ==, CQ_STORE_OK);
+	g_assert_cmpstr(f.entries, ==, "m/a=one@5,0;");
+	s->ops->watch_limited(s->self, "m/", 4, 100, strlen(f.body) / 2,
+			      platform_fixture_on_result, &f);
+	platform_fixture_await(&f);
+	g_assert_cmpint(f.result.status, ==, CQ_STORE_TOO_LARGE);
+	g_assert_cmpstr(f.entries, ==, "");
+	platform_fixture_close(&f);
+}
+
 /* Guards against a list with missing pages or a later page's revision. */
 static void test_store_pages(void)
 {
@@ -212,6 +235,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform_store/store_calls", test_store_calls);
 	g_test_add_func("/platform_store/store_pages", test_store_pages);
+	g_test_add_func("/platform_store/store_limited_watch",
+			test_store_limited_watch);
 	g_test_add_func("/platform_store/store_odd_lists",
 			test_store_odd_lists);
 	g_test_add_func("/platform_store/store_answers", test_store_answers);
