--- a/Makefile
+++ b/Makefile
@@ -134,7 +134,7 @@
 	@rm -f $@
 	$(Q)ar rcs $@ $^
 
-$(B)/bench/%: $(B)/bench/%.o $(BENCH_LIB) $(TEST_LIB) $(LIB)
+$(B)/bench/%: $(B)/bench/%.o $(BENCH_LIB) $(TEST_LIB) $(PLATFORM_OBJ) $(LIB)
 	@echo "  LINK $@"
 	$(Q)$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS_ALL)
 
--- a/tests/support/narrow_store.c
+++ b/tests/support/narrow_store.c
@@ -14,8 +14,11 @@
 
 #define TICK_S 0.005
 #define BACKLOG 32
-/* Small, as on the users' links; a large one would hide the bandwidth. */
-#define SOCKET_BUFFER_BYTES 16384
+/*
+ * Small, as on the users' links: a large one would hide the bandwidth. A fast
+ * link has room for what it carries in a tick.
+ */
+#define MIN_BUFFER_BYTES 16384
 #define BLANK_LINE "\r\n\r\n"
 
 struct version {
@@ -183,7 +186,7 @@
 /* Receives at most so many bytes; false if the peer has closed. */
 static bool receive(struct connection *c, uint32_t *budget)
 {
-	char buffer[SOCKET_BUFFER_BYTES];
+	char buffer[MIN_BUFFER_BYTES];
 	ssize_t len;
 
 	if (!*budget)
@@ -246,7 +249,7 @@
 static void on_accept(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	struct narrow_store *s = watcher->data;
-	int bytes = SOCKET_BUFFER_BYTES;
+	int bytes = (int)MAX(MIN_BUFFER_BYTES, s->bytes_per_tick);
 	int fd = accept(watcher->fd, NULL, NULL);
 	struct connection *c;
 
