workers: limit the time without progress of their answers (LOST, TWICE)

A heartbeat's answer lists all runs of its worker. It had a second beyond the wait for the whole transfer and 4 MB, so that a long list on a leader's narrow link, or some 60,000 tasks of a thousandth of a core, counted as no answer each time: the lease lapses, the runs end and begin anew elsewhere.

A worker that goes silent is given up as before.

--- a/src/protocol/http_calls.c
+++ b/src/protocol/http_calls.c
@@ -55,6 +55,8 @@
 	full_request.url = url;
 	full_request.connect_timeout_ms =
 		MIN(calls->options.connect_timeout_ms, request->timeout_ms);
+	full_request.max_silence_ms =
+		MIN(calls->options.max_silence_ms, request->timeout_ms);
 	if (!full_request.max_answer_bytes)
 		full_request.max_answer_bytes = calls->options.max_answer_bytes;
 	entry->calls = calls;
--- a/src/protocol/http_calls.h
+++ b/src/protocol/http_calls.h
@@ -27,6 +27,11 @@
 struct cq_http_calls_options {
 	uint32_t connect_timeout_ms;
 	uint32_t max_answer_bytes;
+	/*
+	 * Limit of the time on which nothing arrives once an answer has begun;
+	 * 0: the timeout of a call is that of the whole call.
+	 */
+	uint32_t max_silence_ms;
 	cq_http_calls_done_fn *done;
 	GDestroyNotify free_entry; /* frees the adapter's structure */
 };
--- a/src/transport/http_progress.c
+++ b/src/transport/http_progress.c
@@ -98,8 +98,12 @@
 /* NOLINTNEXTLINE(readability-non-const-parameter) */
 static size_t on_header(char *data, size_t size, size_t n, void *userdata)
 {
+	struct http_progress *p = userdata;
+
 	(void)data;
-	http_progress_received(userdata);
+	/* The fields of a header arrive together. */
+	if (!p->receiving)
+		http_progress_received(p);
 	return size * n;
 }
 
--- a/tests/support/narrow_store.h
+++ b/tests/support/narrow_store.h
@@ -31,6 +31,8 @@
 /* Bytes sent in all, and requests received with this path's beginning. */
 uint64_t narrow_store_sent_bytes(const struct narrow_store *s);
 uint32_t narrow_store_lists(const struct narrow_store *s);
+/* The answer to requests that are neither a list nor a watch; it is copied. */
+void narrow_store_set_answer(struct narrow_store *s, const char *body);
 /* Length of the longest request body that was received as a whole. */
 size_t narrow_store_longest_body(const struct narrow_store *s);
 
