protocol: the same limits for the calls of cq-entryd and cq-schedd

Their store, workers and host list had a limit of the whole call as well, so that settings, jobs or syncs that take longer than that on a link were cut off and asked for again. Calls to endpoints keep the limit of the whole call: it is the caller's deadline.

Found by reading, not seen in a run.

--- a/src/protocol/host_list_http.c
+++ b/src/protocol/host_list_http.c
@@ -58,6 +58,7 @@
 	static const struct cq_http_calls_options calls = {
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.max_answer_bytes = MAX_ANSWER_BYTES,
+		.max_silence_ms = CQ_HTTP_MAX_SILENCE_MS,
 		.done = on_done,
 		.free_entry = g_free,
 	};
--- a/src/protocol/http_calls.h
+++ b/src/protocol/http_calls.h
@@ -9,6 +9,9 @@
 
 #include "chestnutquay/http_client.h"
 
+/* An answer on which nothing arrives for this long is given up. */
+#define CQ_HTTP_MAX_SILENCE_MS 700
+
 struct cq_http_calls;
 
 /*
--- a/src/protocol/worker_http.c
+++ b/src/protocol/worker_http.c
@@ -287,6 +287,7 @@
 	static const struct cq_http_calls_options calls = {
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.max_answer_bytes = MAX_ANSWER_BYTES,
+		.max_silence_ms = CQ_HTTP_MAX_SILENCE_MS,
 		.done = on_done,
 		.free_entry = g_free,
 	};
--- a/tests/unit/test_narrow_link.c
+++ b/tests/unit/test_narrow_link.c
@@ -8,6 +8,7 @@
 
 #include "chestnutquay/follower.h"
 #include "chestnutquay/http_client.h"
+#include "chestnutquay/store_http.h"
 #include "platform/executor_http.h"
 #include "platform/kv_store.h"
 #include "tests/support/narrow_store.h"
@@ -24,7 +25,7 @@
 #define VERSION_BYTES 150000
 #define VERSIONS 8
 #define NEVER_MS 600000
-#define HEARTBEAT_TIMEOUT_MS 1000
+#define CALL_TIMEOUT_MS 1000
 
 struct fixture {
 	struct ev_loop *loop;
@@ -219,7 +220,7 @@
 	fixture_close(&f);
 }
 
-static void on_committed(void *ctx, const struct cq_store_result *result)
+static void on_result(void *ctx, const struct cq_store_result *result)
 {
 	struct fixture *f = ctx;
 
@@ -241,7 +242,7 @@
 
 	open_store(&f, LINK_BYTES_PER_S);
 	store = cq_kv_store_get(f.kv);
-	store->ops->commit(store->self, &txn, LIST_TIMEOUT_MS / 2, on_committed,
+	store->ops->commit(store->self, &txn, LIST_TIMEOUT_MS / 2, on_result,
 			   &f);
 	g_assert_true(wait_for(f.loop, is_done, &f));
 	g_assert_cmpint(f.status, ==, CQ_STORE_OK);
@@ -301,7 +302,7 @@
 	executor = cq_executor_http_create(f.client, always, &f);
 	cq_executor_http_get(executor)->ops->heartbeat(
 		cq_executor_http_get(executor)->self, &target, &heartbeat,
-		HEARTBEAT_TIMEOUT_MS, on_report, &f);
+		CALL_TIMEOUT_MS, on_report, &f);
 	g_assert_true(wait_for(f.loop, is_done, &f));
 	g_assert_cmpuint(f.running, ==, c->silent_after ? 0 : c->runs);
 	cq_executor_http_destroy(executor);
@@ -309,6 +310,31 @@
 	fixture_close(&f);
 }
 
+/* Guards against the same of the store of cq-entryd and cq-schedd. */
+static void test_slow_list(void)
+{
+	struct fixture f;
+	struct cq_store_http *http;
+	const struct cq_store *store;
+	char *value = g_strnfill(LARGE_BYTES, 'x');
+	char *answer =
+		g_strdup_printf("{\"revision\":9,\"entries\":[{\"key\":\"a/b\","
+				"\"value\":\"%s\",\"revision\":7}]}",
+				value);
+
+	open_store(&f, LINK_BYTES_PER_S);
+	narrow_store_set_answer(f.server, answer);
+	http = cq_store_http_create(f.client, narrow_store_address(f.server));
+	store = cq_store_http_get(http);
+	store->ops->list(store->self, "a/", CALL_TIMEOUT_MS, on_result, &f);
+	g_assert_true(wait_for(f.loop, is_done, &f));
+	g_assert_cmpint(f.status, ==, CQ_STORE_OK);
+	cq_store_http_destroy(http);
+	g_free(answer);
+	g_free(value);
+	fixture_close(&f);
+}
+
 static void on_expired(void *ctx)
 {
 	((struct fixture *)ctx)->done = true;
@@ -347,6 +373,7 @@
 			test_slow_transfer_after_compaction);
 	g_test_add_func("/narrow_link/many_versions", test_many_versions);
 	g_test_add_func("/narrow_link/slow_upload", test_slow_upload);
+	g_test_add_func("/narrow_link/slow_list", test_slow_list);
 	g_test_add_func("/narrow_link/silent_in_answer", test_silent_in_answer);
 	g_test_add_func("/narrow_link/silent_watch", test_silent_watch);
 	return g_test_run();
