--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 #
 #   make            library, programs and the stand-ins for tests
 #   make check      all tests
-#   make lint       clang-format, clang-tidy, cppcheck
+#   make lint       check-bounds, clang-format, clang-tidy, cppcheck
 #   make bench      all benchmarks, one JSON object per line
 #   make replay     compares placement policies on job traces, as tables
 #   make demo       the whole system on loopback
@@ -196,7 +196,8 @@
 	clang-format -i $(C_FILES)
 
 lint:
-	@echo "  FORMAT, TIDY, CPPCHECK"
+	@echo "  BOUNDS, FORMAT, TIDY, CPPCHECK"
+	@scripts/check-bounds
 	@clang-format --dry-run -Werror $(C_FILES)
 	@printf '%s\n' $(TIDY_FILES) | xargs -P 10 -I{} clang-tidy --quiet {} \
 		-- $(CPPFLAGS) -std=gnu11 $(PKG_CFLAGS) 2>/dev/null
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -111,6 +111,45 @@
 	}
 }
 
+/*
+ * Guards against a job that is larger than the leader can carry, and against
+ * one at the limits that is refused.
+ */
+static void test_workload_limits(void)
+{
+	static const struct {
+		uint32_t steps, tasks;
+		size_t spec_bytes;
+		const char *message; /* NULL: the job is taken */
+	} cases[] = {
+		{ 64, 1, 0, NULL },
+		{ 65, 1, 0, "65 steps; allowed are 1 to 64" },
+		{ 2, 10000, 0, NULL },
+		{ 1, 20001, 0, "20001 tasks; at most 20000 are allowed" },
+		{ 2, 4294967295, 0,
+		  "8589934590 tasks; at most 20000 are allowed" },
+		{ 1, 1, 4000, NULL },
+		{ 1, 1, 4001, "spec is missing or longer than 4000 bytes" },
+	};
+	size_t i;
+	uint32_t k;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cq_workload *w = make_workload(cases[i].steps);
+		struct cq_error err = CQ_ERROR_INIT;
+
+		for (k = 0; k < w->step_count; k++)
+			w->steps[k].tasks = cases[i].tasks;
+		g_free(w->spec);
+		w->spec = g_strnfill(cases[i].spec_bytes, 'x');
+		g_assert_cmpint(cq_workload_check(w, &err), ==,
+				!cases[i].message);
+		g_assert_cmpstr(err.message, ==,
+				cases[i].message ? cases[i].message : "");
+		cq_workload_destroy(w);
+	}
+}
+
 /* Guards against malformed or foreign task names that resolve to a task. */
 static void test_names(void)
 {
@@ -384,6 +423,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/batch/workload_round_trip", test_workload_round_trip);
 	g_test_add_func("/batch/bad_workloads", test_bad_workloads);
+	g_test_add_func("/batch/workload_limits", test_workload_limits);
 	g_test_add_func("/batch/names", test_names);
 	g_test_add_func("/batch/order", test_order);
 	g_test_add_func("/batch/gang_failures", test_gang_failures);
--- a/tests/unit/test_platform_documents.c
+++ b/tests/unit/test_platform_documents.c
@@ -55,6 +55,9 @@
 		  "settings: field \"zone\" is" },
 		{ "{\"nodeName\":\"a\",\"zone\":\"b\"}",
 		  "settings: field \"front\" is" },
+		{ "{\"nodeName\":\"a\",\"zone\":\"b\",\"listen\":"
+		  "{\"front\":\"10.1.0.19:8521000000000000000000000\"}}",
+		  "settings: field \"front\" is" },
 	};
 	size_t i;
 
--- a/tests/unit/test_transport.c
+++ b/tests/unit/test_transport.c
@@ -12,6 +12,10 @@
 #include "transport/frame.h"
 
 /* A test fails if a condition is not reached in this time. */
+#define MAX_BODY_BYTES 1000
+#define MAX_TOTAL_BODY_BYTES 1500
+/* More than the server keeps of a request's header */
+#define LONG_HEADER_BYTES 40000
 #define WAIT_TIMEOUT_S 10.0
 
 struct fixture {
@@ -93,7 +97,8 @@
 	(void)data;
 	f->loop = ev_loop_new(0);
 	cq_http_server_options_init(&options, "127.0.0.1", 0);
-	options.max_body_bytes = 1000;
+	options.max_body_bytes = MAX_BODY_BYTES;
+	options.max_total_body_bytes = MAX_TOTAL_BODY_BYTES;
 	f->server = cq_http_server_create(f->loop, &options, &handler, f, &err);
 	g_assert_cmpint(err.code, ==, CQ_OK);
 	f->client = cq_http_client_create(f->loop, 4, 4);
@@ -227,6 +232,49 @@
 	g_assert_nonnull(strstr(f->body, "body_too_large"));
 }
 
+/* Guards against bodies of several requests that take any memory together. */
+static void test_total_body_limit(struct fixture *f, gconstpointer data)
+{
+	char body[MAX_BODY_BYTES];
+
+	(void)data;
+	memset(body, 'x', sizeof(body));
+	post(f, "/hold", body, sizeof(body), 5000);
+	run_until(f->loop, &f->handled, 1);
+	post(f, "/echo", body, sizeof(body), 5000);
+	run_until(f->loop, &f->done, 1);
+	g_assert_cmpuint(f->status, ==, 503);
+	g_assert_cmpuint(f->handled, ==, 1);
+	cq_http_exchange_respond_json(f->pending, 200, "{}");
+	run_until(f->loop, &f->done, 2);
+	post(f, "/echo", body, sizeof(body), 5000);
+	run_until(f->loop, &f->done, 3);
+	g_assert_cmpuint(f->status, ==, 200);
+}
+
+/* Guards against a request whose header fields take any memory. */
+static void test_header_limit(struct fixture *f, gconstpointer data)
+{
+	char *value = g_strnfill(LONG_HEADER_BYTES, 'x');
+	char *url = g_strdup_printf("http://127.0.0.1:%u/echo",
+				    cq_http_server_port(f->server));
+	const struct cq_http_header headers[] = { { "X-Long", value },
+						  { NULL, NULL } };
+	struct cq_http_request request = { .method = "GET",
+					   .url = url,
+					   .headers = headers,
+					   .connect_timeout_ms = 1000,
+					   .timeout_ms = 5000 };
+
+	(void)data;
+	cq_http_client_send(f->client, &request, done, f);
+	run_until(f->loop, &f->done, 1);
+	g_assert_cmpuint(f->handled, ==, 0);
+	g_assert_cmpuint(f->status, ==, 431);
+	g_free(url);
+	g_free(value);
+}
+
 /* Guards against reporting a request as not sent after it was written. */
 static void test_timeout_is_unknown(struct fixture *f, gconstpointer data)
 {
@@ -617,6 +665,8 @@
 	HTTP_TEST("echo", test_echo);
 	HTTP_TEST("late_answer", test_late_answer);
 	HTTP_TEST("body_limit", test_body_limit);
+	HTTP_TEST("total_body_limit", test_total_body_limit);
+	HTTP_TEST("header_limit", test_header_limit);
 	HTTP_TEST("timeout_is_unknown", test_timeout_is_unknown);
 	HTTP_TEST("refused_is_not_sent", test_refused_is_not_sent);
 	HTTP_TEST("address_in_use", test_address_in_use);
