--- a/include/chestnutquay/follower.h
+++ b/include/chestnutquay/follower.h
@@ -31,7 +31,7 @@
 	const struct cq_clock *clock;
 	const char *prefix;
 	uint32_t wait_ms; /* how long one watch call waits for a change */
-	/* Time limit for one page of a list, which may hold a megabyte. */
+	/* Time limit until a page of a list begins to arrive. */
 	uint32_t list_timeout_ms;
 };
 
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -14,7 +14,7 @@
  * new jobs and workers that leave.
  */
 #define WATCH_WAIT_MS 300
-/* A list page of a megabyte takes most of a second at 10 Mbit/s. */
+/* Until a page begins to arrive: a store under load may be slow to read it. */
 #define LIST_TIMEOUT_MS 6000
 /* A refused record is written again after this time, if nothing changed it. */
 #define REFUSED_RETRY_NS (INT64_C(5) * CQ_NS_PER_S)
--- a/src/coordination/follower.c
+++ b/src/coordination/follower.c
@@ -13,9 +13,9 @@
 #define PROBE_WAIT_MS 1
 /*
  * A watch may hear nothing while other calls are answered. So the first thing
- * after a watch without an answer is a list, with this timeout of a page, but
- * not more often than this: a slow store must not be asked for all keys again
- * and again.
+ * after a watch without an answer is a list, with this time limit until a page
+ * begins to arrive, but not more often than this: a slow store must not be
+ * asked for all keys again and again.
  */
 #define RELIST_TIMEOUT_MS 700
 #define RELIST_INTERVAL_NS (INT64_C(5) * CQ_NS_PER_S)
--- a/src/protocol/http_calls.h
+++ b/src/protocol/http_calls.h
@@ -31,8 +31,8 @@
 	uint32_t connect_timeout_ms;
 	uint32_t max_answer_bytes;
 	/*
-	 * Limit of the time on which nothing arrives once an answer has begun;
-	 * 0: the timeout of a call is that of the whole call.
+	 * See struct cq_http_request; 0: the timeout of a call is that of the
+	 * whole call.
 	 */
 	uint32_t max_silence_ms;
 	cq_http_calls_done_fn *done;
@@ -47,9 +47,9 @@
 
 /*
  * Sends a request to http://ADDRESS and PATH. The caller sets method, headers,
- * body, timeout_ms and fresh_connection; the function sets the other fields,
- * max_answer_bytes only if it is 0.
- * The connect timeout is never longer than that of the whole call.
+ * body, timeout_ms and fresh_connection, and max_answer_bytes for a limit of
+ * its own; the function sets the other fields. The connect timeout is never
+ * longer than timeout_ms.
  */
 void cq_http_calls_send(struct cq_http_calls *calls, const char *address,
 			const char *path, const struct cq_http_request *request,
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -418,8 +418,7 @@
 	g_free(call);
 }
 
-/* Replaces the limit of the whole time by limits of the time without progress.
- */
+/* Limits the time without progress, in place of the time of the whole call. */
 static void limit_silence(struct cq_http_call *call,
 			  const struct cq_http_request *request)
 {
