--- a/tests/support/mem_store.c
+++ b/tests/support/mem_store.c
@@ -266,33 +266,6 @@
 	}
 }
 
-void mem_store_set_delay(struct mem_store *s, double delay_s)
-{
-	s->delay_s = delay_s;
-}
-
-void mem_store_fail_changes(struct mem_store *s, enum mem_store_fault fault,
-			    int count)
-{
-	s->change_fault = fault;
-	s->fault_count = count;
-}
-
-void mem_store_set_max_value(struct mem_store *s, size_t bytes)
-{
-	s->max_value_bytes = bytes;
-}
-
-uint32_t mem_store_refused_changes(const struct mem_store *s)
-{
-	return s->refused_count;
-}
-
-void mem_store_fail_all(struct mem_store *s, enum mem_store_fault fault)
-{
-	s->fault = fault;
-}
-
 static struct cq_store_call *mem_get(void *self, const char *key,
 				     uint32_t timeout_ms,
 				     cq_store_done_fn *done, void *ctx)
--- a/tests/support/mem_store_queries.c
+++ b/tests/support/mem_store_queries.c
@@ -1,4 +1,4 @@
-/* Queries on the state of the in-memory store, for tests. */
+/* Queries on the state of the in-memory store, and its settings, for tests. */
 #include "mem_store_internal.h"
 
 const char *mem_store_read(const struct mem_store *s, const char *key)
@@ -34,3 +34,30 @@
 {
 	return s->call_count;
 }
+
+void mem_store_set_delay(struct mem_store *s, double delay_s)
+{
+	s->delay_s = delay_s;
+}
+
+void mem_store_fail_changes(struct mem_store *s, enum mem_store_fault fault,
+			    int count)
+{
+	s->change_fault = fault;
+	s->fault_count = count;
+}
+
+void mem_store_set_max_value(struct mem_store *s, size_t bytes)
+{
+	s->max_value_bytes = bytes;
+}
+
+uint32_t mem_store_refused_changes(const struct mem_store *s)
+{
+	return s->refused_count;
+}
+
+void mem_store_fail_all(struct mem_store *s, enum mem_store_fault fault)
+{
+	s->fault = fault;
+}
