--- a/review/standin-3/cases.c
+++ b/review/standin-3/cases.c
@@ -1,6 +1,7 @@
 /* The cases that are scripts, see the claim.txt of each. */
 #include "cases.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -346,3 +347,103 @@
 	client_call(w, 0, "GET", "/batch/", job, NULL, NULL);
 	wait_ms(w, 500);
 }
+
+#define HALF_DAY_MS (INT64_C(12) * 3600 * 1000)
+#define EVERY_MS 3000
+#define SMALL_JOBS 10
+#define MAX_TRIES 5
+
+static int tries[SMALL_JOBS];
+static bool known[SMALL_JOBS];
+
+static void send_small_job(struct world *w, int k);
+
+/* After no answer, a 503 or a 504 the client asks the next host. */
+static void on_small_job(struct world *w, const char *id, int status,
+			 const char *body)
+{
+	int k = (int)strtol(id + strlen(id) - 2, NULL, 16);
+
+	(void)body;
+	known[k] |= status == 200;
+	if (status != 200 && tries[k] < MAX_TRIES)
+		send_small_job(w, k);
+}
+
+static void send_small_job(struct world *w, int k)
+{
+	char id[32];
+
+	g_snprintf(id, sizeof(id), "5c0e7a21d94b36%02x", k);
+	client_call(w, (k + tries[k]++) % w->host_count, "POST", "/urgent/", id,
+		    "{\"spec\":\"ms=90000\",\"steps\":[{\"count\":1,"
+		    "\"cpu\":1000,\"memMb\":256,\"gpus\":1,"
+		    "\"estimatedMs\":90000}]}",
+		    on_small_job);
+}
+
+/* Of the small jobs that were accepted, those that nothing runs of */
+static int idle_small_jobs(const struct world *w)
+{
+	int idle = 0;
+	char id[32];
+	int k;
+
+	for (k = 0; k < SMALL_JOBS; k++) {
+		g_snprintf(id, sizeof(id), "5c0e7a21d94b36%02x", k);
+		idle += known[k] && !runs_of(w, id);
+	}
+	return idle;
+}
+
+/*
+ * LOST: two timed jobs come whose first runs were due twelve hours ago. Then
+ * ten small jobs come.
+ */
+void case_overdue(struct world *w, const char *program, bool trouble)
+{
+	int64_t first_ms = g_get_real_time() / 1000 - HALF_DAY_MS;
+	char body[512], id[32];
+	int i, k, count = 0;
+
+	for (i = 0; i < 16; i++)
+		minion_open(w, 128000, 524288, GPUS);
+	open_world(w, program, MAX_HOSTS);
+	g_snprintf(
+		body, sizeof(body),
+		"{\"spec\":\"ms=1000\",\"maxRuns\":%d,\"firstRunMs\":%" PRId64
+		",\"intervalMs\":%d,\"steps\":[{\"count\":1,\"cpu\":4,"
+		"\"memMb\":18,\"estimatedMs\":1000}]}",
+		trouble ? (int)(HALF_DAY_MS / EVERY_MS) : 4, first_ms,
+		EVERY_MS);
+	for (i = 0; i < 2; i++) {
+		g_snprintf(id, sizeof(id), "aaaaaaaaaaaaaaa%d", i);
+		client_call(w, i, "POST", "/batch/", id, body, on_accepted);
+	}
+	wait_ms(w, 1000);
+	if (accepted != 2)
+		w->failed = true;
+	for (k = 0; k < SMALL_JOBS; k++) {
+		send_small_job(w, k);
+		wait_ms(w, 500);
+	}
+	wait_ms(w, 5000);
+	for (k = 0; k < SMALL_JOBS; k++)
+		count += known[k];
+	world_note(w, "check   %d small jobs were accepted", count);
+	if (!count)
+		w->failed = true;
+	wait_ms(w, FINISH_MS);
+	/* For 3 s */
+	for (k = 0; k < 4; k++) {
+		world_note(w, "check   %d of them have nothing running",
+			   idle_small_jobs(w));
+		if (!idle_small_jobs(w))
+			return;
+		wait_ms(w, 1000);
+	}
+	w->broken = true;
+	wait_ms(w, 30000);
+	world_note(w, "check   30 s later %d of them have nothing running",
+		   idle_small_jobs(w));
+}
--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -17,6 +17,7 @@
 
 void case_route(struct world *w, const char *program, bool trouble);
 void case_headroom(struct world *w, const char *program, bool trouble);
+void case_overdue(struct world *w, const char *program, bool trouble);
 void case_pending(struct world *w, const char *program, bool trouble);
 
 #endif
--- a/review/standin-3/main.c
+++ b/review/standin-3/main.c
@@ -14,9 +14,10 @@
 	const char *name;
 	void (*play)(struct world *w, const char *program, bool trouble);
 } cases[] = {
-	{ "spread", case_spread },     { "starve", case_starve },
-	{ "cancel", case_cancel },     { "pending", case_pending },
-	{ "headroom", case_headroom }, { "route", case_route },
+	{ "overdue", case_overdue }, { "spread", case_spread },
+	{ "starve", case_starve },   { "cancel", case_cancel },
+	{ "pending", case_pending }, { "headroom", case_headroom },
+	{ "route", case_route },
 };
 
 static void on_wait(struct ev_loop *loop, ev_timer *timer, int events)
