Measure the turns of the event loop

Cause: a leader that loses its lease by its own slowness leaves leader_renewal_failed and leader_deposed, the same as behind a slow store.

Change: cq_loop_turn_seconds, cq_loop_longest_turn_us, and loop_turn_long for turns of 250 ms or more, one line a second at most. Without the metric test_loop_turn does not build. bench_loop_turns measures the longest turn of a leader by the size of what it gets at one time.

--- a/src/programs/hostd/hostd.h
+++ b/src/programs/hostd/hostd.h
@@ -14,6 +14,7 @@
 #include "chestnutquay/gateway.h"
 #include "chestnutquay/http_client.h"
 #include "chestnutquay/leader.h"
+#include "chestnutquay/loop_turn.h"
 #include "platform/executor_http.h"
 #include "platform/front_http.h"
 #include "platform/kv_store.h"
@@ -30,6 +31,7 @@
 	struct cq_http_client *worker_client;
 	struct cq_kv_store *kv;
 	const struct cq_store *store;
+	struct cq_loop_turn *loop_turn;
 	struct cq_gateway *gateway;
 	struct cq_front_http *front;
 	struct cq_follower *operator_follower; /* follows operators' keys */
--- a/src/programs/hostd/main.c
+++ b/src/programs/hostd/main.c
@@ -100,6 +100,7 @@
 	cq_kv_store_destroy(h->kv);
 	cq_http_client_destroy(h->worker_client);
 	cq_http_client_destroy(h->store_client);
+	cq_loop_turn_destroy(h->loop_turn);
 	cq_metrics_destroy(h->metrics);
 	cq_platform_settings_clear(&h->settings);
 	g_free(h->settings_text);
@@ -132,6 +133,7 @@
 		     CQ_VERSION, "data_centre", h.settings.data_centre, "store",
 		     h.settings.store_address);
 	h.metrics = cq_metrics_create();
+	h.loop_turn = cq_loop_turn_create(h.loop, h.clock, h.metrics);
 	h.store_client = cq_http_client_create(h.loop, STORE_CONNECTIONS,
 					       STORE_CONNECTIONS);
 	h.worker_client = cq_http_client_create_partitioned(
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -15,6 +15,7 @@
 #define WORKER_KEY_PREFIX "w/"
 #define MAX_WORKSPACES 4
 #define REMOTE_FACTOR 3
+#define OVERDUE_MS (INT64_C(12) * 3600 * 1000)
 #define DRAINING " draining "
 
 struct dispatcher_fixture {
@@ -379,6 +380,19 @@
 	write_job(w, job);
 }
 
+void dispatcher_fixture_submit_overdue(struct dispatcher_fixture *w, int k,
+				       uint32_t occurrences)
+{
+	struct cq_workload *job = create_workload(w, k, 1, 0, false);
+
+	cq_text_set(&job->workspace, w->workspace);
+	job->accepted_ms = cq_clock_unix_ms(cq_clock_system());
+	job->occurrences = occurrences;
+	job->interval_ms = 1;
+	job->first_run_ms = job->accepted_ms - OVERDUE_MS;
+	write_job(w, job);
+}
+
 void dispatcher_fixture_cancel(struct dispatcher_fixture *w, int k)
 {
 	char *key = g_strdup_printf("%s%016d", CQ_KEY_WORKLOADS, k);
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -86,6 +86,12 @@
 void dispatcher_fixture_submit(struct dispatcher_fixture *w, int k,
 			       uint32_t tasks, uint32_t accelerators,
 			       bool gang);
+/*
+ * Stores job K with that many occurrences of one task, all of which were due
+ * long ago.
+ */
+void dispatcher_fixture_submit_overdue(struct dispatcher_fixture *w, int k,
+				       uint32_t occurrences);
 /* Does nothing if the records of the job were deleted. */
 void dispatcher_fixture_cancel(struct dispatcher_fixture *w, int k);
 /* True if the store has no record of job K. */
