--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -25,6 +25,16 @@
  * fits.
  */
 #define CQ_BATCH_MAX_LIVE_TASKS CQ_WORKLOAD_MAX_TASKS
+/*
+ * Most tasks of the live occurrences of a batch that nothing has started of. A
+ * single such occurrence always fits.
+ */
+#define CQ_BATCH_MAX_UNSTARTED_TASKS 1024
+/*
+ * Bytes that a run adds to the progress record at most, with names of the usual
+ * length.
+ */
+#define CQ_BATCH_RUN_RECORD_BYTES 256
 /* Buffer size for a task name WORKLOAD_ID.OCCURRENCE.STEP.INDEX */
 #define CQ_TASK_NAME_BYTES 64
 
@@ -66,6 +76,7 @@
 	/* Current run; its phase is CQ_RUN_NONE if there is none. */
 	enum cq_run_phase phase;
 	struct cq_pool_worker *worker;
+	uint32_t pool_index; /* its place in the list of the worker's runs */
 	/* Batch version that the store must hold before the start is sent. */
 	uint64_t recorded_version;
 	int64_t start_sent_ns; /* when a start was last sent */
@@ -102,6 +113,7 @@
 	int64_t waiting_ns;
 	/* Preemption rank, see stage_rank.h; lower goes first. */
 	uint32_t rank;
+	uint32_t planned_round; /* the last one that came to it; 0: none */
 };
 
 /* An occurrence of a workload that is due and has not ended */
@@ -112,6 +124,11 @@
 
 struct cq_batch {
 	struct cq_workload *workload;
+	/*
+	 * Of each step, the longest path of estimates that begins with it; NULL
+	 * until stage_order.c computes them.
+	 */
+	int64_t *longest_paths_ms;
 	/* struct cq_occurrence, in the order of their numbers */
 	GPtrArray *live;
 	/* Number of occurrences that have come into being, live or ended. */
@@ -125,8 +142,21 @@
 	uint64_t version;
 	/* Latest version that the store is known to hold. */
 	uint64_t durable_version;
+	/* Limit of its tasks in occurrences that nothing has started of */
+	uint32_t max_unstarted;
 	/* The batch is queued for being written to the store. */
 	bool dirty_queued;
+	/*
+	 * Most bytes of the progress record, 0: no limit; its bytes when it was
+	 * last put together, and the runs since then.
+	 */
+	uint64_t max_record_bytes;
+	uint64_t record_bytes;
+	uint32_t runs_since_record;
+	/* When the record is put together again at the earliest */
+	int64_t next_record_ns;
+	uint32_t active_count;	  /* tasks that have a current run */
+	uint32_t recording_count; /* of them, those in CQ_RUN_RECORDING */
 	/*
 	 * Most tasks that may have a run at a time, set when the store refused
 	 * the progress record as too large; 0: no limit
@@ -152,7 +182,8 @@
 
 /*
  * Brings occurrences into being that are due at unix_ms, in their order. While
- * the live ones have CQ_BATCH_MAX_LIVE_TASKS tasks, further ones wait.
+ * the live ones have CQ_BATCH_MAX_LIVE_TASKS tasks, or those that nothing has
+ * started of max_unstarted ones, further ones wait.
  */
 void cq_batch_open_due(struct cq_batch *batch, int64_t unix_ms);
 /*
@@ -205,16 +236,17 @@
 bool cq_batch_has_runs(const struct cq_batch *batch);
 /* Memory that the batch takes, without checkpoints. */
 uint64_t cq_batch_bytes(const struct cq_batch *batch);
-/* Number of tasks that have a current run. */
-uint32_t cq_batch_active_count(const struct cq_batch *batch);
 /*
- * How many more tasks may get a run. None may while a refused record waits to
- * be written again.
+ * How many more tasks may get a run, so that the progress record stays within
+ * its limit. None may while a refused record waits to be written again.
  */
 uint32_t cq_batch_active_room(const struct cq_batch *batch);
 /* True if all stages of the occurrence are done and no run of it is left. */
 bool cq_occurrence_ended(const struct cq_batch *batch,
 			 const struct cq_occurrence *occurrence);
+/* True if a task of the occurrence has been started. */
+bool cq_occurrence_started(const struct cq_batch *batch,
+			   const struct cq_occurrence *occurrence);
 /* True if at least one task has been started. */
 bool cq_batch_started(const struct cq_batch *batch);
 
@@ -224,6 +256,8 @@
  */
 void cq_task_assign(struct cq_task *task, struct cq_pool_worker *worker,
 		    uint32_t run);
+/* The start of the run, which the store holds now, is sent. */
+void cq_task_start_sent(struct cq_task *task);
 /*
  * Takes back a run in phase CQ_RUN_RECORDING, which neither the store nor a
  * worker knows; its number is used again.
@@ -256,7 +290,10 @@
  */
 const char *cq_task_resume_point(const struct cq_task *task);
 
-/* Encodes the progress record for the store; freed with free(). */
+/*
+ * Encodes the progress record for the store; freed with free(). Occurrences
+ * that nothing has started of need no row, but for those before others.
+ */
 char *cq_batch_format(const struct cq_batch *batch);
 
 /*
--- a/include/chestnutquay/dispatcher.h
+++ b/include/chestnutquay/dispatcher.h
@@ -73,6 +73,8 @@
 	 * refused; 0: no limit.
 	 */
 	uint64_t max_job_bytes;
+	/* Most bytes of a progress record; 0: no limit. */
+	uint64_t max_record_bytes;
 };
 
 struct cq_dispatcher;
--- a/include/chestnutquay/placement.h
+++ b/include/chestnutquay/placement.h
@@ -35,6 +35,10 @@
 	 * stage.
 	 */
 	bool reserve_unaffordable;
+	/* Most tasks to place; 0: no limit. A gang is placed as a whole. */
+	uint32_t max_tasks;
+	/* Counts the workers and runs that are looked at; may be NULL. */
+	uint64_t *work;
 };
 
 /*
--- a/include/chestnutquay/pool.h
+++ b/include/chestnutquay/pool.h
@@ -32,15 +32,21 @@
 	bool usable; /* may be given new runs; set before each plan */
 	/* When the listing disappeared from the store. */
 	int64_t unlisted_ns;
-	GPtrArray *runs; /* struct cq_task that have a run here */
+	GPtrArray *runs;      /* struct cq_task that have a run here */
+	uint32_t fill_runs;   /* of them, those of steps that fill */
+	uint32_t target_runs; /* of them, those with a latency target */
 	int64_t free_cpu_millicores;
 	int64_t free_memory_mb;
 	int64_t free_accelerators;
 	/* Runs that failed here since the last one that completed. */
 	uint32_t failure_streak;
 	int64_t avoid_until_ns; /* no new runs here before this time */
-	/* Tasks that the placement in progress has put here. */
+	/*
+	 * Of the stage that is being placed: tasks that the placement has put
+	 * here, and runs that are here already.
+	 */
 	uint32_t tentative_tasks;
+	uint32_t stage_runs;
 	/* Stage that the worker is reserved for; others get no run here. */
 	const void *reserved_for;
 	void *link; /* the dispatcher's struct link of this worker */
--- a/include/chestnutquay/stage_plan.h
+++ b/include/chestnutquay/stage_plan.h
@@ -37,6 +37,26 @@
 	const struct cq_pool *pool;
 	int64_t now_ns;
 	uint32_t remote_factor; /* see placement.h */
+	/*
+	 * Stages that a plan of this round has come to are passed over. A round
+	 * consists of the plans that together come to all ready stages; 0: each
+	 * plan is a round of its own.
+	 */
+	uint32_t round;
+	/* The plan ends after so many looks at workers and runs; 0: no limit */
+	uint64_t max_work;
+	/*
+	 * Most runs in CQ_RUN_RECORDING, 0: no limit, and how many there are.
+	 * Half of them are kept for jobs of which nothing runs.
+	 */
+	uint32_t max_recording;
+	uint32_t recording;
+};
+
+/* What a plan did */
+struct cq_stage_plan_result {
+	uint64_t work; /* looks at workers and runs, and one for each stage */
+	bool complete; /* the round has come to all stages */
 };
 
 struct cq_stage_plan_ops {
@@ -62,10 +82,12 @@
 void cq_stage_plan_collect(struct cq_batch *batch, const struct cq_queue *queue,
 			   int64_t now_ns, int64_t unix_ms, GArray *ready);
 /*
- * Sorts the ready stages and decides on each in turn. The caller sets the ranks
- * of the stages and the usable workers before.
+ * Sorts the ready stages and decides on each in turn, until a limit of the plan
+ * is reached. The caller sets the ranks of the stages and the usable workers
+ * before. Reservations of workers hold for the round.
  */
-void cq_stage_plan_run(const struct cq_stage_plan *plan, GArray *ready,
-		       const struct cq_stage_plan_ops *ops, void *ctx);
+struct cq_stage_plan_result
+cq_stage_plan_run(const struct cq_stage_plan *plan, GArray *ready,
+		  const struct cq_stage_plan_ops *ops, void *ctx);
 
 #endif
--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -59,6 +59,7 @@
 		cq_metrics_counter(metrics, "cq_jobs_deleted_total", "");
 	d->unreadable_records =
 		cq_metrics_counter(metrics, "cq_records_unreadable_total", "");
+	d->plan_work = cq_metrics_counter(metrics, "cq_plan_looks_total", "");
 	d->plan_time = cq_metrics_histogram(metrics, "cq_plan_seconds", "");
 	d->wait_time =
 		cq_metrics_histogram(metrics, "cq_wait_for_start_seconds", "");
@@ -104,6 +105,7 @@
 	d->batches = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   batch_free);
 	d->max_job_bytes = options->max_job_bytes;
+	d->max_record_bytes = options->max_record_bytes;
 	/* A former leader may have left the key. */
 	d->full_unwritten = d->max_job_bytes != 0;
 	ended_jobs_open(d);
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -109,6 +109,7 @@
 	char *pending_json;	       /* latest value for CQ_KEY_PENDING */
 	int64_t next_pending_write_ns; /* -1: pending_json is to be written */
 	uint64_t max_job_bytes;	       /* 0: no limit */
+	uint64_t max_record_bytes;     /* 0: no limit */
 	bool full;		       /* no further jobs are wanted */
 	bool full_unwritten;	       /* CQ_KEY_FULL is to be written */
 	uint32_t probes_in_flight;     /* without those silent for too long */
@@ -116,6 +117,8 @@
 	int64_t next_stop_check_ns; /* when all runs are checked again */
 	ev_timer plan_timer;
 	struct cq_work_share plan_share;
+	uint32_t plan_round; /* see struct cq_stage_plan */
+	bool round_unfinished;
 
 	struct cq_counter *starts;
 	struct cq_counter *stops;
@@ -126,6 +129,7 @@
 	struct cq_counter *odd_rows;
 	struct cq_counter *deleted_jobs;
 	struct cq_counter *unreadable_records;
+	struct cq_counter *plan_work;
 	struct cq_histogram *plan_time;
 	struct cq_histogram *wait_time;
 };
--- a/src/coordination/dispatcher_links.c
+++ b/src/coordination/dispatcher_links.c
@@ -227,17 +227,7 @@
 /* Whether fill tasks run next to a server on the worker. */
 static bool is_colocated(const struct cq_pool_worker *worker)
 {
-	bool serves = false;
-	bool fills = false;
-	guint i;
-
-	for (i = 0; i < worker->runs->len; i++) {
-		const struct cq_task *task = g_ptr_array_index(worker->runs, i);
-
-		serves |= task->stage->step->target_ms > 0;
-		fills |= task->stage->step->fills;
-	}
-	return serves && fills;
+	return worker->fill_runs && worker->target_runs;
 }
 
 static uint32_t heartbeat_wait_ms(const struct link *link)
--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -135,7 +135,7 @@
 	};
 
 	cq_task_name(task, name);
-	task->phase = CQ_RUN_START_SENT;
+	cq_task_start_sent(task);
 	task->start_in_flight = true;
 	task->start_sent_ns = dispatcher_now_ns(d);
 	cq_counter_add(d->starts, 1);
--- a/src/coordination/dispatcher_plan.c
+++ b/src/coordination/dispatcher_plan.c
@@ -7,6 +7,23 @@
 #include "chestnutquay/stage_rank.h"
 #include "coordination/dispatcher_internal.h"
 
+/*
+ * Looks at workers and runs in one plan; the next one goes on from there. The
+ * leader has to renew its lease within a quarter of it, on the smallest hosts
+ * with an eighth of a core as well.
+ */
+#define MAX_PLAN_WORK 500000
+/*
+ * Runs whose start waits for the record in the store. Their starts are sent in
+ * one go when it is there.
+ */
+#define MAX_RECORDING 512
+/*
+ * Tasks of all jobs in occurrences that are due and that nothing has started
+ * of. Each job has an equal part, and one occurrence at least.
+ */
+#define MAX_UNSTARTED_TASKS 8192
+
 static bool worker_usable(const struct cq_dispatcher *d,
 			  const struct cq_pool_worker *worker, int64_t now_ns);
 static void collect_ready(struct cq_dispatcher *d, GArray *ready);
@@ -35,6 +52,8 @@
 {
 	int64_t now_ns = dispatcher_now_ns(d);
 	int64_t unix_ms = cq_clock_unix_ms(d->clock);
+	uint32_t part =
+		MAX_UNSTARTED_TASKS / MAX(1, g_hash_table_size(d->batches));
 	GHashTableIter iter;
 	gpointer value;
 
@@ -47,6 +66,7 @@
 		    queue->advised ||
 		    dispatcher_check_attempts(d, batch, queue))
 			continue;
+		batch->max_unstarted = MIN(part, CQ_BATCH_MAX_UNSTARTED_TASKS);
 		cq_stage_plan_collect(batch, queue, now_ns, unix_ms, ready);
 	}
 }
@@ -122,6 +142,18 @@
 	.preempt = preempt_runs,
 };
 
+static uint32_t count_recording(const struct cq_dispatcher *d)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, d->batches);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += ((const struct cq_batch *)value)->recording_count;
+	return count;
+}
+
 /* Determines which workers may get new runs in this plan. */
 static void prepare_workers(struct cq_dispatcher *d, int64_t now_ns)
 {
@@ -133,18 +165,22 @@
 		struct cq_pool_worker *worker = value;
 
 		worker->usable = worker_usable(d, worker, now_ns);
-		worker->reserved_for = NULL;
+		if (!d->round_unfinished)
+			worker->reserved_for = NULL;
 	}
 }
 
 void dispatcher_plan(struct cq_dispatcher *d)
 {
-	const struct cq_stage_plan plan = {
+	struct cq_stage_plan plan = {
 		.policy = &cq_stage_policy_default,
 		.pool = d->pool,
 		.now_ns = dispatcher_now_ns(d),
 		.remote_factor = d->remote_factor,
+		.max_work = MAX_PLAN_WORK,
+		.max_recording = MAX_RECORDING,
 	};
+	struct cq_stage_plan_result result;
 	GArray *ready;
 
 	if (!dispatcher_loaded(d) || !d->ops->may_command(d->ctx))
@@ -153,6 +189,14 @@
 	prepare_workers(d, plan.now_ns);
 	collect_ready(d, ready);
 	cq_stage_ranks_update(d->config, d->batches);
-	cq_stage_plan_run(&plan, ready, &plan_ops, d);
+	if (!d->round_unfinished)
+		d->plan_round++;
+	plan.round = d->plan_round;
+	plan.recording = count_recording(d);
+	result = cq_stage_plan_run(&plan, ready, &plan_ops, d);
+	cq_counter_add(d->plan_work, result.work);
+	d->round_unfinished = !result.complete;
+	if (d->round_unfinished)
+		dispatcher_plan_soon(d);
 	g_array_unref(ready);
 }
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -20,6 +20,18 @@
 #define REFUSED_RETRY_NS (INT64_C(5) * CQ_NS_PER_S)
 /* Interval between writes of the numbers of waiting jobs. */
 #define PENDING_WRITE_INTERVAL_NS (INT64_C(500) * CQ_NS_PER_MS)
+/*
+ * Bytes of the records in one transaction, but for a single larger one: the
+ * records of small jobs don't wait behind many large ones.
+ */
+#define MAX_TXN_RECORD_BYTES (256 * 1024)
+/*
+ * A larger record is written again only after a pause of 1 ms for each
+ * BYTES_PER_PAUSE_MS: each write puts it together as a whole, and all other
+ * writes wait meanwhile.
+ */
+#define LARGE_RECORD_BYTES (64 * 1024)
+#define BYTES_PER_PAUSE_MS 2048
 /* Part of the limit for jobs below which further ones are taken again */
 #define OPEN_PERCENT 90
 
@@ -296,6 +308,7 @@
 
 	if (!record)
 		return true;
+	batch->record_bytes = strlen(record);
 	ok = cq_batch_restore(batch, record, strlen(record),
 			      find_restored_worker, d, &err);
 	if (!ok) {
@@ -314,6 +327,7 @@
 	int64_t age_ms = cq_clock_unix_ms(d->clock) - w->accepted_ms;
 	struct cq_batch *batch = cq_batch_create(w);
 
+	batch->max_record_bytes = d->max_record_bytes;
 	batch->accepted_ns =
 		dispatcher_now_ns(d) - MAX(0, age_ms) * CQ_NS_PER_MS;
 	/* A cancelled one ends whatever its progress was. */
@@ -388,6 +402,46 @@
 	dispatcher_plan_soon(d);
 }
 
+/* Fills in the progress record of the batch; returns its bytes. */
+static size_t collect_batch(struct cq_dispatcher *d, struct cq_batch *batch,
+			    struct cq_journal_record *record)
+{
+	struct written_batch written = { .version = batch->version };
+
+	batch->dirty_queued = false;
+	g_strlcpy(written.batch_id, batch->workload->id,
+		  sizeof(written.batch_id));
+	g_array_append_val(d->written_batches, written);
+	record->key = g_strconcat(CQ_KEY_PROGRESS, batch->workload->id, NULL);
+	record->value = cq_batch_format(batch);
+	batch->record_bytes = strlen(record->value);
+	batch->runs_since_record = 0;
+	return batch->record_bytes;
+}
+
+/*
+ * Adds the records of changed batches to the transaction, but for large ones
+ * whose pause isn't over. Returns the number of its records.
+ */
+static uint32_t collect_progress(struct cq_dispatcher *d,
+				 struct cq_journal_record *records,
+				 uint32_t count, uint32_t max)
+{
+	int64_t now_ns = dispatcher_now_ns(d);
+	guint left = g_queue_get_length(&d->dirty);
+	size_t bytes = 0;
+
+	for (; left && count < max && bytes < MAX_TXN_RECORD_BYTES; left--) {
+		struct cq_batch *batch = g_queue_pop_head(&d->dirty);
+
+		if (now_ns < batch->next_record_ns)
+			g_queue_push_tail(&d->dirty, batch);
+		else
+			bytes += collect_batch(d, batch, &records[count++]);
+	}
+	return count;
+}
+
 static uint32_t collect_records(void *ctx, struct cq_journal_record *records,
 				uint32_t max)
 {
@@ -415,19 +469,7 @@
 		records[count++].value = g_strdup(d->pending_json);
 		g_array_append_val(d->written_batches, none);
 	}
-	while (count < max && !g_queue_is_empty(&d->dirty)) {
-		struct cq_batch *batch = g_queue_pop_head(&d->dirty);
-		struct written_batch written = { .version = batch->version };
-
-		batch->dirty_queued = false;
-		g_strlcpy(written.batch_id, batch->workload->id,
-			  sizeof(written.batch_id));
-		g_array_append_val(d->written_batches, written);
-		records[count].key =
-			g_strconcat(CQ_KEY_PROGRESS, batch->workload->id, NULL);
-		records[count++].value = cq_batch_format(batch);
-	}
-	return count;
+	return collect_progress(d, records, count, max);
 }
 
 /* Each link that has no more unacknowledged ends leaves the set. */
@@ -443,6 +485,16 @@
 	g_free(links);
 }
 
+static void pause_large_record(const struct cq_dispatcher *d,
+			       struct cq_batch *batch)
+{
+	int64_t pause_ms = (int64_t)(batch->record_bytes / BYTES_PER_PAUSE_MS);
+
+	if (batch->record_bytes > LARGE_RECORD_BYTES)
+		batch->next_record_ns =
+			dispatcher_now_ns(d) + pause_ms * CQ_NS_PER_MS;
+}
+
 static void on_committed(void *ctx, uint32_t first, uint32_t count)
 {
 	struct cq_dispatcher *d = ctx;
@@ -460,6 +512,7 @@
 			continue;
 		batch->durable_version = written->version;
 		batch->rewrite_ns = 0;
+		pause_large_record(d, batch);
 		command_start_recorded(d, batch);
 	}
 	update_all_acknowledged(d);
@@ -479,7 +532,7 @@
 		&g_array_index(d->written_batches, struct written_batch, index);
 	struct cq_batch *batch =
 		g_hash_table_lookup(d->batches, written->batch_id);
-	uint32_t active = batch ? cq_batch_active_count(batch) : 0;
+	uint32_t active = batch ? batch->active_count : 0;
 
 	cq_counter_add(d->refused_records, 1);
 	cq_log_event(CQ_LOG_ERROR, "record_refused", "{s:s,s:i,s:s}", "id",
@@ -532,7 +585,8 @@
 	gpointer value;
 	char *text;
 
-	if (ended_jobs_due(d))
+	/* Large records may have waited for the end of their pause. */
+	if (ended_jobs_due(d) || !g_queue_is_empty(&d->dirty))
 		cq_journal_wake(d->journal);
 	if (!d->workloads) {
 		if (!d->list_call && cq_follower_synced(d->workers))
--- a/src/programs/hostd/dispatch.c
+++ b/src/programs/hostd/dispatch.c
@@ -26,6 +26,11 @@
  * again, and connections to workers a quarter.
  */
 #define JOB_MEMORY_DIVISOR 4
+/*
+ * Part of the store's longest value that a progress record may not use:
+ * checkpoints come in after a run was counted.
+ */
+#define RECORD_MARGIN_DIVISOR 16
 
 static bool may_command(void *ctx)
 {
@@ -60,6 +65,9 @@
 		.remote_factor = h->settings.remote_factor,
 		.max_job_bytes = (uint64_t)h->settings.memory_mb *
 				 BYTES_PER_MB / JOB_MEMORY_DIVISOR,
+		.max_record_bytes =
+			h->settings.store_value_bytes -
+			h->settings.store_value_bytes / RECORD_MARGIN_DIVISOR,
 		.ended_retention_ms =
 			MIN(h->settings.ended_state_ms,
 			    UINT32_MAX - ENDED_RETENTION_MARGIN_MS) +
--- a/src/state/batch.c
+++ b/src/state/batch.c
@@ -93,6 +93,7 @@
 	batch->workload = workload;
 	batch->live = g_ptr_array_new();
 	batch->closed_version = NEVER_CLOSED;
+	batch->max_unstarted = CQ_BATCH_MAX_UNSTARTED_TASKS;
 	cq_batch_open_due(batch, 0);
 	return batch;
 }
@@ -104,6 +105,7 @@
 	cq_batch_clear(batch);
 	g_ptr_array_unref(batch->live);
 	cq_workload_destroy(batch->workload);
+	g_free(batch->longest_paths_ms);
 	g_free(batch);
 }
 
@@ -114,6 +116,8 @@
 	for (i = 0; i < batch->live->len; i++)
 		occurrence_free(batch, g_ptr_array_index(batch->live, i));
 	g_ptr_array_set_size(batch->live, 0);
+	batch->active_count = 0;
+	batch->recording_count = 0;
 	batch->opened = 0;
 	batch->checked_attempts = 0;
 	batch->closed_version = NEVER_CLOSED;
@@ -142,14 +146,51 @@
 	       (batch->live->len + 1) * tasks > CQ_BATCH_MAX_LIVE_TASKS;
 }
 
-void cq_batch_open_due(struct cq_batch *batch, int64_t unix_ms)
+bool cq_occurrence_started(const struct cq_batch *batch,
+			   const struct cq_occurrence *occurrence)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->workload->step_count; i++)
+		if (occurrence->stages[i].started)
+			return true;
+	return false;
+}
+
+static bool next_is_due(const struct cq_batch *batch, int64_t unix_ms)
 {
 	const struct cq_workload *w = batch->workload;
 
-	while (batch->opened < w->occurrences &&
+	return batch->opened < w->occurrences &&
 	       cq_workload_due_ms(w, batch->opened) <= unix_ms &&
-	       !cq_batch_is_full(batch))
+	       !cq_batch_is_full(batch);
+}
+
+static uint32_t count_unstarted(const struct cq_batch *batch)
+{
+	uint32_t count = 0;
+	guint i;
+
+	for (i = 0; i < batch->live->len; i++)
+		count += !cq_occurrence_started(
+			batch, g_ptr_array_index(batch->live, i));
+	return count;
+}
+
+void cq_batch_open_due(struct cq_batch *batch, int64_t unix_ms)
+{
+	uint64_t tasks = cq_workload_task_count(batch->workload);
+	uint32_t unstarted;
+
+	if (!next_is_due(batch, unix_ms))
+		return;
+	unstarted = count_unstarted(batch);
+	while (next_is_due(batch, unix_ms) &&
+	       (!unstarted ||
+		(unstarted + 1) * tasks <= batch->max_unstarted)) {
 		cq_batch_open(batch, batch->opened);
+		unstarted++;
+	}
 }
 
 bool cq_occurrence_ended(const struct cq_batch *batch,
@@ -305,29 +346,37 @@
 
 bool cq_batch_has_runs(const struct cq_batch *batch)
 {
-	return cq_batch_active_count(batch) > 0;
+	return batch->active_count > 0;
 }
 
-uint32_t cq_batch_active_count(const struct cq_batch *batch)
+/* How many more runs the record has room for; one, if there are none. */
+static uint32_t record_room(const struct cq_batch *batch)
 {
-	uint32_t count = 0;
-	uint32_t i;
+	uint64_t bytes =
+		batch->record_bytes +
+		(uint64_t)batch->runs_since_record * CQ_BATCH_RUN_RECORD_BYTES;
+	uint64_t room;
 
-	for (i = 0; i < cq_batch_stage_count(batch); i++)
-		count += cq_batch_stage_at(batch, i)->active_count;
-	return count;
+	if (!batch->max_record_bytes)
+		return UINT32_MAX;
+	room = batch->max_record_bytes > bytes
+		       ? (batch->max_record_bytes - bytes) /
+				 CQ_BATCH_RUN_RECORD_BYTES
+		       : 0;
+	return (uint32_t)CLAMP(room, !batch->active_count, UINT32_MAX);
 }
 
 uint32_t cq_batch_active_room(const struct cq_batch *batch)
 {
-	uint32_t active;
+	uint32_t room = record_room(batch);
 
 	if (batch->rewrite_ns)
 		return 0;
 	if (!batch->max_active)
-		return UINT32_MAX;
-	active = cq_batch_active_count(batch);
-	return batch->max_active > active ? batch->max_active - active : 0;
+		return room;
+	return batch->max_active > batch->active_count
+		       ? MIN(room, batch->max_active - batch->active_count)
+		       : 0;
 }
 
 static uint64_t text_bytes(const char *text)
@@ -388,6 +437,9 @@
 	task->pace_percent = 100;
 	task->load = 0;
 	task->stage->active_count++;
+	task->stage->batch->active_count++;
+	task->stage->batch->recording_count++;
+	task->stage->batch->runs_since_record++;
 	task->stage->started = true;
 	if (task->stage->batch->state == CQ_BATCH_QUEUED)
 		task->stage->batch->state = CQ_BATCH_RUNNING;
@@ -396,13 +448,30 @@
 	cq_pool_book(worker, task);
 }
 
-void cq_task_unassign(struct cq_task *task)
+void cq_task_start_sent(struct cq_task *task)
+{
+	if (task->phase == CQ_RUN_RECORDING)
+		task->stage->batch->recording_count--;
+	task->phase = CQ_RUN_START_SENT;
+}
+
+/* The task has no run any more. */
+static void release_run(struct cq_task *task)
 {
+	struct cq_stage *stage = task->stage;
+
 	cq_pool_release(task->worker, task);
+	stage->batch->recording_count -= task->phase == CQ_RUN_RECORDING;
+	stage->batch->active_count--;
+	stage->active_count--;
 	task->worker = NULL;
 	task->phase = CQ_RUN_NONE;
+}
+
+void cq_task_unassign(struct cq_task *task)
+{
+	release_run(task);
 	task->run = task->previous_run;
-	task->stage->active_count--;
 	task->stage->batch->version++;
 }
 
@@ -457,12 +526,8 @@
 	struct cq_batch *batch = stage->batch;
 	enum cq_batch_state previous_state = batch->state;
 
-	if (task->phase != CQ_RUN_NONE) {
-		cq_pool_release(task->worker, task);
-		stage->active_count--;
-	}
-	task->phase = CQ_RUN_NONE;
-	task->worker = NULL;
+	if (task->phase != CQ_RUN_NONE)
+		release_run(task);
 	cq_task_checkpoint(task, checkpoint);
 	batch->version++;
 	if (outcome == CQ_RUN_DONE && !stage->step->long_running &&
--- a/src/state/batch_json.c
+++ b/src/state/batch_json.c
@@ -6,8 +6,8 @@
  *           "done": [[FIRST, LAST]...], "tasks": [TASK...]}
  *   TASK: [INDEX, RUN, FAILURES, CHECKPOINT, WORKER, BORN]
  *
- * Occurrences from N on have not come into being; those before N that are not
- * among the live ones have ended. Done tasks are listed as ranges of indices.
+ * Occurrences from N on have not begun; those before N that are not among the
+ * live ones have ended. Done tasks are listed as ranges of indices.
  * The size of the record thus depends on the occurrences at work and on the
  * tasks that run or have to run again, not on what has ended.
  */
@@ -176,6 +176,30 @@
 	g_string_append(out, "]}");
 }
 
+/*
+ * Returns how many of the live occurrences the record lists. Those at the end
+ * that nothing has started of are left out: a reader brings them into being
+ * again.
+ */
+static guint count_listed(const struct cq_batch *batch)
+{
+	uint32_t next = batch->opened;
+	guint count = batch->live->len;
+
+	while (count) {
+		const struct cq_occurrence *last =
+			g_ptr_array_index(batch->live, count - 1);
+
+		/* One that has ended lies between. */
+		if (last->number + 1 != next ||
+		    cq_occurrence_started(batch, last))
+			break;
+		next = last->number;
+		count--;
+	}
+	return count;
+}
+
 /*
  * The record is written after each change of a job. It is put together without
  * a tree of JSON values, which cost the leader more than the text itself.
@@ -183,15 +207,17 @@
 char *cq_batch_format(const struct cq_batch *batch)
 {
 	GString *out = g_string_sized_new(RECORD_BYTES);
+	guint listed = count_listed(batch);
+	uint32_t next = batch->opened - (batch->live->len - listed);
 	gsize start;
 	guint i;
 
 	g_string_append(out, "{\"state\":");
 	append_string(out, cq_batch_state_string(batch->state));
-	append_field(out, ",\"next\":", batch->opened);
+	append_field(out, ",\"next\":", next);
 	g_string_append(out, ",\"live\":[");
 	start = out->len;
-	for (i = 0; i < batch->live->len; i++) {
+	for (i = 0; i < listed; i++) {
 		const struct cq_occurrence *occurrence =
 			g_ptr_array_index(batch->live, i);
 
@@ -219,6 +245,7 @@
 	task->phase = CQ_RUN_RESTORED;
 	task->pace_percent = 100;
 	task->stage->active_count++;
+	task->stage->batch->active_count++;
 	cq_pool_book(task->worker, task);
 }
 
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -9,6 +9,12 @@
 #define PENALTY_FAILING 200000
 #define PENALTY_COLD 50000
 #define PENALTY_INTERFERENCE 20000
+/*
+ * For each RUNS_STEP runs of a worker: it lists all of them in each answer,
+ * which the leader reads in one go.
+ */
+#define PENALTY_RUNS_STEP 4000
+#define RUNS_STEP 512
 #define RACK_FREE_WEIGHT 4
 #define PERMILLE 1000
 /* Above any penalty */
@@ -20,15 +26,15 @@
 	int64_t penalty;
 };
 
-static uint32_t runs_of_stage(const struct cq_pool_worker *worker,
-			      const struct cq_stage *stage);
+static void count_stage_runs(const struct cq_stage *stage, int sign);
 static bool interferes(const struct cq_pool_worker *worker,
 		       const struct cq_stage *stage);
 static int64_t worker_penalty(const struct cq_placement *p,
 			      const struct cq_pool_worker *worker);
 static int64_t rate_worker(const struct cq_placement *p,
 			   const struct cq_pool_worker *worker);
-static struct rating *best_rating(GArray *ratings);
+static struct rating *best_rating(const struct cq_placement *p,
+				  GArray *ratings);
 static GArray *rate_workers(const struct cq_placement *p,
 			    const GPtrArray *workers);
 static void adjust_free_room(struct cq_pool_worker *worker,
@@ -42,18 +48,25 @@
 static bool place_in_one_rack(const struct cq_placement *p,
 			      const GPtrArray *racks, GArray *assignments);
 
-static uint32_t runs_of_stage(const struct cq_pool_worker *worker,
-			      const struct cq_stage *stage)
+/*
+ * Sign 1 counts the runs of the stage on their workers, -1 takes that back.
+ * Only a limit of tasks per worker needs the counts.
+ */
+static void count_stage_runs(const struct cq_stage *stage, int sign)
 {
-	uint32_t count = 0;
-	guint i;
+	uint32_t i;
 
-	for (i = 0; i < worker->runs->len; i++) {
-		const struct cq_task *task = g_ptr_array_index(worker->runs, i);
+	if (!stage->step->max_per_worker || !stage->active_count)
+		return;
+	for (i = 0; i < stage->step->tasks; i++)
+		if (stage->tasks[i].phase != CQ_RUN_NONE)
+			stage->tasks[i].worker->stage_runs += (uint32_t)sign;
+}
 
-		count += task->stage == stage;
-	}
-	return count;
+void placement_add_work(const struct cq_placement *p, uint64_t looks)
+{
+	if (p->work)
+		*p->work += looks;
 }
 
 /* Checks everything but the free room. */
@@ -71,6 +84,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	placement_add_work(p, g_hash_table_size(p->pool->workers));
 	g_hash_table_iter_init(&iter, p->pool->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (placement_worker_eligible(p, value))
@@ -147,17 +161,8 @@
 static bool interferes(const struct cq_pool_worker *worker,
 		       const struct cq_stage *stage)
 {
-	guint i;
-
-	for (i = 0; i < worker->runs->len; i++) {
-		const struct cq_task *task = g_ptr_array_index(worker->runs, i);
-		const struct cq_workload_step *other = task->stage->step;
-
-		if ((stage->step->fills && other->target_ms) ||
-		    (stage->step->target_ms && other->fills))
-			return true;
-	}
-	return false;
+	return (stage->step->fills && worker->target_runs) ||
+	       (stage->step->target_ms && worker->fill_runs);
 }
 
 static int64_t permille(int64_t part, int64_t whole)
@@ -195,6 +200,8 @@
 		sum += PENALTY_COLD;
 	if (interferes(worker, p->stage))
 		sum += PENALTY_INTERFERENCE;
+	sum += (worker->runs->len + worker->tentative_tasks) / RUNS_STEP *
+	       PENALTY_RUNS_STEP;
 	return sum;
 }
 
@@ -207,18 +214,19 @@
 	if (!cq_pool_fits(worker, step, 1))
 		return NO_ROOM;
 	if (step->max_per_worker &&
-	    worker->tentative_tasks + runs_of_stage(worker, p->stage) >=
+	    worker->tentative_tasks + worker->stage_runs >=
 		    step->max_per_worker)
 		return NO_ROOM;
 	return worker_penalty(p, worker);
 }
 
 /* The first of the workers with the lowest penalty; NULL if none has room. */
-static struct rating *best_rating(GArray *ratings)
+static struct rating *best_rating(const struct cq_placement *p, GArray *ratings)
 {
 	struct rating *best = NULL;
 	guint i;
 
+	placement_add_work(p, ratings->len);
 	for (i = 0; i < ratings->len; i++) {
 		struct rating *r = &g_array_index(ratings, struct rating, i);
 
@@ -228,6 +236,18 @@
 	return best;
 }
 
+/*
+ * Rates the worker anew that got a task. Returns whether it is still the best
+ * one, which saves a look at all others: a worker that fills up mostly is.
+ */
+static bool stays_best(const struct cq_placement *p, struct rating *best)
+{
+	int64_t before = best->penalty;
+
+	best->penalty = rate_worker(p, best->worker);
+	return best->penalty <= before;
+}
+
 /* Workers without room are left out: they get none during a placement. */
 static GArray *rate_workers(const struct cq_placement *p,
 			    const GPtrArray *workers)
@@ -235,6 +255,7 @@
 	GArray *ratings = g_array_new(FALSE, FALSE, sizeof(struct rating));
 	guint i;
 
+	placement_add_work(p, workers->len);
 	for (i = 0; i < workers->len; i++) {
 		struct rating r = { .worker = g_ptr_array_index(workers, i) };
 
@@ -273,29 +294,35 @@
 				 stage, -1);
 }
 
+/* Most tasks that may be placed, of those that wait */
+static uint32_t task_limit(const struct cq_placement *p)
+{
+	return p->max_tasks && !p->stage->step->gang ? p->max_tasks
+						     : UINT32_MAX;
+}
+
 static uint32_t place_tasks(const struct cq_placement *p,
 			    const GPtrArray *workers, GArray *assignments)
 {
 	const struct cq_stage *stage = p->stage;
 	GArray *ratings = rate_workers(p, workers);
+	struct rating *best = best_rating(p, ratings);
 	guint from = assignments->len;
+	uint32_t limit = task_limit(p);
 	uint32_t placed = 0;
 	uint32_t i;
 
-	for (i = 0; i < stage->step->tasks; i++) {
+	for (i = 0; best && placed < limit && i < stage->step->tasks; i++) {
 		struct cq_assignment a = { .task = &stage->tasks[i] };
-		struct rating *best;
 
 		if (a.task->done || a.task->phase != CQ_RUN_NONE)
 			continue;
-		best = best_rating(ratings);
-		if (!best)
-			break;
 		a.worker = best->worker;
 		adjust_free_room(a.worker, stage, 1);
-		best->penalty = rate_worker(p, a.worker);
 		g_array_append_val(assignments, a);
 		placed++;
+		if (!stays_best(p, best))
+			best = best_rating(p, ratings);
 	}
 	g_array_unref(ratings);
 	undo_adjustments(stage, assignments, from);
@@ -332,23 +359,29 @@
 	return false;
 }
 
-uint32_t cq_placement_find(const struct cq_placement *p, GArray *assignments)
+static void place_in_racks(const struct cq_placement *p,
+			   const GPtrArray *workers, GArray *assignments)
 {
-	guint from = assignments->len;
-	GPtrArray *workers = placement_workers(p);
-	GPtrArray *racks;
+	GPtrArray *racks = placement_racks(workers);
 
-	if (!p->stage->step->gang || !p->stage->step->same_rack) {
-		place_tasks(p, workers, assignments);
-		g_ptr_array_unref(workers);
-		return assignments->len - from;
-	}
-	racks = placement_racks(workers);
 	g_ptr_array_sort(racks, compare_racks_by_free_accelerators);
 	if (!place_in_one_rack(p, racks, assignments) &&
 	    !placement_waits_for_rack(p, racks))
 		place_tasks(p, workers, assignments);
 	g_ptr_array_unref(racks);
+}
+
+uint32_t cq_placement_find(const struct cq_placement *p, GArray *assignments)
+{
+	guint from = assignments->len;
+	GPtrArray *workers = placement_workers(p);
+
+	count_stage_runs(p->stage, 1);
+	if (p->stage->step->gang && p->stage->step->same_rack)
+		place_in_racks(p, workers, assignments);
+	else
+		place_tasks(p, workers, assignments);
+	count_stage_runs(p->stage, -1);
 	g_ptr_array_unref(workers);
 	return assignments->len - from;
 }
--- a/src/state/placement_internal.h
+++ b/src/state/placement_internal.h
@@ -11,6 +11,8 @@
 	int64_t accelerators;
 };
 
+/* Counts that many looks at a worker or a run as work of the plan. */
+void placement_add_work(const struct cq_placement *p, uint64_t looks);
 /* Returns the number of tasks of the step that fit into the room. */
 uint32_t placement_count_fitting(const struct placement_room *room,
 				 const struct cq_workload_step *step);
--- a/src/state/placement_victims.c
+++ b/src/state/placement_victims.c
@@ -44,7 +44,8 @@
 static uint32_t waiting_tasks(const struct cq_stage *stage);
 static GArray *evaluate_all(const struct victim_search *search,
 			    const GPtrArray *workers, uint32_t wanted);
-static struct candidate *cheapest_candidate(const GArray *candidates);
+static struct candidate *cheapest_candidate(const struct victim_search *search,
+					    const GArray *candidates);
 static bool add_preempted_gangs(const struct victim_search *search,
 				const struct candidate *c);
 static bool runs_preempted_gang(const struct victim_search *search,
@@ -148,6 +149,7 @@
 	GPtrArray *victims = g_ptr_array_new();
 	guint i;
 
+	placement_add_work(search->p, worker->runs->len);
 	for (i = 0; i < worker->runs->len; i++) {
 		struct cq_task *task = g_ptr_array_index(worker->runs, i);
 
@@ -236,11 +238,13 @@
  * Returns the candidate with the least loss per task; NULL if none holds a
  * task.
  */
-static struct candidate *cheapest_candidate(const GArray *candidates)
+static struct candidate *cheapest_candidate(const struct victim_search *search,
+					    const GArray *candidates)
 {
 	struct candidate *best = NULL;
 	guint i;
 
+	placement_add_work(search->p, candidates->len);
 	for (i = 0; i < candidates->len; i++) {
 		struct candidate *c =
 			&g_array_index(candidates, struct candidate, i);
@@ -303,7 +307,7 @@
 	candidates = evaluate_all(search, workers, wanted);
 	*candidates_out = candidates;
 	while (wanted) {
-		struct candidate *c = cheapest_candidate(candidates);
+		struct candidate *c = cheapest_candidate(search, candidates);
 
 		if (!c)
 			return -1;
--- a/src/state/pool.c
+++ b/src/state/pool.c
@@ -130,7 +130,10 @@
 {
 	const struct cq_workload_step *step = task->stage->step;
 
+	task->pool_index = worker->runs->len;
 	g_ptr_array_add(worker->runs, task);
+	worker->fill_runs += step->fills;
+	worker->target_runs += step->target_ms > 0;
 	worker->free_cpu_millicores -= reserved_cpu_millicores(step);
 	worker->free_memory_mb -= step->memory_mb;
 	worker->free_accelerators -= step->accelerators;
@@ -139,9 +142,19 @@
 void cq_pool_release(struct cq_pool_worker *worker, struct cq_task *task)
 {
 	const struct cq_workload_step *step = task->stage->step;
+	guint index = task->pool_index;
+	struct cq_task *moved;
 
-	if (!g_ptr_array_remove_fast(worker->runs, task))
+	if (index >= worker->runs->len ||
+	    g_ptr_array_index(worker->runs, index) != task)
 		return;
+	g_ptr_array_remove_index_fast(worker->runs, index);
+	if (index < worker->runs->len) {
+		moved = g_ptr_array_index(worker->runs, index);
+		moved->pool_index = index;
+	}
+	worker->fill_runs -= step->fills;
+	worker->target_runs -= step->target_ms > 0;
 	worker->free_cpu_millicores += reserved_cpu_millicores(step);
 	worker->free_memory_mb += step->memory_mb;
 	worker->free_accelerators += step->accelerators;
--- a/src/state/rack_wait.c
+++ b/src/state/rack_wait.c
@@ -110,6 +110,7 @@
 		const struct cq_pool_worker *worker =
 			g_ptr_array_index(workers, i);
 
+		placement_add_work(p, worker->runs->len);
 		for (k = 0; k < worker->runs->len; k++) {
 			const struct cq_task *task =
 				g_ptr_array_index(worker->runs, k);
--- a/src/state/stage_order.c
+++ b/src/state/stage_order.c
@@ -24,12 +24,20 @@
 	return step->estimate_ms ? step->estimate_ms : DEFAULT_TASK_ESTIMATE_MS;
 }
 
-/* Computes the longest path of estimates that begins with each step. */
-static void compute_longest_paths(const struct cq_workload *w,
-				  int64_t paths_ms[CQ_WORKLOAD_MAX_STEPS])
+/*
+ * The longest path of estimates that begins with each step. A job may have many
+ * stages that are ready, so the paths are computed once.
+ */
+static const int64_t *longest_paths(struct cq_batch *batch)
 {
+	const struct cq_workload *w = batch->workload;
+	int64_t *paths_ms = batch->longest_paths_ms;
 	uint32_t i, k;
 
+	if (paths_ms)
+		return paths_ms;
+	paths_ms = g_new0(int64_t, w->step_count);
+	batch->longest_paths_ms = paths_ms;
 	for (i = w->step_count; i-- > 0;) {
 		int64_t after_ms = 0;
 
@@ -38,6 +46,7 @@
 				after_ms = MAX(after_ms, paths_ms[k]);
 		paths_ms[i] = cq_step_estimate_ms(&w->steps[i]) + after_ms;
 	}
+	return paths_ms;
 }
 
 /*
@@ -62,11 +71,10 @@
 {
 	const struct cq_workload *w = stage->batch->workload;
 	int64_t since_ns = occurrence_wait_start_ns(stage, now_ns, unix_ms);
-	int64_t paths_ms[CQ_WORKLOAD_MAX_STEPS] = { 0 };
+	const int64_t *paths_ms = longest_paths(stage->batch);
 	int64_t allowed_ns;
 	uint32_t i;
 
-	compute_longest_paths(w, paths_ms);
 	*r = (struct cq_ready_stage){ .stage = stage, .queue = queue };
 	r->remaining_path_ms = paths_ms[stage->step_index];
 	for (i = 0; i < w->step_count; i++)
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -18,6 +18,10 @@
 #define GANG_PREEMPTION_DELAY_NS (INT64_C(500) * CQ_NS_PER_MS)
 #define GANG_MAX_LOSS_S 0.2
 #define NO_PREEMPTION (-1.0)
+/* Part of the runs in CQ_RUN_RECORDING that is kept for jobs without runs */
+#define RECORDING_KEPT_DIVISOR 2
+/* Part of them that one job may have, but for a gang */
+#define RECORDING_JOB_DIVISOR 4
 
 /* A step of which no further task fits on the workers of the service */
 struct full_shape {
@@ -39,6 +43,8 @@
 	GArray *totals;	     /* struct service_totals, of those met so far */
 	GArray *assignments; /* struct cq_assignment, of the current stage */
 	GArray *full;	     /* struct full_shape */
+	uint64_t work;
+	uint32_t recording; /* runs that wait for their record */
 };
 
 static bool is_due(const struct cq_stage *stage, int64_t unix_ms);
@@ -52,6 +58,8 @@
 static struct cq_pool_totals *totals_of(struct plan_run *run,
 					const char *service);
 static bool is_known_full(const GArray *full, const struct cq_placement *p);
+static uint32_t start_quota(const struct plan_run *run,
+			    const struct cq_batch *batch);
 static void place_stage(struct plan_run *run, const struct cq_placement *p,
 			const struct cq_ready_stage *r);
 static void plan_stage(struct plan_run *run, const struct cq_ready_stage *r);
@@ -187,10 +195,33 @@
 	return false;
 }
 
+/*
+ * How many tasks of the job may start in this plan. A job of any size leaves
+ * starts to the others, and the first run of a job waits for no other job's.
+ */
+static uint32_t start_quota(const struct plan_run *run,
+			    const struct cq_batch *batch)
+{
+	uint32_t max = run->plan->max_recording;
+	uint32_t room = cq_batch_active_room(batch);
+	uint32_t used = run->recording + max / RECORDING_KEPT_DIVISOR;
+	uint32_t share = max / RECORDING_JOB_DIVISOR;
+	uint32_t quota;
+
+	if (!max)
+		return room;
+	quota = MIN(max > used ? max - used : 0,
+		    share > batch->recording_count
+			    ? share - batch->recording_count
+			    : 0);
+	if (!batch->active_count && run->recording < max)
+		quota = MAX(quota, 1);
+	return MIN(room, quota);
+}
+
 static void place_stage(struct plan_run *run, const struct cq_placement *p,
 			const struct cq_ready_stage *r)
 {
-	guint room = cq_batch_active_room(r->stage->batch);
 	const struct cq_workload_step *step = r->stage->step;
 	GArray *assignments = run->assignments;
 
@@ -198,15 +229,14 @@
 	if (is_known_full(run->full, p))
 		return;
 	if (cq_placement_find(p, assignments)) {
-		if (assignments->len > room)
-			g_array_set_size(assignments, room);
+		run->recording += assignments->len;
 		totals_of(run, p->service)->free_accelerators -=
 			(int64_t)assignments->len * step->accelerators;
 		run->ops->start(run->ctx, r, assignments);
 		r->stage->waiting_ns = 0;
 	}
 	if (cq_stage_waiting(r->stage) && !step->gang &&
-	    !step->max_per_worker && assignments->len < room) {
+	    !step->max_per_worker && assignments->len < p->max_tasks) {
 		const struct full_shape shape = { p->service, step };
 
 		g_array_append_val(run->full, shape);
@@ -216,6 +246,7 @@
 static void plan_stage(struct plan_run *run, const struct cq_ready_stage *r)
 {
 	const struct cq_stage_plan *plan = run->plan;
+	uint32_t quota = start_quota(run, r->stage->batch);
 	const struct cq_placement p = {
 		.pool = plan->pool,
 		.stage = r->stage,
@@ -224,20 +255,56 @@
 		.remote_factor = plan->remote_factor,
 		.pack_racks = r->stage->rank > CQ_RANK_URGENT,
 		.reserve_unaffordable = r->stage->rank <= CQ_RANK_URGENT,
+		.max_tasks = quota,
+		.work = &run->work,
 	};
 
-	if (!within_active_limit(r->stage) ||
+	if (!quota || !within_active_limit(r->stage) ||
 	    !plan->policy->may_start(r, totals_of(run, r->queue->service),
 				     plan->now_ns))
 		return;
 	place_stage(run, &p, r);
-	if (cq_stage_waiting(r->stage))
+	/* The rest of a stage that has used its quota may have room. */
+	if (cq_stage_waiting(r->stage) && run->assignments->len < quota)
 		preempt_for_stage(run, &p, r);
 }
 
-void cq_stage_plan_run(const struct cq_stage_plan *plan, GArray *ready,
-		       const struct cq_stage_plan_ops *ops, void *ctx)
+/* A plan comes to one stage at least, so that the round ends. */
+static bool is_over(const struct plan_run *run, uint32_t stages)
+{
+	const struct cq_stage_plan *plan = run->plan;
+
+	return (plan->max_work && stages && run->work >= plan->max_work) ||
+	       (plan->max_recording && run->recording >= plan->max_recording);
+}
+
+/* Returns whether the round has come to all stages. */
+static bool plan_stages(struct plan_run *run, const GArray *ready)
 {
+	uint32_t round = run->plan->round;
+	uint32_t stages = 0;
+	guint i;
+
+	for (i = 0; i < ready->len; i++) {
+		const struct cq_ready_stage *r =
+			&g_array_index(ready, struct cq_ready_stage, i);
+
+		run->work++;
+		if (round && r->stage->planned_round == round)
+			continue;
+		if (is_over(run, stages++))
+			return false;
+		plan_stage(run, r);
+		r->stage->planned_round = round;
+	}
+	return true;
+}
+
+struct cq_stage_plan_result
+cq_stage_plan_run(const struct cq_stage_plan *plan, GArray *ready,
+		  const struct cq_stage_plan_ops *ops, void *ctx)
+{
+	struct cq_stage_plan_result result;
 	struct plan_run run = {
 		.plan = plan,
 		.ops = ops,
@@ -247,15 +314,15 @@
 		.assignments =
 			g_array_new(FALSE, TRUE, sizeof(struct cq_assignment)),
 		.full = g_array_new(FALSE, TRUE, sizeof(struct full_shape)),
+		.recording = plan->recording,
 	};
-	guint i;
 
 	cq_placement_prepare(plan->pool);
 	g_array_sort_with_data(ready, compare_ready_stages, (gpointer)plan);
-	for (i = 0; i < ready->len; i++)
-		plan_stage(&run,
-			   &g_array_index(ready, struct cq_ready_stage, i));
+	result.complete = plan_stages(&run, ready);
+	result.work = run.work;
 	g_array_unref(run.totals);
 	g_array_unref(run.assignments);
 	g_array_unref(run.full);
+	return result;
 }
--- a/tests/support/replay.c
+++ b/tests/support/replay.c
@@ -388,8 +388,12 @@
 
 static void plan(struct replay *r)
 {
-	const struct cq_stage_plan p = { r->policy, r->pool, r->now_ns,
-					 REPLAY_REMOTE_FACTOR };
+	const struct cq_stage_plan p = {
+		.policy = r->policy,
+		.pool = r->pool,
+		.now_ns = r->now_ns,
+		.remote_factor = REPLAY_REMOTE_FACTOR,
+	};
 	GArray *ready = g_array_new(FALSE, TRUE, sizeof(struct cq_ready_stage));
 	GHashTableIter iter;
 	gpointer value;
--- a/tests/unit/test_batch_occurrences.c
+++ b/tests/unit/test_batch_occurrences.c
@@ -147,6 +147,47 @@
 	cq_pool_destroy(pool);
 }
 
+/*
+ * Guards against a plan that grows with the runs that are overdue: those that
+ * nothing has started of come into being in turn, with at least one at a time.
+ */
+static void test_unstarted_come_in_turn(void)
+{
+	static const struct {
+		uint32_t max_unstarted;
+		uint32_t live; /* occurrences of STEPS * WIDTH tasks */
+	} cases[] = {
+		{ 0, 1 },
+		{ STEPS * WIDTH, 1 },
+		{ 2 * STEPS * WIDTH - 1, 1 },
+		{ 2 * STEPS * WIDTH, 2 },
+		{ 10 * STEPS * WIDTH, 10 },
+	};
+	struct cq_pool *pool = cq_pool_create();
+	struct cq_pool_worker *worker = cq_pool_add(pool, "worker");
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cq_batch *batch = create_batch(1000, FIRST_RUN_MS, 1);
+		uint32_t live = cases[i].live;
+
+		batch->max_unstarted = cases[i].max_unstarted;
+		cq_batch_open_due(batch, FIRST_RUN_MS + HALF_HOUR_MS);
+		g_assert_cmpuint(batch->live->len, ==, live);
+		/* One that has started makes way for the next one. */
+		cq_task_assign(&cq_batch_stage(batch, 0, 0)->tasks[0], worker,
+			       1);
+		cq_batch_open_due(batch, FIRST_RUN_MS + HALF_HOUR_MS);
+		g_assert_cmpuint(batch->live->len, ==, live + 1);
+		cq_task_end(&cq_batch_stage(batch, 0, 0)->tasks[0],
+			    CQ_RUN_STOPPED, "", 0);
+		cq_batch_open_due(batch, FIRST_RUN_MS + HALF_HOUR_MS);
+		g_assert_cmpuint(batch->live->len, ==, live + 1);
+		cq_batch_destroy(batch);
+	}
+	cq_pool_destroy(pool);
+}
+
 struct due_case {
 	int64_t first_run_ms;
 	int64_t interval_ms;
@@ -196,6 +237,8 @@
 			test_backlog_is_bounded);
 	g_test_add_func("/batch_occurrences/running_is_kept",
 			test_running_is_kept);
+	g_test_add_func("/batch_occurrences/unstarted_come_in_turn",
+			test_unstarted_come_in_turn);
 	g_test_add_func("/batch_occurrences/due_times", test_due_times);
 	return g_test_run();
 }
--- a/tests/unit/test_batch_record.c
+++ b/tests/unit/test_batch_record.c
@@ -135,6 +135,58 @@
 	return true;
 }
 
+/*
+ * Guards against a record that grows with the runs that are due and that
+ * nothing has started of, up to a size that the store refuses.
+ */
+static void test_size_of_unstarted_occurrences(void)
+{
+	struct cq_batch *one = create_batch(1);
+	struct cq_batch *many = create_batch(OCCURRENCES);
+
+	many->max_unstarted = UINT32_MAX;
+	cq_batch_open_due(many, 0);
+	g_assert_cmpuint(many->live->len, >, 50);
+	g_assert_cmpuint(record_bytes(many), ==, record_bytes(one));
+	cq_batch_destroy(one);
+	cq_batch_destroy(many);
+}
+
+/*
+ * Guards against a job whose runs together make a larger record than the store
+ * takes. Runs that have ended make room again.
+ */
+static void test_room_for_runs(void)
+{
+	struct cq_pool *pool = cq_pool_create();
+	struct cq_pool_worker *worker = create_worker(pool);
+	struct cq_batch *batch = create_batch(1);
+	struct cq_stage *stage = cq_batch_stage(batch, 0, 0);
+	uint32_t runs = 0;
+
+	batch->max_record_bytes = 3000;
+	g_assert_cmpuint(cq_batch_active_room(batch), ==,
+			 3000 / CQ_BATCH_RUN_RECORD_BYTES);
+	while (runs < WIDTH && cq_batch_active_room(batch)) {
+		cq_task_assign(&stage->tasks[runs++], worker, 1);
+		cq_task_checkpoint(&stage->tasks[runs - 1], "00000bb87a21d94b");
+		g_assert_cmpuint(record_bytes(batch), <=, 3000);
+		batch->record_bytes = record_bytes(batch);
+		batch->runs_since_record = 0;
+	}
+	g_assert_cmpuint(runs, >, 10);
+	g_assert_cmpuint(runs, <, WIDTH);
+	while (runs--)
+		cq_task_end(&stage->tasks[runs], CQ_RUN_DONE, NULL, 0);
+	/* One may always run, whatever the record has. */
+	batch->record_bytes = 5000;
+	g_assert_cmpuint(cq_batch_active_room(batch), ==, 1);
+	batch->record_bytes = record_bytes(batch);
+	g_assert_cmpuint(cq_batch_active_room(batch), >, 1);
+	cq_batch_destroy(batch);
+	cq_pool_destroy(pool);
+}
+
 static struct cq_batch *restore_copy(const char *text, uint32_t occurrences,
 				     struct cq_pool *pool)
 {
@@ -220,6 +272,45 @@
 	cq_pool_destroy(pool);
 }
 
+/*
+ * Guards against runs that are forgotten, or that come twice, after a change of
+ * leaders: the record has no rows for the last occurrences, which nothing has
+ * started of, but one for each that lies before one that has begun or ended.
+ */
+static void test_unstarted_come_again(void)
+{
+	struct cq_pool *pool = cq_pool_create();
+	struct cq_pool_worker *worker = create_worker(pool);
+	struct cq_batch *batch = create_batch(6);
+	struct cq_batch *copy;
+	char *text;
+	uint32_t k;
+
+	batch->max_unstarted = UINT32_MAX;
+	cq_batch_open_due(batch, 0);
+	run_occurrence(batch, 1, worker);
+	cq_batch_close_ended(batch);
+	text = cq_batch_format(batch);
+	copy = restore_copy(text, 6, pool);
+	g_assert_cmpuint(copy->opened, ==, 2);
+	cq_batch_open_due(copy, 0);
+	for (k = 0; k < 4; k++) {
+		g_assert_cmpint(is_ended(copy, k), ==, k == 1);
+		if (k != 1)
+			run_occurrence(copy, k, worker);
+		cq_batch_close_ended(copy);
+		cq_batch_open_due(copy, 0);
+	}
+	g_assert_cmpint(copy->state, ==, CQ_BATCH_RUNNING);
+	for (; k < 6; k++)
+		run_occurrence(copy, k, worker);
+	g_assert_cmpint(copy->state, ==, CQ_BATCH_COMPLETED);
+	free(text);
+	cq_batch_destroy(batch);
+	cq_batch_destroy(copy);
+	cq_pool_destroy(pool);
+}
+
 /*
  * Guards against done tasks that start again after an upgrade: the former
  * release has written the record with a row for each task of each occurrence.
@@ -321,6 +412,11 @@
 			test_size_of_ended_occurrences);
 	g_test_add_func("/batch_record/size_of_done_tasks",
 			test_size_of_done_tasks);
+	g_test_add_func("/batch_record/size_of_unstarted_occurrences",
+			test_size_of_unstarted_occurrences);
+	g_test_add_func("/batch_record/room_for_runs", test_room_for_runs);
+	g_test_add_func("/batch_record/unstarted_come_again",
+			test_unstarted_come_again);
 	g_test_add_func("/batch_record/checkpoint_with_escapes",
 			test_checkpoint_with_escapes);
 	g_test_add_func("/batch_record/occurrences_out_of_order",
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -211,6 +211,27 @@
 	fixture_teardown(&w);
 }
 
+/*
+ * Guards against thousands of small tasks on one worker beside idle ones, where
+ * each answer of the worker lists all of them.
+ */
+static void test_many_small_tasks_spread(void)
+{
+	struct fixture w;
+	GHashTableIter iter;
+	gpointer value;
+
+	fixture_setup(&w, 1, 4);
+	start_stage(&w, add_stage(&w, 2, 500, 0, 1), true);
+	g_assert_cmpuint(start_stage(&w, add_stage(&w, 2, 9500, 0, 1), true),
+			 ==, 9500);
+	g_hash_table_iter_init(&iter, w.pool->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_assert_cmpuint(((struct cq_pool_worker *)value)->runs->len,
+				 <=, 10000 / 4 + 512);
+	fixture_teardown(&w);
+}
+
 static bool select_victims(struct fixture *w, struct cq_stage *s,
 			   GPtrArray *out)
 {
@@ -342,6 +363,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/placement/many_small_tasks_spread",
+			test_many_small_tasks_spread);
 	g_test_add_func("/placement/small_tasks_leave_racks",
 			test_small_tasks_leave_racks);
 	g_test_add_func("/placement/gang_waits_for_a_rack",
--- a/tests/unit/test_stage_plan.c
+++ b/tests/unit/test_stage_plan.c
@@ -22,6 +22,11 @@
 	GPtrArray *batches;
 	uint32_t started;
 	uint32_t preempted;
+	/* Limits of the plans, see struct cq_stage_plan; 0: none */
+	uint32_t round;
+	uint64_t max_work;
+	uint32_t max_recording;
+	struct cq_stage_plan_result result; /* of the last plan */
 };
 
 static void on_start(void *ctx, const struct cq_ready_stage *r,
@@ -149,6 +154,9 @@
 		.policy = &cq_stage_policy_default,
 		.pool = w->pool,
 		.now_ns = NOW_NS + waited_ns,
+		.round = w->round,
+		.max_work = w->max_work,
+		.max_recording = w->max_recording,
 	};
 	GArray *ready = g_array_new(FALSE, TRUE, sizeof(struct cq_ready_stage));
 	GHashTableIter iter;
@@ -165,7 +173,7 @@
 		cq_stage_plan_collect(stages[i]->batch, queue_of(stages[i]),
 				      p.now_ns, 0, ready);
 	}
-	cq_stage_plan_run(&p, ready, &ops, w);
+	w->result = cq_stage_plan_run(&p, ready, &ops, w);
 	g_array_unref(ready);
 }
 
@@ -366,6 +374,110 @@
 	fixture_teardown(&w);
 }
 
+/* Adds a job with that many occurrences of one small task, all of them due. */
+static struct cq_stage *add_overdue_job(struct fixture *w, uint32_t occurrences)
+{
+	struct cq_stage *stage = add_job(w, RANK_BULK, 1, 0);
+	uint32_t i;
+
+	stage->batch->workload->occurrences = occurrences;
+	for (i = 1; i < occurrences; i++)
+		cq_batch_open(stage->batch, i);
+	return cq_batch_stage_at(stage->batch, 0);
+}
+
+/*
+ * Guards against a plan whose work grows with the square of the runs on a
+ * worker: a leader that plans for longer than its lease loses the lead, and so
+ * does the next one. The placement puts all these tasks onto one worker.
+ */
+static void test_work_of_many_small_runs(void)
+{
+	static const uint32_t counts[] = { 100, 1000, 10000 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(counts); i++) {
+		struct fixture w;
+
+		fixture_setup(&w, 16);
+		plan(&w, add_overdue_job(&w, counts[i]), 0);
+		g_assert_cmpuint(w.started, ==, counts[i]);
+		/* A few looks at each worker for each stage */
+		g_assert_cmpuint(w.result.work, <=, counts[i] * 16 * 4);
+		fixture_teardown(&w);
+	}
+}
+
+/*
+ * Guards against a plan that takes as long as there are stages: one that has
+ * looked at enough ends, and the next ones of the round go on behind it.
+ */
+static void test_plan_goes_on(void)
+{
+	struct fixture w;
+	struct cq_stage *job;
+	uint32_t started = 0;
+	int plans = 0;
+
+	fixture_setup(&w, 16);
+	job = add_overdue_job(&w, 1000);
+	w.round = 1;
+	w.max_work = 5000;
+	do {
+		plan(&w, job, 0);
+		started += w.started;
+		/* The last stage and the passed over ones come on top. */
+		g_assert_cmpuint(w.result.work, <=, w.max_work + 1000 + 64);
+		plans++;
+	} while (!w.result.complete && plans < 100);
+	g_assert_cmpuint(started, ==, 1000);
+	g_assert_cmpint(plans, >, 5);
+	fixture_teardown(&w);
+}
+
+/*
+ * Guards against a stage without room, which is come to again in each plan of a
+ * round, so that those behind it never have their turn.
+ */
+static void test_round_passes_over(void)
+{
+	struct fixture w;
+	struct cq_stage *stages[2];
+
+	fixture_setup(&w, 4);
+	stages[0] = add_gang_job(&w, CQ_RANK_URGENT, 5);
+	stages[1] = add_job(&w, RANK_BULK, 1, 1);
+	w.round = 1;
+	w.max_work = 1;
+	plan_all(&w, stages, 2, 0);
+	g_assert_false(w.result.complete);
+	plan_all(&w, stages, 2, 0);
+	g_assert_cmpuint(w.started, ==, 1);
+	g_assert_true(w.result.complete);
+	fixture_teardown(&w);
+}
+
+/*
+ * Guards against jobs that have nothing running while a large one has all of
+ * the starts, and against a gang that starts in part.
+ */
+static void test_starts_are_shared(void)
+{
+	struct fixture w;
+	struct cq_stage *stages[3];
+
+	fixture_setup(&w, 16);
+	stages[0] = add_job(&w, CQ_RANK_URGENT, 1000, 0);
+	stages[1] = add_job(&w, RANK_BULK, 10, 0);
+	stages[2] = add_gang_job(&w, RANK_BULK, 12);
+	w.max_recording = 16;
+	plan_all(&w, stages, 3, 0);
+	g_assert_cmpuint(stages[0]->active_count, ==, 4);
+	g_assert_cmpuint(stages[1]->active_count, ==, 4);
+	g_assert_cmpuint(stages[2]->active_count, ==, 12);
+	fixture_teardown(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -381,5 +493,12 @@
 			test_guarantee_in_time);
 	g_test_add_func("/stage_plan/servers_stay", test_servers_stay);
 	g_test_add_func("/stage_plan/free_room_first", test_free_room_first);
+	g_test_add_func("/stage_plan/work_of_many_small_runs",
+			test_work_of_many_small_runs);
+	g_test_add_func("/stage_plan/plan_goes_on", test_plan_goes_on);
+	g_test_add_func("/stage_plan/round_passes_over",
+			test_round_passes_over);
+	g_test_add_func("/stage_plan/starts_are_shared",
+			test_starts_are_shared);
 	return g_test_run();
 }
