Send the stops of a large job in parts

Change: 512 stops and repeated starts in a tick of 50 ms, 128 of them to one worker, so that a silent one doesn't hold up the others; a stop that isn't sent yet is sent in a later tick.

dispatcher_overdue/stops_in_parts failed before: all 3,000 runs were gone after one turn.

--- a/src/coordination/dispatcher.c
+++ b/src/coordination/dispatcher.c
@@ -284,6 +284,7 @@
 	(void)events;
 	if (check_stops)
 		d->next_stop_check_ns = now_ns + STOP_CHECK_INTERVAL_NS;
+	command_allow_orders(d);
 	g_hash_table_iter_init(&iter, d->pool->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct cq_pool_worker *worker = value;
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -59,6 +59,7 @@
 	int64_t running_unreadable_ns;
 	int64_t ended_unreadable_ns;
 	int64_t odd_rows_logged_ns;
+	uint32_t orders_left; /* see command_allow_orders() */
 };
 
 /* A record in the journal transaction that is in flight. */
@@ -112,6 +113,7 @@
 	uint64_t max_record_bytes;     /* 0: no limit */
 	bool full;		       /* no further jobs are wanted */
 	bool full_unwritten;	       /* CQ_KEY_FULL is to be written */
+	uint32_t orders_left;	       /* see command_allow_orders() */
 	uint32_t probes_in_flight;     /* without those silent for too long */
 	ev_timer tick_timer;
 	int64_t next_stop_check_ns; /* when all runs are checked again */
@@ -229,7 +231,9 @@
 			  const char *task, uint32_t run);
 /* Stops the task's current run if the records say that it must not go on. */
 void command_stop_ended(struct cq_dispatcher *d, struct cq_task *task);
-/* Sends unanswered starts and stops again when they are due. */
+/* A tick begins: so many stops and repeated starts may be sent in it. */
+void command_allow_orders(struct cq_dispatcher *d);
+/* Sends unsent and unanswered stops, and unanswered starts when due. */
 void command_retry(struct cq_dispatcher *d, struct cq_task *task,
 		   int64_t now_ns);
 /* Throttles the task's current run to percent of its speed. */
--- a/src/coordination/dispatcher_orders.c
+++ b/src/coordination/dispatcher_orders.c
@@ -12,6 +12,13 @@
 #define UNANSWERED_RETRY_NS (INT64_C(200) * CQ_NS_PER_MS)
 /* Retry interval of an answered stop whose run end is not reported yet. */
 #define ANSWERED_STOP_RETRY_NS (INT64_C(1500) * CQ_NS_PER_MS)
+/*
+ * Stops and repeated starts that are sent in the course of a tick, and those of
+ * them to one worker; the others follow in later ticks. A job of any size may
+ * be cancelled, and the leader has to go on meanwhile.
+ */
+#define ORDERS_PER_TICK 512
+#define ORDERS_PER_WORKER_TICK 128
 /* How long a worker gets no new runs after it refused a start. */
 #define REFUSED_AVOID_NS (INT64_C(1) * CQ_NS_PER_S)
 /* The same after it refused a start because it is unhealthy. */
@@ -45,6 +52,7 @@
 static void on_unknown_run_stopped(void *ctx,
 				   const struct cq_executor_report *report);
 static void on_pace(void *ctx, const struct cq_executor_report *report);
+static bool take_order(struct cq_dispatcher *d, struct link *link);
 static void send_stop(struct cq_dispatcher *d, struct cq_task *task);
 static bool worker_accepts_start(const struct cq_dispatcher *d,
 				 const struct cq_task *task);
@@ -208,6 +216,31 @@
 	}
 }
 
+void command_allow_orders(struct cq_dispatcher *d)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	d->orders_left = ORDERS_PER_TICK;
+	g_hash_table_iter_init(&iter, d->pool->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct cq_pool_worker *worker = value;
+		struct link *link = worker->link;
+
+		if (link)
+			link->orders_left = ORDERS_PER_WORKER_TICK;
+	}
+}
+
+static bool take_order(struct cq_dispatcher *d, struct link *link)
+{
+	if (!d->orders_left || !link->orders_left)
+		return false;
+	d->orders_left--;
+	link->orders_left--;
+	return true;
+}
+
 static void send_stop(struct cq_dispatcher *d, struct cq_task *task)
 {
 	struct cq_executor_target target = link_target(task->worker->link);
@@ -240,7 +273,9 @@
 		return;
 	}
 	task->stopping = true;
-	if (d->ops->may_command(d->ctx) && task->worker->listing.address[0])
+	task->stop_sent_ns = 0;
+	if (d->ops->may_command(d->ctx) && task->worker->listing.address[0] &&
+	    take_order(d, task->worker->link))
 		send_stop(d, task);
 }
 
@@ -369,18 +404,21 @@
 					      : UNANSWERED_RETRY_NS;
 
 		if (!task->stop_in_flight &&
-		    now_ns - task->stop_sent_ns > interval_ns)
+		    now_ns - task->stop_sent_ns > interval_ns &&
+		    take_order(d, task->worker->link))
 			send_stop(d, task);
 		return;
 	}
 	if (task->phase != CQ_RUN_START_SENT || task->start_in_flight ||
 	    now_ns - task->start_sent_ns <= UNANSWERED_RETRY_NS)
 		return;
-	if (worker_accepts_start(d, task))
-		command_start(d, task);
-	else if (link->heartbeat_answered_ns >
-		 task->start_sent_ns + COMMAND_TIMEOUT_NS)
+	if (worker_accepts_start(d, task)) {
+		if (take_order(d, task->worker->link))
+			command_start(d, task);
+	} else if (link->heartbeat_answered_ns >
+		   task->start_sent_ns + COMMAND_TIMEOUT_NS) {
 		command_stop(d, task, "the worker no longer accepts starts");
+	}
 }
 
 /*
--- a/tests/unit/test_dispatcher_overdue.c
+++ b/tests/unit/test_dispatcher_overdue.c
@@ -129,6 +129,25 @@
 	check_and_destroy_world(w);
 }
 
+/*
+ * Guards against a leader that sends the stops of a large job in one go, and
+ * against stops that are forgotten when they are sent in parts.
+ */
+static void test_stops_in_parts(void)
+{
+	struct dispatcher_fixture *w = create_world();
+	struct mem_executor *workers = dispatcher_fixture_workers(w);
+
+	dispatcher_fixture_submit(w, 1, WIDE_TASKS, 0, false);
+	g_assert_true(dispatcher_fixture_wait_for_runs(w, WIDE_TASKS));
+	dispatcher_fixture_cancel(w, 1);
+	while (mem_executor_running(workers) == WIDE_TASKS)
+		run_loop_iterations(dispatcher_fixture_loop(w), 1);
+	g_assert_cmpuint(mem_executor_running(workers), >=, WIDE_TASKS - 512);
+	g_assert_true(dispatcher_fixture_wait_for_runs(w, 0));
+	check_and_destroy_world(w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -138,5 +157,7 @@
 			test_all_overdue_runs_come);
 	g_test_add_func("/dispatcher_overdue/starts_in_parts",
 			test_starts_in_parts);
+	g_test_add_func("/dispatcher_overdue/stops_in_parts",
+			test_stops_in_parts);
 	return g_test_run();
 }
