Let one function say how many tasks of a step a worker takes

By the same cause guaranteed work with one task a worker never begins its last task beside lent work (RECLAIM).

Cause: rate_worker() counts the tasks of the step that a worker has, placement_count_fitting() of the search for victims did not. The search took workers that the stage had filled by the limit for free room, and reserved all of them in each plan for a stage that could not use them.

Change: placement_takes_one() is the one answer, for the placement, the search for victims and the wait for a rack.

Without the change both tests fail: full_by_limit_reserves_nothing (0 of 2 tasks of the later job), preempts_where_limit_allows (no run gives way).

--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -209,13 +209,10 @@
 static int64_t rate_worker(const struct cq_placement *p,
 			   const struct cq_pool_worker *worker)
 {
-	const struct cq_workload_step *step = p->stage->step;
+	struct placement_room room = placement_free_room(worker);
+	uint32_t own_tasks = worker->tentative_tasks + worker->stage_runs;
 
-	if (!cq_pool_fits(worker, step, 1))
-		return NO_ROOM;
-	if (step->max_per_worker &&
-	    worker->tentative_tasks + worker->stage_runs >=
-		    step->max_per_worker)
+	if (!placement_takes_one(&room, p->stage->step, own_tasks))
 		return NO_ROOM;
 	return worker_penalty(p, worker);
 }
--- a/src/state/placement_internal.h
+++ b/src/state/placement_internal.h
@@ -13,9 +13,18 @@
 
 /* Counts that many looks at a worker or a run as work of the plan. */
 void placement_add_work(const struct cq_placement *p, uint64_t looks);
-/* Returns the number of tasks of the step that fit into the room. */
+/*
+ * Whether a worker with that room, which has so many tasks of the stage, takes
+ * one more; and how many more. All that places tasks, looks for room or makes
+ * it asks these two: with different answers, workers would be set aside for a
+ * stage that can't use them.
+ */
+bool placement_takes_one(const struct placement_room *room,
+			 const struct cq_workload_step *step,
+			 uint32_t own_tasks);
 uint32_t placement_count_fitting(const struct placement_room *room,
-				 const struct cq_workload_step *step);
+				 const struct cq_workload_step *step,
+				 uint32_t own_tasks);
 /* True if the stage may use the worker, whatever its free room. */
 bool placement_worker_eligible(const struct cq_placement *p,
 			       const struct cq_pool_worker *worker);
--- a/src/state/placement_victims.c
+++ b/src/state/placement_victims.c
@@ -37,7 +37,8 @@
 static gint compare_losses(gconstpointer a, gconstpointer b, gpointer search);
 static GPtrArray *possible_victims(const struct victim_search *search,
 				   const struct cq_pool_worker *worker,
-				   struct placement_room *room);
+				   struct placement_room *room,
+				   uint32_t *own_tasks);
 static void evaluate_candidate(const struct victim_search *search,
 			       struct candidate *c, uint32_t wanted);
 static void candidate_clear(void *data);
@@ -56,11 +57,26 @@
 static void reserve_selected(const GArray *candidates,
 			     const struct cq_stage *stage, GPtrArray *out);
 
+bool placement_takes_one(const struct placement_room *room,
+			 const struct cq_workload_step *step,
+			 uint32_t own_tasks)
+{
+	int64_t cpu_millicores = step->fills ? 0 : step->cpu_millicores;
+
+	return room->cpu_millicores >= cpu_millicores &&
+	       room->memory_mb >= (int64_t)step->memory_mb &&
+	       room->accelerators >= (int64_t)step->accelerators &&
+	       (!step->max_per_worker || own_tasks < step->max_per_worker);
+}
+
 uint32_t placement_count_fitting(const struct placement_room *room,
-				 const struct cq_workload_step *step)
+				 const struct cq_workload_step *step,
+				 uint32_t own_tasks)
 {
 	int64_t tasks = INT32_MAX;
 
+	if (!placement_takes_one(room, step, own_tasks))
+		return 0;
 	if (step->cpu_millicores && !step->fills)
 		tasks = MIN(tasks, room->cpu_millicores /
 					   (int64_t)step->cpu_millicores);
@@ -70,8 +86,8 @@
 		tasks = MIN(tasks,
 			    room->accelerators / (int64_t)step->accelerators);
 	if (step->max_per_worker)
-		tasks = MIN(tasks, step->max_per_worker);
-	return (uint32_t)MAX(0, tasks);
+		tasks = MIN(tasks, step->max_per_worker - own_tasks);
+	return (uint32_t)tasks;
 }
 
 static bool is_gang_preempted(const struct victim_search *search,
@@ -140,11 +156,13 @@
 
 /*
  * Returns the runs that may be preempted, cheapest first, and adds the
- * resources of the runs that are already being stopped to the room.
+ * resources of the runs that are already being stopped to the room. own_tasks
+ * gets the number of the stage's own runs that stay.
  */
 static GPtrArray *possible_victims(const struct victim_search *search,
 				   const struct cq_pool_worker *worker,
-				   struct placement_room *room)
+				   struct placement_room *room,
+				   uint32_t *own_tasks)
 {
 	GPtrArray *victims = g_ptr_array_new();
 	guint i;
@@ -155,6 +173,8 @@
 
 		if (task->stopping)
 			placement_add_room(room, task->stage->step);
+		else if (task->stage == search->p->stage)
+			(*own_tasks)++;
 		else if (placement_may_preempt(search->p->stage, task))
 			g_ptr_array_add(victims, task);
 	}
@@ -171,20 +191,23 @@
 {
 	const struct cq_workload_step *step = search->p->stage->step;
 	struct placement_room room = placement_free_room(c->worker);
-	GPtrArray *victims = possible_victims(search, c->worker, &room);
+	uint32_t own_tasks = 0;
+	GPtrArray *victims =
+		possible_victims(search, c->worker, &room, &own_tasks);
 	guint used = 0;
 	guint i;
 
 	g_ptr_array_set_size(c->victims, 0);
 	c->loss_core_s = 0;
-	c->tasks = MIN(wanted, placement_count_fitting(&room, step));
+	c->tasks = MIN(wanted, placement_count_fitting(&room, step, own_tasks));
 	for (i = 0; i < victims->len && c->tasks < wanted; i++) {
 		struct cq_task *task = g_ptr_array_index(victims, i);
 		uint32_t tasks;
 
 		placement_add_room(&room, task->stage->step);
 		g_ptr_array_add(c->victims, task);
-		tasks = MIN(wanted, placement_count_fitting(&room, step));
+		tasks = MIN(wanted,
+			    placement_count_fitting(&room, step, own_tasks));
 		if (tasks > c->tasks) {
 			c->tasks = tasks;
 			used = c->victims->len;
--- a/src/state/rack_wait.c
+++ b/src/state/rack_wait.c
@@ -132,7 +132,7 @@
 	guint i;
 
 	for (i = 0; i < count; i++)
-		tasks += placement_count_fitting(&rooms[i], p->stage->step);
+		tasks += placement_count_fitting(&rooms[i], p->stage->step, 0);
 	return tasks;
 }
 
@@ -151,7 +151,7 @@
 						      size->memory_mb,
 						      size->accelerators };
 
-		tasks += placement_count_fitting(&whole, p->stage->step);
+		tasks += placement_count_fitting(&whole, p->stage->step, 0);
 	}
 	return tasks >= p->stage->step->tasks;
 }
@@ -180,9 +180,9 @@
 			&g_array_index(endings, struct ending, i);
 		struct placement_room *room = &rooms[e->worker];
 
-		tasks -= placement_count_fitting(room, p->stage->step);
+		tasks -= placement_count_fitting(room, p->stage->step, 0);
 		placement_add_room(room, e->step);
-		tasks += placement_count_fitting(room, p->stage->step);
+		tasks += placement_count_fitting(room, p->stage->step, 0);
 		if (tasks >= p->stage->step->tasks)
 			in_ms = e->in_ms;
 	}
@@ -209,7 +209,8 @@
 
 			accelerators += worker->listing.accelerators;
 			free_accelerators += worker->free_accelerators;
-			tasks += placement_count_fitting(&room, p->stage->step);
+			tasks += placement_count_fitting(&room, p->stage->step,
+							 0);
 		}
 	}
 	return tasks / 2 >= p->stage->step->tasks &&
--- a/tests/unit/test_stage_plan.c
+++ b/tests/unit/test_stage_plan.c
@@ -478,6 +478,57 @@
 	fixture_teardown(&w);
 }
 
+/*
+ * Guards against workers that are set aside for a stage which can't use them:
+ * each of its workers has as many of its tasks as may run there, and more wait.
+ */
+static void test_full_by_limit_reserves_nothing(void)
+{
+	struct fixture w;
+	struct cq_stage *spread, *late;
+
+	fixture_setup(&w, 6);
+	spread = add_job(&w, CQ_RANK_URGENT, 12, 1);
+	first_step(spread)->max_per_worker = 1;
+	first_step(spread)->long_running = true;
+	plan(&w, spread, 0);
+	g_assert_cmpuint(w.started, ==, 6);
+	late = add_job(&w, CQ_RANK_URGENT, 2, 1);
+	plan_both(&w, spread, late);
+	g_assert_cmpuint(late->active_count, ==, 2);
+	g_assert_cmpuint(spread->active_count, ==, 6);
+	fixture_teardown(&w);
+}
+
+/*
+ * Guards against guaranteed work that never begins, since workers which have a
+ * task of it count as room for the next one: then nothing gives way where that
+ * could run. A task of it that is being stopped leaves its place.
+ */
+static void test_preempts_where_limit_allows(void)
+{
+	static const bool is_stopping[] = { false, true };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(is_stopping); i++) {
+		struct fixture w;
+		struct cq_stage *spread, *lent;
+
+		fixture_setup(&w, 4);
+		lent = add_gang_job(&w, RANK_BULK, 1);
+		assign_runs(&w, lent, 3, 100 * MS);
+		spread = add_job(&w, CQ_RANK_GUARANTEED, 4, 1);
+		first_step(spread)->max_per_worker = 1;
+		plan(&w, spread, 3000 * MS);
+		g_assert_cmpuint(w.started, ==, 3);
+		spread->tasks[0].stopping = is_stopping[i];
+		plan(&w, spread, 3000 * MS);
+		g_assert_cmpuint(w.started, ==, 0);
+		g_assert_cmpuint(w.preempted, ==, !is_stopping[i]);
+		fixture_teardown(&w);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -496,6 +547,10 @@
 	g_test_add_func("/stage_plan/work_of_many_small_runs",
 			test_work_of_many_small_runs);
 	g_test_add_func("/stage_plan/plan_goes_on", test_plan_goes_on);
+	g_test_add_func("/stage_plan/full_by_limit_reserves_nothing",
+			test_full_by_limit_reserves_nothing);
+	g_test_add_func("/stage_plan/preempts_where_limit_allows",
+			test_preempts_where_limit_allows);
 	g_test_add_func("/stage_plan/round_passes_over",
 			test_round_passes_over);
 	g_test_add_func("/stage_plan/starts_are_shared",
