Make room only for tasks that their job may start

Cause: a job's runs are limited, when its record is as large as the store takes. The placement asks that limit, the search for victims took all waiting tasks of the stage.

Change: the search asks cq_batch_active_room() as well. A gang is all or nothing, and waits if the limit doesn't let it start.

room_for_those_that_may_start failed before: four runs gave way for one task that could start.

--- a/src/state/placement_victims.c
+++ b/src/state/placement_victims.c
@@ -227,6 +227,7 @@
 	g_ptr_array_unref(c->victims);
 }
 
+/* Tasks that wait and that the limit of the job lets start */
 static uint32_t waiting_tasks(const struct cq_stage *stage)
 {
 	uint32_t waiting = 0;
@@ -235,7 +236,9 @@
 	for (i = 0; i < stage->step->tasks; i++)
 		waiting += !stage->tasks[i].done &&
 			   stage->tasks[i].phase == CQ_RUN_NONE;
-	return waiting;
+	if (stage->step->gang)
+		return waiting;
+	return MIN(waiting, cq_batch_active_room(stage->batch));
 }
 
 static GArray *evaluate_all(const struct victim_search *search,
--- a/tests/unit/test_stage_plan.c
+++ b/tests/unit/test_stage_plan.c
@@ -529,6 +529,25 @@
 	}
 }
 
+/*
+ * Guards against runs that are stopped for tasks which the limit of their job
+ * doesn't let start: one of four may.
+ */
+static void test_room_for_those_that_may_start(void)
+{
+	struct fixture w;
+	struct cq_stage *lent, *limited;
+
+	fixture_setup(&w, 4);
+	lent = add_job(&w, RANK_BULK, 4, 8);
+	assign_runs(&w, lent, 0, 100 * MS);
+	limited = add_job(&w, CQ_RANK_GUARANTEED, 4, 8);
+	limited->batch->max_active = 1;
+	plan(&w, limited, 3000 * MS);
+	g_assert_cmpuint(w.preempted, ==, 1);
+	fixture_teardown(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -549,6 +568,8 @@
 	g_test_add_func("/stage_plan/plan_goes_on", test_plan_goes_on);
 	g_test_add_func("/stage_plan/full_by_limit_reserves_nothing",
 			test_full_by_limit_reserves_nothing);
+	g_test_add_func("/stage_plan/room_for_those_that_may_start",
+			test_room_for_those_that_may_start);
 	g_test_add_func("/stage_plan/preempts_where_limit_allows",
 			test_preempts_where_limit_allows);
 	g_test_add_func("/stage_plan/round_passes_over",
