End reservations that bring nothing

Cause: a stage that reserves workers in each plan keeps them however long it doesn't start.

Change: after 30 s without a start a stage reserves nothing for 30 s, unless runs are preempted for it in that plan; reservation_ended (warn) names it. Preemption goes on as before.

fruitless_reservation_ends failed before (the idle worker stays reserved for an urgent gang beside a run that is too costly to stop).

--- a/include/chestnutquay/batch.h
+++ b/include/chestnutquay/batch.h
@@ -114,6 +114,12 @@
 	/* Preemption rank, see stage_rank.h; lower goes first. */
 	uint32_t rank;
 	uint32_t planned_round; /* the last one that came to it; 0: none */
+	/*
+	 * Since when workers have been reserved for it without a start, and
+	 * since when none are as that has brought nothing; 0: not so
+	 */
+	int64_t reserved_ns;
+	int64_t released_ns;
 };
 
 /* An occurrence of a workload that is due and has not ended */
--- a/include/chestnutquay/placement.h
+++ b/include/chestnutquay/placement.h
@@ -35,6 +35,11 @@
 	 * stage.
 	 */
 	bool reserve_unaffordable;
+	/*
+	 * Reserves workers only where runs are preempted now: the reservations
+	 * before have brought nothing.
+	 */
+	bool reserve_with_victims_only;
 	/* Most tasks to place; 0: no limit. A gang is placed as a whole. */
 	uint32_t max_tasks;
 	/* Counts the workers and runs that are looked at; may be NULL. */
--- a/include/chestnutquay/stage_plan.h
+++ b/include/chestnutquay/stage_plan.h
@@ -72,6 +72,11 @@
 	 */
 	void (*preempt)(void *ctx, const struct cq_ready_stage *r,
 			const GPtrArray *tasks);
+	/*
+	 * The workers that were reserved for the stage have brought nothing,
+	 * and are left to others for a while. May be NULL.
+	 */
+	void (*release)(void *ctx, const struct cq_ready_stage *r);
 };
 
 /*
--- a/src/coordination/dispatcher_plan.c
+++ b/src/coordination/dispatcher_plan.c
@@ -137,9 +137,23 @@
 	}
 }
 
+static void log_release(void *ctx, const struct cq_ready_stage *ready)
+{
+	struct cq_dispatcher *d = ctx;
+	const struct cq_stage *stage = ready->stage;
+	int64_t held_ns = dispatcher_now_ns(d) - stage->reserved_ns;
+
+	cq_log_event(CQ_LOG_WARN, "reservation_ended", "{s:s,s:i,s:i,s:i,s:I}",
+		     "id", stage->batch->workload->id, "occurrence",
+		     (int)stage->occurrence, "step", (int)stage->step_index,
+		     "rank", (int)stage->rank, "held_ms",
+		     (json_int_t)(held_ns / CQ_NS_PER_MS));
+}
+
 static const struct cq_stage_plan_ops plan_ops = {
 	.start = start_stage,
 	.preempt = preempt_runs,
+	.release = log_release,
 };
 
 static uint32_t count_recording(const struct cq_dispatcher *d)
--- a/src/state/placement_victims.c
+++ b/src/state/placement_victims.c
@@ -356,6 +356,20 @@
 	return loss_core_s;
 }
 
+static bool has_victims(const GArray *candidates)
+{
+	guint i;
+
+	for (i = 0; i < candidates->len; i++) {
+		const struct candidate *c =
+			&g_array_index(candidates, struct candidate, i);
+
+		if (c->selected && c->victims->len)
+			return true;
+	}
+	return false;
+}
+
 static void reserve_selected(const GArray *candidates,
 			     const struct cq_stage *stage, GPtrArray *out)
 {
@@ -411,6 +425,8 @@
 	}
 	affordable = best && best_loss <= max_loss_core_s;
 	reserved = affordable || (best && p->reserve_unaffordable);
+	if (p->reserve_with_victims_only)
+		reserved = affordable && has_victims(best);
 	if (reserved)
 		reserve_selected(best, p->stage, affordable ? out : NULL);
 	if (best)
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -18,6 +18,10 @@
 #define GANG_PREEMPTION_DELAY_NS (INT64_C(500) * CQ_NS_PER_MS)
 #define GANG_MAX_LOSS_S 0.2
 #define NO_PREEMPTION (-1.0)
+/* A stage for which workers are reserved starts within this time, or ... */
+#define MAX_RESERVATION_NS (INT64_C(30) * CQ_NS_PER_S)
+/* ... has none reserved for so long. */
+#define RESERVATION_PAUSE_NS (INT64_C(30) * CQ_NS_PER_S)
 /* Part of the runs in CQ_RUN_RECORDING that is kept for jobs without runs */
 #define RECORDING_KEPT_DIVISOR 2
 /* Part of them that one job may have, but for a gang */
@@ -133,6 +137,30 @@
 	return NO_PREEMPTION;
 }
 
+/*
+ * Whether the workers that are reserved for the stage have brought nothing for
+ * so long that they are left to others for a while.
+ */
+static bool reserves_in_vain(struct plan_run *run,
+			     const struct cq_ready_stage *r)
+{
+	struct cq_stage *stage = r->stage;
+	int64_t now_ns = run->plan->now_ns;
+
+	if (stage->released_ns &&
+	    now_ns - stage->released_ns > RESERVATION_PAUSE_NS) {
+		stage->released_ns = 0;
+		stage->reserved_ns = 0;
+	}
+	if (!stage->released_ns && stage->reserved_ns &&
+	    now_ns - stage->reserved_ns > MAX_RESERVATION_NS) {
+		stage->released_ns = now_ns;
+		if (run->ops->release)
+			run->ops->release(run->ctx, r);
+	}
+	return stage->released_ns != 0;
+}
+
 static void preempt_for_stage(struct plan_run *run,
 			      const struct cq_placement *p,
 			      const struct cq_ready_stage *r)
@@ -143,8 +171,11 @@
 	if (max_loss_s < 0)
 		return;
 	victims = g_ptr_array_new();
-	if (cq_placement_select_victims(p, max_loss_s, victims) &&
-	    victims->len) {
+	if (!cq_placement_select_victims(p, max_loss_s, victims))
+		r->stage->reserved_ns = 0;
+	else if (!r->stage->reserved_ns)
+		r->stage->reserved_ns = run->plan->now_ns;
+	if (victims->len) {
 		run->ops->preempt(run->ctx, r, victims);
 		/* A run that was not sent yet leaves its room at once. */
 		g_array_set_size(run->full, 0);
@@ -234,6 +265,8 @@
 			(int64_t)assignments->len * step->accelerators;
 		run->ops->start(run->ctx, r, assignments);
 		r->stage->waiting_ns = 0;
+		r->stage->reserved_ns = 0;
+		r->stage->released_ns = 0;
 	}
 	if (cq_stage_waiting(r->stage) && !step->gang &&
 	    !step->max_per_worker && assignments->len < p->max_tasks) {
@@ -255,6 +288,7 @@
 		.remote_factor = plan->remote_factor,
 		.pack_racks = r->stage->rank > CQ_RANK_URGENT,
 		.reserve_unaffordable = r->stage->rank <= CQ_RANK_URGENT,
+		.reserve_with_victims_only = reserves_in_vain(run, r),
 		.max_tasks = quota,
 		.work = &run->work,
 	};
--- a/tests/support/gang_world.c
+++ b/tests/support/gang_world.c
@@ -185,8 +185,10 @@
 
 void gang_world_plan(struct gang_world *w, int64_t now_ms)
 {
-	static const struct cq_stage_plan_ops ops = { start_stage,
-						      preempt_runs };
+	static const struct cq_stage_plan_ops ops = {
+		.start = start_stage,
+		.preempt = preempt_runs,
+	};
 	const struct cq_stage_plan plan = {
 		.policy = &cq_stage_policy_default,
 		.pool = w->pool,
--- a/tests/support/replay.c
+++ b/tests/support/replay.c
@@ -324,7 +324,10 @@
 	}
 }
 
-static const struct cq_stage_plan_ops plan_ops = { start_stage, preempt_runs };
+static const struct cq_stage_plan_ops plan_ops = {
+	.start = start_stage,
+	.preempt = preempt_runs,
+};
 
 static void admit_arrivals(struct replay *r)
 {
--- a/tests/unit/test_stage_plan.c
+++ b/tests/unit/test_stage_plan.c
@@ -22,6 +22,7 @@
 	GPtrArray *batches;
 	uint32_t started;
 	uint32_t preempted;
+	uint32_t released; /* in all plans */
 	/* Limits of the plans, see struct cq_stage_plan; 0: none */
 	uint32_t round;
 	uint64_t max_work;
@@ -54,7 +55,16 @@
 	w->preempted += tasks->len;
 }
 
-static const struct cq_stage_plan_ops ops = { on_start, on_preempt };
+static void on_release(void *ctx, const struct cq_ready_stage *r)
+{
+	struct fixture *w = ctx;
+
+	(void)r;
+	w->released++;
+}
+
+static const struct cq_stage_plan_ops ops = { on_start, on_preempt,
+					      on_release };
 
 static void fixture_setup(struct fixture *w, int workers)
 {
@@ -548,6 +558,39 @@
 	fixture_teardown(&w);
 }
 
+/*
+ * Guards against workers that are set aside for good for a stage which doesn't
+ * start: an urgent gang waits for a run that is too costly to stop. The idle
+ * worker goes to others after a while, and is set aside again later.
+ */
+static void test_fruitless_reservation_ends(void)
+{
+	struct fixture w;
+	struct cq_stage *old, *gang, *late;
+	struct cq_stage *stages[2];
+
+	fixture_setup(&w, 2);
+	old = add_gang_job(&w, RANK_BULK, 1);
+	assign_runs(&w, old, 0, 10000 * CQ_NS_PER_S);
+	gang = add_gang_job(&w, CQ_RANK_URGENT, 2);
+	late = add_gang_job(&w, RANK_BULK, 1);
+	stages[0] = gang;
+	stages[1] = late;
+	plan_all(&w, stages, 2, 0);
+	plan_all(&w, stages, 2, 29 * CQ_NS_PER_S);
+	g_assert_cmpuint(late->active_count, ==, 0);
+	plan_all(&w, stages, 2, 31 * CQ_NS_PER_S);
+	g_assert_cmpuint(late->active_count, ==, 1);
+	g_assert_cmpuint(w.released, ==, 1);
+	cq_task_end(&late->tasks[0], CQ_RUN_DONE, NULL, 2);
+	late = add_gang_job(&w, RANK_BULK, 1);
+	stages[1] = late;
+	plan_all(&w, stages, 2, 62 * CQ_NS_PER_S);
+	g_assert_cmpuint(late->active_count, ==, 0);
+	g_assert_cmpuint(w.released, ==, 1);
+	fixture_teardown(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -568,6 +611,8 @@
 	g_test_add_func("/stage_plan/plan_goes_on", test_plan_goes_on);
 	g_test_add_func("/stage_plan/full_by_limit_reserves_nothing",
 			test_full_by_limit_reserves_nothing);
+	g_test_add_func("/stage_plan/fruitless_reservation_ends",
+			test_fruitless_reservation_ends);
 	g_test_add_func("/stage_plan/room_for_those_that_may_start",
 			test_room_for_those_that_may_start);
 	g_test_add_func("/stage_plan/preempts_where_limit_allows",
