Let a gang try beyond the estimate of its record, and plan after a write

Cause: the room for runs in a progress record, new since, is an estimate on the safe side. Besides, starts that were held back waited for the next tick of 50 ms, and a plan ran again and again while the store was away.

Change: a gang that has the record for itself may try; a record that is refused all the same limits it as before. A plan follows a write if tasks were held back, and none while no further run may wait for its record.

gang_beyond_estimate failed before: 0 of 12 tasks started.

--- a/include/chestnutquay/stage_plan.h
+++ b/include/chestnutquay/stage_plan.h
@@ -57,6 +57,8 @@
 struct cq_stage_plan_result {
 	uint64_t work; /* looks at workers and runs, and one for each stage */
 	bool complete; /* the round has come to all stages */
+	/* Tasks wait for others to leave CQ_RUN_RECORDING */
+	bool held_back;
 };
 
 struct cq_stage_plan_ops {
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -121,6 +121,7 @@
 	struct cq_work_share plan_share;
 	uint32_t plan_round; /* see struct cq_stage_plan */
 	bool round_unfinished;
+	bool starts_held_back; /* until records are in the store */
 
 	struct cq_counter *starts;
 	struct cq_counter *stops;
--- a/src/coordination/dispatcher_plan.c
+++ b/src/coordination/dispatcher_plan.c
@@ -210,7 +210,8 @@
 	result = cq_stage_plan_run(&plan, ready, &plan_ops, d);
 	cq_counter_add(d->plan_work, result.work);
 	d->round_unfinished = !result.complete;
-	if (d->round_unfinished)
+	d->starts_held_back = result.held_back || d->round_unfinished;
+	if (d->round_unfinished && count_recording(d) < MAX_RECORDING)
 		dispatcher_plan_soon(d);
 	g_array_unref(ready);
 }
--- a/src/coordination/dispatcher_store.c
+++ b/src/coordination/dispatcher_store.c
@@ -516,6 +516,8 @@
 		command_start_recorded(d, batch);
 	}
 	update_all_acknowledged(d);
+	if (d->starts_held_back)
+		dispatcher_plan_soon(d);
 	if (!g_queue_is_empty(&d->dirty) || ended_jobs_due(d))
 		cq_journal_wake(d->journal);
 }
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -49,6 +49,7 @@
 	GArray *full;	     /* struct full_shape */
 	uint64_t work;
 	uint32_t recording; /* runs that wait for their record */
+	bool held_back;	    /* a stage had more tasks than its quota */
 };
 
 static bool is_due(const struct cq_stage *stage, int64_t unix_ms);
@@ -82,12 +83,20 @@
 	       cq_workload_due_ms(stage->batch->workload, stage->occurrence);
 }
 
-/* True if the limit of the batch lets the stage, if a gang all of it, start. */
+/*
+ * True if the limit of the batch lets the stage, if a gang all of it, start.
+ * The room of the record is an estimate on the safe side: a gang that has the
+ * record for itself may try.
+ */
 static bool within_active_limit(const struct cq_stage *stage)
 {
-	uint32_t room = cq_batch_active_room(stage->batch);
+	const struct cq_batch *batch = stage->batch;
+	uint32_t room = cq_batch_active_room(batch);
 
-	return stage->step->gang ? room >= stage->step->tasks : room > 0;
+	if (!room || !stage->step->gang)
+		return room > 0;
+	return room >= stage->step->tasks ||
+	       (!batch->active_count && !batch->max_active);
 }
 
 void cq_stage_plan_collect(struct cq_batch *batch, const struct cq_queue *queue,
@@ -293,13 +302,18 @@
 		.work = &run->work,
 	};
 
+	run->held_back |= !quota;
 	if (!quota || !within_active_limit(r->stage) ||
 	    !plan->policy->may_start(r, totals_of(run, r->queue->service),
 				     plan->now_ns))
 		return;
 	place_stage(run, &p, r);
+	if (!cq_stage_waiting(r->stage))
+		return;
 	/* The rest of a stage that has used its quota may have room. */
-	if (cq_stage_waiting(r->stage) && run->assignments->len < quota)
+	if (run->assignments->len >= quota)
+		run->held_back = true;
+	else
 		preempt_for_stage(run, &p, r);
 }
 
@@ -355,6 +369,7 @@
 	g_array_sort_with_data(ready, compare_ready_stages, (gpointer)plan);
 	result.complete = plan_stages(&run, ready);
 	result.work = run.work;
+	result.held_back = run.held_back;
 	g_array_unref(run.totals);
 	g_array_unref(run.assignments);
 	g_array_unref(run.full);
--- a/tests/unit/test_stage_plan.c
+++ b/tests/unit/test_stage_plan.c
@@ -591,6 +591,23 @@
 	fixture_teardown(&w);
 }
 
+/*
+ * Guards against a gang that never starts since the estimate of its record,
+ * which is on the safe side, is larger than the store takes.
+ */
+static void test_gang_beyond_estimate(void)
+{
+	struct fixture w;
+	struct cq_stage *gang;
+
+	fixture_setup(&w, 12);
+	gang = add_gang_job(&w, CQ_RANK_URGENT, 12);
+	gang->batch->max_record_bytes = 11 * CQ_BATCH_RUN_RECORD_BYTES;
+	plan(&w, gang, 0);
+	g_assert_cmpuint(w.started, ==, 12);
+	fixture_teardown(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -611,6 +628,8 @@
 	g_test_add_func("/stage_plan/plan_goes_on", test_plan_goes_on);
 	g_test_add_func("/stage_plan/full_by_limit_reserves_nothing",
 			test_full_by_limit_reserves_nothing);
+	g_test_add_func("/stage_plan/gang_beyond_estimate",
+			test_gang_beyond_estimate);
 	g_test_add_func("/stage_plan/fruitless_reservation_ends",
 			test_fruitless_reservation_ends);
 	g_test_add_func("/stage_plan/room_for_those_that_may_start",
