--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -169,11 +169,14 @@
  * numbers of waiting jobs periodically.
  */
 void dispatcher_store_tick(struct cq_dispatcher *d);
+/* Whether the configuration, all workloads and their progress are loaded. */
+bool dispatcher_loaded(const struct cq_dispatcher *d);
+
+/* dispatcher_records.c */
+extern const struct cq_journal_ops dispatcher_journal_ops;
 /* Writes a record again that the store refused some time ago. */
 void dispatcher_rewrite_refused(struct cq_dispatcher *d,
 				struct cq_batch *batch);
-/* Whether the configuration, all workloads and their progress are loaded. */
-bool dispatcher_loaded(const struct cq_dispatcher *d);
 
 /* dispatcher_ended.c */
 void ended_jobs_open(struct cq_dispatcher *d);
