Hold back neither guaranteed work nor plans of the usual size

Change: a plan has a million looks, and guaranteed work may use the half of the starts that is kept for first runs.

guaranteed_is_not_held_back fails without the change (1 of 4 tasks).

--- a/include/chestnutquay/stage_plan.h
+++ b/include/chestnutquay/stage_plan.h
@@ -47,7 +47,8 @@
 	uint64_t max_work;
 	/*
 	 * Most runs in CQ_RUN_RECORDING, 0: no limit, and how many there are.
-	 * Half of them are kept for jobs of which nothing runs.
+	 * Half of them are kept for guaranteed work and for the first runs of
+	 * jobs.
 	 */
 	uint32_t max_recording;
 	uint32_t recording;
--- a/src/coordination/dispatcher_plan.c
+++ b/src/coordination/dispatcher_plan.c
@@ -8,11 +8,11 @@
 #include "coordination/dispatcher_internal.h"
 
 /*
- * Looks at workers and runs in one plan; the next one goes on from there. The
- * leader has to renew its lease within a quarter of it, on the smallest hosts
- * with an eighth of a core as well.
+ * Looks at workers and runs in one plan; the next one goes on from there. On
+ * the smallest hosts, with an eighth of a core, that is less than half of a
+ * lease.
  */
-#define MAX_PLAN_WORK 500000
+#define MAX_PLAN_WORK 1000000
 /*
  * Runs whose start waits for the record in the store. Their starts are sent in
  * one go when it is there.
--- a/src/state/stage_plan.c
+++ b/src/state/stage_plan.c
@@ -64,7 +64,7 @@
 					const char *service);
 static bool is_known_full(const GArray *full, const struct cq_placement *p);
 static uint32_t start_quota(const struct plan_run *run,
-			    const struct cq_batch *batch);
+			    const struct cq_stage *stage);
 static void place_stage(struct plan_run *run, const struct cq_placement *p,
 			const struct cq_ready_stage *r);
 static void plan_stage(struct plan_run *run, const struct cq_ready_stage *r);
@@ -236,15 +236,20 @@
 }
 
 /*
- * How many tasks of the job may start in this plan. A job of any size leaves
+ * How many tasks of the stage may start in this plan. A job of any size leaves
  * starts to the others, and the first run of a job waits for no other job's.
+ * Nor does guaranteed work, which has a time by which it has to begin.
  */
 static uint32_t start_quota(const struct plan_run *run,
-			    const struct cq_batch *batch)
+			    const struct cq_stage *stage)
 {
+	const struct cq_batch *batch = stage->batch;
 	uint32_t max = run->plan->max_recording;
 	uint32_t room = cq_batch_active_room(batch);
-	uint32_t used = run->recording + max / RECORDING_KEPT_DIVISOR;
+	uint32_t kept = stage->rank == CQ_RANK_GUARANTEED
+				? 0
+				: max / RECORDING_KEPT_DIVISOR;
+	uint32_t used = run->recording + kept;
 	uint32_t share = max / RECORDING_JOB_DIVISOR;
 	uint32_t quota;
 
@@ -288,7 +293,7 @@
 static void plan_stage(struct plan_run *run, const struct cq_ready_stage *r)
 {
 	const struct cq_stage_plan *plan = run->plan;
-	uint32_t quota = start_quota(run, r->stage->batch);
+	uint32_t quota = start_quota(run, r->stage);
 	const struct cq_placement p = {
 		.pool = plan->pool,
 		.stage = r->stage,
--- a/tests/support/stage_fixture.c
+++ b/tests/support/stage_fixture.c
@@ -135,6 +135,7 @@
 		.round = w->round,
 		.max_work = w->max_work,
 		.max_recording = w->max_recording,
+		.recording = w->recording,
 	};
 	GArray *ready = g_array_new(FALSE, TRUE, sizeof(struct cq_ready_stage));
 	GHashTableIter iter;
--- a/tests/support/stage_fixture.h
+++ b/tests/support/stage_fixture.h
@@ -25,6 +25,7 @@
 	uint32_t round;
 	uint64_t max_work;
 	uint32_t max_recording;
+	uint32_t recording;
 	struct cq_stage_plan_result result; /* of the last plan */
 };
 
--- a/tests/unit/test_stage_plan_bounds.c
+++ b/tests/unit/test_stage_plan_bounds.c
@@ -127,6 +127,28 @@
 	stage_fixture_teardown(&w);
 }
 
+/*
+ * Guards against guaranteed work that is late, as other jobs have all the
+ * starts: those that wait for their record are half of what may.
+ */
+static void test_guaranteed_is_not_held_back(void)
+{
+	struct stage_fixture w;
+	struct cq_stage *stages[3];
+
+	stage_fixture_setup(&w, 16);
+	stages[0] = stage_fixture_add(&w, CQ_RANK_URGENT, 4, 0);
+	stages[1] = stage_fixture_add(&w, CQ_RANK_URGENT, 4, 0);
+	stages[2] = stage_fixture_add(&w, CQ_RANK_GUARANTEED, 4, 0);
+	w.recording = 8;
+	w.max_recording = 16;
+	stage_fixture_plan_all(&w, stages, 3, 0);
+	g_assert_cmpuint(stages[0]->active_count, ==, 1);
+	g_assert_cmpuint(stages[1]->active_count, ==, 1);
+	g_assert_cmpuint(stages[2]->active_count, ==, 4);
+	stage_fixture_teardown(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -139,5 +161,7 @@
 			test_starts_are_shared);
 	g_test_add_func("/stage_plan_bounds/gang_beyond_estimate",
 			test_gang_beyond_estimate);
+	g_test_add_func("/stage_plan_bounds/guaranteed_is_not_held_back",
+			test_guaranteed_is_not_held_back);
 	return g_test_run();
 }
